Add the types that every part shares

Cause: an empty repository; the parts need one vocabulary before they can be built side by side.

Conclusion: the rest builds on these.

--- /dev/null
+++ b/internal/problem/problem.go
@@ -0,0 +1,178 @@
+// Package problem defines the refusals that callers receive: RFC 9457 problem
+// documents that say whether the call was run and when to come back.
+package problem
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// ContentType is the media type of a problem document.
+const ContentType = "application/problem+json"
+
+// ExecutedHeader repeats the document's executed member, so that a target can
+// pass it on without reading the body.
+const ExecutedHeader = "Lugspur-Executed"
+
+// Executed says what a caller may conclude about the call.
+type Executed string
+
+// The values of Executed.
+const (
+	// ExecutedNo means that no target has run any part of the call.
+	ExecutedNo Executed = "no"
+	// ExecutedUnknown means that a target may have run the call, or a part.
+	ExecutedUnknown Executed = "unknown"
+)
+
+// Reason is the kind of a problem; it is the last part of the document's type.
+type Reason string
+
+// The reasons, with the status each is answered with.
+const (
+	BadRequest        Reason = "bad-request"
+	BadContext        Reason = "bad-context"
+	BodyTooLarge      Reason = "body-too-large"
+	UnknownService    Reason = "unknown-service"
+	NotAdmitted       Reason = "not-admitted"
+	Overloaded        Reason = "overloaded"
+	NoTarget          Reason = "no-target"
+	DeadlineExceeded  Reason = "deadline-exceeded"
+	TooManyHops       Reason = "too-many-hops"
+	Draining          Reason = "draining"
+	NotReady          Reason = "not-ready"
+	TargetFailed      Reason = "target-failed"
+	IncompleteAnswer  Reason = "incomplete-answer"
+	DuplicateRequest  Reason = "duplicate-request"
+	ClaimsUnavailable Reason = "claims-unavailable"
+	CallerGone        Reason = "caller-gone"
+	Internal          Reason = "internal"
+)
+
+var statuses = map[Reason]int{
+	BadRequest:        http.StatusBadRequest,
+	BadContext:        http.StatusBadRequest,
+	BodyTooLarge:      http.StatusRequestEntityTooLarge,
+	UnknownService:    http.StatusNotFound,
+	NotAdmitted:       http.StatusForbidden,
+	Overloaded:        http.StatusServiceUnavailable,
+	NoTarget:          http.StatusServiceUnavailable,
+	DeadlineExceeded:  http.StatusGatewayTimeout,
+	TooManyHops:       http.StatusLoopDetected,
+	Draining:          http.StatusServiceUnavailable,
+	NotReady:          http.StatusServiceUnavailable,
+	TargetFailed:      http.StatusBadGateway,
+	IncompleteAnswer:  http.StatusBadGateway,
+	DuplicateRequest:  http.StatusConflict,
+	ClaimsUnavailable: http.StatusServiceUnavailable,
+	CallerGone:        499,
+	Internal:          http.StatusInternalServerError,
+}
+
+// Status returns the HTTP status of a reason.
+func (r Reason) Status() int {
+	if status, ok := statuses[r]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+// Problem is a refusal or failure of one call. It is an error.
+type Problem struct {
+	Type      string   `json:"type"`
+	Title     string   `json:"title"`
+	Status    int      `json:"status"`
+	Detail    string   `json:"detail,omitempty"`
+	Executed  Executed `json:"executed"`
+	RequestID string   `json:"request_id,omitempty"`
+	// RetryAfterSeconds is when to come back; zero means that coming back with
+	// the same call is of no use.
+	RetryAfterSeconds int `json:"retry_after_seconds,omitempty"`
+	// Step is the step of the call's way at which the problem arose.
+	Step string `json:"step,omitempty"`
+	// Peer is the node or target at which it arose.
+	Peer string `json:"peer,omitempty"`
+
+	Reason Reason `json:"-"`
+	cause  error
+}
+
+// typePrefix starts the type member of every document.
+const typePrefix = "urn:lugspur:problem:"
+
+// New returns a problem. The step and the peer say where it arose.
+func New(reason Reason, executed Executed, step, peer, detail string) *Problem {
+	return &Problem{
+		Type:     typePrefix + string(reason),
+		Title:    http.StatusText(reason.Status()),
+		Status:   reason.Status(),
+		Detail:   detail,
+		Executed: executed,
+		Step:     step,
+		Peer:     peer,
+		Reason:   reason,
+	}
+}
+
+// WithRetryAfter says when to come back, rounded up to a whole second of at
+// least one.
+func (p *Problem) WithRetryAfter(delay time.Duration) *Problem {
+	seconds := int((delay + time.Second - 1) / time.Second)
+	p.RetryAfterSeconds = max(seconds, 1)
+	return p
+}
+
+// WithCause keeps the error that led to the problem, for logs and errors.Is.
+func (p *Problem) WithCause(err error) *Problem {
+	p.cause = err
+	return p
+}
+
+// Error returns the problem in one line.
+func (p *Problem) Error() string {
+	return fmt.Sprintf("%s at %s (%s): %s, executed: %s", p.Reason, p.Step, p.Peer, p.Detail, p.Executed)
+}
+
+// Unwrap returns the cause.
+func (p *Problem) Unwrap() error { return p.cause }
+
+// Write answers a call with the problem.
+func (p *Problem) Write(w http.ResponseWriter) {
+	header := w.Header()
+	header.Set("Content-Type", ContentType)
+	header.Set("Cache-Control", "no-store")
+	header.Set(ExecutedHeader, string(p.Executed))
+	if p.RetryAfterSeconds > 0 {
+		header.Set("Retry-After", strconv.Itoa(p.RetryAfterSeconds))
+	}
+	body := p.Document()
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(p.Status)
+	_, _ = w.Write(body)
+}
+
+// Document returns the problem document.
+func (p *Problem) Document() []byte {
+	document, err := json.Marshal(p)
+	if err != nil {
+		// A struct of strings and numbers always has a JSON form.
+		panic(err)
+	}
+	return document
+}
+
+// Parse reads a problem document, as a node writes it.
+func Parse(body []byte) (*Problem, error) {
+	var p Problem
+	if err := json.Unmarshal(body, &p); err != nil {
+		return nil, fmt.Errorf("parse problem document: %w", err)
+	}
+	if len(p.Type) <= len(typePrefix) || p.Type[:len(typePrefix)] != typePrefix {
+		return nil, fmt.Errorf("parse problem document: type %q is not ours", p.Type)
+	}
+	p.Reason = Reason(p.Type[len(typePrefix):])
+	return &p, nil
+}
--- /dev/null
+++ b/internal/resource/validate.go
@@ -0,0 +1,126 @@
+package resource
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"reflect"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-playground/validator/v10"
+)
+
+var checks = newChecks()
+
+func newChecks() *validator.Validate {
+	checks := validator.New(validator.WithRequiredStructEnabled())
+	checks.RegisterTagNameFunc(func(field reflect.StructField) string {
+		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		return name
+	})
+	err := checks.RegisterValidation("ip_port", func(level validator.FieldLevel) bool {
+		address, err := netip.ParseAddrPort(level.Field().String())
+		return err == nil && address.Port() != 0
+	})
+	if err != nil {
+		panic(err)
+	}
+	return checks
+}
+
+// Validate checks the envelope's form: its name, that it has the one
+// specification of its kind, and every field of it. Policies are checked for
+// form only; package policy checks their programs.
+func (e Envelope) Validate() error {
+	if err := e.ID.Validate(); err != nil {
+		return err
+	}
+	if e.Deleted {
+		return nil
+	}
+	specification, err := e.specification()
+	if err != nil {
+		return err
+	}
+	if err := checks.Struct(specification); err != nil {
+		return describe(err)
+	}
+	if e.ID.Kind == KindDrain {
+		return validateDrainName(e.ID.Name)
+	}
+	return nil
+}
+
+func (e Envelope) specification() (any, error) {
+	switch {
+	case e.ID.Kind == KindTarget && e.Target != nil:
+		return e.Target, nil
+	case e.ID.Kind == KindService && e.Service != nil:
+		return e.Service, nil
+	case e.ID.Kind == KindPolicy && e.Policy != nil:
+		return e.Policy, nil
+	case e.ID.Kind == KindDrain && e.Drain != nil:
+		return e.Drain, nil
+	case e.ID.Kind == KindRoster && len(e.Roster) > 0:
+		return &struct{}{}, nil
+	}
+	return nil, fmt.Errorf("%s has no specification of its kind", e.ID)
+}
+
+func validateDrainName(name string) error {
+	for _, prefix := range []string{DrainTargetPrefix, DrainMachinePrefix} {
+		if rest, ok := strings.CutPrefix(name, prefix); ok && rest != "" {
+			return nil
+		}
+	}
+	return fmt.Errorf("drain %q: the name must start with %s or %s", name, DrainTargetPrefix, DrainMachinePrefix)
+}
+
+// describe turns the validator's errors into one that names every field, the
+// rule that it breaks and what is allowed.
+func describe(err error) error {
+	var faults validator.ValidationErrors
+	if !errors.As(err, &faults) {
+		return err
+	}
+	described := make([]error, 0, len(faults))
+	for _, fault := range faults {
+		described = append(described, fmt.Errorf("%s: value %v breaks the rule %s", fault.Field(), fault.Value(), ruleOf(fault)))
+	}
+	return errors.Join(described...)
+}
+
+func ruleOf(fault validator.FieldError) string {
+	switch fault.Tag() {
+	case "ip_port":
+		return "IP address and port, such as 10.0.0.1:8080"
+	case "required":
+		return "must be given"
+	}
+	return strings.TrimSuffix(fault.Tag()+" "+fault.Param(), " ")
+}
+
+// Encode returns the envelope as the store holds it.
+func (e Envelope) Encode() ([]byte, error) {
+	encoded, err := cbor.Marshal(e)
+	if err != nil {
+		return nil, fmt.Errorf("encode %s: %w", e.ID, err)
+	}
+	if len(encoded) > MaxObjectSize {
+		return nil, fmt.Errorf("encode %s: %d bytes, allowed are %d", e.ID, len(encoded), MaxObjectSize)
+	}
+	return encoded, nil
+}
+
+// DecodeEnvelope reads an envelope as the store holds it.
+func DecodeEnvelope(encoded []byte) (Envelope, error) {
+	var e Envelope
+	if len(encoded) > MaxObjectSize {
+		return e, fmt.Errorf("decode envelope: %d bytes, allowed are %d", len(encoded), MaxObjectSize)
+	}
+	if err := cbor.Unmarshal(encoded, &e); err != nil {
+		return e, fmt.Errorf("decode envelope: %w", err)
+	}
+	return e, e.Validate()
+}
