Add the store seam with its adapter, embedded store and stand-in

Cause: the operators' objects must last in the platform's key-value service, which is rate-limited, has outages and loses answers.

Ruled out: the vendor's client library (its own fail-over resends and hides whether a write left the process); resending writes at all.

Change: an interface with a conformance suite of 25 cases; an adapter for the JSON-over-HTTP form of the etcd v3 API that sends a write at most once and says "unknown outcome" when its answer was lost; an in-memory store; a stand-in with revisions, leases, watches, a rate limit, outages and lost answers; a stand-in for the lagging list of machines.

Not run: a real etcd; adapter and stand-in share the message types, so an error there would show on neither side alone.

--- /dev/null
+++ b/internal/store/etcd/pace/pace_test.go
@@ -0,0 +1,58 @@
+package pace_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lugspur/lugspur/internal/store/etcd/pace"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func TestBucketGivesBurstThenRate(t *testing.T) {
+	bucket := pace.NewBucket(10, 3)
+	for range 3 {
+		wait, ok := bucket.Take(start, 0)
+		assert.Assert(t, ok)
+		assert.Equal(t, wait, time.Duration(0))
+	}
+	wait, ok := bucket.Take(start, 0)
+	assert.Assert(t, !ok)
+	assert.Equal(t, wait, 100*time.Millisecond)
+	wait, ok = bucket.Take(start, time.Second)
+	assert.Assert(t, ok)
+	assert.Equal(t, wait, 100*time.Millisecond)
+	wait, ok = bucket.Take(start, time.Second)
+	assert.Assert(t, ok)
+	assert.Equal(t, wait, 200*time.Millisecond)
+}
+
+func TestBucketNeverExceedsRateOverTime(t *testing.T) {
+	bucket := pace.NewBucket(5, 2)
+	taken := 0
+	for elapsed := time.Duration(0); elapsed < 10*time.Second; elapsed += 10 * time.Millisecond {
+		if _, ok := bucket.Take(start.Add(elapsed), 0); ok {
+			taken++
+		}
+	}
+	assert.Assert(t, taken >= 50 && taken <= 51, "taken %d", taken)
+}
+
+func TestBucketPauses(t *testing.T) {
+	bucket := pace.NewBucket(1000, 10)
+	bucket.Pause(start.Add(time.Second))
+	_, ok := bucket.Take(start, 0)
+	assert.Assert(t, !ok)
+	_, ok = bucket.Take(start.Add(time.Second), 0)
+	assert.Assert(t, ok)
+}
+
+func TestBucketWithoutRateDoesNotLimit(t *testing.T) {
+	bucket := pace.NewBucket(0, 0)
+	for range 1000 {
+		_, ok := bucket.Take(start, 0)
+		assert.Assert(t, ok)
+	}
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,94 @@
+// Package store is the seam to the platform's key-value service, which holds
+// the operators' objects.
+//
+// An implementation may be slow, rate-limited or unreachable at any time.
+// Every method honours its context; when the context ended, the error wraps
+// the context's error beside the outcome. A write whose answer was lost returns
+// ErrUnknownOutcome; the write may or may not have taken effect, and may still
+// take effect later. An error that wraps neither one of this package's nor the
+// context's means that the request itself was refused, such as for a value
+// that is too large; nothing took effect.
+package store
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Revision numbers the store's changes: every accepted write, in any key, has
+// a larger revision than all before it. Zero is the revision of a key that
+// does not exist.
+type Revision int64
+
+// Errors that implementations return, possibly wrapped.
+var (
+	// ErrNotFound means that the key does not exist.
+	ErrNotFound = errors.New("key not found")
+	// ErrConflict means that the key's revision was not the expected one and
+	// that the write did not take effect.
+	ErrConflict = errors.New("revision conflict")
+	// ErrUnknownOutcome means that the write may or may not have taken effect.
+	ErrUnknownOutcome = errors.New("outcome of write unknown")
+	// ErrUnavailable means that the store was not reached or refused for a
+	// reason that has nothing to do with the request; nothing took effect.
+	ErrUnavailable = errors.New("store unavailable")
+	// ErrRateLimited means that the store refused because of its rate limit;
+	// nothing took effect.
+	ErrRateLimited = errors.New("store rate limit reached")
+	// ErrCompacted means that a watch asked for a revision that the store no
+	// longer holds: list again and watch from the list's revision.
+	ErrCompacted = errors.New("revision compacted")
+	// ErrLeaseLost means that a lease has expired or was revoked.
+	ErrLeaseLost = errors.New("lease lost")
+)
+
+// Entry is a key with its value.
+type Entry struct {
+	Key   string
+	Value []byte
+	// Revision is the revision of the last write to the key.
+	Revision Revision
+	// Deleted marks, in watch events, that the key was removed.
+	Deleted bool
+}
+
+// Snapshot is all entries under a prefix at one revision.
+type Snapshot struct {
+	Revision Revision
+	Entries  []Entry
+}
+
+// LeaseID names a lease; zero is no lease.
+type LeaseID int64
+
+// Store is the platform's key-value service. It is safe for concurrent use.
+type Store interface {
+	// Get returns the entry of a key, or ErrNotFound.
+	Get(ctx context.Context, key string) (Entry, error)
+	// List returns all entries whose key has the prefix, at one revision.
+	List(ctx context.Context, prefix string) (Snapshot, error)
+	// CompareAndSwap writes the value if the key's revision is expected (zero:
+	// the key must not exist) and returns the new revision. A non-zero lease
+	// removes the key when it expires.
+	CompareAndSwap(ctx context.Context, key string, expected Revision, value []byte, lease LeaseID) (Revision, error)
+	// CompareAndDelete removes the key if its revision is expected and returns
+	// the revision of the removal. A key that does not exist is ErrConflict.
+	CompareAndDelete(ctx context.Context, key string, expected Revision) (Revision, error)
+	// Watch sends every change under the prefix after the given revision, in
+	// order of revision. It returns when ctx ends or with the error that ended
+	// the watch. The handler is called from one goroutine; progress, when not
+	// zero, is a revision up to which nothing was missed, sent with an empty
+	// batch as well when the store reports progress. After ErrUnavailable the
+	// caller watches again after the last progress and misses nothing.
+	Watch(ctx context.Context, prefix string, after Revision, handler func(batch []Entry, progress Revision)) error
+	// GrantLease creates a lease that expires when not renewed for the duration.
+	// An implementation may round the duration up to whole seconds.
+	GrantLease(ctx context.Context, duration time.Duration) (LeaseID, error)
+	// RenewLease renews a lease and returns the time left, or ErrLeaseLost. The
+	// time counts from some moment during the call, so a holder counts it from
+	// before the call. After any other error the renewal must be taken as lost.
+	RenewLease(ctx context.Context, lease LeaseID) (time.Duration, error)
+	// RevokeLease ends a lease and removes its keys.
+	RevokeLease(ctx context.Context, lease LeaseID) error
+}
--- /dev/null
+++ b/lab/kvstore/process.go
@@ -0,0 +1,110 @@
+package kvstore
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// readHeaderTimeout bounds how long a client may take for its header.
+const readHeaderTimeout = 10 * time.Second
+
+// Process is a stand-in with its own listeners, so that OutageRefuse really
+// refuses connections.
+type Process struct {
+	server  *Server
+	address string
+
+	mu       sync.Mutex
+	api      *http.Server
+	control  *http.Server
+	listener net.Listener
+	serving  sync.WaitGroup
+}
+
+// Start serves the API and the control listener on the given addresses, whose
+// ports may be zero.
+func Start(config Config, listen, control string) (*Process, error) {
+	apiListener, err := net.Listen("tcp", listen)
+	if err != nil {
+		return nil, oops.In("kvstore").With("step", "listen").With("peer", listen).Wrapf(err, "listen on %s", listen)
+	}
+	controlListener, err := net.Listen("tcp", control)
+	if err != nil {
+		_ = apiListener.Close()
+		return nil, oops.In("kvstore").With("step", "listen").With("peer", control).Wrapf(err, "listen on %s", control)
+	}
+	p := &Process{server: New(config), address: apiListener.Addr().String(), listener: controlListener}
+	p.control = p.serve(controlListener, controlHandler(p.server, p.Control))
+	p.api = p.serve(apiListener, p.server.Handler())
+	return p, nil
+}
+
+// Address returns the address of the store's API.
+func (p *Process) Address() string {
+	return p.address
+}
+
+// ControlAddress returns the address of the control listener.
+func (p *Process) ControlAddress() string {
+	return p.listener.Addr().String()
+}
+
+// Status returns the faults in force and the counts.
+func (p *Process) Status() Status {
+	return p.server.Status()
+}
+
+// Control applies a control request, and closes or opens the API's listener
+// where the outage asks for it.
+func (p *Process) Control(request ControlRequest) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := p.server.Control(request); err != nil {
+		return err
+	}
+	refuse := p.server.Status().Faults.Outage == OutageRefuse
+	if refuse && p.api != nil {
+		_ = p.api.Close()
+		p.api = nil
+	}
+	if !refuse && p.api == nil {
+		return p.reopen()
+	}
+	return nil
+}
+
+func (p *Process) reopen() error {
+	listener, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return oops.In("kvstore").With("step", "reopen").With("peer", p.address).Wrapf(err, "listen on %s", p.address)
+	}
+	p.api = p.serve(listener, p.server.Handler())
+	return nil
+}
+
+func (p *Process) serve(listener net.Listener, handler http.Handler) *http.Server {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	p.serving.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			_ = listener.Close()
+		}
+	})
+	return server
+}
+
+// Close ends the listeners and all connections.
+func (p *Process) Close() {
+	p.server.Close()
+	p.mu.Lock()
+	if p.api != nil {
+		_ = p.api.Close()
+	}
+	_ = p.control.Close()
+	p.mu.Unlock()
+	p.serving.Wait()
+}
