Add limits, priority queues, shed levels, routing and retry budgets

Cause: overload has to be decided at one place for each target, in the order of criticality, and known upstream before work is wasted on it.

Change: adaptive limit, strict-priority queue with fairness between callers, shed controller in the manner of DAGOR and the table of levels, two-choice routing with warm-up and zone spill, budgets held at the ingress node with grants over the peer listener, a retry ratio, rendezvous placement.

--- /dev/null
+++ b/internal/limit/config.go
@@ -0,0 +1,87 @@
+package limit
+
+import "time"
+
+// Defaults of Config.
+const (
+	DefaultWindow         = 100 * time.Millisecond
+	DefaultRampTime       = time.Second
+	DefaultBackoff        = 0.7
+	DefaultGradientCut    = 0.85
+	DefaultTolerance      = 2.0
+	DefaultGradientFloor  = 0.5
+	DefaultTimeoutFloor   = 0.25
+	DefaultTimeoutShare   = 0.1
+	DefaultBaselineMemory = 30 * time.Second
+	DefaultHintFloor      = 0.5
+	DefaultHintDecay      = 2 * time.Second
+)
+
+// Config sets a Limiter. A zero field takes its default.
+type Config struct {
+	// Ceiling is the largest limit in calls: the smaller of slots and connections. At least 1.
+	Ceiling int
+	// Initial is the first limit in calls; default half the ceiling, at least Minimum.
+	Initial int
+	// Minimum is the smallest limit in calls; default 1.
+	Minimum int
+	// Window is the least time between two cuts, and the step of increases.
+	Window time.Duration
+	// RampTime is the time in which steady success raises the limit by one ceiling.
+	RampTime time.Duration
+	// Backoff is the factor of a cut on overload or timeouts, between 0 and 1.
+	Backoff float64
+	// GradientCut is the factor of a cut on rising latency, between 0 and 1.
+	GradientCut float64
+	// Tolerance is how many times the long-term minimum latency may grow before a cut.
+	Tolerance float64
+	// GradientFloor is the share of the ceiling below which latency alone cuts nothing.
+	GradientFloor float64
+	// TimeoutFloor is the share of the ceiling below which timeouts mixed with successes cut nothing.
+	TimeoutFloor float64
+	// TimeoutShare is the share of timeouts in recent calls from which they count as congestion.
+	TimeoutShare float64
+	// BaselineMemory is how long a latency minimum is remembered; it is forgotten after at most twice this time.
+	BaselineMemory time.Duration
+	// HintFloor is the smallest factor that a reported load can put on the limit.
+	HintFloor float64
+	// HintDecay is the time after which a reported load has no effect any more.
+	HintDecay time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	c.Ceiling = max(c.Ceiling, 1)
+	c.Minimum = min(max(c.Minimum, 1), c.Ceiling)
+	if c.Initial <= 0 {
+		c.Initial = c.Ceiling / 2
+	}
+	c.Initial = min(max(c.Initial, c.Minimum), c.Ceiling)
+	c.Window = durationOr(c.Window, DefaultWindow)
+	c.RampTime = durationOr(c.RampTime, DefaultRampTime)
+	c.BaselineMemory = durationOr(c.BaselineMemory, DefaultBaselineMemory)
+	c.HintDecay = durationOr(c.HintDecay, DefaultHintDecay)
+	c.Backoff = factorOr(c.Backoff, DefaultBackoff)
+	c.GradientCut = factorOr(c.GradientCut, DefaultGradientCut)
+	c.GradientFloor = factorOr(c.GradientFloor, DefaultGradientFloor)
+	c.TimeoutFloor = factorOr(c.TimeoutFloor, DefaultTimeoutFloor)
+	c.TimeoutShare = factorOr(c.TimeoutShare, DefaultTimeoutShare)
+	c.HintFloor = factorOr(c.HintFloor, DefaultHintFloor)
+	if !(c.Tolerance > 1) {
+		c.Tolerance = DefaultTolerance
+	}
+	return c
+}
+
+func durationOr(value, fallback time.Duration) time.Duration {
+	if value <= 0 {
+		return fallback
+	}
+	return value
+}
+
+func factorOr(value, fallback float64) float64 {
+	if value > 0 && value <= 1 {
+		return value
+	}
+	return fallback
+}
--- /dev/null
+++ b/internal/rendezvous/rendezvous.go
@@ -0,0 +1,82 @@
+// Package rendezvous assigns keys to nodes by rendezvous (highest random
+// weight) hashing.
+//
+// Every caller with the same set of nodes computes the same assignment without
+// exchanging messages. When a node joins or leaves, only the keys that it gains
+// or loses move: about one key in len(nodes). The order of the nodes does not
+// matter. All functions are pure and safe for concurrent use.
+package rendezvous
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Constants of the splitmix64 finalizer and the rotation that keeps key and
+// node from cancelling out when they are the same string.
+const (
+	mixFirst     = 0xbf58476d1ce4e5b9
+	mixSecond    = 0x94d049bb133111eb
+	nodeRotation = 23
+)
+
+// candidate is a node with its weight for one key.
+type candidate struct {
+	node   string
+	weight uint64
+}
+
+// Owner returns the node that owns the key, or "" when there is no node.
+// It runs in time linear in the number of nodes and does not allocate.
+func Owner(key string, nodes []string) string {
+	keyHash := xxhash.Sum64String(key)
+	var best candidate
+	for i, node := range nodes {
+		next := candidate{node: node, weight: weight(keyHash, node)}
+		if i == 0 || compare(next, best) < 0 {
+			best = next
+		}
+	}
+	return best.node
+}
+
+// TopN returns the first n distinct nodes for the key, the owner first, in the
+// order in which they take the key over when those before them are gone. It
+// returns fewer when there are fewer distinct nodes.
+func TopN(key string, nodes []string, n int) []string {
+	if n <= 0 {
+		return nil
+	}
+	keyHash := xxhash.Sum64String(key)
+	candidates := make([]candidate, len(nodes))
+	for i, node := range nodes {
+		candidates[i] = candidate{node: node, weight: weight(keyHash, node)}
+	}
+	slices.SortFunc(candidates, compare)
+	candidates = slices.Compact(candidates)
+	candidates = candidates[:min(n, len(candidates))]
+	top := make([]string, len(candidates))
+	for i, chosen := range candidates {
+		top[i] = chosen.node
+	}
+	return top
+}
+
+// compare orders candidates by falling weight, then by name.
+func compare(a, b candidate) int {
+	if byWeight := cmp.Compare(b.weight, a.weight); byWeight != 0 {
+		return byWeight
+	}
+	return cmp.Compare(a.node, b.node)
+}
+
+// weight is the pseudo-random weight of a node for a hashed key.
+func weight(keyHash uint64, node string) uint64 {
+	x := keyHash ^ bits.RotateLeft64(xxhash.Sum64String(node), nodeRotation)
+	x = (x ^ (x >> 30)) * mixFirst
+	x = (x ^ (x >> 27)) * mixSecond
+	return x ^ (x >> 31)
+}
--- /dev/null
+++ b/internal/rendezvous/rendezvous_test.go
@@ -0,0 +1,64 @@
+package rendezvous
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func names(prefix string, count int) []string {
+	list := make([]string, count)
+	for i := range list {
+		list[i] = fmt.Sprintf("%s%d", prefix, i)
+	}
+	return list
+}
+
+func TestOwnerWithoutNodes(t *testing.T) {
+	assert.Equal(t, Owner("key", nil), "")
+	assert.Equal(t, len(TopN("key", nil, 3)), 0)
+	assert.Equal(t, len(TopN("key", []string{"a"}, 0)), 0)
+}
+
+func TestOwnersAreSpreadEvenly(t *testing.T) {
+	nodes := names("node-", 10)
+	counts := map[string]int{}
+	for _, key := range names("target-", 10000) {
+		counts[Owner(key, nodes)]++
+	}
+	for _, node := range nodes {
+		assert.Assert(t, counts[node] > 850 && counts[node] < 1150, "%s owns %d of 10000", node, counts[node])
+	}
+}
+
+func TestOnlyTheKeysOfALostNodeMove(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.SliceOfNDistinct(rapid.StringN(1, 8, -1), 2, 20, rapid.ID[string]).Draw(t, "nodes")
+		key := rapid.String().Draw(t, "key")
+		lost := rapid.SampledFrom(nodes).Draw(t, "lost")
+		left := slices.DeleteFunc(slices.Clone(nodes), func(node string) bool { return node == lost })
+		before, after := Owner(key, nodes), Owner(key, left)
+		if before != lost && before != after {
+			t.Fatalf("key moved from %q to %q though %q was lost", before, after, lost)
+		}
+		if before == lost && after != TopN(key, nodes, 2)[1] {
+			t.Fatalf("the successor is %q, not the second of the order", after)
+		}
+	})
+}
+
+func TestOrderOfNodesDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.SliceOfN(rapid.StringN(1, 8, -1), 1, 20).Draw(t, "nodes")
+		key := rapid.String().Draw(t, "key")
+		n := rapid.IntRange(1, 25).Draw(t, "n")
+		shuffled := rapid.Permutation(nodes).Draw(t, "shuffled")
+		top := TopN(key, nodes, n)
+		if !slices.Equal(top, TopN(key, shuffled, n)) || top[0] != Owner(key, shuffled) {
+			t.Fatalf("the order of the nodes changed the assignment")
+		}
+	})
+}
--- /dev/null
+++ b/internal/retrybudget/ratio.go
@@ -0,0 +1,110 @@
+package retrybudget
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// Defaults of RatioConfig.
+const (
+	DefaultShare            = 0.1
+	DefaultReservePerSecond = 1.0
+	DefaultReserve          = 5.0
+	DefaultMaxBalance       = 100.0
+	DefaultHalfLife         = 10 * time.Second
+)
+
+// RatioConfig sets a Ratio. A zero field takes its default.
+type RatioConfig struct {
+	// Share is the number of retries that one success pays for, between 0 and 1.
+	Share float64
+	// ReservePerSecond is how many retries per second are allowed without successes.
+	ReservePerSecond float64
+	// Reserve is the balance up to which the reserve refills, in retries.
+	Reserve float64
+	// MaxBalance is the largest balance, in retries.
+	MaxBalance float64
+	// HalfLife is the time in which the balance above Reserve halves, so that
+	// old successes do not pay for a retry storm.
+	HalfLife time.Duration
+}
+
+// Ratio holds a node's retries to a share of its successes. It is safe for
+// concurrent use.
+type Ratio struct {
+	config RatioConfig
+	now    func() time.Time
+
+	mu      sync.Mutex
+	balance float64
+	updated time.Time
+}
+
+// NewRatio returns a ratio whose reserve is full.
+func NewRatio(config RatioConfig, now func() time.Time) *Ratio {
+	config.Share = positiveOr(config.Share, DefaultShare)
+	config.ReservePerSecond = positiveOr(config.ReservePerSecond, DefaultReservePerSecond)
+	config.Reserve = positiveOr(config.Reserve, DefaultReserve)
+	config.MaxBalance = max(positiveOr(config.MaxBalance, DefaultMaxBalance), config.Reserve)
+	if config.HalfLife <= 0 {
+		config.HalfLife = DefaultHalfLife
+	}
+	return &Ratio{config: config, now: now, balance: config.Reserve, updated: now()}
+}
+
+// Success pays in for a call that was answered.
+func (r *Ratio) Success() {
+	now := r.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.advance(now)
+	r.balance = min(r.balance+r.config.Share, r.config.MaxBalance)
+}
+
+// Allow spends one retry and reports whether there was one left.
+func (r *Ratio) Allow() bool {
+	now := r.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.advance(now)
+	if r.balance < 1-balanceSlack {
+		return false
+	}
+	r.balance = max(r.balance-1, 0)
+	return true
+}
+
+// Balance returns the number of retries allowed now.
+func (r *Ratio) Balance() float64 {
+	now := r.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.advance(now)
+	return r.balance
+}
+
+// advance refills the reserve, or fades what lies above it.
+func (r *Ratio) advance(now time.Time) {
+	elapsed := now.Sub(r.updated).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	r.updated = now
+	surplus := r.balance - r.config.Reserve
+	if surplus > 0 {
+		r.balance = r.config.Reserve + surplus*math.Exp2(-elapsed/r.config.HalfLife.Seconds())
+		return
+	}
+	r.balance = min(r.balance+elapsed*r.config.ReservePerSecond, r.config.Reserve)
+}
+
+// balanceSlack absorbs rounding when shares are summed.
+const balanceSlack = 1e-9
+
+func positiveOr(value, fallback float64) float64 {
+	if value > 0 {
+		return value
+	}
+	return fallback
+}
--- /dev/null
+++ b/internal/routing/picker.go
@@ -0,0 +1,172 @@
+package routing
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Defaults of Config.
+const (
+	DefaultWarmup         = 10 * time.Second
+	DefaultSpillThreshold = 0.8
+	DefaultReportDecay    = 2 * time.Second
+)
+
+// warmupFloor is the share of its capacity that a target has when it joins.
+const warmupFloor = 0.1
+
+// Config sets a Picker. A zero field takes its default.
+type Config struct {
+	// Warmup is the time in which a joining target reaches its full capacity.
+	Warmup time.Duration
+	// SpillThreshold is the load of the caller's zone above which calls go to other zones, between 0 and 1.
+	SpillThreshold float64
+	// ReportDecay is the time after which a reported load has no effect any more.
+	ReportDecay time.Duration
+	// Seed makes the random choices repeatable.
+	Seed uint64
+}
+
+// Picker picks targets of one service. It is safe for concurrent use; Pick
+// allocates nothing.
+type Picker struct {
+	config Config
+	now    func() time.Time
+	table  atomic.Pointer[Table]
+
+	updating sync.Mutex
+
+	randomLock sync.Mutex
+	random     *rand.Rand
+}
+
+// NewPicker returns a picker without candidates. The clock now dates reports.
+func NewPicker(config Config, now func() time.Time) *Picker {
+	if config.Warmup <= 0 {
+		config.Warmup = DefaultWarmup
+	}
+	if !(config.SpillThreshold > 0 && config.SpillThreshold < 1) {
+		config.SpillThreshold = DefaultSpillThreshold
+	}
+	if config.ReportDecay <= 0 {
+		config.ReportDecay = DefaultReportDecay
+	}
+	p := &Picker{
+		config: config,
+		now:    now,
+		random: rand.New(rand.NewPCG(config.Seed, config.Seed)),
+	}
+	p.table.Store(newTable(nil, nil))
+	return p
+}
+
+// Update replaces the candidates. Outstanding counts and reported loads of
+// targets that stay are kept. Of candidates with the same name the first counts.
+func (p *Picker) Update(candidates []Candidate) {
+	p.updating.Lock()
+	defer p.updating.Unlock()
+	p.table.Store(newTable(candidates, p.table.Load()))
+}
+
+// Table returns the present snapshot.
+func (p *Picker) Table() *Table { return p.table.Load() }
+
+// Pick returns the target for a call that entered in the given zone, false if
+// there is none that is neither draining nor excluded.
+func (p *Picker) Pick(zoneName string, exclude []string, now time.Time) (Candidate, bool) {
+	table := p.table.Load()
+	view := view{config: &p.config, exclude: exclude, now: now}
+	chosen, found := p.chooseZone(table, zoneName, view)
+	if !found {
+		return Candidate{}, false
+	}
+	return p.chooseTarget(chosen, view), true
+}
+
+// Begin counts a call to the target as outstanding.
+func (p *Picker) Begin(targetName string) {
+	if s := p.table.Load().states[targetName]; s != nil {
+		s.outstanding.Add(1)
+	}
+}
+
+// Done ends a call counted by Begin.
+func (p *Picker) Done(targetName string) {
+	s := p.table.Load().states[targetName]
+	if s == nil {
+		return
+	}
+	if s.outstanding.Add(-1) < 0 {
+		s.outstanding.Add(1)
+	}
+}
+
+// Outstanding returns the number of calls begun and not done at the target.
+func (p *Picker) Outstanding(targetName string) int {
+	s := p.table.Load().states[targetName]
+	if s == nil {
+		return 0
+	}
+	return int(s.outstanding.Load())
+}
+
+// Report takes the load which the target's home stated in an answer: calls in
+// flight and queued, divided by the limit; 1 is full, more is a queue.
+func (p *Picker) Report(targetName string, load float64) {
+	if math.IsNaN(load) || load < 0 {
+		return
+	}
+	if s := p.table.Load().states[targetName]; s != nil {
+		s.report.Store(&report{load: load, time: p.now()})
+	}
+}
+
+// chooseTarget draws two targets of a zone and returns the less loaded one, the
+// first if they are equal, so that idle targets share calls by capacity. The
+// zone must have an eligible target.
+func (p *Picker) chooseTarget(chosen *zone, view view) Candidate {
+	first := p.drawTarget(chosen, nil, view)
+	second := p.drawTarget(chosen, first, view)
+	if second != nil && view.loadOf(second) < view.loadOf(first) {
+		return second.candidate
+	}
+	return first.candidate
+}
+
+// drawTarget draws an eligible target other than skip in proportion to
+// capacity, nil if there is none.
+func (p *Picker) drawTarget(chosen *zone, skip *target, view view) *target {
+	total := 0.0
+	for i := range chosen.targets {
+		if t := &chosen.targets[i]; t != skip && view.eligible(t) {
+			total += view.capacity(t)
+		}
+	}
+	if total <= 0 {
+		return nil
+	}
+	point := p.draw(total)
+	var last *target
+	for i := range chosen.targets {
+		t := &chosen.targets[i]
+		if t == skip || !view.eligible(t) {
+			continue
+		}
+		last = t
+		point -= view.capacity(t)
+		if point < 0 {
+			break
+		}
+	}
+	return last
+}
+
+// draw returns a random number from 0 up to the bound.
+func (p *Picker) draw(bound float64) float64 {
+	p.randomLock.Lock()
+	defer p.randomLock.Unlock()
+	return p.random.Float64() * bound
+}
