Add membership, configuration spread and claim replicas

Cause: nodes have to know each other, agree on configuration without watching the store each, and run keyed calls at most once, on machines that keep nothing.

Ruled out: heartbeats from all to all and gossip of heartbeat counters (bytes grow with the nodes); every node watching the store (its rate limit).

Change: SWIM-like membership with pause detection; a replica of versioned objects, a writer that never misstates an outcome, and a spreader with watchers by rendezvous, push and pull; claim replicas with a roster in the store.

--- /dev/null
+++ b/internal/claim/plan.go
@@ -0,0 +1,220 @@
+package claim
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Node is a node as the membership sees it.
+type Node struct {
+	Name        string
+	BootID      BootID
+	Zone        string
+	PeerAddress string
+	// Alive is false for a node that isn't heard of or is about to stop. It
+	// decides what is attempted, never what is safe.
+	Alive bool
+}
+
+func (n Node) member() Member {
+	return Member{Identity: Identity{Name: n.Name, Boot: n.BootID}, Zone: n.Zone, Address: n.PeerAddress}
+}
+
+// Change names what a planned roster changes.
+type Change string
+
+// The changes. Plan proposes those after ChangeGenesis, weighed in this order.
+const (
+	ChangeNone       Change = ""
+	ChangeGenesis    Change = "genesis"
+	ChangeActivate   Change = "activate"
+	ChangeLost       Change = "mark-lost"
+	ChangeGeneration Change = "new-generation"
+	ChangeReinstate  Change = "reinstate"
+	ChangeReplace    Change = "replace"
+	ChangeSpread     Change = "spread-zones"
+)
+
+// concernsSelf tells whether only the planning node itself may make the change.
+func (c Change) concernsSelf() bool { return c == ChangeActivate || c == ChangeLost }
+
+// View is what a node knows when it plans.
+type View struct {
+	Self Identity
+	// ReadyEpoch is what Replica.Ready reports; zero is not ready.
+	ReadyEpoch uint64
+	Nodes      []Node
+}
+
+// Plan returns the roster that should follow and what it changes.
+func Plan(r Roster, v View) (Roster, Change) {
+	if v.ReadyEpoch == r.Epoch {
+		if next, err := r.NextActivate(v.Self); err == nil {
+			return next, ChangeActivate
+		}
+	}
+	if next, err := r.NextLost(v.Self); err == nil {
+		return next, ChangeLost
+	}
+	if next, err := r.NextGeneration(spread(v.alive(), len(r.Seats))); err == nil {
+		return next, ChangeGeneration
+	}
+	if next, ok := planReinstatement(r, v); ok {
+		return next, ChangeReinstate
+	}
+	if next, ok := planReplacement(r, v); ok {
+		return next, ChangeReplace
+	}
+	if next, ok := planSpread(r, v); ok {
+		return next, ChangeSpread
+	}
+	return Roster{}, ChangeNone
+}
+
+// PlanGenesis returns the members of a first roster, none while too few nodes
+// are alive.
+func PlanGenesis(v View, size int) []Member {
+	members := spread(v.alive(), size)
+	if len(members) < size {
+		return nil
+	}
+	return members
+}
+
+func (v View) alive() []Member {
+	var members []Member
+	for _, n := range v.Nodes {
+		if n.Alive && n.Name != "" {
+			members = append(members, n.member())
+		}
+	}
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Identity.Name, b.Identity.Name) })
+	return members
+}
+
+func (v View) isAlive(id Identity) bool {
+	return slices.ContainsFunc(v.Nodes, func(n Node) bool {
+		return n.Alive && n.Name == id.Name && n.BootID == id.Boot
+	})
+}
+
+// planReinstatement takes a replacement back whose holder lives after all, if
+// the joining replica can't be activated.
+func planReinstatement(r Roster, v View) (Roster, bool) {
+	stuck := len(r.Voters()) < r.Majority()
+	for _, seat := range r.Seats {
+		if seat.Joining == nil || !v.isAlive(seat.Holder.Identity) {
+			continue
+		}
+		if !stuck && v.isAlive(seat.Joining.Identity) {
+			continue
+		}
+		if next, err := r.NextReinstate(seat.Holder.Identity); err == nil {
+			return next, true
+		}
+	}
+	return Roster{}, false
+}
+
+// planReplacement replaces one holder or joining replica that isn't alive,
+// unless another replica is joining already.
+func planReplacement(r Roster, v View) (Roster, bool) {
+	if slices.ContainsFunc(r.Seats, func(s Seat) bool { return s.Joining != nil && v.isAlive(s.Joining.Identity) }) {
+		return Roster{}, false
+	}
+	for _, seat := range r.Seats {
+		if seat.Votes() && v.isAlive(seat.Holder.Identity) {
+			continue
+		}
+		if next, ok := replaceHolder(r, v, seat); ok {
+			return next, true
+		}
+	}
+	return Roster{}, false
+}
+
+func replaceHolder(r Roster, v View, seat Seat) (Roster, bool) {
+	zones := zonesOf(r, seat.Holder.Identity)
+	candidate, ok := candidateFor(r, v.alive(), zones)
+	if !ok {
+		return Roster{}, false
+	}
+	next, err := r.NextReplace(seat.Holder.Identity, candidate)
+	return next, err == nil
+}
+
+// planSpread moves a seat from a zone that has two more than another zone, once
+// all holders vote and are alive.
+func planSpread(r Roster, v View) (Roster, bool) {
+	for _, seat := range r.Seats {
+		if !seat.Votes() || !v.isAlive(seat.Holder.Identity) {
+			return Roster{}, false
+		}
+	}
+	for _, seat := range r.Seats {
+		zones := zonesOf(r, seat.Holder.Identity)
+		candidate, ok := candidateFor(r, v.alive(), zones)
+		if !ok || zones[candidate.Zone] >= zones[seat.Holder.Zone] {
+			continue
+		}
+		if next, err := r.NextReplace(seat.Holder.Identity, candidate); err == nil {
+			return next, true
+		}
+	}
+	return Roster{}, false
+}
+
+// zonesOf counts the seats of each zone but for the one of a holder.
+func zonesOf(r Roster, without Identity) map[string]int {
+	zones := make(map[string]int, len(r.Seats))
+	for _, seat := range r.Seats {
+		if seat.Holder.Identity == without {
+			continue
+		}
+		if seat.Joining != nil {
+			zones[seat.Joining.Zone]++
+			continue
+		}
+		zones[seat.Holder.Zone]++
+	}
+	return zones
+}
+
+// candidateFor returns a node that has no seat, in a zone with the fewest.
+func candidateFor(r Roster, alive []Member, zones map[string]int) (Member, bool) {
+	var best Member
+	found := false
+	for _, m := range alive {
+		if r.seatOf(m.Identity) != nil || r.joiningSeatOf(m.Identity) != nil {
+			continue
+		}
+		if !found || zones[m.Zone] < zones[best.Zone] {
+			best, found = m, true
+		}
+	}
+	return best, found
+}
+
+// spread picks members so that the zones differ by as little as they can.
+func spread(alive []Member, size int) []Member {
+	zones := make(map[string]int)
+	picked := make([]Member, 0, size)
+	rest := slices.Clone(alive)
+	for len(picked) < size && len(rest) > 0 {
+		i := leastUsedZone(rest, zones)
+		zones[rest[i].Zone]++
+		picked = append(picked, rest[i])
+		rest = slices.Delete(rest, i, i+1)
+	}
+	return picked
+}
+
+func leastUsedZone(members []Member, zones map[string]int) int {
+	best := 0
+	for i, m := range members {
+		if zones[m.Zone] < zones[members[best].Zone] {
+			best = i
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/claim/service_test.go
@@ -0,0 +1,182 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestClaimIsGrantedOnceAcrossNodes(t *testing.T) {
+	n := startNodes(t, 5, 0)
+	assert.Equal(t, n.claim(0, "before-roster"), Unavailable)
+	n.settle()
+	assert.Equal(t, n.claim(0, "pay-1"), Granted)
+	for i := range n.nodes {
+		assert.Equal(t, n.claim(i, "pay-1"), Held)
+	}
+	n.store.down.Store(true)
+	assert.Equal(t, n.claim(3, "pay-2"), Granted, "the store isn't needed for claims")
+	assert.Equal(t, n.claim(4, "pay-2"), Held)
+}
+
+func TestReleasedKeyIsGrantedAgain(t *testing.T) {
+	n := startNodes(t, 3, 0)
+	n.settle()
+	decision, err := n.nodes[0].claimer.Claim(t.Context(), "service", "pay", NewAttemptID())
+	assert.NilError(t, err)
+	assert.Equal(t, decision.Outcome, Granted)
+	n.nodes[0].claimer.Release(decision)
+	n.eventually("released", func() bool { return n.claim(1, "pay") == Granted })
+}
+
+func TestConcurrentClaimsOfOneKey(t *testing.T) {
+	n := startNodes(t, 5, 0)
+	n.settle()
+	const rounds = 40
+	won := 0
+	for round := range rounds {
+		var granted atomic.Int32
+		var running sync.WaitGroup
+		for i := range n.nodes {
+			running.Go(func() {
+				decision, _ := n.nodes[i].claimer.Claim(t.Context(), "service", fmt.Sprint(round), NewAttemptID())
+				if decision.Outcome == Granted {
+					granted.Add(1)
+				}
+			})
+		}
+		running.Wait()
+		assert.Assert(t, granted.Load() <= 1)
+		won += int(granted.Load())
+	}
+	t.Logf("one of 5 concurrent attempts won in %d of %d rounds", won, rounds)
+	assert.Assert(t, won > rounds/2, "splits aren't resolved")
+}
+
+func TestReplicasAreReplacedOneAfterAnotherAndClaimsSurvive(t *testing.T) {
+	n := startNodes(t, 5, 0)
+	n.settle()
+	assert.Equal(t, n.claim(0, "pay"), Granted)
+	first, _ := n.seats()
+	for _, i := range first {
+		n.kill(i)
+		n.settle()
+		n.boot(i)
+		n.settle()
+	}
+	// No process that granted the claim is left.
+	for i := range n.nodes {
+		assert.Equal(t, n.claim(i, "pay"), Held)
+		assert.Equal(t, n.claim(i, fmt.Sprint("new-", i)), Granted)
+	}
+}
+
+func TestLossOfMajorityRefusesUntilRetentionHasPassed(t *testing.T) {
+	n := startNodes(t, 4, 0)
+	n.settle()
+	assert.Equal(t, n.claim(0, "pay"), Granted)
+	holders, others := n.seats()
+	for _, i := range holders[:2] {
+		n.kill(i)
+	}
+	n.settle()
+	assert.Equal(t, n.claim(others[0], "other"), Unavailable, "death is not proven")
+	for _, i := range holders[:2] {
+		n.boot(i)
+	}
+	n.settle()
+	roster, _ := n.nodes[0].service.Roster()
+	assert.Assert(t, roster.Founded > 1, "a new generation is founded")
+	assert.Equal(t, n.claim(0, "pay"), Unavailable)
+	n.advance(testRetention + time.Second)
+	assert.Equal(t, n.claim(0, "new"), Granted)
+}
+
+func TestForgetAllowsNewGeneration(t *testing.T) {
+	n := startNodes(t, 5, 0)
+	n.settle()
+	holders, others := n.seats()
+	for _, i := range holders[:2] {
+		n.kill(i)
+	}
+	n.settle()
+	for _, i := range holders[:2] {
+		assert.NilError(t, n.nodes[others[0]].manager.Forget(t.Context(), n.nodes[i].node.member().Identity))
+	}
+	n.settle()
+	n.advance(testRetention + time.Second)
+	assert.Equal(t, n.claim(others[0], "new"), Granted)
+}
+
+func TestLostAnswersOfTheStore(t *testing.T) {
+	n := startNodes(t, 3, 0)
+	n.store.lost.Store(true)
+	n.settle()
+	assert.Equal(t, n.claim(0, "pay"), Granted)
+	assert.Assert(t, n.nodes[0].service.Stats().Epoch > 0)
+}
+
+func TestFullReplicasAbstainAndForgetNothing(t *testing.T) {
+	n := startNodes(t, 3, 10)
+	n.settle()
+	for i := range 10 {
+		assert.Equal(t, n.claim(i%3, fmt.Sprint(i)), Granted)
+	}
+	n.eventually("full", func() bool { return n.nodes[2].service.Stats().Records == 10 })
+	assert.Equal(t, n.claim(0, "one more"), Unavailable)
+	for i := range 10 {
+		assert.Equal(t, n.claim(0, fmt.Sprint(i)), Held)
+	}
+	n.advance(testRetention + time.Second)
+	assert.Equal(t, n.claim(0, "after expiry"), Granted)
+}
+
+func TestCallerThatLeavesEndsTheClaim(t *testing.T) {
+	n := startNodes(t, 3, 0)
+	n.settle()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	holders, _ := n.seats()
+	for _, i := range holders[1:] {
+		n.nodes[i].server.Config.Handler = http.NotFoundHandler()
+	}
+	decision, err := n.nodes[holders[0]].claimer.Claim(ctx, "service", "pay", NewAttemptID())
+	assert.Equal(t, decision.Outcome, Unavailable)
+	assert.ErrorContains(t, err, "no majority")
+}
+
+func TestManagerRunEnds(t *testing.T) {
+	n := startNodes(t, 3, 0)
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	for _, node := range n.nodes {
+		node.manager.config.Interval = 10 * time.Millisecond
+		running.Go(func() { node.manager.Run(ctx) })
+	}
+	n.eventually("a claim is granted", func() bool { return n.claim(0, fmt.Sprint(time.Now().UnixNano())) == Granted })
+	cancel()
+	running.Wait()
+}
+
+func TestHandlersRefuseWhatIsNotAMessage(t *testing.T) {
+	n := startNodes(t, 1, 0)
+	for _, path := range []string{PathClaim, PathRelease, PathPage} {
+		for _, body := range []io.Reader{http.NoBody, io.LimitReader(zeros{}, 2*MaximumMessageBytes)} {
+			response, err := n.client.Post(n.nodes[0].server.URL+path, contentType, body)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, http.StatusBadRequest)
+			assert.NilError(t, response.Body.Close())
+		}
+	}
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
--- /dev/null
+++ b/internal/configuration/cluster_test.go
@@ -0,0 +1,213 @@
+package configuration
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lugspur/lugspur/internal/resource"
+	"github.com/lugspur/lugspur/internal/store"
+)
+
+// cluster is a set of nodes in one process, with real listeners and a gossip
+// of digests.
+type cluster struct {
+	t       testing.TB
+	backing *faultyStore
+
+	mu    sync.Mutex
+	nodes []*testNode
+	// cut separates the zones from each other.
+	cut bool
+}
+
+type testNode struct {
+	cluster  *cluster
+	self     Member
+	spreader *Spreader
+	writer   *Writer
+	server   *httptest.Server
+	stop     context.CancelFunc
+	dead     atomic.Bool
+	isolated atomic.Bool
+}
+
+func newCluster(t testing.TB) *cluster {
+	c := &cluster{t: t, backing: newFaultyStore()}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		c.gossip(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return c
+}
+
+// Members implements Membership for one node.
+func (n *testNode) Members() []Member {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	var members []Member
+	for _, other := range n.cluster.nodes {
+		member := other.self
+		member.Live = !other.dead.Load() && n.cluster.reachable(n, other)
+		members = append(members, member)
+	}
+	return members
+}
+
+// reachable must be called with the lock held.
+func (c *cluster) reachable(a, b *testNode) bool {
+	if a.isolated.Load() || b.isolated.Load() {
+		return a == b
+	}
+	return !c.cut || a.self.Zone == b.self.Zone
+}
+
+// RoundTrip refuses requests between separated nodes.
+func (n *testNode) RoundTrip(request *http.Request) (*http.Response, error) {
+	n.cluster.mu.Lock()
+	blocked := false
+	for _, other := range n.cluster.nodes {
+		if other.self.PeerAddress == request.URL.Host {
+			blocked = !n.cluster.reachable(n, other) || other.dead.Load()
+		}
+	}
+	n.cluster.mu.Unlock()
+	if blocked {
+		return nil, errors.New("cut off")
+	}
+	return http.DefaultTransport.RoundTrip(request)
+}
+
+// add starts a node that knows the members so far, or the seeds alone.
+func (c *cluster) add(zone string, seeds ...string) *testNode {
+	c.mu.Lock()
+	name := fmt.Sprintf("node-%d", len(c.nodes))
+	c.mu.Unlock()
+	n := &testNode{cluster: c}
+	mux := http.NewServeMux()
+	n.server = httptest.NewServer(mux)
+	address := strings.TrimPrefix(n.server.URL, "http://")
+	n.self = Member{Name: name, Zone: zone, PeerAddress: address, Live: true}
+	n.spreader = NewSpreader(Options{
+		Self: n.self, Store: c.backing, Membership: n, Seeds: seeds, Client: &http.Client{Transport: n}, Log: quietLog(),
+		DutyInterval: 20 * time.Millisecond, StartupGrace: 200 * time.Millisecond, MinBackoff: 10 * time.Millisecond,
+		MaxBackoff: 100 * time.Millisecond, PollInterval: time.Hour, PullInterval: 20 * time.Millisecond,
+		FullPullInterval: 50 * time.Millisecond, PullBytesPerSecond: 1 << 30, PollGrace: 20 * time.Millisecond,
+	}, NewReplica(time.Now))
+	n.spreader.Register(mux)
+	n.writer = NewWriter(c.backing, n.spreader.Replica(), n.spreader.Announce, time.Now)
+	c.mu.Lock()
+	c.nodes = append(c.nodes, n)
+	c.mu.Unlock()
+	n.run(c.t)
+	return n
+}
+
+func (n *testNode) run(t testing.TB) {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		n.spreader.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+		n.server.Close()
+	})
+}
+
+func (n *testNode) kill() {
+	n.dead.Store(true)
+	n.stop()
+}
+
+// gossip sends digests to random nodes.
+func (c *cluster) gossip(ctx context.Context) {
+	for sleep(ctx, 10*time.Millisecond) == nil {
+		c.mu.Lock()
+		nodes := c.nodes
+		c.mu.Unlock()
+		for _, n := range nodes {
+			other := nodes[rand.IntN(len(nodes))]
+			c.mu.Lock()
+			reachable := n != other && c.reachable(n, other) && !n.dead.Load() && !other.dead.Load()
+			c.mu.Unlock()
+			if reachable {
+				other.spreader.HandleDigest(n.self, n.spreader.Digest())
+			}
+		}
+	}
+}
+
+func (c *cluster) setCut(cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut = cut
+}
+
+// takeStoreDown returns when no watch can deliver anything more.
+func (c *cluster) takeStoreDown() {
+	c.t.Helper()
+	c.backing.setDown(true)
+	eventually(c.t, "end of all watches", func() bool { return c.backing.watching.Load() == 0 })
+}
+
+func (c *cluster) addMany(count int, zones ...string) {
+	for number := range count {
+		c.add(zones[number%len(zones)])
+	}
+	c.awaitReady()
+}
+
+func (c *cluster) awaitReady() {
+	c.t.Helper()
+	c.awaitAll("ready", func(n *testNode) bool { return n.spreader.Ready() })
+}
+
+func (c *cluster) awaitAll(what string, condition func(n *testNode) bool) {
+	c.t.Helper()
+	eventually(c.t, what, func() bool {
+		c.mu.Lock()
+		nodes := c.nodes
+		c.mu.Unlock()
+		for _, n := range nodes {
+			if !n.dead.Load() && !condition(n) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (c *cluster) awaitRevision(written resource.Versioned) {
+	c.t.Helper()
+	c.awaitAll(fmt.Sprint(written.ID, " at ", written.Revision), func(n *testNode) bool {
+		held, _ := n.spreader.Replica().Get(written.ID)
+		return held.Revision >= written.Revision
+	})
+}
+
+func (n *testNode) write(name string, expected store.Revision, change string) resource.Versioned {
+	n.cluster.t.Helper()
+	written, err := n.writer.Write(context.Background(), service(name, 1), expected, resource.Change{ID: change})
+	assert.NilError(n.cluster.t, err)
+	return written
+}
--- /dev/null
+++ b/internal/configuration/server.go
@@ -0,0 +1,99 @@
+package configuration
+
+import "net/http"
+
+// maxServing bounds the pulls served at the same time; the others are refused
+// and go to another peer.
+const maxServing = 8
+
+// Register adds the peer endpoints to the mux of the peer listener.
+func (s *Spreader) Register(mux *http.ServeMux) {
+	mux.HandleFunc("POST "+PathSince, s.serveSince)
+	mux.HandleFunc("POST "+PathPush, s.servePush)
+}
+
+func (s *Spreader) serveSince(w http.ResponseWriter, r *http.Request) {
+	select {
+	case s.serving <- struct{}{}:
+		defer func() { <-s.serving }()
+	default:
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "too many pulls", http.StatusServiceUnavailable)
+		return
+	}
+	var request sinceRequest
+	if !s.decodeRequest(w, r, &request) {
+		return
+	}
+	s.mergeDrains(request.Drains, 0)
+	response, err := s.answer(request)
+	if err != nil {
+		s.options.Log.WithError(err).Error("cannot serve a pull")
+		http.Error(w, "cannot encode versions", http.StatusInternalServerError)
+		return
+	}
+	s.counters.served.Add(1)
+	s.counters.sentBytes.Add(int64(writeMessage(w, response)))
+}
+
+func (s *Spreader) servePush(w http.ResponseWriter, r *http.Request) {
+	var message pushMessage
+	if !s.decodeRequest(w, r, &message) {
+		return
+	}
+	versions, err := decodeEntries(message.Entries)
+	if err != nil {
+		s.options.Log.WithError(err).WithField("peer", r.RemoteAddr).Warn("peer pushed an invalid object")
+		http.Error(w, "invalid entry", http.StatusBadRequest)
+		return
+	}
+	changed := s.replica.Apply(versions...)
+	if next := max(message.Hops, 0) + 1; next < maxHops {
+		s.news.addVersions(changed, next)
+	}
+	s.mergeDrains(message.Drains, max(message.Hops, 0)+1)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Spreader) decodeRequest(w http.ResponseWriter, r *http.Request, message any) bool {
+	size, err := decodeMessage(r.Body, message)
+	s.counters.receivedBytes.Add(int64(size))
+	if err != nil {
+		http.Error(w, "invalid message", http.StatusBadRequest)
+	}
+	return err == nil
+}
+
+// answer makes one page for a pull.
+func (s *Spreader) answer(request sinceRequest) (sinceResponse, error) {
+	base := request.Floor
+	if request.Full {
+		base = 0
+	}
+	delta := s.replica.Since(max(base, request.After-1), 0)
+	delta.skip(request.After, request.AfterKey)
+	response := sinceResponse{Digest: delta.Digest, Ready: delta.Ready, Drains: encodeMarks(s.drains.Marks())}
+	response.Digest.Drains = s.drains.Sum()
+	if !request.Full && !canServeDelta(delta.Digest, request.Floor) {
+		response.FullRequired = true
+		return response, nil
+	}
+	left := len(delta.Versions)
+	if request.Max > 0 {
+		delta.Versions = delta.Versions[:min(left, request.Max)]
+	}
+	entries, count, err := encodeVersions(delta.Versions)
+	response.Entries = entries
+	response.More = count < left
+	return response, err
+}
+
+// mergeDrains takes marks from a peer and passes new ones on.
+func (s *Spreader) mergeDrains(marks []mark, hops int) {
+	if len(marks) > MaxEmergencyDrains {
+		return
+	}
+	if s.drains.Merge(decodeMarks(marks)) && hops < maxHops {
+		s.news.addDrains(hops)
+	}
+}
--- /dev/null
+++ b/internal/membership/exchange.go
@@ -0,0 +1,195 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// ExchangePath is where a node serves its list to peers.
+const ExchangePath = "/peer/members"
+
+// Limits of an exchange.
+const (
+	// exchangeTimeout bounds one exchange.
+	exchangeTimeout = 5 * time.Second
+	// exchangePause is the shortest time, in periods, between two exchanges.
+	exchangePause = 10
+	// maxListBytes bounds the encoded list.
+	maxListBytes = 2 << 20
+	contentType  = "application/cbor"
+)
+
+// listDecoder reads whole lists, which have more elements than datagrams.
+var listDecoder = mustDecoder(DefaultMaxMembers + 1)
+
+// ExchangeFunc fetches the list of the peer at an address, or nil when the
+// peer's digest is the given one. It returns the bytes received.
+type ExchangeFunc func(ctx context.Context, address string, digest uint64) ([]Member, int, error)
+
+// memberList is the body of an exchange.
+type memberList struct {
+	Cluster string   `cbor:"1,keyasint,omitempty"`
+	Members []Member `cbor:"2,keyasint"`
+}
+
+var (
+	errOtherCluster = errors.New("the peer is of another cluster")
+	errStatus       = errors.New("unexpected HTTP status")
+)
+
+// Handler serves the node's list as CBOR. A request whose If-None-Match names
+// the current digest gets 304 without a body.
+func (m *Membership) Handler() http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.Method != http.MethodGet {
+			writer.Header().Set("Allow", http.MethodGet)
+			http.Error(writer, "method not allowed", http.StatusMethodNotAllowed)
+			return
+		}
+		m.serveList(writer, request.Header.Get("If-None-Match"))
+	})
+}
+
+func (m *Membership) serveList(writer http.ResponseWriter, knownTag string) {
+	current := m.view()
+	tag := digestTag(current.digest)
+	writer.Header().Set("ETag", tag)
+	if knownTag == tag {
+		writer.WriteHeader(http.StatusNotModified)
+		return
+	}
+	body, err := encoder.Marshal(memberList{Cluster: m.config.ClusterName, Members: current.all})
+	if err != nil {
+		http.Error(writer, "encoding failed", http.StatusInternalServerError)
+		return
+	}
+	writer.Header().Set("Content-Type", contentType)
+	writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if _, err := writer.Write(body); err != nil {
+		m.logger.WithError(err).Debug("member list could not be sent")
+	}
+}
+
+// digestTag is the entity tag of a list.
+func digestTag(digest uint64) string { return strconv.Quote(strconv.FormatUint(digest, 16)) }
+
+// HTTPExchange returns an ExchangeFunc that asks the Handler of a peer. The
+// cluster must be that of Config.ClusterName.
+func HTTPExchange(client *http.Client, cluster string) ExchangeFunc {
+	return func(ctx context.Context, address string, digest uint64) ([]Member, int, error) {
+		failed := oops.In("membership").With("step", "exchange member lists", "peer", address)
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+ExchangePath, nil)
+		if err != nil {
+			return nil, 0, failed.Wrap(err)
+		}
+		request.Header.Set("If-None-Match", digestTag(digest))
+		response, err := client.Do(request)
+		if err != nil {
+			return nil, 0, failed.Wrap(err)
+		}
+		defer response.Body.Close()
+		members, size, err := readList(response, cluster)
+		return members, size, failed.Wrap(err)
+	}
+}
+
+// readList reads the answer of a peer within the limits.
+func readList(response *http.Response, cluster string) ([]Member, int, error) {
+	if response.StatusCode == http.StatusNotModified {
+		return nil, 0, nil
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, 0, errStatus
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes+1))
+	if err != nil {
+		return nil, len(body), err
+	}
+	if len(body) > maxListBytes {
+		return nil, len(body), errTooLarge
+	}
+	var list memberList
+	if err := listDecoder.Unmarshal(body, &list); err != nil {
+		return nil, len(body), err
+	}
+	if list.Cluster != cluster {
+		return nil, len(body), errOtherCluster
+	}
+	return list.Members, len(body), nil
+}
+
+// exchangeSchedule says when and with whom the next exchange is due.
+type exchangeSchedule struct {
+	wanted string
+	// earliest is the end of the pause after an exchange.
+	earliest time.Duration
+	// regular is when the next one is due that nothing has prompted.
+	regular time.Duration
+}
+
+// want asks for an exchange with the peer at the address soon.
+func (s *exchangeSchedule) want(address string) {
+	if address != "" {
+		s.wanted = address
+	}
+}
+
+// ExchangeDue returns the address of a peer whose list should be fetched now,
+// with our digest. Run calls it; who drives Step directly calls it too, and
+// hands the list to Merge.
+func (m *Membership) ExchangeDue() (address string, digest uint64, due bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	now := m.now.Monotonic
+	if now < m.exchange.earliest || m.self.State.Gone() {
+		return "", 0, false
+	}
+	address = m.exchange.wanted
+	if address == "" && now >= m.exchange.regular {
+		address = m.randomPeer()
+	}
+	if address == "" {
+		return "", 0, false
+	}
+	m.exchange.wanted = ""
+	m.exchange.earliest = now + exchangePause*m.config.Period
+	m.exchange.regular = now + m.config.ExchangeInterval
+	m.stats.Exchanges++
+	return address, m.lockedView().digest, true
+}
+
+func (m *Membership) randomPeer() string {
+	present := m.lockedView().present
+	if len(present) == 0 {
+		return ""
+	}
+	return present[m.random.IntN(len(present))].PeerAddress
+}
+
+// fetch makes one exchange.
+func (m *Membership) fetch(ctx context.Context, address string, digest uint64) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	members, size, err := m.config.Exchange(ctx, address, digest)
+	m.countExchange(size, err)
+	if err != nil {
+		m.logger.WithError(err).WithField("peer", address).Info("member lists could not be exchanged")
+		return
+	}
+	m.Merge(members)
+}
+
+func (m *Membership) countExchange(size int, err error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.stats.ExchangeBytes += uint64(size)
+	if err != nil {
+		m.stats.ExchangeErrors++
+	}
+}
--- /dev/null
+++ b/internal/membership/simulation_test.go
@@ -0,0 +1,294 @@
+package membership
+
+import (
+	"container/heap"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+)
+
+// simulation runs many nodes over a simulated network in virtual time.
+type simulation struct {
+	now       time.Duration
+	random    *rand.Rand
+	queue     taskQueue
+	scheduled int
+	nodes     map[string]*simulatedNode
+	order     []string
+	loss      float64
+	duplicate float64
+	delay     time.Duration
+	// cut reports whether datagrams between two nodes are lost.
+	cut func(from, to *simulatedNode) bool
+	// tamper adjusts the settings of nodes that start.
+	tamper func(*Config)
+}
+
+// simulatedNode is a node with its own clock, inbox and record of events.
+type simulatedNode struct {
+	*Membership
+	world     *simulation
+	address   string
+	zone      string
+	stopped   bool
+	paused    bool
+	clockSkew time.Duration
+	inbox     []Packet
+	events    []Event
+	payloads  map[string]string
+	// actions lists sends and pause reports since the last resume.
+	actions []string
+}
+
+type task struct {
+	at     time.Duration
+	number int
+	run    func()
+}
+
+type taskQueue []task
+
+func (q taskQueue) Len() int      { return len(q) }
+func (q taskQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q taskQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].number < q[j].number
+}
+func (q *taskQueue) Push(added any) { *q = append(*q, added.(task)) }
+func (q *taskQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func newSimulation(seed uint64) *simulation {
+	return &simulation{
+		random: rand.New(rand.NewPCG(seed, 1)),
+		nodes:  map[string]*simulatedNode{},
+		delay:  2 * time.Millisecond,
+		cut:    func(_, _ *simulatedNode) bool { return false },
+		tamper: func(*Config) {},
+	}
+}
+
+func (s *simulation) after(delay time.Duration, run func()) {
+	s.scheduled++
+	heap.Push(&s.queue, task{at: s.now + delay, number: s.scheduled, run: run})
+}
+
+func (s *simulation) advance(duration time.Duration) {
+	end := s.now + duration
+	for len(s.queue) > 0 && s.queue[0].at <= end {
+		next := heap.Pop(&s.queue).(task)
+		s.now = next.at
+		next.run()
+	}
+	s.now = end
+}
+
+// until advances in steps until the condition holds and returns the time taken.
+func (s *simulation) until(limit time.Duration, condition func() bool) (time.Duration, bool) {
+	start := s.now
+	for !condition() {
+		if s.now-start >= limit {
+			return limit, false
+		}
+		s.advance(DefaultPeriod / stepsPerPeriod)
+	}
+	return s.now - start, true
+}
+
+// start runs a node; its zone follows from its number. A node of the same name
+// must have been stopped.
+func (s *simulation) start(number int, skew time.Duration) *simulatedNode {
+	name := fmt.Sprintf("node-%d", number)
+	node := &simulatedNode{
+		world:     s,
+		address:   fmt.Sprintf("10.0.%d.%d:7000", number/250, number%250+1),
+		zone:      fmt.Sprintf("zone-%d", number%3),
+		clockSkew: skew,
+		payloads:  map[string]string{},
+	}
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	quiet.SetLevel(logrus.PanicLevel)
+	config := Config{
+		ClusterName: "test",
+		Self:        Member{Name: name, Zone: node.zone, Region: "region-0", PeerAddress: node.address, MeshAddress: node.address},
+		Seeds:       []string{"10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000"},
+		Transport:   node,
+		Logger:      quiet.WithField("component", "membership"),
+		Clock:       node.clock,
+		RandSeed:    s.random.Uint64() | 1,
+		OnPause:     func(time.Duration) { node.actions = append(node.actions, "pause") },
+		OnPayload:   func(from Member, payload []byte) { node.payloads[from.Name] = string(payload) },
+	}
+	s.tamper(&config)
+	made, err := New(config)
+	if err != nil {
+		panic(err)
+	}
+	node.Membership = made
+	node.Subscribe(func(event Event) { node.events = append(node.events, event) })
+	if _, restarted := s.nodes[node.address]; !restarted {
+		s.order = append(s.order, node.address)
+	}
+	s.nodes[node.address] = node
+	s.after(time.Duration(s.random.Int64N(int64(DefaultPeriod/stepsPerPeriod))), node.tick)
+	return node
+}
+
+func (n *simulatedNode) clock() Instant {
+	return Instant{Wall: epoch.Add(n.world.now + n.clockSkew), Monotonic: n.world.now}
+}
+
+// tick steps the node, performs exchanges that are due and schedules itself.
+func (n *simulatedNode) tick() {
+	if n.stopped {
+		return
+	}
+	n.world.after(DefaultPeriod/stepsPerPeriod, n.tick)
+	if n.paused {
+		return
+	}
+	n.Step(n.clock())
+	n.DeliverEvents()
+	if address, digest, due := n.ExchangeDue(); due {
+		n.fetchFrom(n.world.nodes[address], digest)
+	}
+}
+
+func (n *simulatedNode) fetchFrom(peer *simulatedNode, digest uint64) {
+	if peer == nil || peer.stopped || peer.paused || n.world.cut(n, peer) || peer.Digest() == digest {
+		return
+	}
+	list := slices.Clone(peer.Snapshot())
+	n.world.after(2*n.world.delay, func() {
+		if !n.stopped && !n.paused {
+			n.Merge(list)
+		}
+	})
+}
+
+// Send implements Transport over the simulated network.
+func (n *simulatedNode) Send(address string, datagram []byte) error {
+	n.actions = append(n.actions, "send")
+	if len(datagram) > MaxDatagram {
+		panic("datagram is too large")
+	}
+	copies := 1
+	if n.world.random.Float64() < n.world.duplicate {
+		copies = 2
+	}
+	for range copies {
+		n.world.carry(n, address, slices.Clone(datagram))
+	}
+	return nil
+}
+
+// Receive implements Transport; the simulation hands packets over itself.
+func (n *simulatedNode) Receive() <-chan Packet { return nil }
+
+func (s *simulation) carry(from *simulatedNode, address string, datagram []byte) {
+	lost := s.random.Float64() < s.loss
+	delay := s.delay/2 + time.Duration(s.random.Int64N(int64(s.delay)))
+	s.after(delay, func() {
+		to := s.nodes[address]
+		if lost || to == nil || to.stopped || s.cut(from, to) {
+			return
+		}
+		to.receive(Packet{From: from.address, Data: datagram})
+	})
+}
+
+func (n *simulatedNode) receive(packet Packet) {
+	if n.paused {
+		if len(n.inbox) < receiveQueue {
+			n.inbox = append(n.inbox, packet)
+		}
+		return
+	}
+	n.HandlePacket(n.clock(), packet)
+	n.DeliverEvents()
+}
+
+func (n *simulatedNode) pause() { n.paused = true }
+
+// resume lets the node run on; the datagrams of the pause come first.
+func (n *simulatedNode) resume() {
+	n.paused = false
+	n.actions = nil
+	waiting := n.inbox
+	n.inbox = nil
+	for _, packet := range waiting {
+		n.receive(packet)
+	}
+}
+
+func (n *simulatedNode) crash() { n.stopped = true }
+
+func (n *simulatedNode) count(kind EventKind) int {
+	count := 0
+	for _, event := range n.events {
+		if event.Kind == kind {
+			count++
+		}
+	}
+	return count
+}
+
+// running returns the nodes that have not stopped, in the order of their start.
+func (s *simulation) running() []*simulatedNode {
+	var running []*simulatedNode
+	for _, address := range s.order {
+		if node := s.nodes[address]; !node.stopped {
+			running = append(running, node)
+		}
+	}
+	return running
+}
+
+// agreed reports whether every running node lists just the running ones live.
+func (s *simulation) agreed() bool {
+	running := s.running()
+	for _, node := range running {
+		live := node.Live("")
+		if len(live) != len(running) || node.Digest() != running[0].Digest() {
+			return false
+		}
+		for _, member := range live {
+			if peer := s.nodes[member.PeerAddress]; peer == nil || peer.stopped {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// state returns what a node believes of another one.
+func (n *simulatedNode) state(of *simulatedNode) State {
+	for _, member := range n.Members() {
+		if member.Name == of.config.Self.Name {
+			return member.State
+		}
+	}
+	return Left
+}
+
+// cluster starts count nodes and waits until they agree.
+func cluster(t testing.TB, s *simulation, count int) []*simulatedNode {
+	t.Helper()
+	for number := range count {
+		s.start(number, 0)
+	}
+	_, agreed := s.until(2*time.Minute, s.agreed)
+	assert.Assert(t, agreed, "%d nodes did not find each other", count)
+	return s.running()
+}
