--- /dev/null
+++ b/cmd/lugspur-lab/main.go
@@ -0,0 +1,37 @@
+// Command lugspur-lab holds everything around lugspur: stand-ins for the
+// systems that it serves, faults, load, experiments and reports. It is no part
+// of the product.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"github.com/lugspur/lugspur/lab/demo"
+	"github.com/lugspur/lugspur/lab/emulator"
+	"github.com/lugspur/lugspur/lab/faultproxy"
+	"github.com/lugspur/lugspur/lab/kvstore"
+	"github.com/lugspur/lugspur/lab/load"
+)
+
+func main() {
+	commander := subcommands.NewCommander(flag.CommandLine, "lugspur-lab")
+	commander.Register(commander.HelpCommand(), "help")
+	commander.Register(commander.FlagsCommand(), "help")
+	for _, commands := range [][]subcommands.Command{
+		demo.Commands(),
+		emulator.Commands(),
+		faultproxy.Commands(),
+		kvstore.Commands(),
+		load.Commands(),
+	} {
+		for _, command := range commands {
+			commander.Register(command, "")
+		}
+	}
+	flag.Parse()
+	os.Exit(int(commander.Execute(context.Background())))
+}
--- /dev/null
+++ b/cmd/lugspur/main.go
@@ -0,0 +1,35 @@
+// Command lugspur is the overload control layer for service call graphs: the
+// node itself and the operator's verbs.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/lugspur/lugspur/internal/command"
+	"github.com/lugspur/lugspur/internal/node"
+	"github.com/lugspur/lugspur/internal/settings"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := command.Execute(ctx, command.NewProgram(), os.Args[1:], command.Node(runNode))
+	stop()
+	os.Exit(code)
+}
+
+// runNode runs a node that logs JSON lines to the error stream.
+func runNode(ctx context.Context, configured settings.Node) error {
+	level, err := logrus.ParseLevel(configured.Log.Level)
+	if err != nil {
+		return err
+	}
+	log := logrus.New()
+	log.SetLevel(level)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	return node.Run(ctx, configured, logrus.NewEntry(log))
+}
--- /dev/null
+++ b/internal/admin/write.go
@@ -0,0 +1,170 @@
+package admin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/lugspur/lugspur/internal/configuration"
+	"github.com/lugspur/lugspur/internal/resource"
+	"github.com/lugspur/lugspur/internal/store"
+)
+
+func (s *Server) handlePut(kind resource.Kind) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		request, problem := s.readWrite(r, kind)
+		if problem != nil {
+			s.answerProblem(w, problem)
+			return
+		}
+		next, problem := readObject(w, r, request.id)
+		if problem != nil {
+			s.answerProblem(w, problem)
+			return
+		}
+		s.write(w, r, next, request)
+	}
+}
+
+// readObject reads and checks the object of a PUT, so that nothing faulty is
+// sent to the store.
+func readObject(w http.ResponseWriter, r *http.Request, id resource.ID) (resource.Envelope, *Problem) {
+	body, problem := readBody(w, r)
+	if problem != nil {
+		return resource.Envelope{}, problem
+	}
+	next, err := DecodeSpecification(id, body)
+	if err != nil {
+		return next, newProblem(kindInvalid, "the body is not a %s in JSON: %v", id.Kind, err)
+	}
+	if faults := Check(next); len(faults) > 0 {
+		problem = newProblem(kindInvalid, "the %s has %d fault(s)", id.Kind, len(faults))
+		problem.Faults = faults
+		return next, problem
+	}
+	return next, nil
+}
+
+func (s *Server) handleDelete(kind resource.Kind) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		request, problem := s.readWrite(r, kind)
+		if problem == nil && request.expected == 0 {
+			problem = newProblem(kindInvalid, "a deletion needs the revision that it deletes")
+		}
+		if problem != nil {
+			s.answerProblem(w, problem)
+			return
+		}
+		request.change.Deleted = true
+		s.write(w, r, resource.Envelope{ID: request.id, Deleted: true}, request)
+	}
+}
+
+// write sends a change to the store and answers what became of it.
+func (s *Server) write(w http.ResponseWriter, r *http.Request, next resource.Envelope, request writeRequest) {
+	ctx, cancel := s.writeContext(r)
+	defer cancel()
+	request.change.Replaces = request.expected
+	accepted, err := s.options.Writer.Write(ctx, next, request.expected, request.change)
+	if err != nil {
+		problem := writeProblem(request, err)
+		s.logWrite(r, request, problem.Outcome, 0, err)
+		s.answerProblem(w, problem)
+		return
+	}
+	s.answerAccepted(w, r, request, accepted.Revision, s.warningsFor(next))
+}
+
+func (s *Server) answerAccepted(w http.ResponseWriter, r *http.Request, request writeRequest, revision store.Revision, warnings []string) {
+	s.logWrite(r, request, OutcomeAccepted, revision, nil)
+	setRevision(w, revision)
+	answerJSON(w, WriteAnswer{
+		Outcome:  OutcomeAccepted,
+		Kind:     request.id.Kind,
+		Name:     request.id.Name,
+		Revision: revision,
+		ChangeID: request.change.ID,
+		Warnings: warnings,
+	})
+}
+
+func (s *Server) writeContext(r *http.Request) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(r.Context(), s.options.WriteTimeout)
+}
+
+// writeProblem turns an error of a write into a problem. An error that is not
+// known to have no effect leaves the outcome unknown.
+func writeProblem(request writeRequest, err error) *Problem {
+	var conflict *configuration.ConflictError
+	var invalid *configuration.InvalidError
+	var problem *Problem
+	switch {
+	case errors.As(err, &conflict):
+		problem = conflictProblem(request, conflict)
+	case errors.As(err, &invalid):
+		problem = newProblem(kindInvalid, "the %s has faults", request.id.Kind)
+		problem.Faults = faultsOf(invalid.Cause)
+	case errors.Is(err, configuration.ErrChangeIDReused):
+		problem = newProblem(kindInvalid, "%s %s names another change", ChangeIDHeader, request.change.ID)
+	case errors.Is(err, configuration.ErrTooManyObjects):
+		problem = newProblem(kindTooMany, "there are %d objects already", configuration.MaxObjects)
+	case errors.Is(err, configuration.ErrUnavailable):
+		problem = newProblem(kindUnavailable, "%v", err).retryLater()
+	default:
+		problem = unknownProblem(request, err)
+	}
+	problem.ChangeID = request.change.ID
+	return problem.at("write " + request.id.String())
+}
+
+func conflictProblem(request writeRequest, conflict *configuration.ConflictError) *Problem {
+	current := conflict.Current
+	revision := current.Revision
+	if current.Deleted {
+		revision = 0
+	}
+	problem := newProblem(kindConflict, "%s is at revision %d, not at %d", request.id, revision, request.expected)
+	problem.CurrentRevision = &revision
+	if object, err := newObject(current); err == nil && current.Revision != 0 {
+		problem.Current = &object
+	}
+	return problem
+}
+
+func unknownProblem(request writeRequest, err error) *Problem {
+	expected := request.expected
+	var unknown *configuration.UnknownError
+	if errors.As(err, &unknown) {
+		expected = unknown.Expected
+	}
+	problem := newProblem(kindUnknown, "%v", err).retryLater()
+	problem.AskURL = AskURL(request.id, request.change.ID, expected)
+	return problem
+}
+
+// AskURL returns the path and query at which to ask for a change's outcome.
+func AskURL(id resource.ID, changeID string, expected store.Revision) string {
+	return fmt.Sprintf("/v1/changes/%s/%s/%s?%s=%d", id.Kind, url.PathEscape(id.Name), url.PathEscape(changeID), ExpectedRevisionParameter, expected)
+}
+
+// logWrite leaves a trace of every write that reached the store.
+func (s *Server) logWrite(r *http.Request, request writeRequest, outcome Outcome, revision store.Revision, err error) {
+	entry := s.options.Log.WithFields(logrus.Fields{
+		"object":   request.id.String(),
+		"change":   request.change.ID,
+		"author":   request.change.Author,
+		"expected": request.expected,
+		"outcome":  string(outcome),
+		"revision": revision,
+		"remote":   r.RemoteAddr,
+	})
+	if err != nil {
+		entry.WithError(err).Warn("configuration change")
+		return
+	}
+	entry.Info("configuration change")
+}
--- /dev/null
+++ b/internal/command/apply.go
@@ -0,0 +1,212 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"flag"
+
+	"github.com/google/subcommands"
+
+	"github.com/lugspur/lugspur/internal/admin"
+	"github.com/lugspur/lugspur/internal/adminclient"
+	"github.com/lugspur/lugspur/internal/command/objectfile"
+	"github.com/lugspur/lugspur/internal/resource"
+	"github.com/lugspur/lugspur/internal/store"
+)
+
+// pathList collects the values of -f.
+type pathList []string
+
+// String returns nothing: there is no default.
+func (l *pathList) String() string { return "" }
+
+// Set adds a path.
+func (l *pathList) Set(path string) error {
+	*l = append(*l, path)
+	return nil
+}
+
+// ApplyResult says what became of one object.
+type ApplyResult struct {
+	Kind resource.Kind `json:"kind"`
+	Name string        `json:"name"`
+	// Result is created, changed, unchanged, conflict, unknown, unavailable,
+	// invalid, failed or not-tried; with -dry-run would-create, would-change or
+	// unchanged.
+	Result   string         `json:"result"`
+	Revision store.Revision `json:"revision,omitempty"`
+	ChangeID string         `json:"change_id,omitempty"`
+	Error    string         `json:"error,omitempty"`
+	AskURL   string         `json:"ask_url,omitempty"`
+	Warnings []string       `json:"warnings,omitempty"`
+}
+
+type apply struct {
+	program *Program
+	paths   pathList
+	dryRun  bool
+}
+
+func newApply(program *Program) subcommands.Command {
+	a := &apply{program: program}
+	return &verb{
+		program:  program,
+		name:     "apply",
+		synopsis: "create or change the objects that files state",
+		usage:    "-f FILE|DIRECTORY [-f ...] [-dry-run]",
+		example:  "lugspur apply -admin 10.1.0.1:7403 -f policies/ -f targets.toml",
+		connects: true,
+		flags: func(flags *flag.FlagSet) {
+			flags.Var(&a.paths, "f", "object `FILE`, or directory of *.toml files; may be repeated")
+			flags.BoolVar(&a.dryRun, "dry-run", false, "say what would change and change nothing")
+		},
+		run: a.run,
+	}
+}
+
+// run checks all objects before it writes the first one.
+func (a *apply) run(ctx context.Context, arguments []string) error {
+	paths := append(a.paths, arguments...)
+	if len(paths) == 0 {
+		return usageErrorf("apply needs -f FILE or -f DIRECTORY")
+	}
+	objects, err := objectfile.Load(paths...)
+	if err != nil {
+		return err
+	}
+	client, err := a.program.connection.client()
+	if err != nil {
+		return err
+	}
+	results, failures := a.applyAll(ctx, client, objects)
+	return errors.Join(a.print(results), failures)
+}
+
+// applyAll applies the objects in turn. It goes on after a conflict; it stops
+// when nodes or the store can't be reached, where the rest would fail as well.
+func (a *apply) applyAll(ctx context.Context, client *adminclient.Client, objects []objectfile.Object) ([]ApplyResult, error) {
+	var results []ApplyResult
+	var failures []error
+	stopped := false
+	for _, object := range objects {
+		result := ApplyResult{Kind: object.Envelope.ID.Kind, Name: object.Envelope.ID.Name, Result: "not-tried"}
+		if !stopped {
+			err := a.applyOne(ctx, client, object, &result)
+			stopped = errors.Is(err, adminclient.ErrUnavailable) || errors.Is(err, adminclient.ErrUnknownOutcome)
+			failures = append(failures, noteFailure(&result, err))
+		}
+		results = append(results, result)
+	}
+	return results, errors.Join(failures...)
+}
+
+// noteFailure puts an error into the result, and returns it.
+func noteFailure(result *ApplyResult, err error) error {
+	if err == nil {
+		return nil
+	}
+	result.Result = failureNames[exitCode(err)]
+	result.Error = err.Error()
+	var failed *adminclient.Error
+	if errors.As(err, &failed) && failed.Problem != nil {
+		result.ChangeID = failed.Problem.ChangeID
+		result.AskURL = failed.Problem.AskURL
+	}
+	return err
+}
+
+var failureNames = map[int]string{
+	ExitFailed:      "failed",
+	ExitUsage:       "invalid",
+	ExitConflict:    "conflict",
+	ExitUnknown:     "unknown",
+	ExitUnavailable: "unavailable",
+	ExitNotFound:    "failed",
+}
+
+func (a *apply) applyOne(ctx context.Context, client *adminclient.Client, object objectfile.Object, result *ApplyResult) error {
+	id := object.Envelope.ID
+	current, err := client.Get(ctx, id)
+	if err != nil && !errors.Is(err, adminclient.ErrNotFound) {
+		return err
+	}
+	wanted, err := admin.EncodeSpecification(object.Envelope)
+	if err != nil {
+		return err
+	}
+	if same(current, wanted) {
+		result.Result, result.Revision = "unchanged", current.Revision
+		return nil
+	}
+	expected := current.Revision
+	if object.Expected != nil {
+		expected = *object.Expected
+	}
+	if a.dryRun {
+		return dryRun(current, expected, result)
+	}
+	answer, err := client.Put(ctx, id, wanted, expected)
+	if err != nil {
+		return unlessSame(err, wanted, result)
+	}
+	result.Result = "changed"
+	if expected == 0 {
+		result.Result = "created"
+	}
+	result.Revision, result.ChangeID, result.Warnings = answer.Revision, answer.ChangeID, answer.Warnings
+	return nil
+}
+
+// same reports whether an object is as wanted, whatever the order of its keys.
+func same(current admin.Object, wanted []byte) bool {
+	if current.Revision == 0 || current.Deleted {
+		return false
+	}
+	id := resource.ID{Kind: current.Kind, Name: current.Name}
+	envelope, err := admin.DecodeSpecification(id, current.Spec)
+	if err != nil {
+		return false
+	}
+	encoded, err := admin.EncodeSpecification(envelope)
+	return err == nil && bytes.Equal(encoded, wanted)
+}
+
+// unlessSame takes back a conflict with an object that is as wanted already:
+// the node that was read from was behind.
+func unlessSame(err error, wanted []byte, result *ApplyResult) error {
+	var failed *adminclient.Error
+	isConflict := errors.Is(err, adminclient.ErrConflict) && errors.As(err, &failed)
+	if !isConflict || failed.Problem.Current == nil || !same(*failed.Problem.Current, wanted) {
+		return err
+	}
+	result.Result, result.Revision = "unchanged", failed.Problem.Current.Revision
+	return nil
+}
+
+func dryRun(current admin.Object, expected store.Revision, result *ApplyResult) error {
+	if expected != current.Revision {
+		return &adminclient.Error{Step: "dry run", Problem: &admin.Problem{
+			Title:  "Conflict",
+			Status: 409,
+			Detail: "the object's revision is not the expected one",
+		}}
+	}
+	result.Result, result.Revision = "would-change", current.Revision
+	if current.Revision == 0 {
+		result.Result = "would-create"
+	}
+	return nil
+}
+
+func (a *apply) print(results []ApplyResult) error {
+	return printResult(a.program, results, func(t *table) {
+		var warnings []string
+		t.row("OBJECT", "RESULT", "REVISION", "CHANGE")
+		for _, result := range results {
+			t.row(resource.ID{Kind: result.Kind, Name: result.Name}, result.Result, result.Revision, result.ChangeID)
+			warnings = append(warnings, result.Warnings...)
+		}
+		notes(t, "Warnings", warnings)
+	})
+}
--- /dev/null
+++ b/internal/command/drain.go
@@ -0,0 +1,77 @@
+package command
+
+import (
+	"context"
+	"flag"
+
+	"github.com/google/subcommands"
+
+	"github.com/lugspur/lugspur/internal/resource"
+)
+
+type drain struct {
+	program   *Program
+	reason    string
+	emergency bool
+}
+
+func newDrain(program *Program) subcommands.Command {
+	d := &drain{program: program}
+	return &verb{
+		program:  program,
+		name:     "drain",
+		synopsis: "mark a target or a machine as leaving: it gets no new calls",
+		usage:    "[-reason TEXT] [-emergency] target|machine NAME",
+		example:  "lugspur drain -reason 'moves to the new site' target houseview-1",
+		connects: true,
+		flags: func(flags *flag.FlagSet) {
+			flags.StringVar(&d.reason, "reason", "", "`TEXT` kept with the drain")
+			flags.BoolVar(&d.emergency, "emergency", false, "if the store can't accept the drain, let nodes tell each other of it for a while")
+		},
+		run: d.run,
+	}
+}
+
+func (d *drain) run(ctx context.Context, arguments []string) error {
+	leaving, err := parseLeaving(arguments)
+	if err != nil {
+		return err
+	}
+	client, err := d.program.connection.client()
+	if err != nil {
+		return err
+	}
+	answer, err := client.Drain(ctx, leaving, resource.Drain{Reason: d.reason}, d.emergency)
+	if err != nil {
+		return err
+	}
+	return printWrite(d.program, "draining", answer)
+}
+
+func newJoin(program *Program) subcommands.Command {
+	return &verb{
+		program:  program,
+		name:     "join",
+		synopsis: "take the drain of a target or a machine back",
+		usage:    "target|machine NAME",
+		example:  "lugspur join target houseview-1",
+		connects: true,
+		run:      func(ctx context.Context, arguments []string) error { return join(ctx, program, arguments) },
+	}
+}
+
+func join(ctx context.Context, program *Program, arguments []string) error {
+	leaving, err := parseLeaving(arguments)
+	if err != nil {
+		return err
+	}
+	client, err := program.connection.client()
+	if err != nil {
+		return err
+	}
+	answer, err := client.Join(ctx, leaving)
+	if err != nil {
+		return err
+	}
+	return printWrite(program, "joined", answer)
+}
--- /dev/null
+++ b/internal/gateway/run.go
@@ -0,0 +1,183 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/lugspur/lugspur/internal/home"
+	"github.com/lugspur/lugspur/internal/policy"
+	"github.com/lugspur/lugspur/internal/problem"
+	"github.com/lugspur/lugspur/internal/transport"
+)
+
+// budgetGrace is how long a request's retry budget outlives its deadline when
+// the request is never closed.
+const budgetGrace = time.Second
+
+// run has the call run, once or more often, and returns the answer.
+func (g *Gateway) run(ctx context.Context, c *call) (*home.Reply, *problem.Problem) {
+	if c.listener == Edge {
+		g.budgets.Open(c.context.RequestID, g.maxRetries(c), c.context.Deadline.Add(budgetGrace))
+		defer g.budgets.Close(c.context.RequestID)
+	}
+	if c.key == "" {
+		return g.attempts(ctx, c)
+	}
+	return g.runClaimed(ctx, c)
+}
+
+func (g *Gateway) maxRetries(c *call) int {
+	if c.service.Spec.MaxRetries != nil {
+		return *c.service.Spec.MaxRetries
+	}
+	return g.settings.MaxRetries
+}
+
+// attempts sends the call until it is answered or may not be sent again.
+func (g *Gateway) attempts(ctx context.Context, c *call) (*home.Reply, *problem.Problem) {
+	var tried []string
+	mayHaveRun := false
+	for attempt := 1; ; attempt++ {
+		reply, failure, target := g.attempt(ctx, c, tried)
+		if failure == nil && !retryableStatus(reply.Status) {
+			g.ratio.Success()
+			return reply, nil
+		}
+		mayHaveRun = mayHaveRun || failure == nil || failure.Executed != problem.ExecutedNo
+		if !g.mayRetry(ctx, c, reply, failure, attempt) {
+			return reply, g.final(c, failure, mayHaveRun)
+		}
+		if failure == nil {
+			reply.Close()
+		}
+		tried = append(tried, target)
+		g.observer.Retried(c.service.Name)
+	}
+}
+
+// final is the problem that the caller is told after the last attempt: it must
+// not say that the call was not run when an earlier attempt may have run it.
+func (g *Gateway) final(c *call, failure *problem.Problem, mayHaveRun bool) *problem.Problem {
+	if failure == nil {
+		return nil
+	}
+	if mayHaveRun {
+		failure.Executed = problem.ExecutedUnknown
+	}
+	if failure.Reason == problem.Overloaded {
+		load := policy.Load{ShedLevel: shedLevelName(c.threshold)}
+		return g.whenToComeBack(c, load, failure)
+	}
+	return failure
+}
+
+// attempt sends the call to one target. It returns the target's name.
+func (g *Gateway) attempt(ctx context.Context, c *call, tried []string) (*home.Reply, *problem.Problem, string) {
+	route, found := g.router.Pick(c.service.Name, tried)
+	if !found && len(tried) > 0 {
+		route, found = g.router.Pick(c.service.Name, nil)
+	}
+	if !found {
+		return nil, g.problem(problem.NoTarget, "routing", "the service has no target that takes calls").
+			WithRetryAfter(retryAfterDefault), ""
+	}
+	reply, failure := g.send(ctx, c, route)
+	load := home.Load{}
+	if reply != nil {
+		load = reply.Load
+	}
+	g.router.Done(route, load)
+	return reply, failure, route.Target.Name
+}
+
+func (g *Gateway) send(ctx context.Context, c *call, route Route) (*home.Reply, *problem.Problem) {
+	forwarded := &home.Call{Context: c.context, Call: transport.Call{
+		Method:     c.message.Method,
+		RequestURI: c.message.RequestURI,
+		Header:     c.message.Header.Clone(),
+		Body:       c.message.Body,
+	}}
+	if route.Peer == "" {
+		return g.runHere(ctx, c, route, forwarded)
+	}
+	reply, failure := g.peers.Run(ctx, route.Peer, route.Target.Name, forwarded)
+	if failure != nil && failure.Reason == problem.NoTarget && failure.Peer == route.Peer {
+		g.router.Suspect(route.Peer)
+	}
+	return reply, failure
+}
+
+func (g *Gateway) runHere(ctx context.Context, c *call, route Route, forwarded *home.Call) (*home.Reply, *problem.Problem) {
+	if err := c.context.SetHeader(forwarded.Header); err != nil {
+		return nil, g.problem(problem.Internal, "context", err.Error()).WithCause(err)
+	}
+	reply, failure := g.homes.Run(ctx, c.service, route.Target, route.Owner, forwarded)
+	if failure != nil {
+		reply = &home.Reply{Load: g.homes.LoadOf(route.Target.Name)}
+	}
+	return reply, failure
+}
+
+// retryableStatus reports whether an answer says that another target might do
+// better.
+func retryableStatus(status int) bool {
+	return status == http.StatusBadGateway || status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout
+}
+
+// mayRetry decides whether the call is sent again: the call must allow it, then
+// the policy, then the node's share of retries, and last the request's budget,
+// which is asked only when everything else allows the retry.
+func (g *Gateway) mayRetry(ctx context.Context, c *call, reply *home.Reply, failure *problem.Problem, attempt int) bool {
+	if ctx.Err() != nil || !worthRetrying(c, reply, failure) {
+		return false
+	}
+	allowed, err := c.service.Policy.Retry(c.policy, outcomeOf(reply, failure, attempt))
+	if err != nil || attempt > allowed {
+		return false
+	}
+	if !unreachable(failure) && !g.ratio.Allow() {
+		return false
+	}
+	ingress, known := c.ingress()
+	if !known {
+		return false
+	}
+	granted, err := g.grants.Ask(ctx, ingress, c.context.RequestID)
+	if err != nil {
+		g.log.WithError(err).WithField("step", "grant").WithField("peer", ingress.String()).
+			WithField("request_id", c.context.RequestID.String()).Debug("no grant")
+	}
+	return granted
+}
+
+// worthRetrying reports whether sending the call again can do good and no harm.
+func worthRetrying(c *call, reply *home.Reply, failure *problem.Problem) bool {
+	if failure == nil {
+		return c.policy.Repeatable && reply.Header.Get("Retry-After") == ""
+	}
+	switch failure.Reason {
+	case problem.Overloaded, problem.NoTarget, problem.TargetFailed, problem.IncompleteAnswer, problem.Draining:
+	default:
+		return false
+	}
+	return failure.Executed == problem.ExecutedNo || c.policy.Repeatable
+}
+
+// unreachable reports whether the failure has nothing to do with load: the
+// call did not reach a target that could take it.
+func unreachable(failure *problem.Problem) bool {
+	return failure != nil && failure.Executed == problem.ExecutedNo && failure.Reason != problem.Overloaded
+}
+
+func outcomeOf(reply *home.Reply, failure *problem.Problem, attempt int) policy.Outcome {
+	if failure == nil {
+		return policy.Outcome{Status: reply.Status, Executed: policy.ExecutedYes, Attempt: attempt}
+	}
+	return policy.Outcome{
+		Status:   failure.Status,
+		Executed: string(failure.Executed),
+		Attempt:  attempt,
+		Reason:   string(failure.Reason),
+	}
+}
--- /dev/null
+++ b/internal/home/peer.go
@@ -0,0 +1,233 @@
+package home
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/lugspur/lugspur/internal/callcontext"
+	"github.com/lugspur/lugspur/internal/criticality"
+	"github.com/lugspur/lugspur/internal/problem"
+	"github.com/lugspur/lugspur/internal/transport"
+)
+
+// The form of a forwarded call on the peer listener: the path is PathPrefix,
+// the target's name and the call's own path.
+const (
+	// PathPrefix starts the path of forwarded calls.
+	PathPrefix = "/peer/call/"
+	// LoadHeader carries the home's load on every answer of a home; an answer
+	// without it does not come from one.
+	LoadHeader = "Lugspur-Home-Load"
+	// ResultHeader tells a target's answer from a problem of the home's.
+	ResultHeader = "Lugspur-Home-Result"
+
+	resultAnswer  = "answer"
+	resultProblem = "problem"
+)
+
+// String returns the load as LoadHeader carries it: calls in flight, limit,
+// calls queued, queueing delay in microseconds, threshold, version.
+func (l Load) String() string {
+	return fmt.Sprintf("%d %d %d %d %d %d", l.InFlight, l.Limit, l.Queued, l.QueueDelay.Microseconds(), l.Threshold, l.Version)
+}
+
+const loadFields = 6
+
+// parseLoad reads a load as String writes it.
+func parseLoad(text string) (Load, error) {
+	fields := strings.Fields(text)
+	if len(fields) != loadFields {
+		return Load{}, fmt.Errorf("home load has %d fields, not %d", len(fields), loadFields)
+	}
+	var numbers [loadFields]int
+	for i, field := range fields {
+		number, err := strconv.Atoi(field)
+		if err != nil || number < 0 {
+			return Load{}, fmt.Errorf("home load field %d: %q", i+1, field)
+		}
+		numbers[i] = number
+	}
+	return Load{
+		InFlight:   numbers[0],
+		Limit:      numbers[1],
+		Queued:     numbers[2],
+		QueueDelay: time.Duration(numbers[3]) * time.Microsecond,
+		Threshold:  uint16(min(numbers[4], criticality.RankCount)),
+		Version:    uint64(numbers[5]),
+	}, nil
+}
+
+// WriteReply answers a forwarded call with the target's answer. An answer that
+// breaks off is aborted, so that the node that asked sees it as incomplete.
+func WriteReply(w http.ResponseWriter, reply *Reply) {
+	defer reply.Close()
+	w.Header().Set(ResultHeader, resultAnswer)
+	w.Header().Set(LoadHeader, reply.Load.String())
+	reply.WriteTo(w)
+}
+
+// WriteProblem answers a forwarded call with a problem of the home's.
+func WriteProblem(w http.ResponseWriter, load Load, failure *problem.Problem) {
+	w.Header().Set(ResultHeader, resultProblem)
+	w.Header().Set(LoadHeader, load.String())
+	failure.Write(w)
+}
+
+// LoadOf returns the load of the target's guard; it is zero without one.
+func (m *Manager) LoadOf(target string) Load {
+	m.mutex.RLock()
+	g := m.guards[target]
+	m.mutex.RUnlock()
+	if g == nil {
+		return Load{}
+	}
+	return g.load(m.now())
+}
+
+// Client forwards calls to the homes of other nodes. It is safe for concurrent
+// use.
+type Client struct {
+	maxBuffered int64
+
+	mutex sync.RWMutex
+	pools map[string]*transport.Pool
+}
+
+// NewClient returns a client that holds answers up to the given size, in bytes.
+func NewClient(maxBuffered int64) *Client {
+	return &Client{maxBuffered: maxBuffered, pools: map[string]*transport.Pool{}}
+}
+
+// maxIdlePerPeer bounds the idle connections kept to one peer.
+const maxIdlePerPeer = 256
+
+func (c *Client) pool(peer string) *transport.Pool {
+	c.mutex.RLock()
+	pool := c.pools[peer]
+	c.mutex.RUnlock()
+	if pool != nil {
+		return pool
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if pool = c.pools[peer]; pool == nil {
+		pool = transport.NewPool(transport.Config{Address: peer, MaxIdle: maxIdlePerPeer, MaxBuffered: c.maxBuffered})
+		c.pools[peer] = pool
+	}
+	return pool
+}
+
+// Retain closes the pools of all peers but the given ones.
+func (c *Client) Retain(peers map[string]bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for peer, pool := range c.pools {
+		if !peers[peer] {
+			pool.Close()
+			delete(c.pools, peer)
+		}
+	}
+}
+
+// Run has the call run by the home at the peer address.
+func (c *Client) Run(ctx context.Context, peer, target string, call *Call) (*Reply, *problem.Problem) {
+	if err := call.Context.SetHeader(call.Header); err != nil {
+		return nil, problem.New(problem.Internal, problem.ExecutedNo, "forward", peer, err.Error()).WithCause(err)
+	}
+	forwarded := call.Call
+	forwarded.RequestURI = PathPrefix + target + call.RequestURI
+	answer, err := c.pool(peer).Exchange(ctx, &forwarded)
+	if err != nil {
+		return nil, forwardingFailed(ctx, peer, err)
+	}
+	load, err := parseLoad(answer.Header.Get(LoadHeader))
+	if err != nil {
+		answer.Close()
+		return nil, problem.New(problem.TargetFailed, problem.ExecutedUnknown, "forward", peer, err.Error()).
+			WithRetryAfter(time.Second)
+	}
+	return interpret(peer, load, answer)
+}
+
+func interpret(peer string, load Load, answer *transport.Answer) (*Reply, *problem.Problem) {
+	result := answer.Header.Get(ResultHeader)
+	answer.Header.Del(ResultHeader)
+	answer.Header.Del(LoadHeader)
+	reply := &Reply{Answer: answer, Load: load}
+	if result == resultAnswer {
+		return reply, nil
+	}
+	defer answer.Close()
+	failure, err := problem.Parse(answer.Body)
+	if err != nil {
+		failure = problem.New(problem.TargetFailed, problem.ExecutedUnknown, "forward", peer, err.Error())
+	}
+	return &Reply{Load: load}, failure
+}
+
+func forwardingFailed(ctx context.Context, peer string, err error) *problem.Problem {
+	executed := problem.ExecutedUnknown
+	reason := problem.TargetFailed
+	var failure *transport.Failure
+	if errors.As(err, &failure) && !failure.Sent {
+		executed = problem.ExecutedNo
+		reason = problem.NoTarget
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		reason = problem.DeadlineExceeded
+	case ctx.Err() != nil:
+		reason = problem.CallerGone
+	}
+	return problem.New(reason, executed, "forward", peer, "no answer from the home").
+		WithRetryAfter(time.Second).WithCause(err)
+}
+
+// WriteTo writes the answer. When the rest of a large answer breaks off, the
+// connection is aborted.
+func (r *Reply) WriteTo(w http.ResponseWriter) {
+	header := w.Header()
+	for name, values := range r.Header {
+		header[name] = values
+	}
+	if r.Rest == nil && !r.NoBody {
+		header.Set("Content-Length", strconv.Itoa(len(r.Body)))
+	}
+	w.WriteHeader(r.Status)
+	_, err := w.Write(r.Body)
+	if r.Rest == nil {
+		return
+	}
+	if err == nil {
+		_, err = io.Copy(w, r.Rest)
+	}
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// StripHop removes the headers that hold for one connection only, and those by
+// which a stranger could pass for a node.
+func StripHop(header http.Header) {
+	for _, listed := range header.Values("Connection") {
+		for name := range strings.SplitSeq(listed, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+}
+
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	problem.ExecutedHeader, LoadHeader, ResultHeader, callcontext.TimeoutHeader,
+}
--- /dev/null
+++ b/internal/node/stop.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+const (
+	// announcement is how long a stopping node goes on taking calls while every
+	// answer asks its caller to close the connection, so that callers leave
+	// before their connections do.
+	announcement = time.Second
+	// quietTime is how long the mesh must have been without calls before its
+	// listener stops: chains in flight elsewhere still call through it.
+	quietTime = 300 * time.Millisecond
+	// quietPoll is how often that is looked at.
+	quietPoll = 20 * time.Millisecond
+)
+
+// stop ends the node as planned. The others are told first. The listener for
+// strangers stops next, the mesh when the chains that use it are done, and the
+// peer listener last, because other nodes may still wait for targets that this
+// node is the home of.
+func (n *Node) stop() error {
+	n.log.WithField("step", "stop").WithField("in_flight", n.gateway.InFlight()).Info("node stops")
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Drain.Timeout.Duration())
+	defer cancel()
+	n.stopping.Store(true)
+	n.gateway.SetClosing()
+	n.members.Leave()
+	sleep(ctx, announcement)
+	edgeErr := n.sockets.edge.shutdown(ctx)
+	n.awaitQuiet(ctx)
+	meshErr := n.sockets.mesh.shutdown(ctx)
+	peerErr := n.sockets.peer.shutdown(ctx)
+	n.members.Close()
+	adminErr := n.sockets.admin.shutdown(ctx)
+	return errors.Join(edgeErr, meshErr, peerErr, adminErr)
+}
+
+// awaitQuiet waits until no call has been in the node for quietTime.
+func (n *Node) awaitQuiet(ctx context.Context) {
+	quietSince := time.Now()
+	for ctx.Err() == nil && time.Since(quietSince) < quietTime {
+		if n.gateway.InFlight() > 0 || n.homes.InFlight() > 0 {
+			quietSince = time.Now()
+		}
+		sleep(ctx, quietPoll)
+	}
+}
+
+func sleep(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/node/views.go
@@ -0,0 +1,115 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/lugspur/lugspur/internal/catalog"
+	"github.com/lugspur/lugspur/internal/configuration"
+	"github.com/lugspur/lugspur/internal/membership"
+	"github.com/lugspur/lugspur/internal/resource"
+)
+
+// memberView shows the membership as the configuration sees nodes.
+type memberView struct{ members *membership.Membership }
+
+// Members returns the nodes known now.
+func (v memberView) Members() []configuration.Member {
+	known := v.members.Members()
+	members := make([]configuration.Member, 0, len(known))
+	for _, member := range known {
+		members = append(members, configurationMember(member))
+	}
+	return members
+}
+
+func configurationMember(member membership.Member) configuration.Member {
+	return configuration.Member{
+		Name:        member.Name,
+		Zone:        member.Zone,
+		PeerAddress: member.PeerAddress,
+		Live:        member.State.Live(),
+	}
+}
+
+// emergencyDrains lets the administration API mark drains without the store.
+type emergencyDrains struct{ spreader *configuration.Spreader }
+
+// EmergencyDrain marks what the drain of that name marks.
+func (e emergencyDrains) EmergencyDrain(name string) error {
+	if !e.spreader.MarkDrain(name) {
+		return errTooManyDrains
+	}
+	return nil
+}
+
+// EmergencyDrained reports whether such a mark holds.
+func (e emergencyDrains) EmergencyDrained(name string) bool {
+	return e.spreader.EmergencyDrains().Drained(name)
+}
+
+// marks are the drains besides the operators' objects. Each source only adds.
+type marks struct{ node *Node }
+
+// Drained reports whether any source marks what the drain's name says.
+func (m marks) Drained(name string) bool {
+	if m.node.spreader.EmergencyDrains().Drained(name) {
+		return true
+	}
+	return m.node.machines != nil && m.node.machines.Drained(name)
+}
+
+// configurationChanged is told of every change of the replica.
+func (n *Node) configurationChanged(changed []resource.Versioned) {
+	n.claims.configurationChanged(changed)
+	n.requestRebuild()
+}
+
+// requestRebuild has the view of the configuration built anew soon. It does not
+// block.
+func (n *Node) requestRebuild() {
+	select {
+	case n.rebuild <- struct{}{}:
+	default:
+	}
+}
+
+// rebuildInterval is how often the view is built anew without a known change:
+// emergency drains expire.
+const rebuildInterval = time.Second
+
+func (n *Node) keepRebuilding(ctx context.Context) {
+	ticker := time.NewTicker(rebuildInterval)
+	defer ticker.Stop()
+	for {
+		n.rebuildView()
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.rebuild:
+		case <-ticker.C:
+		}
+	}
+}
+
+func (n *Node) rebuildView() {
+	view, faults := catalog.Build(n.replica, marks{n}, n.view)
+	for _, fault := range faults {
+		if _, logged := n.faultLogged.LoadOrStore(fault.Error(), true); !logged {
+			n.log.WithField("step", "configuration").WithError(fault).Error("a policy was not taken over")
+		}
+	}
+	n.view = view
+	live := n.members.Live("")
+	n.router.Update(view, live)
+	n.peers.Retain(peerAddresses(live))
+	n.gateway.SetReady(n.spreader.Ready())
+}
+
+func peerAddresses(members []membership.Member) map[string]bool {
+	addresses := make(map[string]bool, len(members))
+	for _, member := range members {
+		addresses[member.PeerAddress] = true
+	}
+	return addresses
+}
--- /dev/null
+++ b/lab/cluster/cluster.go
@@ -0,0 +1,437 @@
+// Package cluster runs a mesh with lugspur in front of it as separate processes
+// on the loopback interface: the store, the targets, and the nodes of every
+// zone.
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/samber/oops"
+
+	"github.com/lugspur/lugspur/internal/resource"
+	"github.com/lugspur/lugspur/lab/emulator"
+	"github.com/lugspur/lugspur/lab/mesh"
+)
+
+// Token is the token of the administration API of a cluster's nodes.
+const Token = "cluster-administration-token"
+
+// Config says what a cluster consists of.
+type Config struct {
+	// Lugspur and Lab are the programs.
+	Lugspur, Lab string
+	// MeshFile is the mesh that the targets come from.
+	MeshFile string
+	// Policies is the directory of the services' policies; empty means none.
+	Policies string
+	// Directory holds logs and generated files.
+	Directory string
+	// NodesPerZone is the number of nodes in each zone, at least one.
+	NodesPerZone int
+	// NodeFlags are further flags of every node.
+	NodeFlags []string
+	// StoreRate bounds the requests a second that the store takes; zero is no
+	// bound.
+	StoreRate float64
+	// StoreSettings are further flags of the store.
+	StoreFlags []string
+	// TargetFlags are further flags of the targets.
+	TargetFlags []string
+	// Records has the targets write their executions to a file in Directory.
+	Records bool
+	Seed    uint64
+}
+
+// Addresses are where a node listens.
+type Addresses struct {
+	Edge, Mesh, Peer, Admin string
+}
+
+// Node is a node of the cluster. A node that was started again keeps its name
+// and addresses and gets a new process.
+type Node struct {
+	*Process
+	Name, Zone, Region string
+	Addresses          Addresses
+	seeds              []string
+}
+
+// Cluster is a running mesh. Its methods may not be used at the same time.
+type Cluster struct {
+	Config Config
+	Mesh   *mesh.Mesh
+	Nodes  []*Node
+
+	store           *Process
+	targets         *Process
+	storeAddresses  storeReady
+	targetAddresses targetsReady
+}
+
+// storeReady is the line that the store prints.
+type storeReady struct {
+	Store   string `json:"store"`
+	Control string `json:"control"`
+}
+
+// targetsReady is the line that the targets print.
+type targetsReady struct {
+	Targets []emulator.TargetInfo `json:"targets"`
+	Control string                `json:"control"`
+}
+
+// Start starts everything, applies the objects of the mesh and waits until
+// every node has them. On error nothing is left running.
+func Start(ctx context.Context, config Config) (*Cluster, error) {
+	loaded, err := mesh.Load(config.MeshFile)
+	if err != nil {
+		return nil, err
+	}
+	c := &Cluster{Config: config, Mesh: loaded}
+	if err := c.start(ctx); err != nil {
+		return nil, errors.Join(err, c.Stop())
+	}
+	return c, nil
+}
+
+func (c *Cluster) start(ctx context.Context) error {
+	if err := os.MkdirAll(c.Config.Directory, 0o755); err != nil {
+		return err
+	}
+	if err := c.startStore(); err != nil {
+		return err
+	}
+	if err := c.startTargets(); err != nil {
+		return err
+	}
+	if err := c.startNodes(); err != nil {
+		return err
+	}
+	if err := c.announceMesh(ctx); err != nil {
+		return err
+	}
+	if err := c.AwaitMembers(ctx); err != nil {
+		return err
+	}
+	if err := c.applyObjects(ctx); err != nil {
+		return err
+	}
+	return c.AwaitReady(ctx)
+}
+
+func (c *Cluster) logFile(name string) string { return filepath.Join(c.Config.Directory, name+".log") }
+
+func (c *Cluster) startStore() error {
+	arguments := append([]string{"store", "-rate", strconv.FormatFloat(c.Config.StoreRate, 'f', -1, 64),
+		"-seed", strconv.FormatUint(c.Config.Seed, 10)}, c.Config.StoreFlags...)
+	var err error
+	c.store, err = startProcess("store", c.logFile("store"), &c.storeAddresses, c.Config.Lab, arguments...)
+	return err
+}
+
+func (c *Cluster) startTargets() error {
+	arguments := []string{"targets", "-mesh", c.Config.MeshFile, "-seed", strconv.FormatUint(c.Config.Seed, 10)}
+	if c.Config.Records {
+		arguments = append(arguments, "-records", c.RecordsFile())
+	}
+	arguments = append(arguments, c.Config.TargetFlags...)
+	var err error
+	c.targets, err = startProcess("targets", c.logFile("targets"), &c.targetAddresses, c.Config.Lab, arguments...)
+	return err
+}
+
+// RecordsFile is where the targets write their executions.
+func (c *Cluster) RecordsFile() string { return filepath.Join(c.Config.Directory, "records.jsonl") }
+
+// startNodes starts the nodes of every zone. The first node of each zone is a
+// seed of all others.
+func (c *Cluster) startNodes() error {
+	var seeds []string
+	for index := range max(c.Config.NodesPerZone, 1) {
+		for _, zone := range c.Mesh.Zones {
+			addresses, err := freeAddresses()
+			if err != nil {
+				return err
+			}
+			if index == 0 {
+				seeds = append(seeds, addresses.Peer)
+			}
+			c.Nodes = append(c.Nodes, &Node{
+				Name:      fmt.Sprintf("%s-%d", zone.Name, index+1),
+				Zone:      zone.Name,
+				Region:    zone.Region,
+				Addresses: addresses,
+			})
+		}
+	}
+	for _, node := range c.Nodes {
+		node.seeds = seeds
+		if err := c.StartNode(node); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartNode starts the node's process, also after it has ended.
+func (c *Cluster) StartNode(node *Node) error {
+	arguments := []string{"node",
+		"-name", node.Name, "-zone", node.Zone, "-region", node.Region, "-cluster", c.Mesh.Name,
+		"-listen-edge", node.Addresses.Edge, "-listen-mesh", node.Addresses.Mesh,
+		"-listen-peer", node.Addresses.Peer, "-listen-admin", node.Addresses.Admin,
+		"-store-endpoints", c.storeAddresses.Store,
+		"-membership-seeds", strings.Join(node.seeds, ","),
+		"-f", c.settingsFile(),
+	}
+	if err := c.writeSettings(); err != nil {
+		return err
+	}
+	process, err := startProcess(node.Name, c.logFile(node.Name), nil, c.Config.Lugspur, append(arguments, c.Config.NodeFlags...)...)
+	node.Process = process
+	return err
+}
+
+func (c *Cluster) settingsFile() string { return filepath.Join(c.Config.Directory, "node.toml") }
+
+func (c *Cluster) writeSettings() error {
+	content := fmt.Sprintf("[admin]\ntoken = %q\n", Token)
+	return os.WriteFile(c.settingsFile(), []byte(content), 0o600)
+}
+
+// freeAddresses finds free ports. The peer's is free for TCP and UDP.
+func freeAddresses() (Addresses, error) {
+	var addresses Addresses
+	var held []net.Listener
+	defer func() {
+		for _, listener := range held {
+			_ = listener.Close()
+		}
+	}()
+	for _, address := range []*string{&addresses.Edge, &addresses.Mesh, &addresses.Peer, &addresses.Admin} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return addresses, oops.In("cluster").With("step", "find port").Wrap(err)
+		}
+		held = append(held, listener)
+		*address = listener.Addr().String()
+	}
+	socket, err := net.ListenPacket("udp", addresses.Peer)
+	if err != nil {
+		return addresses, oops.In("cluster").With("step", "find port").With("peer", addresses.Peer).Wrap(err)
+	}
+	return addresses, socket.Close()
+}
+
+// announceMesh tells the targets where the nodes of their zones are.
+func (c *Cluster) announceMesh(ctx context.Context) error {
+	addresses := map[string]string{}
+	for _, node := range c.Nodes {
+		if addresses[node.Zone] == "" {
+			addresses[node.Zone] = node.Addresses.Mesh
+		}
+	}
+	return exchange(ctx, "POST", c.targetsURL("/mesh-addresses"), addresses, nil)
+}
+
+// Edges returns the edge addresses by zone.
+func (c *Cluster) Edges() mesh.ZoneAddresses {
+	edges := mesh.ZoneAddresses{}
+	for _, node := range c.Nodes {
+		edges[node.Zone] = append(edges[node.Zone], node.Addresses.Edge)
+	}
+	return edges
+}
+
+// Command runs a verb of the operator's command line against all nodes and
+// returns its output.
+func (c *Cluster) Command(ctx context.Context, arguments ...string) (string, error) {
+	var admins []string
+	for _, node := range c.Nodes {
+		if node.Process != nil && node.Running() {
+			admins = append(admins, node.Addresses.Admin)
+		}
+	}
+	arguments = append([]string{"-admin", strings.Join(admins, ","), "-token", Token}, arguments...)
+	command := exec.CommandContext(ctx, c.Config.Lugspur, arguments...)
+	var output bytes.Buffer
+	command.Stdout = &output
+	command.Stderr = &output
+	if err := command.Run(); err != nil {
+		return output.String(), oops.In("cluster").With("step", "command").
+			Wrapf(err, "lugspur %s: %s", strings.Join(arguments[4:], " "), output.String())
+	}
+	return output.String(), nil
+}
+
+// objectFile is the form in which the command line takes objects.
+type objectFile struct {
+	Objects []object `toml:"object"`
+}
+
+type object struct {
+	Kind string `toml:"kind"`
+	Name string `toml:"name"`
+	Spec any    `toml:"spec"`
+}
+
+// applyObjects applies the mesh's services and targets, and the policies.
+func (c *Cluster) applyObjects(ctx context.Context) error {
+	file := filepath.Join(c.Config.Directory, "objects.toml")
+	content, err := toml.Marshal(objectFile{Objects: append(c.services(), c.targetObjects()...)})
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(file, content, 0o644); err != nil {
+		return err
+	}
+	if _, err := c.Command(ctx, "apply", "-f", file); err != nil {
+		return err
+	}
+	if c.Config.Policies == "" {
+		return nil
+	}
+	for _, service := range c.Mesh.Services {
+		policy := filepath.Join(c.Config.Policies, service.Name+".toml")
+		if _, err := c.Command(ctx, "apply", "-f", policy); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// services returns the service objects: what each calls without fail, and how
+// its targets refuse.
+func (c *Cluster) services() []object {
+	var objects []object
+	for _, service := range c.Mesh.Services {
+		objects = append(objects, object{Kind: "service", Name: service.Name, Spec: resource.Service{
+			Calls:         requiredCalls(service),
+			RefusalHeader: emulator.ShedHeader,
+			LoadHeader:    emulator.LoadHeader,
+		}})
+	}
+	return objects
+}
+
+func requiredCalls(service mesh.Service) []string {
+	var required []string
+	for _, call := range service.Calls {
+		if !call.Optional && !slices.Contains(required, call.Service) {
+			required = append(required, call.Service)
+		}
+	}
+	return required
+}
+
+func (c *Cluster) targetObjects() []object {
+	var objects []object
+	for _, target := range c.targetAddresses.Targets {
+		objects = append(objects, object{Kind: "target", Name: target.Name, Spec: resource.Target{
+			Service:     target.Service,
+			Zone:        target.Zone,
+			Address:     target.Address,
+			Slots:       target.Slots,
+			Connections: target.Connections,
+		}})
+	}
+	return objects
+}
+
+const (
+	// startTimeout bounds the time until all nodes have what was applied.
+	startTimeout = 30 * time.Second
+	// pollInterval is how often nodes are asked for their status.
+	pollInterval = 50 * time.Millisecond
+)
+
+// AwaitMembers waits until every node that runs knows all the others.
+func (c *Cluster) AwaitMembers(ctx context.Context) error {
+	running := c.running()
+	return c.await(ctx, "membership", func(ctx context.Context) bool {
+		for _, node := range running {
+			status, err := node.Status(ctx)
+			if err != nil || aliveMembers(status.Members) < len(running) || !status.Node.Ready {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// AwaitReady waits until every running node has all objects of the mesh.
+func (c *Cluster) AwaitReady(ctx context.Context) error {
+	return c.await(ctx, "configuration", func(ctx context.Context) bool {
+		var floor int64
+		for i, node := range c.running() {
+			status, err := node.Status(ctx)
+			if err != nil || !status.Node.Ready || len(status.Targets) < len(c.Mesh.Targets) {
+				return false
+			}
+			if i == 0 {
+				floor = int64(status.Node.ConfigurationFloor)
+			}
+			if int64(status.Node.ConfigurationFloor) < floor {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (c *Cluster) running() []*Node {
+	var running []*Node
+	for _, node := range c.Nodes {
+		if node.Process != nil && node.Running() {
+			running = append(running, node)
+		}
+	}
+	return running
+}
+
+func (c *Cluster) await(ctx context.Context, what string, holds func(context.Context) bool) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for !holds(ctx) {
+		select {
+		case <-ctx.Done():
+			return oops.In("cluster").With("step", "await "+what).Wrapf(ctx.Err(), "nodes have no complete %s", what)
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// stopTimeout bounds the planned stop of one process.
+const stopTimeout = 40 * time.Second
+
+// Stop ends all processes of the cluster, the nodes first.
+func (c *Cluster) Stop() error {
+	var failures []error
+	for _, node := range c.running() {
+		node.Resume()
+		node.Terminate()
+	}
+	for _, node := range c.running() {
+		failures = append(failures, node.Stop(stopTimeout))
+	}
+	for _, process := range []*Process{c.targets, c.store} {
+		if process != nil && process.Running() {
+			failures = append(failures, process.Stop(stopTimeout))
+		}
+	}
+	return errors.Join(failures...)
+}
--- /dev/null
+++ b/lab/cluster/control.go
@@ -0,0 +1,115 @@
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/lugspur/lugspur/internal/admin"
+	"github.com/lugspur/lugspur/internal/membership"
+	"github.com/lugspur/lugspur/lab/emulator"
+	"github.com/lugspur/lugspur/lab/kvstore"
+)
+
+// controlTimeout bounds one request to a control listener.
+const controlTimeout = 10 * time.Second
+
+// maxControlBytes bounds an answer of a control listener.
+const maxControlBytes = 1 << 30
+
+// exchange sends a JSON request and reads a JSON answer; either may be nil.
+func exchange(ctx context.Context, method, url string, request, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	var body io.Reader
+	if request != nil {
+		encoded, err := json.Marshal(request)
+		if err != nil {
+			return err
+		}
+		body = bytes.NewReader(encoded)
+	}
+	message, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(message)
+	if err != nil {
+		return oops.In("cluster").With("step", "control").With("peer", url).Wrapf(err, "%s %s", method, url)
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxControlBytes))
+	if err == nil && response.StatusCode/100 != 2 {
+		err = fmt.Errorf("status %d: %s", response.StatusCode, content)
+	}
+	if err == nil && answer != nil {
+		err = json.Unmarshal(content, answer)
+	}
+	if err != nil {
+		return oops.In("cluster").With("step", "control").With("peer", url).Wrapf(err, "%s %s", method, url)
+	}
+	return nil
+}
+
+// StoreControl changes the faults of the store.
+func (c *Cluster) StoreControl(ctx context.Context, request kvstore.ControlRequest) error {
+	return exchange(ctx, http.MethodPost, "http://"+c.storeAddresses.Control+kvstore.PathControl, request, nil)
+}
+
+// StoreStatus returns the state of the store.
+func (c *Cluster) StoreStatus(ctx context.Context) (kvstore.Status, error) {
+	var status kvstore.Status
+	err := exchange(ctx, http.MethodGet, "http://"+c.storeAddresses.Control+kvstore.PathControl, nil, &status)
+	return status, err
+}
+
+// SetTargetFaults replaces the faults of a target.
+func (c *Cluster) SetTargetFaults(ctx context.Context, target string, faults emulator.Faults) error {
+	return exchange(ctx, http.MethodPost, c.targetsURL("/targets/"+target+"/faults"), faults, nil)
+}
+
+// RestartTarget resets the target's connections and makes it cold.
+func (c *Cluster) RestartTarget(ctx context.Context, target string) error {
+	return exchange(ctx, http.MethodPost, c.targetsURL("/targets/"+target+"/restart"), nil, nil)
+}
+
+// TargetState returns what the targets are doing.
+func (c *Cluster) TargetState(ctx context.Context) (emulator.State, error) {
+	var state emulator.State
+	err := exchange(ctx, http.MethodGet, c.targetsURL("/state"), nil, &state)
+	return state, err
+}
+
+// Records returns the executions of all targets.
+func (c *Cluster) Records(ctx context.Context) ([]emulator.Record, error) {
+	var records []emulator.Record
+	err := exchange(ctx, http.MethodGet, c.targetsURL("/records"), nil, &records)
+	return records, err
+}
+
+func (c *Cluster) targetsURL(path string) string {
+	return "http://" + c.targetAddresses.Control + path
+}
+
+// Status returns the status that a node gives of itself.
+func (n *Node) Status(ctx context.Context) (admin.Status, error) {
+	var status admin.Status
+	err := exchange(ctx, http.MethodGet, "http://"+n.Addresses.Admin+"/v1/status", nil, &status)
+	return status, err
+}
+
+func aliveMembers(members []admin.MemberStatus) int {
+	alive := 0
+	for _, member := range members {
+		if member.State == membership.Alive.String() {
+			alive++
+		}
+	}
+	return alive
+}
--- /dev/null
+++ b/lab/emulator/control.go
@@ -0,0 +1,92 @@
+package emulator
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+)
+
+// controlRoutes are the control listener's paths.
+func (e *Emulator) controlRoutes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /state", e.serveState)
+	mux.HandleFunc("GET /records", e.serveRecords)
+	mux.HandleFunc("POST /mesh-addresses", e.serveMeshAddresses)
+	mux.HandleFunc("POST /targets/{name}/faults", e.serveFaults)
+	mux.HandleFunc("POST /targets/{name}/drain", e.serveDrain)
+	mux.HandleFunc("POST /targets/{name}/restart", e.serveRestart)
+	return mux
+}
+
+func (e *Emulator) serveState(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, e.State())
+}
+
+// serveRecords writes JSON lines; the query may name a request_id, a service
+// or an idempotency_key.
+func (e *Emulator) serveRecords(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	matches := func(name, value string) bool {
+		wanted := query.Get(name)
+		return wanted == "" || wanted == value
+	}
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	encoder := json.NewEncoder(w)
+	for _, record := range e.Records() {
+		if !matches("request_id", record.RequestID) || !matches("service", record.Service) ||
+			!matches("idempotency_key", record.IdempotencyKey) {
+			continue
+		}
+		if err := encoder.Encode(record); err != nil {
+			return
+		}
+	}
+}
+
+func (e *Emulator) serveMeshAddresses(w http.ResponseWriter, r *http.Request) {
+	addresses, ok := decodeControl[map[string]string](w, r)
+	if !ok {
+		return
+	}
+	answerControl(w, e.SetMeshAddresses(addresses))
+}
+
+func (e *Emulator) serveFaults(w http.ResponseWriter, r *http.Request) {
+	faults, ok := decodeControl[Faults](w, r)
+	if !ok {
+		return
+	}
+	answerControl(w, e.SetFaults(r.PathValue("name"), faults))
+}
+
+// serveDrain starts a drain; the query "off=true" ends it.
+func (e *Emulator) serveDrain(w http.ResponseWriter, r *http.Request) {
+	draining := r.URL.Query().Get("off") != "true"
+	answerControl(w, e.SetDraining(r.PathValue("name"), draining))
+}
+
+func (e *Emulator) serveRestart(w http.ResponseWriter, r *http.Request) {
+	answerControl(w, e.Restart(r.PathValue("name")))
+}
+
+func decodeControl[T any](w http.ResponseWriter, r *http.Request) (T, bool) {
+	var decoded T
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&decoded); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return decoded, false
+	}
+	return decoded, true
+}
+
+func answerControl(w http.ResponseWriter, err error) {
+	switch {
+	case err == nil:
+		w.WriteHeader(http.StatusNoContent)
+	case errors.Is(err, ErrUnknownTarget):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	default:
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+}
--- /dev/null
+++ b/lab/emulator/emulator_test.go
@@ -0,0 +1,372 @@
+package emulator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/lugspur/lugspur/internal/callcontext"
+	"github.com/lugspur/lugspur/internal/problem"
+	"github.com/lugspur/lugspur/lab/answer"
+	"github.com/lugspur/lugspur/lab/mesh"
+)
+
+// testMesh has a front service that calls a required and an optional one.
+func testMesh() *mesh.Mesh {
+	quick := mesh.ServiceTime{Distribution: mesh.Lognormal, MedianMs: 0.1}
+	target := func(service string) mesh.Target {
+		return mesh.Target{Name: service + "-1", Service: service, Zone: "a", Address: "127.0.0.1:0", Slots: 1, Connections: 8}
+	}
+	return &mesh.Mesh{
+		Name:  "test",
+		Zones: []mesh.Zone{{Name: "a", Region: "r"}},
+		Services: []mesh.Service{
+			{Name: "front", Time: quick, AnswerBytes: 64, Calls: []mesh.Call{
+				{Service: "back", Method: "GET", Path: "/x"},
+				{Service: "extra", Method: "GET", Path: "/y", Optional: true, Parallel: true},
+			}},
+			{Name: "back", Time: quick, AnswerBytes: 2000},
+			{Name: "extra", Time: quick, AnswerBytes: 10},
+		},
+		Targets: []mesh.Target{target("front"), target("back"), target("extra")},
+	}
+}
+
+// fakeMesh forwards /<service>/<path> to the service's target, or refuses it.
+type fakeMesh struct {
+	mutex     sync.Mutex
+	addresses map[string]string
+	refuse    map[string]bool
+	seen      []http.Header
+}
+
+func (f *fakeMesh) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	service, path, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	f.mutex.Lock()
+	address, refused := f.addresses[service], f.refuse[service]
+	f.seen = append(f.seen, r.Header.Clone())
+	f.mutex.Unlock()
+	if refused {
+		problem.New(problem.Overloaded, problem.ExecutedNo, "admission", "node", "shed").WithRetryAfter(2 * time.Second).Write(w)
+		return
+	}
+	request, _ := http.NewRequestWithContext(r.Context(), r.Method, "http://"+address+"/"+path, nil)
+	request.Header = r.Header.Clone()
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = response.Body.Close() }()
+	w.WriteHeader(response.StatusCode)
+	_, _ = io.Copy(w, response.Body)
+}
+
+type fixture struct {
+	*Emulator
+	mesh      *fakeMesh
+	addresses map[string]string
+	records   *bytes.Buffer
+}
+
+func start(t *testing.T, m *mesh.Mesh) *fixture {
+	t.Helper()
+	f := &fixture{mesh: &fakeMesh{refuse: map[string]bool{}}, addresses: map[string]string{}, records: &bytes.Buffer{}}
+	server := httptest.NewServer(f.mesh)
+	t.Cleanup(server.Close)
+	started, err := Start(Config{Mesh: m, ControlAddress: "127.0.0.1:0", Seed: 3, Records: f.records})
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, started.Close()) })
+	f.Emulator = started
+	for _, target := range started.Targets() {
+		f.addresses[target.Service] = target.Address
+	}
+	f.mesh.addresses = f.addresses
+	assert.NilError(t, started.SetMeshAddresses(map[string]string{"a": strings.TrimPrefix(server.URL, "http://")}))
+	return f
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+	err    error
+}
+
+func (f *fixture) get(ctx context.Context, service, path string, header http.Header) reply {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.addresses[service]+path, nil)
+	if err != nil {
+		return reply{err: err}
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	transport := &http.Transport{DisableKeepAlives: true}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: body, err: err}
+}
+
+func (f *fixture) control(t *testing.T, path, body string) int {
+	t.Helper()
+	response, err := http.Post("http://"+f.ControlAddress()+path, "application/json", strings.NewReader(body))
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	return response.StatusCode
+}
+
+func (f *fixture) waitFor(t *testing.T, condition func(TargetState) bool, service string) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, state := range f.State().Targets {
+			if state.Service == service && condition(state) {
+				return poll.Success()
+			}
+		}
+		return poll.Continue("%+v", f.State())
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(5*time.Second))
+}
+
+func callHeader(nonce string) http.Header {
+	header := http.Header{}
+	header.Set(answer.NonceHeader, nonce)
+	header.Set(callcontext.RequestIDHeader, "00ff")
+	header.Set(callcontext.BaggageHeader, "lugspur=v1.abc,other=1")
+	header.Set("Traceparent", "00-1-2-01")
+	header.Set(callcontext.CallerHeader, "grower-1")
+	return header
+}
+
+func TestChainAnswersCompletelyAndIsRecorded(t *testing.T) {
+	f := start(t, testMesh())
+	got := f.get(t.Context(), "front", "/view", callHeader("n1"))
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK)
+	expected := answer.Expectation{Service: "front", Nonce: "n1", Required: []answer.Expectation{{Service: "back"}, {Service: "extra"}}}
+	assert.Equal(t, len(answer.Verify(got.body, expected)), 0)
+	assert.Equal(t, got.header.Get(LoadHeader), "0.000")
+	for _, seen := range f.mesh.seen {
+		for _, name := range copiedHeaders {
+			assert.Equal(t, seen.Get(name), callHeader("n1").Get(name))
+		}
+	}
+	assert.NilError(t, f.WaitIdle(t.Context()))
+	records := f.Records()
+	assert.Equal(t, len(records), 3)
+	last := records[2]
+	assert.Equal(t, last.Target, "front-1")
+	assert.Equal(t, last.RequestID, "00ff")
+	assert.Equal(t, last.Caller, "grower-1")
+	assert.Assert(t, last.Effect && last.Outcome == OutcomeComplete)
+
+	response, err := http.Get("http://" + f.ControlAddress() + "/records?service=back")
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	served, err := ReadRecords(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, len(served), 1)
+	assert.NilError(t, f.Close())
+	streamed, err := ReadRecords(f.records)
+	assert.NilError(t, err)
+	assert.Equal(t, len(streamed), 3)
+}
+
+func TestDownstreamRefusals(t *testing.T) {
+	f := start(t, testMesh())
+	f.mesh.refuse["extra"] = true
+	got := f.get(t.Context(), "front", "/view", callHeader("n1"))
+	assert.Equal(t, got.status, http.StatusOK)
+	f.mesh.refuse["back"] = true
+	got = f.get(t.Context(), "front", "/view", callHeader("n2"))
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, got.header.Get("Retry-After"), "2")
+	assert.Equal(t, got.header.Get(problem.ExecutedHeader), "no")
+	assert.NilError(t, f.WaitIdle(t.Context()))
+	records := f.Records()
+	last := records[len(records)-1]
+	assert.Assert(t, !last.Effect && last.Outcome == OutcomeChildFailed)
+	assert.NilError(t, f.SetMeshAddresses(map[string]string{"a": "127.0.0.1:1"}))
+	assert.Equal(t, f.get(t.Context(), "front", "/view", nil).status, http.StatusBadGateway)
+}
+
+// occupy makes a call whose work lasts until it is cancelled.
+func (f *fixture) occupy(t *testing.T, header http.Header) (cancel func(), done <-chan reply) {
+	t.Helper()
+	ctx, stop := context.WithCancel(t.Context())
+	finished := make(chan reply, 1)
+	go func() { finished <- f.get(ctx, "back", "/x", header) }()
+	f.waitFor(t, func(s TargetState) bool { return s.Busy == 1 }, "back")
+	return stop, finished
+}
+
+func TestSlotsWaitInLineAndCancellationFreesThem(t *testing.T) {
+	f := start(t, testMesh())
+	assert.NilError(t, f.SetFaults("back-1", Faults{SlowFactor: 1e6}))
+	cancelFirst, first := f.occupy(t, nil)
+	second := make(chan reply, 1)
+	go func() { second <- f.get(t.Context(), "back", "/x", callHeader("n2")) }()
+	f.waitFor(t, func(s TargetState) bool { return s.Waiting == 1 }, "back")
+	assert.Equal(t, len(f.Records()), 1) // the waiting call hasn't started
+	assert.NilError(t, f.SetFaults("back-1", Faults{}))
+	cancelFirst()
+	assert.Assert(t, errors.Is((<-first).err, context.Canceled))
+	assert.Equal(t, (<-second).status, http.StatusOK)
+	assert.NilError(t, f.WaitIdle(t.Context()))
+	assert.Equal(t, f.Records()[0].Outcome, OutcomeCancelled)
+	assert.Equal(t, f.Records()[1].Outcome, OutcomeComplete)
+}
+
+func TestDeadlineEndsWaitingWithoutStarting(t *testing.T) {
+	f := start(t, testMesh())
+	assert.NilError(t, f.SetFaults("back-1", Faults{SlowFactor: 1e6}))
+	cancel, _ := f.occupy(t, nil)
+	defer cancel()
+	header := callHeader("n2")
+	header.Set(callcontext.TimeoutHeader, "20")
+	got := f.get(t.Context(), "back", "/x", header)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, got.header.Get(ShedHeader), "true")
+	assert.Equal(t, len(f.Records()), 1)
+}
+
+func TestIgnoredCancellationFinishesTheWork(t *testing.T) {
+	m := testMesh()
+	m.Services[1].IgnoresCancellation = true
+	m.Services[1].Time.MedianMs = 50
+	f := start(t, m)
+	cancel, done := f.occupy(t, nil)
+	cancel()
+	<-done
+	assert.NilError(t, f.WaitIdle(t.Context()))
+	assert.Assert(t, f.Records()[0].Outcome != OutcomeCancelled || f.Records()[0].End.Sub(f.Records()[0].Start) >= 50*time.Millisecond)
+}
+
+func TestOwnShedding(t *testing.T) {
+	m := testMesh()
+	m.Services[1].ShedWaiting = 1
+	f := start(t, m)
+	assert.NilError(t, f.SetFaults("back-1", Faults{SlowFactor: 1e6}))
+	cancel, _ := f.occupy(t, nil)
+	defer cancel()
+	go f.get(t.Context(), "back", "/x", nil)
+	f.waitFor(t, func(s TargetState) bool { return s.Waiting == 1 }, "back")
+	got := f.get(t.Context(), "back", "/x", nil)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, got.header.Get(ShedHeader), "true")
+	assert.Equal(t, got.header.Get("Retry-After"), "1")
+}
+
+func TestConnectionsAboveTheLimitAreRefused(t *testing.T) {
+	m := testMesh()
+	m.Targets[1].Connections = 1
+	f := start(t, m)
+	assert.NilError(t, f.SetFaults("back-1", Faults{SlowFactor: 1e6}))
+	cancel, done := f.occupy(t, nil)
+	got := f.get(t.Context(), "back", "/x", nil)
+	assert.Assert(t, got.err != nil)
+	cancel()
+	<-done
+	assert.NilError(t, f.SetFaults("back-1", Faults{}))
+	f.waitFor(t, func(s TargetState) bool { return s.OpenConnections == 0 && s.RefusedConnections == 1 }, "back")
+	assert.Equal(t, f.get(t.Context(), "back", "/x", nil).status, http.StatusOK)
+}
+
+func TestAnswerFaults(t *testing.T) {
+	expected := answer.Expectation{Service: "back", Nonce: "n1"}
+	cases := []struct {
+		name   string
+		faults string
+		check  func(reply) bool
+	}{
+		{"error", `{"error_rate":1}`, func(r reply) bool { return r.err == nil && r.status == http.StatusInternalServerError }},
+		{"reset", `{"reset_rate":1}`, func(r reply) bool { return r.err != nil }},
+		{"truncated", `{"truncate_rate":1}`, func(r reply) bool { return errors.Is(r.err, io.ErrUnexpectedEOF) }},
+		{"truncated chunks", `{"truncate_rate":1,"chunked":true}`, func(r reply) bool { return errors.Is(r.err, io.ErrUnexpectedEOF) }},
+		{"chunked", `{"chunked":true}`, func(r reply) bool { return r.err == nil && len(answer.Verify(r.body, expected)) == 0 }},
+		{"down", `{"down":true}`, func(r reply) bool { return r.err != nil }},
+		{"none", `{}`, func(r reply) bool { return r.err == nil && len(answer.Verify(r.body, expected)) == 0 }},
+	}
+	f := start(t, testMesh())
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			assert.Equal(t, f.control(t, "/targets/back-1/faults", c.faults), http.StatusNoContent)
+			got := f.get(t.Context(), "back", "/x", callHeader("n1"))
+			assert.Assert(t, c.check(got), "%d %v", got.status, got.err)
+		})
+	}
+	assert.Equal(t, f.control(t, "/targets/back-1/faults", `{"error_rate":2}`), http.StatusBadRequest)
+	assert.Equal(t, f.control(t, "/targets/back-1/faults", `{"colour":2}`), http.StatusBadRequest)
+	assert.Equal(t, f.control(t, "/targets/none/faults", `{}`), http.StatusNotFound)
+}
+
+func TestFrozenAnswersComeAfterTheThaw(t *testing.T) {
+	f := start(t, testMesh())
+	assert.NilError(t, f.SetFaults("back-1", Faults{FreezeAnswers: true}))
+	done := make(chan reply, 1)
+	go func() { done <- f.get(t.Context(), "back", "/x", callHeader("n1")) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		records := f.Records()
+		if len(records) == 1 && records[0].Effect && f.State().Targets[1].Busy == 0 {
+			return poll.Success()
+		}
+		return poll.Continue("%+v", records)
+	}, poll.WithDelay(time.Millisecond))
+	assert.Equal(t, len(done), 0)
+	assert.NilError(t, f.SetFaults("back-1", Faults{}))
+	assert.Equal(t, (<-done).status, http.StatusOK)
+}
+
+func (f *fixture) health(t *testing.T) HealthReport {
+	t.Helper()
+	got := f.get(t.Context(), "back", "/health", nil)
+	assert.NilError(t, got.err)
+	var report HealthReport
+	assert.NilError(t, json.Unmarshal(got.body, &report))
+	return report
+}
+
+func TestDrainIsReportedLate(t *testing.T) {
+	m := testMesh()
+	m.Services[1].ReportLagMs = 60_000
+	f := start(t, m)
+	assert.Equal(t, f.control(t, "/targets/back-1/drain", ""), http.StatusNoContent)
+	got := f.get(t.Context(), "back", "/x", nil)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, got.header.Get(DrainingHeader), "true")
+	assert.Equal(t, f.health(t).Health, Healthy) // still the old report
+	assert.Equal(t, f.control(t, "/targets/back-1/faults", `{"report_lag_ms":0}`), http.StatusNoContent)
+	assert.Equal(t, f.health(t).Health, Draining)
+	assert.Equal(t, f.control(t, "/targets/back-1/restart", ""), http.StatusNoContent)
+	assert.Equal(t, f.health(t).Health, Healthy)
+	assert.Equal(t, len(f.Records()), 0)
+}
+
+func TestReportsLieWhenTold(t *testing.T) {
+	f := start(t, testMesh())
+	assert.Equal(t, f.control(t, "/targets/back-1/faults", `{"load_lie":0.9,"health_lie":"unhealthy"}`), http.StatusNoContent)
+	report := f.health(t)
+	assert.Equal(t, report.Health, Unhealthy)
+	assert.Equal(t, report.Load, 0.9)
+	assert.Equal(t, f.get(t.Context(), "back", "/x", nil).header.Get(LoadHeader), "0.900")
+}
+
+func TestColdFactorFallsToOne(t *testing.T) {
+	cold := mesh.ColdStart{DurationMs: 1000, SlowFactor: 5}
+	assert.Equal(t, coldFactor(cold, 0), 5.0)
+	assert.Equal(t, coldFactor(cold, 500*time.Millisecond), 3.0)
+	assert.Equal(t, coldFactor(cold, 2*time.Second), 1.0)
+}
