Run calls with an idempotency key under claims

Ruled out: a store write for each call (rate limit, outages); deriving claim replicas from the membership (two views could both have a majority).

Change: the node runs a claim replica, the claimer and the roster's manager; a granted claim is released only if the call was certainly not run.

Not run: claims under the fault proxy.

--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -35,6 +35,9 @@
 	// change.
 	ConfigurationFloor store.Revision `json:"configuration_floor"`
 	UptimeSeconds      int64          `json:"uptime_seconds"`
+	// ClaimEpoch is the epoch of the roster of claim replicas that the node
+	// knows; while it is zero, calls with an Idempotency-Key are refused.
+	ClaimEpoch uint64 `json:"claim_epoch"`
 	// InFlight is the number of calls in the node.
 	InFlight int `json:"in_flight"`
 }
@@ -79,8 +82,8 @@
 	// that none is.
 	ShedLevel string `json:"shed_level,omitempty"`
 	Draining  bool   `json:"draining,omitempty"`
-	// DrainSources say who marked the target as leaving: operator, emergency,
-	// machine-list or target.
+	// DrainSources say who marked the target as leaving: operator, emergency or
+	// machine-list.
 	DrainSources []string `json:"drain_sources,omitempty"`
 }
 
--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,197 @@
+package catalog
+
+import (
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lugspur/lugspur/internal/policy"
+	"github.com/lugspur/lugspur/internal/resource"
+	"github.com/lugspur/lugspur/internal/store"
+)
+
+// objects is a Source; a deleted object stays as its tombstone.
+type objects map[resource.ID]resource.Versioned
+
+func (o objects) List(kind resource.Kind) []resource.Versioned {
+	var listed []resource.Versioned
+	for id, object := range o {
+		if id.Kind == kind && !object.Deleted {
+			listed = append(listed, object)
+		}
+	}
+	return listed
+}
+
+func (o objects) Get(id resource.ID) (resource.Versioned, bool) {
+	object, found := o[id]
+	return object, found
+}
+
+func (o objects) put(revision store.Revision, e resource.Envelope) {
+	o[e.ID] = resource.Versioned{Envelope: e, Revision: revision}
+}
+
+func (o objects) service(name string, calls ...string) {
+	o.put(1, resource.Envelope{ID: resource.ID{Kind: resource.KindService, Name: name}, Service: &resource.Service{Calls: calls}})
+}
+
+func (o objects) target(name, service, machine string) {
+	o.put(2, resource.Envelope{ID: resource.ID{Kind: resource.KindTarget, Name: name}, Target: &resource.Target{Service: service, Machine: machine}})
+}
+
+func (o objects) policy(revision store.Revision, service, admit string) {
+	o.put(revision, resource.Envelope{ID: resource.ID{Kind: resource.KindPolicy, Name: service}, Policy: &resource.Policy{Admit: admit}})
+}
+
+func (o objects) drain(revision store.Revision, name string, deleted bool) {
+	e := resource.Envelope{ID: resource.ID{Kind: resource.KindDrain, Name: name}, Deleted: deleted}
+	if !deleted {
+		e.Drain = &resource.Drain{}
+	}
+	o.put(revision, e)
+}
+
+type marked []string
+
+func (m marked) Drained(name string) bool { return slices.Contains(m, name) }
+
+func build(t *testing.T, source objects, before *View) *View {
+	t.Helper()
+	view, faults := Build(source, marked(nil), before)
+	assert.Equal(t, len(faults), 0, "%v", faults)
+	return view
+}
+
+func admits(t *testing.T, service *Service, method string) bool {
+	t.Helper()
+	admitted, err := service.Policy.Admit(policy.Call{Method: method}, policy.Load{})
+	assert.NilError(t, err)
+	return admitted
+}
+
+func TestPolicyIsCompiledOncePerRevision(t *testing.T) {
+	source := objects{}
+	source.service("a")
+	source.policy(3, "a", `call.method == "GET"`)
+	first := build(t, source, Empty())
+	assert.Assert(t, admits(t, first.Services["a"], "GET") && !admits(t, first.Services["a"], "POST"))
+	second := build(t, source, first)
+	assert.Assert(t, first.Services["a"].Policy == second.Services["a"].Policy)
+	source.policy(4, "a", `call.method == "POST"`)
+	third := build(t, source, second)
+	assert.Assert(t, admits(t, third.Services["a"], "POST") && !admits(t, third.Services["a"], "GET"))
+	source.put(5, resource.Envelope{ID: resource.ID{Kind: resource.KindPolicy, Name: "a"}, Deleted: true})
+	fourth := build(t, source, third)
+	assert.Assert(t, admits(t, fourth.Services["a"], "GET") && admits(t, fourth.Services["a"], "POST"))
+}
+
+func TestBadPolicyKeepsTheOneBefore(t *testing.T) {
+	source := objects{}
+	source.service("a")
+	source.policy(3, "a", `call.method == "GET"`)
+	view := build(t, source, Empty())
+	source.policy(4, "a", `call.nonsense ==`)
+	for range 3 {
+		var faults []error
+		view, faults = Build(source, marked(nil), view)
+		assert.Equal(t, len(faults), 1)
+		assert.ErrorContains(t, faults[0], "service a at revision 4")
+		assert.Assert(t, !admits(t, view.Services["a"], "POST"), "the policy before was lost")
+	}
+	source.policy(5, "a", `call.method == "POST"`)
+	assert.Assert(t, admits(t, build(t, source, view).Services["a"], "POST"))
+}
+
+func TestBadPolicyOfNewServiceGivesTheDefault(t *testing.T) {
+	source := objects{}
+	source.service("a")
+	source.policy(4, "a", `(`)
+	view, faults := Build(source, marked(nil), Empty())
+	assert.Equal(t, len(faults), 1)
+	assert.Assert(t, admits(t, view.Services["a"], "GET"))
+}
+
+func TestDrainingByEachSource(t *testing.T) {
+	for name, c := range map[string]struct {
+		drain string
+		marks marked
+		want  bool
+	}{
+		"none":                  {"", nil, false},
+		"target by operator":    {"target.a-1", nil, true},
+		"machine by operator":   {"machine.m-1", nil, true},
+		"target by mark":        {"", marked{"target.a-1"}, true},
+		"machine by mark":       {"", marked{"machine.m-1"}, true},
+		"other target":          {"target.a-2", marked{"target.a-11"}, false},
+		"machine of a target":   {"machine.a-1", nil, false},
+		"operator and the list": {"target.a-1", marked{"machine.m-1"}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			source := objects{}
+			source.service("a")
+			source.target("a-1", "a", "m-1")
+			if c.drain != "" {
+				source.drain(9, c.drain, false)
+			}
+			view, _ := Build(source, c.marks, Empty())
+			assert.Equal(t, view.Targets["a-1"].Draining, c.want)
+			assert.Assert(t, view.Services["a"].Targets[0] == view.Targets["a-1"])
+		})
+	}
+}
+
+func TestJoinedAtIsTheLastDrainTakenBack(t *testing.T) {
+	source := objects{}
+	source.service("a")
+	source.target("a-1", "a", "m-1")
+	assert.Equal(t, build(t, source, Empty()).Targets["a-1"].JoinedAt, store.Revision(0))
+	source.drain(8, "target.a-1", true)
+	source.drain(7, "machine.m-1", true)
+	target := build(t, source, Empty()).Targets["a-1"]
+	assert.Equal(t, target.JoinedAt, store.Revision(8))
+	assert.Assert(t, !target.Draining)
+}
+
+func TestTargetsAreSortedAndStrayOnesKept(t *testing.T) {
+	source := objects{}
+	source.service("a")
+	for _, name := range []string{"a-3", "a-1", "a-2"} {
+		source.target(name, "a", "")
+	}
+	source.target("stray", "unknown", "")
+	view := build(t, source, Empty())
+	var names []string
+	for _, target := range view.Services["a"].Targets {
+		names = append(names, target.Name)
+	}
+	assert.DeepEqual(t, names, []string{"a-1", "a-2", "a-3"})
+	assert.Assert(t, view.Targets["stray"] != nil)
+}
+
+func TestRequirementsWithCycles(t *testing.T) {
+	source := objects{}
+	source.service("a", "b", "c")
+	source.service("b", "c", "d")
+	source.service("c", "a", "c")
+	source.service("d", "missing")
+	view := build(t, source, Empty())
+	for service, want := range map[string][]string{
+		"a": {"b", "c", "d", "missing"},
+		"b": {"a", "c", "d", "missing"},
+		"c": {"a", "b", "d", "missing"},
+		"d": {"missing"},
+	} {
+		assert.DeepEqual(t, slices.Sorted(slices.Values(view.Services[service].Requires)), want)
+	}
+}
+
+func TestRepeatable(t *testing.T) {
+	usual := &Service{}
+	own := &Service{Spec: resource.Service{RepeatableMethods: []string{"PUT"}}}
+	for method, want := range map[string]bool{"GET": true, "HEAD": true, "OPTIONS": true, "POST": false, "PUT": false, "DELETE": false, "get": false} {
+		assert.Equal(t, usual.Repeatable(method), want, method)
+	}
+	assert.Assert(t, own.Repeatable("PUT") && !own.Repeatable("GET"))
+}
--- a/internal/configuration/replica_test.go
+++ b/internal/configuration/replica_test.go
@@ -187,6 +187,38 @@
 	assert.Equal(t, len(replica.List(resource.KindService)), 1)
 }
 
+func TestAdoptNeedsTheSameVersions(t *testing.T) {
+	build := func(floor, collected store.Revision, versions ...resource.Versioned) *Replica {
+		replica := NewReplica(time.Now)
+		replica.ApplyComplete(versions, floor)
+		replica.ForgetTombstonesBelow(collected)
+		return replica
+	}
+	live, dead := version("a", 1, false), version("b", 2, true)
+	cases := []struct {
+		name  string
+		other *Replica
+		want  bool
+	}{
+		{"same versions", build(9, 0, live, dead), true},
+		{"same versions, older tombstones forgotten", build(9, 4, live, dead), true},
+		{"tombstones above the floor forgotten", build(9, 6, live, dead), false},
+		{"another tombstone", build(9, 0, live, dead, version("c", 3, true)), false},
+		{"another object", build(9, 0, live, dead, version("c", 3, false)), false},
+		{"lower floor", build(4, 0, live, dead), false},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			replica := build(5, 0, live, dead)
+			assert.Equal(t, replica.Adopt(test.other.Digest()), test.want)
+			assert.Equal(t, replica.Floor() == 9, test.want)
+			if test.want {
+				assert.Equal(t, replica.Digest().Collected, test.other.Digest().Collected)
+			}
+		})
+	}
+}
+
 func TestSinceInParts(t *testing.T) {
 	replica := NewReplica(time.Now)
 	for number := range 25 {
--- a/internal/configuration/spreader_test.go
+++ b/internal/configuration/spreader_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lugspur/lugspur/internal/resource"
+	"github.com/lugspur/lugspur/internal/store"
 )
 
 func TestMain(m *testing.M) {
@@ -197,6 +198,33 @@
 	c.nodes[1].isolated.Store(false)
 	eventually(t, "deletion", func() bool { return a.Digest().sameObjects(b.Digest()) && b.Floor() == 9 })
 	assert.Equal(t, len(a.List(resource.KindService)), 1)
+	assert.Equal(t, b.Digest().Collected, a.Digest().Collected)
+}
+
+func TestPushAloneReachesPeers(t *testing.T) {
+	c := newCluster(t)
+	c.addMany(4, "z1", "z2")
+	c.silent.Store(true)
+	c.takeStoreDown()
+	quiet := NewWriter(c.backing.Store, NewReplica(time.Now), func(...resource.Versioned) {}, time.Now)
+	accepted := mustWrite(t, quiet, "a", 0, resource.Change{ID: "c1"})
+	c.nodes[0].writer.learn(accepted)
+	c.awaitRevision(accepted)
+}
+
+func TestPullOfManyTombstonesOfOneRevision(t *testing.T) {
+	c := newCluster(t)
+	c.takeStoreDown()
+	a := c.add("z1").spreader.Replica()
+	const count = 2*maxPageEntries + 10
+	for number := range count {
+		a.Apply(version(fmt.Sprint("s", number), store.Revision(number+1), false))
+	}
+	a.ApplyComplete(nil, count+5)
+	b := c.add("z1").spreader
+	eventually(t, "ready", b.Ready)
+	assert.Equal(t, len(b.Replica().Snapshot().Versions), count)
+	assert.Equal(t, b.Replica().Digest(), a.Digest())
 }
 
 func TestRunEndsWithContext(t *testing.T) {
--- a/internal/configuration/store_test.go
+++ b/internal/configuration/store_test.go
@@ -23,6 +23,7 @@
 	lostWithEffect
 	lostWithoutEffect
 	lostWithLateEffect
+	refusedUnavailable
 )
 
 // faultyStore is a memory store that can be taken down and that loses answers.
@@ -126,6 +127,8 @@
 		return 0, store.ErrUnknownOutcome
 	case lostWithoutEffect:
 		return 0, store.ErrUnknownOutcome
+	case refusedUnavailable:
+		return 0, store.ErrUnavailable
 	case lostWithLateEffect:
 		f.mu.Lock()
 		defer f.mu.Unlock()
--- a/internal/configuration/writer_test.go
+++ b/internal/configuration/writer_test.go
@@ -19,6 +19,7 @@
 		"no effect":                 {lostWithoutEffect},
 		"late effect":               {lostWithLateEffect},
 		"several of them":           {lostWithoutEffect, lostWithLateEffect, lostWithEffect},
+		"effect, then an outage":    {lostWithEffect, refusedUnavailable},
 		"late effect, effect twice": {lostWithLateEffect, lostWithEffect, lostWithEffect},
 	}
 	for name, faults := range cases {
@@ -111,6 +112,18 @@
 	}
 }
 
+func TestCreationIsNotJudgedByCutHistory(t *testing.T) {
+	writer, _ := newTestWriter(newFaultyStore())
+	created := mustWrite(t, writer, "a", 0, resource.Change{ID: "create"})
+	resolution, _, err := writer.Resolve(t.Context(), created.ID, "rival", 0)
+	assert.NilError(t, err)
+	assert.Equal(t, resolution, Refused)
+	overtakeOften(t, nil, writer, created.Revision)
+	resolution, _, err = writer.Resolve(t.Context(), created.ID, "create", 0)
+	assert.NilError(t, err)
+	assert.Equal(t, resolution, Undetermined)
+}
+
 func TestLostCreationAfterDeletion(t *testing.T) {
 	backing := newFaultyStore()
 	writer, _ := newTestWriter(backing)
--- a/internal/gateway/claim.go
+++ b/internal/gateway/claim.go
@@ -3,19 +3,22 @@
 import (
 	"context"
 
-	"github.com/lugspur/lugspur/internal/callcontext"
 	"github.com/lugspur/lugspur/internal/home"
 	"github.com/lugspur/lugspur/internal/problem"
 )
 
 // Claims lets a call with an idempotency key run at most once in the cluster.
 type Claims interface {
-	// Claim claims the key for the attempt. The problem tells why the call may
+	// Claim claims the key within its scope. The problem tells why the call may
 	// not run; it is nil when the claim was granted.
-	Claim(ctx context.Context, scope, key string, attempt callcontext.RequestID) *problem.Problem
-	// Release gives up the claim of an attempt that was certainly not run and
-	// never will be.
-	Release(scope, key string, attempt callcontext.RequestID)
+	Claim(ctx context.Context, scope, key string) (Claim, *problem.Problem)
+}
+
+// Claim is a granted claim.
+type Claim interface {
+	// Release gives the claim up. It is called only if the call was certainly
+	// not run and never will be.
+	Release()
 }
 
 // maxKeyLength bounds an idempotency key, in bytes.
@@ -28,13 +31,13 @@
 		return nil, g.problem(problem.BadRequest, "claim", "the idempotency key is longer than 256 bytes")
 	}
 	scope := c.service.Name + "\x00" + c.context.Caller
-	attempt := callcontext.NewRequestID()
-	if failure := g.claims.Claim(ctx, scope, c.key, attempt); failure != nil {
+	claim, failure := g.claims.Claim(ctx, scope, c.key)
+	if failure != nil {
 		return nil, failure
 	}
 	reply, failure := g.attempts(ctx, c)
 	if failure != nil && failure.Executed == problem.ExecutedNo {
-		g.claims.Release(scope, c.key, attempt)
+		claim.Release()
 	}
 	return reply, failure
 }
--- /dev/null
+++ b/internal/gossip/gossip_test.go
@@ -0,0 +1,52 @@
+package gossip_test
+
+import (
+	"math"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lugspur/lugspur/internal/configuration"
+	"github.com/lugspur/lugspur/internal/gossip"
+	"github.com/lugspur/lugspur/internal/membership"
+)
+
+func TestStrictestKeepsTheLowestThresholds(t *testing.T) {
+	var levels []gossip.Level
+	for target := range uint32(3 * gossip.MaxLevels) {
+		levels = append(levels, gossip.Level{Target: target, Threshold: uint16(500 - target)})
+	}
+	kept := gossip.Strictest(levels)
+	assert.Equal(t, len(kept), gossip.MaxLevels)
+	for i, level := range kept {
+		assert.Equal(t, level.Target, uint32(3*gossip.MaxLevels-1-i))
+	}
+}
+
+func TestTheLargestPayloadFitsADatagram(t *testing.T) {
+	payload := gossip.Payload{Digest: configuration.Digest{
+		Floor: math.MaxInt64, Count: math.MaxUint32, Sum: math.MaxUint64,
+		Tombstones: math.MaxUint64, Collected: math.MaxInt64, Drains: math.MaxUint64,
+	}, Version: math.MaxUint64}
+	for range gossip.MaxLevels {
+		payload.Levels = append(payload.Levels, gossip.Level{Target: math.MaxUint32, Threshold: math.MaxUint16})
+	}
+	encoded, err := payload.Encode()
+	assert.NilError(t, err)
+	assert.Assert(t, len(encoded) <= membership.MaxPayload, "%d bytes", len(encoded))
+	decoded, err := gossip.Decode(encoded)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, decoded, payload)
+}
+
+func TestDecodeRefuses(t *testing.T) {
+	tooMany := gossip.Payload{Levels: make([]gossip.Level, gossip.MaxLevels+1)}
+	encoded, err := tooMany.Encode()
+	assert.NilError(t, err)
+	for name, bytes := range map[string][]byte{"too many levels": encoded, "cut short": encoded[:5], "empty": nil} {
+		t.Run(name, func(t *testing.T) {
+			_, err := gossip.Decode(bytes)
+			assert.Assert(t, err != nil)
+		})
+	}
+}
--- /dev/null
+++ b/internal/grant/grant_test.go
@@ -0,0 +1,185 @@
+package grant
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"github.com/lugspur/lugspur/internal/callcontext"
+)
+
+// budget grants so many retries of any request, once for each token.
+type budget struct {
+	mutex  sync.Mutex
+	left   int
+	tokens map[Token]bool
+}
+
+func newBudget(left int) *budget { return &budget{left: left, tokens: map[Token]bool{}} }
+
+func (b *budget) Grant(_ callcontext.RequestID, token Token) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.tokens[token] {
+		return true
+	}
+	if b.left == 0 {
+		return false
+	}
+	b.left--
+	b.tokens[token] = true
+	return true
+}
+
+// serve runs the handler; around may spoil its answers.
+func serve(t *testing.T, ledger Ledger, around func(http.Handler) http.Handler) netip.AddrPort {
+	t.Helper()
+	mux := http.NewServeMux()
+	Register(mux, ledger)
+	server := httptest.NewServer(around(mux))
+	t.Cleanup(server.Close)
+	return netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+}
+
+func sound(next http.Handler) http.Handler { return next }
+
+var elsewhere = netip.MustParseAddrPort("127.0.0.1:1")
+
+func TestAskTheIngress(t *testing.T) {
+	ledger, own := newBudget(2), newBudget(5)
+	ingress := serve(t, ledger, sound)
+	client := NewClient(elsewhere, own, http.DefaultClient)
+	for _, want := range []bool{true, true, false} {
+		granted, err := client.Ask(t.Context(), ingress, callcontext.NewRequestID())
+		assert.NilError(t, err)
+		assert.Equal(t, granted, want)
+	}
+	assert.Equal(t, own.left, 5, "the node's own budget was used")
+}
+
+func TestAskItself(t *testing.T) {
+	own := newBudget(1)
+	client := NewClient(elsewhere, own, &http.Client{Transport: noNetwork{t}})
+	for _, want := range []bool{true, false} {
+		granted, err := client.Ask(t.Context(), elsewhere, callcontext.NewRequestID())
+		assert.NilError(t, err)
+		assert.Equal(t, granted, want)
+	}
+}
+
+type noNetwork struct{ t *testing.T }
+
+func (n noNetwork) RoundTrip(*http.Request) (*http.Response, error) {
+	n.t.Error("a message was sent to the node itself")
+	return nil, http.ErrServerClosed
+}
+
+func TestNoGrantWithoutAnAnswer(t *testing.T) {
+	after := func(spoil func(http.ResponseWriter, *httptest.ResponseRecorder, *http.Request)) func(http.Handler) http.Handler {
+		return func(next http.Handler) http.Handler {
+			return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				recorder := httptest.NewRecorder()
+				next.ServeHTTP(recorder, r)
+				spoil(w, recorder, r)
+			})
+		}
+	}
+	for name, spoil := range map[string]func(http.ResponseWriter, *httptest.ResponseRecorder, *http.Request){
+		"connection cut": func(http.ResponseWriter, *httptest.ResponseRecorder, *http.Request) { panic(http.ErrAbortHandler) },
+		"no answer":      func(_ http.ResponseWriter, _ *httptest.ResponseRecorder, r *http.Request) { <-r.Context().Done() },
+		"status":         func(w http.ResponseWriter, r *httptest.ResponseRecorder, _ *http.Request) { w.WriteHeader(500); _, _ = w.Write(r.Body.Bytes()) },
+		"nonsense":       func(w http.ResponseWriter, _ *httptest.ResponseRecorder, _ *http.Request) { _, _ = w.Write([]byte("yes")) },
+		"empty":          func(http.ResponseWriter, *httptest.ResponseRecorder, *http.Request) {},
+		"cut": func(w http.ResponseWriter, r *httptest.ResponseRecorder, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = w.Write(r.Body.Bytes())
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ledger := newBudget(1)
+			ingress := serve(t, ledger, after(spoil))
+			client := NewClient(elsewhere, newBudget(1), &http.Client{Transport: &http.Transport{DisableKeepAlives: true}})
+			granted, err := client.Ask(t.Context(), ingress, callcontext.NewRequestID())
+			assert.Assert(t, err != nil && !granted)
+			assert.ErrorContains(t, err, ingress.String())
+			assert.Equal(t, ledger.left, 0, "a lost grant is not spent")
+		})
+	}
+}
+
+func TestNobodyThere(t *testing.T) {
+	granted, err := NewClient(elsewhere, newBudget(1), http.DefaultClient).
+		Ask(t.Context(), netip.MustParseAddrPort("127.0.0.1:9"), callcontext.NewRequestID())
+	assert.Assert(t, err != nil && !granted)
+}
+
+func TestCallersContextEndsTheQuestion(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	granted, err := NewClient(elsewhere, newBudget(1), http.DefaultClient).Ask(ctx, serve(t, newBudget(1), sound), callcontext.NewRequestID())
+	assert.ErrorIs(t, err, context.Canceled)
+	assert.Assert(t, !granted)
+}
+
+func post(ledger Ledger, body []byte) *httptest.ResponseRecorder {
+	mux := http.NewServeMux()
+	Register(mux, ledger)
+	recorder := httptest.NewRecorder()
+	mux.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, Path, bytes.NewReader(body)))
+	return recorder
+}
+
+func TestHandlerRefusesWhatIsMalformed(t *testing.T) {
+	valid, err := cbor.Marshal(question{Request: callcontext.NewRequestID(), Token: NewToken()})
+	assert.NilError(t, err)
+	shortToken, err := cbor.Marshal([]any{make([]byte, 16), make([]byte, 3)})
+	assert.NilError(t, err)
+	for name, body := range map[string][]byte{
+		"empty":       nil,
+		"cut":         valid[:len(valid)-1],
+		"more behind": append(bytes.Clone(valid), 0),
+		"too large":   append(bytes.Clone(valid), make([]byte, maxMessageBytes)...),
+		"text":        []byte("please"),
+		"null":        {0xf6},
+		"short token": shortToken,
+	} {
+		t.Run(name, func(t *testing.T) {
+			ledger := newBudget(1)
+			assert.Equal(t, post(ledger, body).Code, http.StatusBadRequest)
+			assert.Equal(t, ledger.left, 1, "a malformed message spent a retry")
+		})
+	}
+}
+
+func TestARepeatedMessageSpendsOneRetry(t *testing.T) {
+	message, err := cbor.Marshal(question{Request: callcontext.NewRequestID(), Token: NewToken()})
+	assert.NilError(t, err)
+	ledger := newBudget(2)
+	first, second := post(ledger, message), post(ledger, message)
+	assert.DeepEqual(t, first.Body.Bytes(), second.Body.Bytes())
+	assert.Equal(t, ledger.left, 1)
+}
+
+func FuzzHandler(f *testing.F) {
+	valid, err := cbor.Marshal(question{Request: callcontext.NewRequestID(), Token: NewToken()})
+	assert.NilError(f, err)
+	f.Add(valid)
+	f.Add([]byte{0x82, 0x40, 0x40})
+	f.Fuzz(func(t *testing.T, body []byte) {
+		recorder := post(newBudget(1), body)
+		if recorder.Code == http.StatusBadRequest {
+			return
+		}
+		var answer reply
+		assert.Equal(t, recorder.Code, http.StatusOK)
+		assert.NilError(t, cbor.Unmarshal(recorder.Body.Bytes(), &answer))
+	})
+}
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -1,16 +1,12 @@
 package node
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
-	"github.com/lugspur/lugspur/internal/configuration"
 	"github.com/lugspur/lugspur/internal/gateway"
+	"github.com/lugspur/lugspur/internal/gossip"
 	"github.com/lugspur/lugspur/internal/membership"
 	"github.com/lugspur/lugspur/internal/shed"
 	"github.com/lugspur/lugspur/internal/store"
@@ -19,26 +15,6 @@
 // gossipInterval is how often the payload of the gossip is made anew.
 const gossipInterval = 100 * time.Millisecond
 
-// maxGossipLevels bounds the shed levels in one payload; the strictest go
-// first.
-const maxGossipLevels = 12
-
-// gossip is the payload that a node sends along with its heartbeats: what
-// configuration it has, and the shed levels of the targets it guards.
-type gossip struct {
-	Digest configuration.Digest `cbor:"1,keyasint"`
-	// Version is the sender's clock in milliseconds since 1970.
-	Version uint64        `cbor:"2,keyasint"`
-	Levels  []targetLevel `cbor:"3,keyasint,omitempty"`
-}
-
-// targetLevel is the shed level of one target, named by a hash.
-type targetLevel struct {
-	_         struct{} `cbor:",toarray"`
-	Target    uint32
-	Threshold uint16
-}
-
 // keepGossiping keeps the payload up to date.
 func (n *Node) keepGossiping(ctx context.Context) {
 	ticker := time.NewTicker(gossipInterval)
@@ -54,11 +30,11 @@
 }
 
 func (n *Node) updateGossip() {
-	payload, err := cbor.Marshal(gossip{
+	payload, err := gossip.Payload{
 		Digest:  n.spreader.Digest(),
 		Version: uint64(time.Now().UnixMilli()),
 		Levels:  n.shedLevels(),
-	})
+	}.Encode()
 	if err == nil {
 		err = n.members.SetPayload(payload)
 	}
@@ -69,23 +45,20 @@
 
 // shedLevels returns the strictest shed levels of the targets that this node
 // guards.
-func (n *Node) shedLevels() []targetLevel {
-	var levels []targetLevel
+func (n *Node) shedLevels() []gossip.Level {
+	var levels []gossip.Level
 	for name, load := range n.homes.Loads() {
 		if load.Threshold < shed.None {
-			levels = append(levels, targetLevel{Target: gateway.TargetHash(name), Threshold: load.Threshold})
+			levels = append(levels, gossip.Level{Target: gateway.TargetHash(name), Threshold: load.Threshold})
 		}
 	}
-	slices.SortFunc(levels, func(a, b targetLevel) int {
-		return cmp.Or(cmp.Compare(a.Threshold, b.Threshold), cmp.Compare(a.Target, b.Target))
-	})
-	return levels[:min(len(levels), maxGossipLevels)]
+	return gossip.Strictest(levels)
 }
 
 // takeGossip takes in another node's payload.
 func (n *Node) takeGossip(from membership.Member, payload []byte) {
-	var received gossip
-	if err := cbor.Unmarshal(payload, &received); err != nil {
+	received, err := gossip.Decode(payload)
+	if err != nil {
 		n.log.WithField("step", "gossip").WithField("peer", from.PeerAddress).WithError(err).Debug("malformed gossip")
 		return
 	}
@@ -96,7 +69,7 @@
 	}
 }
 
-func (n *Node) takeLevel(from membership.Member, version uint64, level targetLevel) {
+func (n *Node) takeLevel(from membership.Member, version uint64, level gossip.Level) {
 	target := n.router.TargetByHash(level.Target)
 	if target == nil {
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -218,7 +218,7 @@
 	}, time.Now)
 	n.peers = home.NewClient(limits.MaxAnswerBufferBytes)
 	ledger := retrybudget.NewLedger(0, time.Now)
-	n.claims = newClaims(n)
+	n.claims = n.newClaims()
 	n.gateway = gateway.New(gateway.Settings{
 		Node:            n.settings.Name,
 		Zone:            n.settings.Zone,
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -51,6 +51,7 @@
 		Stopping:           n.stopping.Load(),
 		ConfigurationFloor: n.replica.Floor(),
 		UptimeSeconds:      int64(time.Since(n.started).Seconds()),
+		ClaimEpoch:         n.claims.epoch(),
 		InFlight:           int(n.gateway.InFlight()),
 	}
 }
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -60,8 +60,7 @@
 }
 
 // configurationChanged is told of every change of the replica.
-func (n *Node) configurationChanged(changed []resource.Versioned) {
-	n.claims.configurationChanged(changed)
+func (n *Node) configurationChanged([]resource.Versioned) {
 	n.requestRebuild()
 }
 
--- a/lab/emulator/handler.go
+++ b/lab/emulator/handler.go
@@ -120,6 +120,9 @@
 
 // acquire takes a slot, waiting in line for it.
 func (t *target) acquire(ctx context.Context) error {
+	if ctx.Err() != nil {
+		return errNotStarted
+	}
 	if t.slots.TryAcquire(1) {
 		t.busy.Add(1)
 		return nil
