--- a/cmd/lugspur-lab/main.go
+++ b/cmd/lugspur-lab/main.go
@@ -15,6 +15,8 @@
 	"github.com/lugspur/lugspur/lab/faultproxy"
 	"github.com/lugspur/lugspur/lab/kvstore"
 	"github.com/lugspur/lugspur/lab/load"
+	"github.com/lugspur/lugspur/lab/machinelist"
+	"github.com/lugspur/lugspur/lab/overhead"
 )
 
 func main() {
@@ -27,6 +29,8 @@
 		faultproxy.Commands(),
 		kvstore.Commands(),
 		load.Commands(),
+		machinelist.Commands(),
+		overhead.Commands(),
 	} {
 		for _, command := range commands {
 			commander.Register(command, "")
--- a/internal/callcontext/callcontext.go
+++ b/internal/callcontext/callcontext.go
@@ -249,18 +249,19 @@
 	}
 	Strip(header)
 	member := MemberName + "=" + value
-	if others := header[BaggageHeader]; len(others) > 0 {
+	// The caller's own members give way when there is no room for both.
+	if others := header[BaggageHeader]; len(others) > 0 && len(member)+1+len(others[0]) <= MaxBaggageLength {
 		member += "," + others[0]
 	}
 	header[BaggageHeader] = []string{member}
 	return nil
 }
 
-// CallerName returns the caller's name as the context carries it: cut to the
-// length that contexts allow.
+// CallerName returns the caller's name as the context carries it: valid UTF-8,
+// cut to the length that contexts allow.
 func CallerName(name string) string {
 	if len(name) > maxCallerLength {
-		return name[:maxCallerLength]
+		name = name[:maxCallerLength]
 	}
-	return name
+	return strings.ToValidUTF8(name, "")
 }
--- a/internal/configuration/members.go
+++ b/internal/configuration/members.go
@@ -1,11 +1,10 @@
 package configuration
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/lugspur/lugspur/internal/rendezvous"
 )
 
 // Member is a node as the membership sees it.
@@ -23,27 +22,20 @@
 	Members() []Member
 }
 
-// watchDutySalt keeps the ranking of watchers apart from other uses of the
-// same hash.
-const watchDutySalt = "configuration-watch/"
+// watchDutyKey is the key that the nodes of a zone are ranked for.
+const watchDutyKey = "configuration-watch"
 
 // OnDuty reports whether a node is one of the count live members of its zone
 // that watch the store: those with the highest rendezvous hash. The node
 // itself counts as live.
 func OnDuty(self Member, members []Member, count int) bool {
-	ahead := 0
+	names := []string{self.Name}
 	for _, member := range members {
-		rival := member.Live && member.Zone == self.Zone && member.Name != self.Name
-		if rival && ranksBefore(member.Name, self.Name) {
-			ahead++
+		if member.Live && member.Zone == self.Zone && member.Name != self.Name {
+			names = append(names, member.Name)
 		}
 	}
-	return ahead < count
-}
-
-func ranksBefore(a, b string) bool {
-	byHash := cmp.Compare(xxhash.Sum64String(watchDutySalt+b), xxhash.Sum64String(watchDutySalt+a))
-	return cmp.Or(byHash, cmp.Compare(a, b)) < 0
+	return slices.Contains(rendezvous.TopN(watchDutyKey, names, count), self.Name)
 }
 
 // livePeers returns the live members other than the node itself, shuffled.
--- a/internal/configuration/pull.go
+++ b/internal/configuration/pull.go
@@ -24,6 +24,9 @@
 // one and has the difference fetched if the peer has something to offer. It
 // does not block.
 func (s *Spreader) HandleDigest(from Member, digest Digest) {
+	if from.Name == s.options.Self.Name || from.PeerAddress == "" {
+		return
+	}
 	s.replica.Adopt(digest)
 	if s.Digest().wants(digest) {
 		s.sources.add(from, digest)
--- a/internal/configuration/replica.go
+++ b/internal/configuration/replica.go
@@ -131,11 +131,16 @@
 	return complete && version.Revision > 0 && !forgotten
 }
 
-// deleteAbsent buries the objects that a complete view at the floor lacks.
+// deleteAbsent buries the objects that a complete view at the floor lacks. A
+// tombstone older than the version held counts as lacking: the view would hold
+// that version or a later one, had the object not been deleted by a tombstone
+// that is forgotten there.
 func (r *Replica) deleteAbsent(view []resource.Versioned, floor store.Revision) []resource.Versioned {
 	present := make(map[resource.ID]struct{}, len(view))
 	for _, version := range view {
-		present[version.ID] = struct{}{}
+		if !version.Deleted {
+			present[version.ID] = struct{}{}
+		}
 	}
 	var buried []resource.Versioned
 	for id, current := range r.objects {
--- a/internal/configuration/replica_test.go
+++ b/internal/configuration/replica_test.go
@@ -187,6 +187,13 @@
 	assert.Equal(t, len(replica.List(resource.KindService)), 1)
 }
 
+func TestOldTombstoneInCompleteViewStandsForDeletion(t *testing.T) {
+	replica := NewReplica(time.Now)
+	replica.ApplyComplete([]resource.Versioned{version("a", 19, false)}, 19)
+	replica.ApplyComplete([]resource.Versioned{version("a", 1, true)}, 36)
+	assert.Equal(t, len(replica.List(resource.KindService)), 0)
+}
+
 func TestAdoptNeedsTheSameVersions(t *testing.T) {
 	build := func(floor, collected store.Revision, versions ...resource.Versioned) *Replica {
 		replica := NewReplica(time.Now)
--- a/internal/configuration/spreader_test.go
+++ b/internal/configuration/spreader_test.go
@@ -101,10 +101,12 @@
 	c.takeStoreDown()
 	c.add("z1")
 	c.add("z2")
-	eventually(t, "attempts", func() bool { return c.backing.lists.Load() > 4 && c.nodes[0].spreader.Status().Traffic.Pulls > 4 })
+	c.awaitAll("failed attempts at the store and at peers", func(n *testNode) bool {
+		status := n.spreader.Status()
+		return status.StoreError != "" && status.Traffic.StoreLists > 2 && status.Traffic.Pulls > 4
+	})
 	for _, n := range c.nodes {
 		assert.Assert(t, !n.spreader.Ready())
-		assert.Assert(t, n.spreader.Status().StoreError != "")
 	}
 	c.backing.setDown(false)
 	c.awaitReady()
--- /dev/null
+++ b/internal/gateway/fixture_test.go
@@ -0,0 +1,327 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/lugspur/lugspur/internal/callcontext"
+	"github.com/lugspur/lugspur/internal/catalog"
+	"github.com/lugspur/lugspur/internal/criticality"
+	"github.com/lugspur/lugspur/internal/grant"
+	"github.com/lugspur/lugspur/internal/home"
+	"github.com/lugspur/lugspur/internal/membership"
+	"github.com/lugspur/lugspur/internal/problem"
+	"github.com/lugspur/lugspur/internal/resource"
+	"github.com/lugspur/lugspur/internal/retrybudget"
+	"github.com/lugspur/lugspur/internal/shed"
+)
+
+// configuration is what a test's nodes know. It is a catalog.Source.
+type configuration map[resource.ID]resource.Versioned
+
+func (c configuration) List(kind resource.Kind) []resource.Versioned {
+	var listed []resource.Versioned
+	for id, object := range c {
+		if id.Kind == kind {
+			listed = append(listed, object)
+		}
+	}
+	return listed
+}
+
+func (c configuration) Get(id resource.ID) (resource.Versioned, bool) {
+	object, found := c[id]
+	return object, found
+}
+
+// Drained makes it the source of marks as well.
+func (c configuration) Drained(string) bool { return false }
+
+func (c configuration) add(e resource.Envelope) configuration {
+	c[e.ID] = resource.Versioned{Envelope: e, Revision: 1}
+	return c
+}
+
+func (c configuration) service(name string, spec resource.Service) configuration {
+	return c.add(resource.Envelope{ID: resource.ID{Kind: resource.KindService, Name: name}, Service: &spec})
+}
+
+func (c configuration) policy(name string, spec resource.Policy) configuration {
+	return c.add(resource.Envelope{ID: resource.ID{Kind: resource.KindPolicy, Name: name}, Policy: &spec})
+}
+
+func (c configuration) target(name, service, address string) configuration {
+	return c.add(resource.Envelope{ID: resource.ID{Kind: resource.KindTarget, Name: name}, Target: &resource.Target{
+		Service: service, Zone: "z", Address: address, Slots: 8, Connections: 8,
+	}})
+}
+
+// backEnd is a target that keeps the headers of the calls it got.
+type backEnd struct {
+	address string
+	mutex   sync.Mutex
+	headers []http.Header
+	paths   []string
+}
+
+func newBackEnd(t *testing.T, handler http.HandlerFunc) *backEnd {
+	t.Helper()
+	b := &backEnd{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b.mutex.Lock()
+		b.headers = append(b.headers, r.Header.Clone())
+		b.paths = append(b.paths, r.RequestURI)
+		b.mutex.Unlock()
+		handler(w, r)
+	}))
+	t.Cleanup(server.Close)
+	b.address = strings.TrimPrefix(server.URL, "http://")
+	return b
+}
+
+func (b *backEnd) calls() []http.Header {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return slices.Clone(b.headers)
+}
+
+func (b *backEnd) uris() []string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return slices.Clone(b.paths)
+}
+
+func saying(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status); _, _ = io.WriteString(w, body) }
+}
+
+// inTurn runs the handlers in turn, the last one for ever.
+func inTurn(handlers ...http.HandlerFunc) http.HandlerFunc {
+	var count atomic.Int64
+	return func(w http.ResponseWriter, r *http.Request) {
+		handlers[min(int(count.Add(1)), len(handlers))-1](w, r)
+	}
+}
+
+func reset(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func cutShort(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Length", "100")
+	_, _ = io.WriteString(w, "part")
+	panic(http.ErrAbortHandler)
+}
+
+func shedding(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Target-Shed", "true")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func untilGone(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+// observed counts what a gateway tells its observer.
+type observed struct {
+	answered, refused, retried atomic.Int64
+}
+
+func (o *observed) Answered(Listener, string, int, time.Duration) { o.answered.Add(1) }
+func (o *observed) Refused(Listener, string, *problem.Problem, time.Duration) {
+	o.refused.Add(1)
+}
+func (o *observed) Retried(string) { o.retried.Add(1) }
+
+type allRetries struct{}
+
+func (allRetries) Success()    {}
+func (allRetries) Allow() bool { return true }
+
+// claims grants all claims but those of the key "taken".
+type claims struct{ claimed, released atomic.Int64 }
+
+func (c *claims) Claim(_ context.Context, _, key string) (Claim, *problem.Problem) {
+	if key == "taken" {
+		return nil, problem.New(problem.DuplicateRequest, problem.ExecutedUnknown, "claim", "n", "")
+	}
+	c.claimed.Add(1)
+	return c, nil
+}
+
+func (c *claims) Release() { c.released.Add(1) }
+
+// fixture is a node without its membership and configuration spread.
+type fixture struct {
+	*Gateway
+	edge, mesh, peer string
+	observed         *observed
+	claims           *claims
+	shed             *shed.Table
+}
+
+func newFixture(t *testing.T, name string, change func(*Settings)) *fixture {
+	t.Helper()
+	f := &fixture{observed: &observed{}, claims: &claims{}, shed: shed.NewTable(shed.TableConfig{})}
+	peerMux := http.NewServeMux()
+	// The gateway is made below, with the address of this listener.
+	f.peer = f.listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.PeerHandler(peerMux).ServeHTTP(w, r)
+	}))
+	self := netip.MustParseAddrPort(f.peer)
+	settings := Settings{
+		Node: name, Zone: "z", Peer: self, MaxBodyBytes: 1000, MaxConcurrent: 100, ReadBodyTimeout: 100 * time.Millisecond,
+		DefaultTimeout: 5 * time.Second, MaxTimeout: 10 * time.Second, MaxRetries: 3, ShedLevels: true,
+	}
+	if change != nil {
+		change(&settings)
+	}
+	ledger := retrybudget.NewLedger(0, time.Now)
+	grant.Register(peerMux, ledger)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f.Gateway = New(settings, Parts{
+		Router:   NewRouter(RouterConfig{Node: name, Zone: "z", Homes: true, Shed: f.shed, Now: time.Now}),
+		Homes:    home.NewManager(home.Settings{MaxBuffered: 10_000}, time.Now),
+		Peers:    home.NewClient(10_000),
+		Shed:     f.shed,
+		Budgets:  ledger,
+		Grants:   grant.NewClient(self, ledger, http.DefaultClient),
+		Ratio:    allRetries{},
+		Claims:   f.claims,
+		Observer: f.observed,
+		Log:      logrus.NewEntry(log),
+		Now:      time.Now,
+	})
+	f.edge, f.mesh = f.listen(t, f.Handler(Edge)), f.listen(t, f.Handler(Mesh))
+	return f
+}
+
+func (f *fixture) listen(t *testing.T, handler http.Handler) string {
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// knows gives the node its configuration and the members of its cluster.
+func (f *fixture) knows(t *testing.T, objects configuration, members ...*fixture) *fixture {
+	t.Helper()
+	view, faults := catalog.Build(objects, objects, catalog.Empty())
+	assert.Equal(t, len(faults), 0, "%v", faults)
+	var live []membership.Member
+	for _, member := range append(members, f) {
+		live = append(live, membership.Member{Name: member.settings.Node, Zone: "z", PeerAddress: member.peer})
+	}
+	f.router.Update(view, live)
+	f.SetReady(true)
+	return f
+}
+
+// alone is a node with one service, "a", whose targets are the back ends.
+func alone(t *testing.T, spec resource.Service, policy resource.Policy, backEnds ...*backEnd) *fixture {
+	t.Helper()
+	return newFixture(t, "n-1", nil).knows(t, oneService(spec, policy, backEnds...))
+}
+
+func oneService(spec resource.Service, policy resource.Policy, backEnds ...*backEnd) configuration {
+	objects := configuration{}.service("a", spec).policy("a", policy)
+	for i, backEnd := range backEnds {
+		objects.target(fmt.Sprintf("a-%d", i+1), "a", backEnd.address)
+	}
+	return objects
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+type option func(*http.Request)
+
+func header(name, value string) option {
+	return func(r *http.Request) { r.Header[name] = []string{value} }
+}
+
+func withContext(t *testing.T, c callcontext.Context) option {
+	return func(r *http.Request) { assert.NilError(t, c.SetHeader(r.Header)) }
+}
+
+func do(t *testing.T, method, address, path, body string, options ...option) answer {
+	t.Helper()
+	var content io.Reader
+	if body != "" {
+		content = strings.NewReader(body)
+	}
+	request, err := http.NewRequestWithContext(t.Context(), method, "http://"+address+path, content)
+	assert.NilError(t, err)
+	for _, option := range options {
+		option(request)
+	}
+	response, err := http.DefaultTransport.RoundTrip(request)
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	got, err := io.ReadAll(response.Body)
+	return answer{response.StatusCode, response.Header, string(got), err}
+}
+
+// refusedWith checks that the answer is a problem document.
+func (a answer) refusedWith(t *testing.T, status int, reason problem.Reason, executed problem.Executed) *problem.Problem {
+	t.Helper()
+	assert.NilError(t, a.err)
+	assert.Equal(t, a.status, status, a.body)
+	assert.Equal(t, a.header.Get("Content-Type"), problem.ContentType)
+	told, err := problem.Parse([]byte(a.body))
+	assert.NilError(t, err)
+	assert.Equal(t, told.Reason, reason, a.body)
+	assert.Equal(t, told.Executed, executed, a.body)
+	assert.Equal(t, a.header.Get(problem.ExecutedHeader), string(executed))
+	return told
+}
+
+func (a answer) is(t *testing.T, status int, body string) {
+	t.Helper()
+	assert.NilError(t, a.err)
+	assert.Equal(t, a.status, status, a.body)
+	assert.Equal(t, a.body, body)
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if holds() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithDelay(2*time.Millisecond), poll.WithTimeout(5*time.Second))
+}
+
+func contextOf(t *testing.T, headers http.Header) callcontext.Context {
+	t.Helper()
+	got, err := callcontext.FromHeader(headers)
+	assert.NilError(t, err)
+	return got
+}
+
+func someContext(ingress string) callcontext.Context {
+	return callcontext.Context{
+		RequestID: callcontext.NewRequestID(),
+		Ingress:   netip.MustParseAddrPort(ingress),
+		Deadline:  time.Now().Add(3 * time.Second).Truncate(time.Millisecond),
+		Rank:      criticality.Rank{Level: criticality.CriticalPlus, Cohort: 7},
+		Hops:      2,
+		Caller:    "grower-1",
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,8 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"net/url"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -149,29 +151,37 @@
 // InFlight returns the number of calls in the gateway.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
-// callPattern is the pattern of calls: the service's name, then the path as
-// the target sees it.
-const callPattern = "/{service}/{path...}"
-
-// Handler serves the calls of one listener.
+// Handler serves the calls of one listener. The first part of the path names
+// the service and the rest is the target's. There is no ServeMux in between,
+// because it would answer unusual paths with a redirect in the target's place.
 func (g *Gateway) Handler(listener Listener) http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc(callPattern, func(w http.ResponseWriter, r *http.Request) {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		g.serve(w, r, listener)
 	})
-	return mux
+}
+
+// splitPath returns the first part of a call's path and the rest as the target
+// sees it, with the query, escaped as the caller sent it.
+func splitPath(u *url.URL) (first, requestURI string) {
+	first, rest, _ := strings.Cut(strings.TrimPrefix(u.EscapedPath(), "/"), "/")
+	if u.RawQuery != "" {
+		return first, "/" + rest + "?" + u.RawQuery
+	}
+	return first, "/" + rest
 }
 
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, listener Listener) {
 	started := g.now()
-	service := r.PathValue("service")
+	service, requestURI := splitPath(r.URL)
 	inFlight := g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	if g.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	call, failure := g.receive(w, r, listener, started, inFlight)
+	g.boundBody(w, r)
+	call, failure := g.receive(w, r, arrival{listener: listener, service: service, requestURI: requestURI, started: started, inFlight: inFlight})
 	if failure != nil {
+		leaveBody(w, r)
 		g.refuse(w, listener, service, call, failure, started)
 		return
 	}
@@ -183,9 +193,9 @@
 		return
 	}
 	defer reply.Close()
-	w.Header().Set(callcontext.RequestIDHeader, call.context.RequestID.String())
+	reply.Header.Set(callcontext.RequestIDHeader, call.context.RequestID.String())
 	g.observer.Answered(listener, service, reply.Status, g.now().Sub(started))
-	reply.WriteTo(w)
+	reply.WriteTo(w, call.context.Deadline)
 }
 
 // refuse answers with the problem.
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -11,42 +11,54 @@
 	"github.com/lugspur/lugspur/internal/transport"
 )
 
-// RegisterPeer adds the handler of calls that other nodes forward to this one
-// as the home of the target.
-func (g *Gateway) RegisterPeer(mux *http.ServeMux) {
-	mux.HandleFunc(home.PathPrefix+"{target}/{path...}", g.serveForwarded)
+// PeerHandler serves the calls that other nodes forward to this one as the home
+// of the target, and has the rest of the peer listener served by next. Forwarded
+// paths go around next's ServeMux, which would redirect unusual ones.
+func (g *Gateway) PeerHandler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if forwarded, ok := strings.CutPrefix(r.URL.EscapedPath(), home.PathPrefix); ok {
+			target, _, _ := strings.Cut(forwarded, "/")
+			g.serveForwarded(w, r, target)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
-func (g *Gateway) serveForwarded(w http.ResponseWriter, r *http.Request) {
-	name := r.PathValue("target")
-	reply, failure := g.runForwarded(w, r, name)
+func (g *Gateway) serveForwarded(w http.ResponseWriter, r *http.Request, name string) {
+	g.boundBody(w, r)
+	callContext, err := callcontext.FromHeader(r.Header)
+	if err != nil {
+		leaveBody(w, r)
+		home.WriteProblem(w, home.Load{}, g.problem(problem.BadContext, "home", err.Error()).WithCause(err))
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), callContext.Deadline)
+	defer cancel()
+	reply, failure := g.runForwarded(ctx, w, r, callContext, name)
 	if failure != nil {
 		home.WriteProblem(w, g.homes.LoadOf(name), failure)
 		return
 	}
-	home.WriteReply(w, reply)
+	home.WriteReply(w, reply, callContext.Deadline)
 }
 
-func (g *Gateway) runForwarded(w http.ResponseWriter, r *http.Request, name string) (*home.Reply, *problem.Problem) {
-	callContext, err := callcontext.FromHeader(r.Header)
-	if err != nil {
-		return nil, g.problem(problem.BadContext, "home", err.Error()).WithCause(err)
-	}
+func (g *Gateway) runForwarded(ctx context.Context, w http.ResponseWriter, r *http.Request, callContext callcontext.Context, name string) (*home.Reply, *problem.Problem) {
 	routes := g.router.current.Load()
 	target := routes.view.Targets[name]
 	if target == nil || routes.view.Services[target.Service] == nil {
+		leaveBody(w, r)
 		return nil, g.problem(problem.NoTarget, "home", "the home does not know the target").WithRetryAfter(retryAfterDefault)
 	}
 	body, failure := g.readBody(w, r)
 	if failure != nil {
+		leaveBody(w, r)
 		return nil, failure
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), callContext.Deadline)
-	defer cancel()
 	home.StripHop(r.Header)
 	forwarded := &home.Call{Context: callContext, Call: transport.Call{
 		Method:     r.Method,
-		RequestURI: strings.TrimPrefix(r.URL.RequestURI(), home.PathPrefix+name),
+		RequestURI: strings.TrimPrefix(r.RequestURI, home.PathPrefix+name),
 		Header:     r.Header,
 		Body:       body,
 	}}
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -33,31 +33,41 @@
 // retryAfterDefault is told where nothing better is known.
 const retryAfterDefault = time.Second
 
+// arrival is what is known of a call when it comes in.
+type arrival struct {
+	listener   Listener
+	service    string
+	requestURI string
+	started    time.Time
+	// inFlight is the number of calls in the node, this one included.
+	inFlight int64
+}
+
 // receive reads a call up to the point where it is admitted. The call is nil
 // when not even its service is known.
-func (g *Gateway) receive(w http.ResponseWriter, r *http.Request, listener Listener, started time.Time, inFlight int64) (*call, *problem.Problem) {
+func (g *Gateway) receive(w http.ResponseWriter, r *http.Request, a arrival) (*call, *problem.Problem) {
 	if !g.ready.Load() {
 		return nil, g.problem(problem.NotReady, "receive", "the node has no configuration yet").WithRetryAfter(retryAfterDefault)
 	}
-	service := g.router.View().Services[r.PathValue("service")]
+	service := g.router.View().Services[a.service]
 	if service == nil {
 		return nil, g.problem(problem.UnknownService, "receive", "no such service")
 	}
-	c := &call{listener: listener, service: service}
-	if failure := g.readContext(c, r, started); failure != nil {
+	c := &call{listener: a.listener, service: service}
+	if failure := g.readContext(c, r, a.started); failure != nil {
 		return c, failure
 	}
-	if inFlight > g.settings.MaxConcurrent {
+	if a.inFlight > g.settings.MaxConcurrent {
 		return c, g.problem(problem.Overloaded, "receive", "too many calls in the node").WithRetryAfter(retryAfterDefault)
 	}
-	if failure := g.admit(c, r); failure != nil {
+	if failure := g.admit(c, r, a.requestURI); failure != nil {
 		return c, failure
 	}
 	body, failure := g.readBody(w, r)
 	if failure != nil {
 		return c, failure
 	}
-	c.message = transport.Call{Method: r.Method, RequestURI: requestURI(r), Header: r.Header, Body: body}
+	c.message = transport.Call{Method: r.Method, RequestURI: a.requestURI, Header: r.Header, Body: body}
 	home.StripHop(c.message.Header)
 	c.message.Header.Set(callcontext.RequestIDHeader, c.context.RequestID.String())
 	return c, nil
@@ -67,17 +77,6 @@
 	return problem.New(reason, problem.ExecutedNo, step, g.settings.Node, detail)
 }
 
-// requestURI returns the path and query as the target sees them: what follows
-// the service's name, escaped as the caller sent it.
-func requestURI(r *http.Request) string {
-	escaped := r.URL.EscapedPath()
-	_, rest, _ := strings.Cut(strings.TrimPrefix(escaped, "/"), "/")
-	if r.URL.RawQuery != "" {
-		return "/" + rest + "?" + r.URL.RawQuery
-	}
-	return "/" + rest
-}
-
 // readContext makes the context of a call at the edge, where one that comes
 // along is dropped, and reads it on the mesh. A mesh call without context is an
 // orphan: it gets no retry and the lowest rank.
@@ -145,28 +144,65 @@
 	return min(timeout, g.settings.MaxTimeout), nil
 }
 
-// readBody reads the whole body, within its bounds of size and time.
+func expectsBody(r *http.Request) bool {
+	return r.Body != nil && r.Body != http.NoBody && r.ContentLength != 0
+}
+
+// boundBody bounds the time to read the call's body. The deadline stays when
+// the body is not read whole, so that the server does not wait for its rest.
+func (g *Gateway) boundBody(w http.ResponseWriter, r *http.Request) {
+	if expectsBody(r) {
+		// A connection that can't have a deadline is bounded by the server's own.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(g.settings.ReadBodyTimeout))
+	}
+}
+
+const (
+	// smallBody is the largest body, in bytes, that is read for the sake of its
+	// connection after the call was refused.
+	smallBody = 64 << 10
+	// smallBodyWait is how long such a body is waited for; it has usually come
+	// with the header.
+	smallBodyWait = time.Millisecond
+)
+
+// leaveBody deals with the body of a call that is refused. A small one that is
+// there is read, so that the connection can be used again. Otherwise the
+// connection is closed after the answer: net/http would wait for the rest of
+// the body before it sends the answer.
+func leaveBody(w http.ResponseWriter, r *http.Request) {
+	if !expectsBody(r) {
+		return
+	}
+	if r.ContentLength > 0 && r.ContentLength <= smallBody {
+		control := http.NewResponseController(w)
+		_ = control.SetReadDeadline(time.Now().Add(smallBodyWait))
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			_ = control.SetReadDeadline(time.Time{})
+			return
+		}
+	}
+	w.Header().Set("Connection", "close")
+}
+
+// readBody reads the whole body, within its bounds of size and time. The caller
+// has called boundBody.
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *problem.Problem) {
-	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+	if !expectsBody(r) {
 		return nil, nil
 	}
 	if r.ContentLength > g.settings.MaxBodyBytes {
 		return nil, g.bodyTooLarge()
 	}
-	control := http.NewResponseController(w)
-	// The deadline is taken back below; a connection that can't have one is
-	// bounded by the server's own timeouts.
-	_ = control.SetReadDeadline(time.Now().Add(g.settings.ReadBodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.settings.MaxBodyBytes))
-	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, g.bodyTooLarge()
 	case err != nil:
-		w.Header().Set("Connection", "close")
 		return nil, g.problem(problem.BadRequest, "receive", "the body could not be read whole in time").WithCause(err)
 	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return body, nil
 }
 
@@ -175,8 +211,8 @@
 }
 
 // admit applies the service's policy and the shed levels.
-func (g *Gateway) admit(c *call, r *http.Request) *problem.Problem {
-	c.policy = g.policyCall(c, r)
+func (g *Gateway) admit(c *call, r *http.Request, requestURI string) *problem.Problem {
+	c.policy = g.policyCall(c, r, requestURI)
 	shedBy := ""
 	c.threshold, shedBy = g.shedThreshold(c)
 	load := policy.Load{ShedLevel: shedLevelName(c.threshold)}
@@ -213,7 +249,8 @@
 	return err
 }
 
-func (g *Gateway) policyCall(c *call, r *http.Request) policy.Call {
+func (g *Gateway) policyCall(c *call, r *http.Request, requestURI string) policy.Call {
+	path, _, _ := strings.Cut(requestURI, "?")
 	incoming := ""
 	if c.listener == Mesh && !c.orphan {
 		incoming = c.context.Rank.Level.String()
@@ -221,7 +258,7 @@
 	return policy.Call{
 		Service:      c.service.Name,
 		Method:       r.Method,
-		Path:         "/" + r.PathValue("path"),
+		Path:         path,
 		Caller:       c.context.Caller,
 		Zone:         g.settings.Zone,
 		IncomingRank: incoming,
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -53,6 +53,22 @@
 	Token   Token
 }
 
+// received is a question before the lengths of its parts were checked; arrays
+// would be filled up from shorter ones.
+type received struct {
+	_       struct{} `cbor:",toarray"`
+	Request []byte
+	Token   []byte
+}
+
+// read returns the question's parts, or false if they don't have their lengths.
+func (q received) read() (request callcontext.RequestID, token Token, ok bool) {
+	ok = len(q.Request) == len(request) && len(q.Token) == len(token)
+	copy(request[:], q.Request)
+	copy(token[:], q.Token)
+	return request, token, ok
+}
+
 // reply tells whether the retry was granted.
 type reply struct {
 	_       struct{} `cbor:",toarray"`
@@ -67,12 +83,17 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		var asked question
+		var asked received
 		if err := cbor.Unmarshal(body, &asked); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		answer, err := cbor.Marshal(reply{Granted: ledger.Grant(asked.Request, asked.Token)})
+		request, token, ok := asked.read()
+		if !ok {
+			http.Error(w, "malformed grant request", http.StatusBadRequest)
+			return
+		}
+		answer, err := cbor.Marshal(reply{Granted: ledger.Grant(request, token)})
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
--- a/internal/grant/grant_test.go
+++ b/internal/grant/grant_test.go
@@ -39,6 +39,12 @@
 	return true
 }
 
+func (b *budget) remaining() int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.left
+}
+
 // serve runs the handler; around may spoil its answers.
 func serve(t *testing.T, ledger Ledger, around func(http.Handler) http.Handler) netip.AddrPort {
 	t.Helper()
@@ -62,7 +68,7 @@
 		assert.NilError(t, err)
 		assert.Equal(t, granted, want)
 	}
-	assert.Equal(t, own.left, 5, "the node's own budget was used")
+	assert.Equal(t, own.remaining(), 5, "the node's own budget was used")
 }
 
 func TestAskItself(t *testing.T) {
@@ -95,9 +101,14 @@
 	for name, spoil := range map[string]func(http.ResponseWriter, *httptest.ResponseRecorder, *http.Request){
 		"connection cut": func(http.ResponseWriter, *httptest.ResponseRecorder, *http.Request) { panic(http.ErrAbortHandler) },
 		"no answer":      func(_ http.ResponseWriter, _ *httptest.ResponseRecorder, r *http.Request) { <-r.Context().Done() },
-		"status":         func(w http.ResponseWriter, r *httptest.ResponseRecorder, _ *http.Request) { w.WriteHeader(500); _, _ = w.Write(r.Body.Bytes()) },
-		"nonsense":       func(w http.ResponseWriter, _ *httptest.ResponseRecorder, _ *http.Request) { _, _ = w.Write([]byte("yes")) },
-		"empty":          func(http.ResponseWriter, *httptest.ResponseRecorder, *http.Request) {},
+		"status": func(w http.ResponseWriter, r *httptest.ResponseRecorder, _ *http.Request) {
+			w.WriteHeader(http.StatusInternalServerError)
+			_, _ = w.Write(r.Body.Bytes())
+		},
+		"nonsense": func(w http.ResponseWriter, _ *httptest.ResponseRecorder, _ *http.Request) {
+			_, _ = w.Write([]byte("yes"))
+		},
+		"empty": func(http.ResponseWriter, *httptest.ResponseRecorder, *http.Request) {},
 		"cut": func(w http.ResponseWriter, r *httptest.ResponseRecorder, _ *http.Request) {
 			w.Header().Set("Content-Length", "100")
 			_, _ = w.Write(r.Body.Bytes())
@@ -110,7 +121,7 @@
 			granted, err := client.Ask(t.Context(), ingress, callcontext.NewRequestID())
 			assert.Assert(t, err != nil && !granted)
 			assert.ErrorContains(t, err, ingress.String())
-			assert.Equal(t, ledger.left, 0, "a lost grant is not spent")
+			assert.Equal(t, ledger.remaining(), 0, "a lost grant is not spent")
 		})
 	}
 }
@@ -154,7 +165,7 @@
 		t.Run(name, func(t *testing.T) {
 			ledger := newBudget(1)
 			assert.Equal(t, post(ledger, body).Code, http.StatusBadRequest)
-			assert.Equal(t, ledger.left, 1, "a malformed message spent a retry")
+			assert.Equal(t, ledger.remaining(), 1, "a malformed message spent a retry")
 		})
 	}
 }
@@ -165,7 +176,7 @@
 	ledger := newBudget(2)
 	first, second := post(ledger, message), post(ledger, message)
 	assert.DeepEqual(t, first.Body.Bytes(), second.Body.Bytes())
-	assert.Equal(t, ledger.left, 1)
+	assert.Equal(t, ledger.remaining(), 1)
 }
 
 func FuzzHandler(f *testing.F) {
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -12,6 +12,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"sync"
@@ -142,29 +143,34 @@
 		permit.Release(limit.Sample{Outcome: limit.Overload})
 		return nil, refusal
 	}
+	StripHop(answer.Header)
+	disownProblem(g.target, answer)
 	if answer.Rest != nil {
 		answer.Rest = &releasing{ReadCloser: answer.Rest, release: permit.Release}
 	} else {
 		permit.Release(limit.Sample{Outcome: limit.Success})
 	}
-	StripHop(answer.Header)
-	disownProblem(answer)
 	return &Reply{Answer: answer, Load: g.load(now())}, nil
 }
 
 // disownProblem corrects a problem document that a target passed on from
-// further down its chain. The target itself has run, so whatever was told of
-// the call below, this call was not left unexecuted.
-func disownProblem(answer *transport.Answer) {
-	if answer.Rest != nil || answer.Header.Get("Content-Type") != problem.ContentType {
+// further down its chain. One that is too large to be looked at is replaced.
+func disownProblem(target *catalog.Target, answer *transport.Answer) {
+	mediaType, _, err := mime.ParseMediaType(answer.Header.Get("Content-Type"))
+	if err != nil || mediaType != problem.ContentType {
 		return
 	}
-	passedOn, err := problem.Parse(answer.Body)
-	if err != nil || passedOn.Executed == problem.ExecutedUnknown {
+	if answer.Rest != nil {
+		replacement := problem.New(problem.TargetFailed, problem.ExecutedUnknown, Step, target.Name, "the target's problem document is too large")
+		replacement.Status = answer.Status
+		answer.Close()
+		answer.Rest = nil
+		answer.Body = replacement.Document()
 		return
 	}
-	passedOn.Executed = problem.ExecutedUnknown
-	answer.Body = passedOn.Document()
+	if corrected, changed := problem.Disown(answer.Body); changed {
+		answer.Body = corrected
+	}
 }
 
 // setTimeout tells the target how long its answer is waited for.
--- /dev/null
+++ b/internal/home/home_test.go
@@ -0,0 +1,355 @@
+package home
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/lugspur/lugspur/internal/callcontext"
+	"github.com/lugspur/lugspur/internal/catalog"
+	"github.com/lugspur/lugspur/internal/criticality"
+	"github.com/lugspur/lugspur/internal/problem"
+	"github.com/lugspur/lugspur/internal/resource"
+	"github.com/lugspur/lugspur/internal/scheduler"
+	"github.com/lugspur/lugspur/internal/transport"
+)
+
+const maxBuffered = 1000
+
+func newManager(settings Settings) *Manager {
+	settings.MaxBuffered = maxBuffered
+	return NewManager(settings, time.Now)
+}
+
+// newTarget serves a target and counts the calls that reach it.
+func newTarget(t *testing.T, slots int, handler http.HandlerFunc) (*catalog.Target, *atomic.Int64) {
+	t.Helper()
+	count := &atomic.Int64{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		count.Add(1)
+		handler(w, r)
+	}))
+	t.Cleanup(server.Close)
+	return &catalog.Target{Name: "a-1", Target: resource.Target{
+		Service: "a", Address: strings.TrimPrefix(server.URL, "http://"), Slots: slots, Connections: slots,
+	}}, count
+}
+
+func answering(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status); _, _ = io.WriteString(w, body) }
+}
+
+func newCall() *Call {
+	return &Call{
+		Call: transport.Call{Method: http.MethodGet, RequestURI: "/x", Header: http.Header{}},
+		Context: callcontext.Context{
+			RequestID: callcontext.NewRequestID(),
+			Deadline:  time.Now().Add(10 * time.Second),
+			Rank:      criticality.Rank{Level: criticality.Critical},
+		},
+	}
+}
+
+var service = &catalog.Service{Name: "a"}
+
+// eventually polls until the condition holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if holds() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(5*time.Second))
+}
+
+func isProblem(t *testing.T, failure *problem.Problem, reason problem.Reason, executed problem.Executed) {
+	t.Helper()
+	assert.Assert(t, failure != nil, "no problem")
+	assert.Equal(t, failure.Reason, reason, "%v", failure)
+	assert.Equal(t, failure.Executed, executed, "%v", failure)
+}
+
+func TestAnswer(t *testing.T) {
+	target, _ := newTarget(t, 4, func(w http.ResponseWriter, r *http.Request) {
+		assert.Check(t, r.Header.Get(callcontext.TimeoutHeader) != "")
+		w.Header().Set("X-Own", "1")
+		for _, name := range []string{problem.ExecutedHeader, LoadHeader, ResultHeader, "Keep-Alive"} {
+			w.Header().Set(name, "forged")
+		}
+		_, _ = io.WriteString(w, "hello")
+	})
+	m := newManager(Settings{})
+	reply, failure := m.Run(t.Context(), service, target, true, newCall())
+	assert.Assert(t, failure == nil, "%v", failure)
+	assert.Equal(t, string(reply.Body), "hello")
+	assert.Equal(t, reply.Header.Get("X-Own"), "1")
+	for _, name := range []string{problem.ExecutedHeader, LoadHeader, ResultHeader, "Keep-Alive"} {
+		assert.Equal(t, reply.Header.Get(name), "", name)
+	}
+	assert.Equal(t, m.InFlight(), 0)
+	assert.Assert(t, reply.Load.Limit > 0 && reply.Load.Version > 0)
+}
+
+func TestDrainingTargetGetsNothing(t *testing.T) {
+	target, count := newTarget(t, 4, answering(200, ""))
+	target.Draining = true
+	_, failure := newManager(Settings{}).Run(t.Context(), service, target, true, newCall())
+	isProblem(t, failure, problem.Draining, problem.ExecutedNo)
+	assert.Equal(t, count.Load(), int64(0))
+}
+
+func TestRefusalByTheTarget(t *testing.T) {
+	refusing := &catalog.Service{Name: "a", Spec: resource.Service{RefusalHeader: "Target-Shed"}}
+	for name, c := range map[string]struct {
+		service    *catalog.Service
+		status     int
+		header     string
+		retryAfter string
+		seconds    int
+	}{
+		"503":               {refusing, 503, "Target-Shed", "7", 7},
+		"429":               {refusing, 429, "Target-Shed", "", 1},
+		"odd Retry-After":   {refusing, 503, "Target-Shed", "soon", 1},
+		"without header":    {refusing, 503, "X-Other", "7", 0},
+		"500 may have run":  {refusing, 500, "Target-Shed", "7", 0},
+		"success":           {refusing, 200, "Target-Shed", "", 0},
+		"service that does": {service, 503, "Target-Shed", "7", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			target, _ := newTarget(t, 4, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(c.header, "true")
+				w.Header().Set("Retry-After", c.retryAfter)
+				w.WriteHeader(c.status)
+			})
+			reply, failure := newManager(Settings{}).Run(t.Context(), c.service, target, true, newCall())
+			if c.seconds == 0 {
+				assert.Assert(t, failure == nil, "%v", failure)
+				assert.Equal(t, reply.Status, c.status)
+				return
+			}
+			isProblem(t, failure, problem.Overloaded, problem.ExecutedNo)
+			assert.Equal(t, failure.RetryAfterSeconds, c.seconds)
+		})
+	}
+}
+
+// A target that passes on a problem document from further down has run itself.
+func TestPassedOnProblemBecomesUnknown(t *testing.T) {
+	document := string(problem.New(problem.Overloaded, problem.ExecutedNo, "home", "b-1", "").Document())
+	large := string(problem.New(problem.Overloaded, problem.ExecutedNo, "home", "b-1", strings.Repeat("x", 2*maxBuffered)).Document())
+	for name, c := range map[string]struct{ contentType, body string }{
+		"as it came":      {problem.ContentType, document},
+		"with parameter":  {problem.ContentType + "; charset=utf-8", document},
+		"in upper case":   {"Application/Problem+JSON", document},
+		"with more space": {problem.ContentType, " " + document + "\n"},
+		"large":           {problem.ContentType, large},
+	} {
+		t.Run(name, func(t *testing.T) {
+			target, _ := newTarget(t, 4, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", c.contentType)
+				w.Header().Set(problem.ExecutedHeader, "no")
+				w.WriteHeader(http.StatusServiceUnavailable)
+				_, _ = io.WriteString(w, c.body)
+			})
+			reply, failure := newManager(Settings{}).Run(t.Context(), service, target, true, newCall())
+			assert.Assert(t, failure == nil, "%v", failure)
+			recorder := httptest.NewRecorder()
+			reply.WriteTo(recorder, time.Time{})
+			reply.Close()
+			var told problem.Problem
+			assert.NilError(t, json.Unmarshal(recorder.Body.Bytes(), &told))
+			assert.Equal(t, told.Executed, problem.ExecutedUnknown)
+			assert.Equal(t, recorder.Header().Get(problem.ExecutedHeader), "")
+			assert.Equal(t, recorder.Code, http.StatusServiceUnavailable)
+		})
+	}
+}
+
+func TestFailuresOfTheTarget(t *testing.T) {
+	cut := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "part")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	for name, c := range map[string]struct {
+		handler  http.HandlerFunc
+		reason   problem.Reason
+		executed problem.Executed
+	}{
+		"cut":      {cut, problem.IncompleteAnswer, problem.ExecutedUnknown},
+		"reset":    {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, problem.TargetFailed, problem.ExecutedUnknown},
+		"too late": {func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, problem.DeadlineExceeded, problem.ExecutedUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			target, _ := newTarget(t, 4, c.handler)
+			m := newManager(Settings{})
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+			_, failure := m.Run(ctx, service, target, true, newCall())
+			isProblem(t, failure, c.reason, c.executed)
+			assert.Equal(t, m.InFlight(), 0, "the permit was not given back")
+		})
+	}
+	t.Run("refused connection", func(t *testing.T) {
+		target := &catalog.Target{Name: "a-1", Target: resource.Target{Address: "127.0.0.1:1", Slots: 1, Connections: 1}}
+		_, failure := newManager(Settings{}).Run(t.Context(), service, target, true, newCall())
+		isProblem(t, failure, problem.TargetFailed, problem.ExecutedNo)
+	})
+}
+
+func TestPermitOfALargeAnswerThatBreaksOff(t *testing.T) {
+	target, _ := newTarget(t, 1, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "100000")
+		_, _ = io.WriteString(w, strings.Repeat("x", 5*maxBuffered))
+		panic(http.ErrAbortHandler)
+	})
+	m := newManager(Settings{})
+	for range 3 {
+		reply, failure := m.Run(t.Context(), service, target, true, newCall())
+		assert.Assert(t, failure == nil, "%v", failure)
+		assert.Equal(t, m.InFlight(), 1, "the permit of an unfinished answer was given back")
+		func() {
+			defer func() {
+				assert.Equal(t, recover(), http.ErrAbortHandler, "the connection to the caller is not aborted")
+			}()
+			WriteReply(httptest.NewRecorder(), reply, time.Time{})
+		}()
+		assert.Equal(t, m.InFlight(), 0)
+	}
+}
+
+func TestCeiling(t *testing.T) {
+	for _, c := range []struct {
+		slots, connections int
+		owner              bool
+		want               int
+	}{{8, 10, true, 8}, {10, 8, true, 8}, {8, 8, false, 4}, {1, 1, false, 1}, {9, 9, false, 4}} {
+		t.Run(fmt.Sprint(c), func(t *testing.T) {
+			target, _ := newTarget(t, c.slots, answering(200, ""))
+			target.Connections = c.connections
+			m := newManager(Settings{FixedLimit: true})
+			_, failure := m.Run(t.Context(), service, target, c.owner, newCall())
+			assert.Assert(t, failure == nil, "%v", failure)
+			assert.Equal(t, m.LoadOf("a-1").Limit, c.want)
+			_, _ = m.Run(t.Context(), service, target, !c.owner, newCall())
+			_, _ = m.Run(t.Context(), service, target, c.owner, newCall())
+			assert.Assert(t, m.LoadOf("a-1").Limit <= c.want)
+		})
+	}
+}
+
+// held is a target that answers when the test lets it.
+func held(t *testing.T, slots int) (*catalog.Target, *atomic.Int64, chan struct{}) {
+	release := make(chan struct{})
+	target, count := newTarget(t, slots, func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-release:
+		case <-r.Context().Done():
+		}
+	})
+	return target, count, release
+}
+
+type result struct {
+	reply   *Reply
+	failure *problem.Problem
+}
+
+func start(m *Manager, target *catalog.Target, call *Call) <-chan result {
+	results := make(chan result, 1)
+	go func() {
+		reply, failure := m.Run(context.Background(), service, target, true, call)
+		results <- result{reply, failure}
+	}()
+	return results
+}
+
+func TestResetRefusesWaitersAndFinishesOthers(t *testing.T) {
+	target, count, release := held(t, 1)
+	m := newManager(Settings{Queue: scheduler.Config{MaxWait: 10 * time.Second}})
+	running := start(m, target, newCall())
+	eventually(t, "call at the target", func() bool { return count.Load() == 1 })
+	waiting := start(m, target, newCall())
+	eventually(t, "call in the queue", func() bool { return m.LoadOf("a-1").Queued == 1 })
+	m.Reset()
+	isProblem(t, (<-waiting).failure, problem.NoTarget, problem.ExecutedNo)
+	assert.Equal(t, len(m.Loads()), 0)
+	close(release)
+	got := <-running
+	assert.Assert(t, got.failure == nil, "a call in flight was cut: %v", got.failure)
+}
+
+func TestMoreImportantCallsGoFirst(t *testing.T) {
+	target, count, release := held(t, 1)
+	m := newManager(Settings{Queue: scheduler.Config{MaxQueue: 1, MaxWait: 10 * time.Second}})
+	first := start(m, target, newCall())
+	eventually(t, "call at the target", func() bool { return count.Load() == 1 })
+	low, high := newCall(), newCall()
+	low.Context.Rank, high.Context.Rank = criticality.Lowest, criticality.Rank{}
+	lowResult := start(m, target, low)
+	eventually(t, "call in the queue", func() bool { return m.LoadOf("a-1").Queued == 1 })
+	highResult := start(m, target, high)
+	evicted := (<-lowResult).failure
+	isProblem(t, evicted, problem.Overloaded, problem.ExecutedNo)
+	assert.Assert(t, evicted.RetryAfterSeconds > 0)
+	close(release)
+	assert.Assert(t, (<-highResult).failure == nil && (<-first).failure == nil)
+	assert.Equal(t, count.Load(), int64(2))
+}
+
+func TestCallerThatLeavesTheQueue(t *testing.T) {
+	target, count, release := held(t, 1)
+	defer close(release)
+	m := newManager(Settings{Queue: scheduler.Config{MaxWait: 10 * time.Second}})
+	_ = start(m, target, newCall())
+	eventually(t, "call at the target", func() bool { return count.Load() == 1 })
+	ctx, cancel := context.WithCancel(t.Context())
+	results := make(chan result, 1)
+	go func() {
+		reply, failure := m.Run(ctx, service, target, true, newCall())
+		results <- result{reply, failure}
+	}()
+	eventually(t, "call in the queue", func() bool { return m.LoadOf("a-1").Queued == 1 })
+	cancel()
+	isProblem(t, (<-results).failure, problem.CallerGone, problem.ExecutedNo)
+	assert.Equal(t, m.LoadOf("a-1").Queued, 0)
+}
+
+func TestIdleGuardsAreForgotten(t *testing.T) {
+	now := time.Now()
+	m := NewManager(Settings{}, func() time.Time { return now })
+	target, _ := newTarget(t, 1, answering(200, ""))
+	call := newCall()
+	call.Context.Deadline = now.Add(time.Minute)
+	_, failure := m.Run(t.Context(), service, target, true, call)
+	assert.Assert(t, failure == nil, "%v", failure)
+	m.tick()
+	assert.Equal(t, len(m.Loads()), 1)
+	now = now.Add(idleLifetime + time.Second)
+	m.tick()
+	assert.Equal(t, len(m.Loads()), 0)
+}
+
+func TestTargetThatMoves(t *testing.T) {
+	before, _ := newTarget(t, 2, answering(200, "before"))
+	after, _ := newTarget(t, 2, answering(200, "after"))
+	m := newManager(Settings{})
+	for _, target := range []*catalog.Target{before, after} {
+		_, failure := m.Run(t.Context(), service, target, true, newCall())
+		assert.Assert(t, failure == nil, "%v", failure)
+	}
+	reply, _ := m.Run(t.Context(), service, after, true, newCall())
+	assert.Equal(t, string(reply.Body), "after")
+}
--- a/internal/home/peer.go
+++ b/internal/home/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"errors"
 	"fmt"
 	"io"
@@ -27,6 +28,9 @@
 	LoadHeader = "Lugspur-Home-Load"
 	// ResultHeader tells a target's answer from a problem of the home's.
 	ResultHeader = "Lugspur-Home-Result"
+	// ProblemHeader holds the home's problem document in base64, because an
+	// answer to HEAD has no body.
+	ProblemHeader = "Lugspur-Home-Problem"
 
 	resultAnswer  = "answer"
 	resultProblem = "problem"
@@ -66,18 +70,19 @@
 
 // WriteReply answers a forwarded call with the target's answer. An answer that
 // breaks off is aborted, so that the node that asked sees it as incomplete.
-func WriteReply(w http.ResponseWriter, reply *Reply) {
+func WriteReply(w http.ResponseWriter, reply *Reply, deadline time.Time) {
 	defer reply.Close()
 	w.Header().Set(ResultHeader, resultAnswer)
 	w.Header().Set(LoadHeader, reply.Load.String())
-	reply.WriteTo(w)
+	reply.WriteTo(w, deadline)
 }
 
 // WriteProblem answers a forwarded call with a problem of the home's.
 func WriteProblem(w http.ResponseWriter, load Load, failure *problem.Problem) {
 	w.Header().Set(ResultHeader, resultProblem)
 	w.Header().Set(LoadHeader, load.String())
-	failure.Write(w)
+	w.Header().Set(ProblemHeader, base64.StdEncoding.EncodeToString(failure.Document()))
+	w.WriteHeader(failure.Status)
 }
 
 // LoadOf returns the load of the target's guard; it is zero without one.
@@ -158,20 +163,30 @@
 
 func interpret(peer string, load Load, answer *transport.Answer) (*Reply, *problem.Problem) {
 	result := answer.Header.Get(ResultHeader)
-	answer.Header.Del(ResultHeader)
-	answer.Header.Del(LoadHeader)
+	document := answer.Header.Get(ProblemHeader)
+	for _, name := range []string{ResultHeader, LoadHeader, ProblemHeader} {
+		answer.Header.Del(name)
+	}
 	reply := &Reply{Answer: answer, Load: load}
 	if result == resultAnswer {
 		return reply, nil
 	}
 	defer answer.Close()
-	failure, err := problem.Parse(answer.Body)
+	failure, err := parseProblem(document)
 	if err != nil {
 		failure = problem.New(problem.TargetFailed, problem.ExecutedUnknown, "forward", peer, err.Error())
 	}
 	return &Reply{Load: load}, failure
 }
 
+func parseProblem(encoded string) (*problem.Problem, error) {
+	document, err := base64.StdEncoding.DecodeString(encoded)
+	if err != nil {
+		return nil, err
+	}
+	return problem.Parse(document)
+}
+
 func forwardingFailed(ctx context.Context, peer string, err error) *problem.Problem {
 	executed := problem.ExecutedUnknown
 	reason := problem.TargetFailed
@@ -190,14 +205,20 @@
 		WithRetryAfter(time.Second).WithCause(err)
 }
 
-// WriteTo writes the answer. When the rest of a large answer breaks off, the
-// connection is aborted.
-func (r *Reply) WriteTo(w http.ResponseWriter) {
+// WriteTo writes the answer. When the rest of a large answer breaks off or is
+// not taken before the deadline, the connection is aborted.
+func (r *Reply) WriteTo(w http.ResponseWriter, deadline time.Time) {
 	header := w.Header()
 	for name, values := range r.Header {
 		header[name] = values
 	}
-	if r.Rest == nil && !r.NoBody {
+	switch {
+	case r.Rest != nil:
+		// A connection that can't have a deadline is bounded by the server's own.
+		control := http.NewResponseController(w)
+		_ = control.SetWriteDeadline(deadline)
+		defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
+	case !r.NoBody:
 		header.Set("Content-Length", strconv.Itoa(len(r.Body)))
 	}
 	w.WriteHeader(r.Status)
@@ -229,5 +250,5 @@
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-	problem.ExecutedHeader, LoadHeader, ResultHeader, callcontext.TimeoutHeader,
+	problem.ExecutedHeader, LoadHeader, ResultHeader, ProblemHeader, callcontext.TimeoutHeader,
 }
--- a/internal/machines/machines.go
+++ b/internal/machines/machines.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -40,9 +41,12 @@
 
 // list is the platform's answer.
 type list struct {
+	// Machines is nil when the answer is no list; an empty list is not.
 	Machines []Machine `json:"machines"`
 }
 
+var errNoList = errors.New("the answer holds no list of machines")
+
 // Follower reads the list again and again. It is safe for concurrent use.
 type Follower struct {
 	url      string
@@ -115,6 +119,9 @@
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&answer); err != nil {
 		return nil, err
 	}
+	if answer.Machines == nil {
+		return nil, errNoList
+	}
 	return answer.Machines, nil
 }
 
--- a/internal/membership/protocol_test.go
+++ b/internal/membership/protocol_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -149,6 +150,7 @@
 
 func TestPausedNodeStaysUnconfidentWhileCutOff(t *testing.T) {
 	s := newSimulation(11)
+	s.tamper = func(config *Config) { config.IsolationLimit = time.Hour }
 	paused := cluster(t, s, 5)[2]
 	paused.pause()
 	s.advance(5 * time.Second)
@@ -160,6 +162,34 @@
 	}
 }
 
+func TestSuspicionsDoNotRunOutDuringAPause(t *testing.T) {
+	s := newSimulation(22)
+	nodes := cluster(t, s, 5)
+	paused := nodes[2]
+	paused.believe(paused.table.entries["node-1"], Suspect)
+	paused.pause()
+	s.advance(time.Minute)
+	paused.inbox = nil
+	paused.resume()
+	s.advance(10 * time.Second)
+	assert.Equal(t, paused.count(EventDied), 0)
+	assert.Assert(t, s.agreed())
+}
+
+func TestHealedCutConvergesWithoutSeeds(t *testing.T) {
+	s := newSimulation(23)
+	nodes := cluster(t, s, 20)
+	for _, node := range nodes {
+		node.contacts.seeds = nil
+	}
+	s.cut = func(from, to *simulatedNode) bool { return (from.zone == "zone-0") != (to.zone == "zone-0") }
+	s.advance(time.Minute)
+	assert.Equal(t, len(nodes[0].Live("")), 7)
+	s.cut = func(_, _ *simulatedNode) bool { return false }
+	_, agreed := s.until(healLimit, s.agreed)
+	assert.Assert(t, agreed, "the halves did not agree in %v", healLimit)
+}
+
 func TestLoneNodeIsConfident(t *testing.T) {
 	s := newSimulation(12)
 	s.tamper = func(config *Config) { config.Seeds = nil }
@@ -276,16 +306,10 @@
 		assert.NilError(t, node.SetPayload(make([]byte, payload)))
 	}
 	s.advance((introductionPeriods + 20) * DefaultPeriod)
-	sent := func() (total uint64) {
-		for _, node := range nodes {
-			total += node.Stats().BytesSent
-		}
-		return total
-	}
-	before := sent()
+	before := totalBytesSent(nodes)
 	const periods = 60
 	s.advance(periods * DefaultPeriod)
-	return float64(sent()-before) / float64(count*periods)
+	return float64(totalBytesSent(nodes)-before) / float64(count*periods)
 }
 
 func TestBytesPerPeriodDoNotGrowWithTheCluster(t *testing.T) {
@@ -294,6 +318,39 @@
 	assert.Assert(t, large < 1.05*small, "%.1f at 20 nodes, %.1f at 200", small, large)
 }
 
+// BenchmarkLargeCluster measures a cluster of the size to design for, in
+// virtual time: the heap that a node takes, the detection of a crash, and the
+// healing of a cut that parts a third of the nodes from the rest.
+func BenchmarkLargeCluster(b *testing.B) {
+	const count = 820
+	for b.Loop() {
+		s := newSimulation(24)
+		nodes := cluster(b, s, count)
+		s.advance(introductionPeriods * DefaultPeriod)
+		var memory runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&memory)
+		b.ReportMetric(float64(memory.HeapAlloc)/count, "heap-bytes/node")
+		nodes[count-1].crash()
+		taken, _ := s.until(time.Minute, s.agreed)
+		b.ReportMetric(taken.Seconds(), "crash-seconds")
+		s.cut = func(from, to *simulatedNode) bool { return (from.zone == "zone-0") != (to.zone == "zone-0") }
+		s.advance(2 * time.Minute)
+		s.cut = func(_, _ *simulatedNode) bool { return false }
+		before := totalBytesSent(nodes)
+		taken, _ = s.until(5*time.Minute, s.agreed)
+		b.ReportMetric(taken.Seconds(), "heal-seconds")
+		b.ReportMetric(float64(totalBytesSent(nodes)-before)/count/taken.Seconds(), "heal-bytes/node/s")
+	}
+}
+
+func totalBytesSent(nodes []*simulatedNode) (total uint64) {
+	for _, node := range nodes {
+		total += node.Stats().BytesSent
+	}
+	return total
+}
+
 func BenchmarkBytesPerPeriod(b *testing.B) {
 	for _, count := range []int{20, 200, 820} {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -281,7 +281,6 @@
 // serve registers the handlers of the four listeners.
 func (n *Node) serve(ledger grant.Ledger) {
 	peerMux := http.NewServeMux()
-	n.gateway.RegisterPeer(peerMux)
 	n.spreader.Register(peerMux)
 	grant.Register(peerMux, ledger)
 	n.claims.register(peerMux)
@@ -298,11 +297,12 @@
 		Log:       n.log,
 	}).Register(adminMux)
 	adminMux.Handle("GET /metrics", n.metrics.Handler())
+	registerProfiles(adminMux, n.settings.Admin.Token)
 
 	n.sockets.serve(n.settings.Limits, n.log, handlers{
 		edge:  n.gateway.Handler(gateway.Edge),
 		mesh:  n.gateway.Handler(gateway.Mesh),
-		peer:  peerMux,
+		peer:  n.gateway.PeerHandler(peerMux),
 		admin: adminMux,
 	})
 }
--- a/internal/node/sockets.go
+++ b/internal/node/sockets.go
@@ -19,6 +19,10 @@
 // idleTimeout is how long a caller's idle connection is kept.
 const idleTimeout = 90 * time.Second
 
+// writeGrace is how long a caller may take to read an answer that came at the
+// last moment.
+const writeGrace = 10 * time.Second
+
 // listener is one of the node's HTTP listeners.
 type listener struct {
 	name   string
@@ -70,7 +74,10 @@
 			ReadHeaderTimeout: limits.ReadHeaderTimeout.Duration(),
 			MaxHeaderBytes:    limits.MaxHeaderBytes,
 			IdleTimeout:       idleTimeout,
-			ErrorLog:          stdlog.New(errorLog, "", 0),
+			// A call takes no longer than its longest timeout after its body;
+			// profiles of the administration listener fit as well.
+			WriteTimeout: limits.ReadBodyTimeout.Duration() + limits.MaxTimeout.Duration() + writeGrace,
+			ErrorLog:     stdlog.New(errorLog, "", 0),
 		}
 	}
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -1,6 +1,6 @@
 // Package placement decides which node is the home of each target: rendezvous
-// hashing over the live nodes of the target's zone, or of its region or the
-// whole cluster when the zone has none.
+// hashing over the live nodes of the target's zone, or of the whole cluster when
+// the zone has none.
 package placement
 
 import (
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -164,7 +165,22 @@
 	return document
 }
 
-// Parse reads a problem document, as a node writes it.
+// Disown returns the document of an answer by which a target passes a problem
+// on from further down its chain, corrected: the target itself has run, so
+// that whatever was told of the call below, this call was not left unexecuted.
+// It returns false for a body that does not claim to be ours or needs no
+// correction.
+func Disown(body []byte) ([]byte, bool) {
+	var p Problem
+	if json.Unmarshal(body, &p) != nil || !strings.HasPrefix(p.Type, typePrefix) || p.Executed == ExecutedUnknown {
+		return nil, false
+	}
+	p.Executed = ExecutedUnknown
+	return p.Document(), true
+}
+
+// Parse reads a problem document, as a node writes it. Whatever else claims to
+// be one is an error.
 func Parse(body []byte) (*Problem, error) {
 	var p Problem
 	if err := json.Unmarshal(body, &p); err != nil {
@@ -173,6 +189,12 @@
 	if len(p.Type) <= len(typePrefix) || p.Type[:len(typePrefix)] != typePrefix {
 		return nil, fmt.Errorf("parse problem document: type %q is not ours", p.Type)
 	}
+	if p.Status < 400 || p.Status > 599 {
+		return nil, fmt.Errorf("parse problem document: status %d", p.Status)
+	}
+	if p.Executed != ExecutedNo && p.Executed != ExecutedUnknown {
+		return nil, fmt.Errorf("parse problem document: executed %q", p.Executed)
+	}
 	p.Reason = Reason(p.Type[len(typePrefix):])
 	return &p, nil
 }
--- a/internal/resource/resource.go
+++ b/internal/resource/resource.go
@@ -32,7 +32,8 @@
 // Prefix starts every key of an object in the store.
 const Prefix = "/lugspur/v1/"
 
-// MaxNameLength bounds the name of an object, in bytes.
+// MaxNameLength bounds the name of an object, in bytes. A drain's name may be
+// longer by its prefix, so that whatever has a valid name can be drained.
 const MaxNameLength = 100
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`)
@@ -70,8 +71,12 @@
 	default:
 		return fmt.Errorf("unknown kind %q: allowed are target, service, policy, drain", i.Kind)
 	}
-	if len(i.Name) > MaxNameLength || !namePattern.MatchString(i.Name) {
-		return fmt.Errorf("name %q: allowed are 1 to %d of a-z, 0-9, '.' and '-', starting and ending with a letter or digit", i.Name, MaxNameLength)
+	allowed := MaxNameLength
+	if i.Kind == KindDrain {
+		allowed += len(DrainMachinePrefix)
+	}
+	if len(i.Name) > allowed || !namePattern.MatchString(i.Name) {
+		return fmt.Errorf("name %q: allowed are 1 to %d of a-z, 0-9, '.' and '-', starting and ending with a letter or digit", i.Name, allowed)
 	}
 	return nil
 }
@@ -89,7 +94,7 @@
 	// Connections is how many connections the target accepts.
 	Connections int `json:"connections" toml:"connections" cbor:"5,keyasint" validate:"min=1,max=100000"`
 	// Machine names the machine of the machine list that the target runs on.
-	Machine string `json:"machine,omitempty" toml:"machine" cbor:"6,keyasint,omitempty" validate:"max=100"`
+	Machine string `json:"machine,omitempty" toml:"machine" cbor:"6,keyasint,omitempty" validate:"omitempty,object_name"`
 	// WarmupSeconds is how long a target that joins takes to reach full speed.
 	WarmupSeconds int `json:"warmup_seconds,omitempty" toml:"warmup_seconds" cbor:"7,keyasint,omitempty" validate:"min=0,max=3600"`
 }
--- a/internal/resource/validate.go
+++ b/internal/resource/validate.go
@@ -26,6 +26,13 @@
 	if err != nil {
 		panic(err)
 	}
+	err = checks.RegisterValidation("object_name", func(level validator.FieldLevel) bool {
+		name := level.Field().String()
+		return len(name) <= MaxNameLength && namePattern.MatchString(name)
+	})
+	if err != nil {
+		panic(err)
+	}
 	return checks
 }
 
@@ -95,6 +102,8 @@
 	switch fault.Tag() {
 	case "ip_port":
 		return "IP address and port, such as 10.0.0.1:8080"
+	case "object_name":
+		return "name of a-z, 0-9, '.' and '-', starting and ending with a letter or digit"
 	case "required":
 		return "must be given"
 	}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -2,20 +2,22 @@
 //
 // A connection carries one exchange at a time. An answer is complete only when
 // its Content-Length or final chunk was read; anything else is a typed error.
-// A call is written at most once: the hidden resending of net/http's transport
-// is ruled out, so that every further attempt is the gateway's decision.
+// A call is written at most once, and a failure tells whether any of it may
+// have reached the target, so that every further attempt is the gateway's
+// decision.
+//
+// The messages are written and parsed by net/http; its Transport is not used,
+// because it resends calls by itself and hands every exchange through two
+// further goroutines (docs/decisions/0003-transport.md).
 package transport
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
+	"slices"
 	"time"
 
 	"github.com/samber/oops"
@@ -27,7 +29,8 @@
 	Address string
 	// MaxConnections bounds the open connections; zero means no bound.
 	MaxConnections int
-	// MaxIdle bounds the idle connections kept; zero means MaxConnections.
+	// MaxIdle bounds the idle connections kept; zero means MaxConnections, or
+	// DefaultMaxIdle where that is zero as well.
 	MaxIdle int
 	// DialTimeout bounds the set-up of a connection.
 	DialTimeout time.Duration
@@ -43,33 +46,11 @@
 const (
 	DefaultDialTimeout    = time.Second
 	DefaultIdleTimeout    = 20 * time.Second
+	DefaultMaxIdle        = 64
 	DefaultMaxBuffered    = 1 << 20
 	DefaultMaxHeaderBytes = 64 << 10
 )
 
-// Pool exchanges calls with one target. It is safe for concurrent use.
-type Pool struct {
-	config    Config
-	transport *http.Transport
-}
-
-// NewPool returns a pool without connections; they are opened on demand.
-func NewPool(config Config) *Pool {
-	config = config.withDefaults()
-	dialer := &net.Dialer{Timeout: config.DialTimeout}
-	return &Pool{
-		config: config,
-		transport: &http.Transport{
-			DialContext:            dialer.DialContext,
-			MaxConnsPerHost:        config.MaxConnections,
-			MaxIdleConnsPerHost:    config.MaxIdle,
-			IdleConnTimeout:        config.IdleTimeout,
-			MaxResponseHeaderBytes: config.MaxHeaderBytes,
-			DisableCompression:     true,
-		},
-	}
-}
-
 func (c Config) withDefaults() Config {
 	if c.DialTimeout == 0 {
 		c.DialTimeout = DefaultDialTimeout
@@ -84,14 +65,14 @@
 		c.MaxHeaderBytes = DefaultMaxHeaderBytes
 	}
 	if c.MaxIdle == 0 {
-		c.MaxIdle = max(c.MaxConnections, http.DefaultMaxIdleConnsPerHost)
+		c.MaxIdle = c.MaxConnections
+	}
+	if c.MaxIdle == 0 {
+		c.MaxIdle = DefaultMaxIdle
 	}
 	return c
 }
 
-// Close closes the idle connections. Exchanges in progress go on.
-func (p *Pool) Close() { p.transport.CloseIdleConnections() }
-
 // Call is a call as the target receives it.
 type Call struct {
 	Method string
@@ -136,104 +117,147 @@
 // Unwrap returns the cause.
 func (f *Failure) Unwrap() error { return f.cause }
 
+func (p *Pool) failure(step string, sent, incomplete bool, err error) *Failure {
+	wrapped := oops.In("transport").With("step", step).With("peer", p.config.Address).
+		Wrapf(err, "%s with %s", step, p.config.Address)
+	return &Failure{Sent: sent, Incomplete: incomplete, cause: wrapped}
+}
+
 // Exchange sends the call and reads the answer. The context bounds both, and
 // its end closes the connection, which tells the target to stop. The error is
 // a *Failure.
 func (p *Pool) Exchange(ctx context.Context, call *Call) (*Answer, error) {
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
-	request, err := p.newRequest(httptrace.WithClientTrace(ctx, trace), call)
-	if err != nil {
-		return nil, p.failure("build call", false, false, err)
-	}
-	response, err := p.transport.RoundTrip(request)
-	if err != nil {
-		return nil, p.failure("exchange", sent.Load(), false, err)
+	message := encode(p.config.Address, call)
+	defer message.free()
+	connection, failure := p.send(ctx, message.Bytes())
+	if failure != nil {
+		return nil, failure
 	}
-	answer, err := p.readAnswer(call.Method, response)
+	answer, err := p.receive(ctx, connection, call.Method)
 	if err != nil {
-		return nil, p.failure("read answer", true, true, err)
+		return nil, err
 	}
 	return answer, nil
 }
 
-func (p *Pool) newRequest(ctx context.Context, call *Call) (*http.Request, error) {
-	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+p.config.Address+call.RequestURI, nil)
-	if err != nil {
-		return nil, fmt.Errorf("%s %s: %w", call.Method, call.RequestURI, err)
+// send writes the message to a connection. A reused connection that takes no
+// byte of it is replaced by a new one.
+func (p *Pool) send(ctx context.Context, message []byte) (*connection, *Failure) {
+	for {
+		c, reused, err := p.acquire(ctx)
+		if err != nil {
+			return nil, p.failure("connect", false, false, err)
+		}
+		c.watch(ctx)
+		written, err := c.socket.Write(message)
+		if err == nil {
+			return c, nil
+		}
+		p.discard(c)
+		if written > 0 {
+			return nil, p.failure("send", true, false, contextError(ctx, err))
+		}
+		if !reused || ctx.Err() != nil {
+			return nil, p.failure("send", false, false, contextError(ctx, err))
+		}
 	}
-	request.Header = call.Header
-	request.Body = &singleUseBody{content: bytes.NewReader(call.Body)}
-	request.ContentLength = int64(len(call.Body))
-	return request, nil
 }
 
-// singleUseBody is a body that net/http cannot rewind. A request without a
-// body, or with one that can be rewound, would be sent again by the transport
-// when a reused connection fails.
-type singleUseBody struct{ content *bytes.Reader }
-
-func (b *singleUseBody) Read(buffer []byte) (int, error) { return b.content.Read(buffer) }
-
-func (b *singleUseBody) Close() error { return nil }
-
-func (p *Pool) readAnswer(method string, response *http.Response) (*Answer, error) {
+// receive reads the answer to a call that was sent.
+func (p *Pool) receive(ctx context.Context, c *connection, method string) (*Answer, *Failure) {
+	response, err := c.readHeader(method, p.config.MaxHeaderBytes)
+	if err != nil {
+		p.discard(c)
+		return nil, p.failure("await answer", true, false, contextError(ctx, err))
+	}
 	answer := &Answer{Status: response.StatusCode, Header: response.Header}
 	if method == http.MethodHead {
 		answer.NoBody = true
-		return answer, response.Body.Close()
-	}
-	if response.ContentLength > p.config.MaxBuffered {
-		answer.Rest = response.Body
+		p.release(c, response)
 		return answer, nil
 	}
-	body, err := readUpTo(response.Body, response.ContentLength, p.config.MaxBuffered)
-	if err != nil {
-		_ = response.Body.Close()
-		return nil, err
+	if !delimited(response) {
+		p.discard(c)
+		return nil, p.failure("read answer", true, true, errNotDelimited)
 	}
-	answer.Body = body
-	if int64(len(body)) > p.config.MaxBuffered {
-		answer.Rest = response.Body
-		return answer, nil
+	answer.Body, err = readUpTo(response.Body, response.ContentLength, p.config.MaxBuffered)
+	switch {
+	case err != nil:
+		p.discard(c)
+		return nil, p.failure("read answer", true, true, contextError(ctx, err))
+	case int64(len(answer.Body)) > p.config.MaxBuffered:
+		answer.Rest = &rest{pool: p, connection: c, response: response}
+	default:
+		p.release(c, response)
+	}
+	return answer, nil
+}
+
+// errNotDelimited means that an answer ends with its connection: a complete one
+// looks like one that was cut off.
+var errNotDelimited = errors.New("the answer has neither a length nor chunks")
+
+// delimited reports whether the end of the answer's body can be told from a
+// broken connection.
+func delimited(response *http.Response) bool {
+	return response.ContentLength >= 0 || slices.Contains(response.TransferEncoding, "chunked")
+}
+
+// contextError returns the context's error where it is what ended an exchange.
+func contextError(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return errors.Join(ctx.Err(), err)
 	}
-	return answer, response.Body.Close()
+	return err
 }
 
 // readUpTo reads the whole body, or one byte more than the limit of a longer
 // one. A negative length is an unknown one.
 func readUpTo(body io.Reader, length, limit int64) ([]byte, error) {
-	if length >= 0 {
-		content := make([]byte, length)
-		if _, err := io.ReadFull(body, content); err != nil {
-			return nil, unexpected(err)
+	if length < 0 {
+		return io.ReadAll(io.LimitReader(body, limit+1))
+	}
+	content := make([]byte, min(length, limit+1))
+	if _, err := io.ReadFull(body, content); err != nil {
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
 		}
-		return content, readEnd(body)
+		return nil, err
 	}
-	content, err := io.ReadAll(io.LimitReader(body, limit+1))
-	return content, err
+	return content, nil
 }
 
-// readEnd reads the end of a body whose content was read, so that its
-// connection goes back to the pool.
-func readEnd(body io.Reader) error {
-	var extra [1]byte
-	_, err := body.Read(extra[:])
-	if err == nil || errors.Is(err, io.EOF) {
-		return nil
-	}
-	return err
+// rest reads what follows the buffered part of a large answer.
+type rest struct {
+	pool       *Pool
+	connection *connection
+	response   *http.Response
+	complete   bool
+	closed     bool
 }
 
-func unexpected(err error) error {
+// Read returns io.EOF only after a complete answer.
+func (r *rest) Read(buffer []byte) (int, error) {
+	n, err := r.response.Body.Read(buffer)
 	if errors.Is(err, io.EOF) {
-		return io.ErrUnexpectedEOF
+		r.complete = true
+	} else if err != nil {
+		err = fmt.Errorf("rest of answer from %s: %w", r.pool.config.Address, err)
 	}
-	return err
+	return n, err
 }
 
-func (p *Pool) failure(step string, sent, incomplete bool, err error) *Failure {
-	wrapped := oops.In("transport").With("step", step).With("peer", p.config.Address).
-		Wrapf(err, "%s with %s", step, p.config.Address)
-	return &Failure{Sent: sent, Incomplete: incomplete, cause: wrapped}
+// Close gives the connection back, or closes it if the answer was not read to
+// its end.
+func (r *rest) Close() error {
+	if r.closed {
+		return nil
+	}
+	r.closed = true
+	if r.complete {
+		r.pool.release(r.connection, r.response)
+	} else {
+		r.pool.discard(r.connection)
+	}
+	return nil
 }
--- /dev/null
+++ b/lab/cluster/alone.go
@@ -0,0 +1,100 @@
+package cluster
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/lugspur/lugspur/lab/mesh"
+)
+
+// AloneZone is the zone of a node that runs alone.
+const AloneZone = "alone"
+
+// StartAlone starts one node with its embedded store, applies the objects of
+// an object file's content, and waits until they are in force.
+func StartAlone(ctx context.Context, lugspur, directory, objects string, flags ...string) (*Node, error) {
+	addresses, err := freeAddresses()
+	if err != nil {
+		return nil, err
+	}
+	c := &Cluster{
+		Config: Config{Lugspur: lugspur, Directory: directory, NodeFlags: append([]string{"-store-kind", "memory"}, flags...)},
+		Mesh:   &mesh.Mesh{Name: AloneZone},
+	}
+	node := &Node{Name: "node-1", Zone: AloneZone, Region: AloneZone, Addresses: addresses}
+	c.Nodes = []*Node{node}
+	if err := c.StartNode(node); err != nil {
+		return nil, err
+	}
+	if err := c.applyContent(ctx, objects); err != nil {
+		_ = node.Stop(stopTimeout)
+		return nil, err
+	}
+	return node, nil
+}
+
+func (c *Cluster) applyContent(ctx context.Context, objects string) error {
+	if err := c.AwaitMembers(ctx); err != nil {
+		return err
+	}
+	file := filepath.Join(c.Config.Directory, "alone.toml")
+	if err := os.WriteFile(file, []byte(objects), 0o644); err != nil {
+		return err
+	}
+	if _, err := c.Command(ctx, "apply", "-f", file); err != nil {
+		return err
+	}
+	return c.AwaitReady(ctx)
+}
+
+// Usage is what a process has used since its start.
+type Usage struct {
+	// Processor is the processor time.
+	Processor time.Duration
+	// Allocated is the memory allocated in all, in bytes.
+	Allocated float64
+	// Resident is the memory held now, in bytes.
+	Resident float64
+}
+
+// Usage returns what the node's process has used, by its own metrics.
+func (n *Node) Usage(ctx context.Context) (Usage, error) {
+	content, err := transfer(ctx, http.MethodGet, "http://"+n.Addresses.Admin+"/metrics", nil)
+	if err != nil {
+		return Usage{}, err
+	}
+	values := parseMetrics(content)
+	if values["process_cpu_seconds_total"] == 0 {
+		return Usage{}, oops.In("cluster").With("step", "usage").With("peer", n.Name).Errorf("%s tells no processor time", n.Name)
+	}
+	return Usage{
+		Processor: time.Duration(values["process_cpu_seconds_total"] * float64(time.Second)),
+		Allocated: values["go_memstats_alloc_bytes_total"],
+		Resident:  values["process_resident_memory_bytes"],
+	}, nil
+}
+
+// parseMetrics reads the metrics without labels.
+func parseMetrics(content []byte) map[string]float64 {
+	values := map[string]float64{}
+	scanner := bufio.NewScanner(bytes.NewReader(content))
+	for scanner.Scan() {
+		name, text, found := strings.Cut(scanner.Text(), " ")
+		if !found || strings.HasPrefix(name, "#") {
+			continue
+		}
+		if value, err := strconv.ParseFloat(text, 64); err == nil {
+			values[name] = value
+		}
+	}
+	return values
+}
--- a/lab/faultproxy/proxy_test.go
+++ b/lab/faultproxy/proxy_test.go
@@ -100,6 +100,19 @@
 	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
 }
 
+// expectNewReset opens a connection that is reset at once: the dial or the
+// first read may be what sees it.
+func expectNewReset(t *testing.T, proxy *Proxy) {
+	t.Helper()
+	conn, err := net.Dial("tcp", proxy.Address())
+	if err != nil {
+		assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	expectReset(t, conn)
+}
+
 func set(t *testing.T, proxy *Proxy, toUpstream, toClient Faults) {
 	t.Helper()
 	assert.NilError(t, proxy.SetFaults(toUpstream, toClient))
@@ -136,7 +149,7 @@
 	expect(t, conn, "a")
 	set(t, proxy, Faults{}, Faults{Cut: CutReset})
 	expectReset(t, conn)
-	expectReset(t, dial(t, "tcp", proxy))
+	expectNewReset(t, proxy)
 	proxy.Clear()
 	conn = dial(t, "tcp", proxy)
 	send(t, conn, "b")
@@ -188,6 +201,10 @@
 	conn := dial(t, "tcp", proxy)
 	upstream, err := listener.Accept()
 	assert.NilError(t, err)
+	// A reset that comes before the proxy's own dial returns would end the
+	// handshake and not an open connection.
+	send(t, conn, "open")
+	expect(t, upstream, "open")
 	resetConn(upstream.(*net.TCPConn))
 	expectSilence(t, conn)
 	send(t, conn, "is anybody there")
@@ -209,6 +226,10 @@
 	conn := dial(t, "tcp", proxy)
 	upstream, err := listener.Accept()
 	assert.NilError(t, err)
+	// A reset that comes before the proxy's own dial returns would end the
+	// handshake and not an open connection.
+	send(t, conn, "open")
+	expect(t, upstream, "open")
 	resetConn(upstream.(*net.TCPConn))
 	expectReset(t, conn)
 }
