--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -18,6 +18,7 @@
 	"github.com/lugspur/lugspur/internal/admin/admintest"
 	"github.com/lugspur/lugspur/internal/command"
 	"github.com/lugspur/lugspur/internal/settings"
+	"github.com/lugspur/lugspur/internal/version"
 )
 
 const objects = `[[object]]
@@ -196,8 +197,8 @@
 	assert.Equal(t, report.Settings[0].Key, "nam")
 	code, _, _ = run(t, node, "config", "check", "-f", valid+".missing")
 	assert.Equal(t, code, command.ExitFailed)
-	version := document[command.BuildVersion](t, node, "version")
-	assert.Assert(t, strings.HasPrefix(version.Go, "go1."))
+	build := document[version.Build](t, node, "version")
+	assert.Assert(t, strings.HasPrefix(build.Go, "go1."))
 }
 
 func TestNode(t *testing.T) {
--- a/internal/configuration/replica.go
+++ b/internal/configuration/replica.go
@@ -145,10 +145,10 @@
 	var buried []resource.Versioned
 	for id, current := range r.objects {
 		_, found := present[id]
-		if found || current.Deleted || current.Revision > floor {
+		if found || current.Deleted || current.Revision >= floor {
 			continue
 		}
-		buried = append(buried, r.bury(current.Versioned, max(floor, current.Revision+1)))
+		buried = append(buried, r.bury(current.Versioned, floor))
 	}
 	return buried
 }
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -215,7 +215,7 @@
 	c.policy = g.policyCall(c, r, requestURI)
 	shedBy := ""
 	c.threshold, shedBy = g.shedThreshold(c)
-	load := policy.Load{ShedLevel: shedLevelName(c.threshold)}
+	load := g.policyLoad(c)
 	admitted, err := c.service.Policy.Admit(c.policy, load)
 	g.notEvaluated(c, err)
 	if !admitted {
@@ -229,6 +229,13 @@
 	return nil
 }
 
+// policyLoad returns the load of the call's service as its policy sees it.
+func (g *Gateway) policyLoad(c *call) policy.Load {
+	load := g.router.Load(c.service.Name)
+	load.ShedLevel = shedLevelName(c.threshold)
+	return load
+}
+
 // notEvaluated notes that a policy could not be evaluated. Strangers can cause
 // that, so it is no more than a debug message.
 func (g *Gateway) notEvaluated(c *call, err error) {
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -11,6 +11,7 @@
 	"github.com/lugspur/lugspur/internal/home"
 	"github.com/lugspur/lugspur/internal/membership"
 	"github.com/lugspur/lugspur/internal/placement"
+	"github.com/lugspur/lugspur/internal/policy"
 	"github.com/lugspur/lugspur/internal/routing"
 	"github.com/lugspur/lugspur/internal/shed"
 	"github.com/lugspur/lugspur/internal/store"
@@ -41,6 +42,7 @@
 	view      *catalog.View
 	placement *placement.Table
 	pickers   map[string]*routing.Picker
+	loads     map[string]*serviceLoad
 	byHash    map[uint32]*catalog.Target
 }
 
@@ -95,6 +97,7 @@
 		view:      view,
 		placement: placement.Build(view, live),
 		pickers:   make(map[string]*routing.Picker, len(view.Services)),
+		loads:     make(map[string]*serviceLoad, len(view.Services)),
 		byHash:    make(map[uint32]*catalog.Target, len(view.Targets)),
 	}
 	for name, target := range view.Targets {
@@ -102,6 +105,7 @@
 	}
 	for name, service := range view.Services {
 		next.pickers[name] = r.pickerFor(before, service)
+		next.loads[name] = loadFor(before, name)
 		r.shed.SetWeight(name, liveSlots(service))
 	}
 	r.forgetShed(before.view, view)
@@ -109,6 +113,13 @@
 	r.current.Store(next)
 }
 
+func loadFor(before *routes, service string) *serviceLoad {
+	if load := before.loads[service]; load != nil {
+		return load
+	}
+	return newServiceLoad()
+}
+
 func (r *Router) pickerFor(before *routes, service *catalog.Service) *routing.Picker {
 	picker := before.pickers[service.Name]
 	if picker == nil {
@@ -195,6 +206,16 @@
 	// Owner tells whether the home is the first in line for the target.
 	Owner  bool
 	picker *routing.Picker
+	load   *serviceLoad
+}
+
+// Load returns what the homes of the service's targets last told of their load.
+func (r *Router) Load(service string) policy.Load {
+	load := r.current.Load().loads[service]
+	if load == nil {
+		return policy.Load{}
+	}
+	return load.load(r.now())
 }
 
 // Pick chooses a target that is none of the excluded ones. The route must end
@@ -216,6 +237,7 @@
 	picker.Begin(candidate.Name)
 	route := r.routeTo(routes, target)
 	route.picker = picker
+	route.load = routes.loads[service]
 	return route, true
 }
 
@@ -242,6 +264,8 @@
 	if load.Limit == 0 {
 		return
 	}
+	now := r.now()
+	route.load.report(route.Target.Name, load, now)
 	route.picker.Report(route.Target.Name, float64(load.InFlight+load.Queued)/float64(load.Limit))
 	r.shed.Update(shed.Entry{
 		Service:   route.Target.Service,
@@ -250,7 +274,7 @@
 		Threshold: load.Threshold,
 		Weight:    float64(route.Target.Slots),
 		Version:   load.Version,
-	}, r.now())
+	}, now)
 }
 
 // Suspect notes that the home at the peer address could not be reached.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -66,8 +66,7 @@
 		failure.Executed = problem.ExecutedUnknown
 	}
 	if failure.Reason == problem.Overloaded {
-		load := policy.Load{ShedLevel: shedLevelName(c.threshold)}
-		return g.whenToComeBack(c, load, failure)
+		return g.whenToComeBack(c, g.policyLoad(c), failure)
 	}
 	return failure
 }
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -8,9 +8,9 @@
 
 	"github.com/lugspur/lugspur/internal/admin"
 	"github.com/lugspur/lugspur/internal/catalog"
-	"github.com/lugspur/lugspur/internal/command"
 	"github.com/lugspur/lugspur/internal/criticality"
 	"github.com/lugspur/lugspur/internal/resource"
+	"github.com/lugspur/lugspur/internal/version"
 )
 
 var errTooManyDrains = errors.New("too many emergency drains, or not the name of a drain")
@@ -46,7 +46,7 @@
 		Cluster:            n.settings.Cluster,
 		Region:             n.settings.Region,
 		Zone:               n.settings.Zone,
-		Version:            command.CurrentVersion().Version,
+		Version:            version.Current().Version,
 		Readiness:          n.Readiness(),
 		Stopping:           n.stopping.Load(),
 		ConfigurationFloor: n.replica.Floor(),
