--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -4,6 +4,7 @@
 import (
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -24,6 +25,22 @@
 	refusals *prometheus.CounterVec
 	duration *prometheus.HistogramVec
 	retries  *prometheus.CounterVec
+	// answered holds the metrics of answers by answerKey, so that an answered
+	// call costs one look-up.
+	answered sync.Map
+}
+
+// answerKey is what answered calls are counted by.
+type answerKey struct {
+	listener gateway.Listener
+	service  string
+	status   int
+}
+
+// answerMetrics are the metrics of one answerKey.
+type answerMetrics struct {
+	count    prometheus.Counter
+	duration prometheus.Observer
 }
 
 // New returns metrics in a registry of their own.
@@ -64,8 +81,21 @@
 
 // Answered counts an answered call.
 func (m *Metrics) Answered(listener gateway.Listener, service string, status int, duration time.Duration) {
-	m.answers.WithLabelValues(string(listener), service, strconv.Itoa(status)).Inc()
-	m.duration.WithLabelValues(string(listener), service).Observe(duration.Seconds())
+	metrics := m.answersOf(answerKey{listener: listener, service: service, status: status})
+	metrics.count.Inc()
+	metrics.duration.Observe(duration.Seconds())
+}
+
+func (m *Metrics) answersOf(key answerKey) answerMetrics {
+	if known, found := m.answered.Load(key); found {
+		return known.(answerMetrics)
+	}
+	made := answerMetrics{
+		count:    m.answers.WithLabelValues(string(key.listener), key.service, strconv.Itoa(key.status)),
+		duration: m.duration.WithLabelValues(string(key.listener), key.service),
+	}
+	m.answered.Store(key, made)
+	return made
 }
 
 // Refused counts a refused or failed call.
