Count a target's own resending against the request's retries

Cause: the budget bound the nodes' retries only. A target that sends a failed call again by itself multiplied the load at its hop unseen.

Ruled out: refusing every repeated call (a target may make the same call twice on purpose; only one that failed before is a retry); state at the ingress node for each call (a message for each call).

Change: the context names the sending whose target makes the call; a node remembers the calls that it answered with a failure and asks for a grant when one comes again, else refuses it as retries-spent. Also: a retention below the claims' window is a fault of the settings, and the lab's cluster replaces its settings file as a whole.

A target that turns to another node of its zone for the resending is not recognised there.

--- a/internal/callcontext/callcontext.go
+++ b/internal/callcontext/callcontext.go
@@ -84,6 +84,17 @@
 // String returns the id in hexadecimal.
 func (i RequestID) String() string { return hex.EncodeToString(i[:]) }
 
+// SpanID names one sending of a call to a target, so that the calls which the
+// target makes for it can be told from those of another sending.
+type SpanID [4]byte
+
+// NewSpanID returns a random id.
+func NewSpanID() SpanID {
+	var id SpanID
+	_, _ = rand.Read(id[:])
+	return id
+}
+
 // Context is what a chain's nodes know of the request. It is a value; nodes
 // change a copy.
 type Context struct {
@@ -101,6 +112,9 @@
 	Hops uint8
 	// Caller names the caller at the edge.
 	Caller string
+	// Span names the sending of the call above, whose target makes this call;
+	// it is zero at the edge.
+	Span SpanID
 }
 
 // wire is the CBOR form of a context: an array, so that it stays short.
@@ -112,6 +126,7 @@
 	Rank           uint16
 	Hops           uint8
 	Caller         string
+	Span           []byte
 }
 
 var decoding = mustDecoding()
@@ -144,6 +159,7 @@
 		Rank:           c.Rank.Key(),
 		Hops:           c.Hops,
 		Caller:         c.Caller,
+		Span:           c.Span[:],
 	})
 	if err != nil {
 		return "", fmt.Errorf("encode call context: %w", err)
@@ -181,6 +197,10 @@
 		return Context{}, fmt.Errorf("%w: request id of %d bytes", ErrMalformed, len(w.RequestID))
 	}
 	copy(c.RequestID[:], w.RequestID)
+	if len(w.Span) != len(c.Span) {
+		return Context{}, fmt.Errorf("%w: span of %d bytes", ErrMalformed, len(w.Span))
+	}
+	copy(c.Span[:], w.Span)
 	if err := c.Ingress.UnmarshalBinary(w.IngressAddress); err != nil {
 		return Context{}, fmt.Errorf("%w: ingress address: %w", ErrMalformed, err)
 	}
--- a/internal/callcontext/callcontext_test.go
+++ b/internal/callcontext/callcontext_test.go
@@ -57,7 +57,8 @@
 func wireOf(change func(*wire)) string {
 	id := NewRequestID()
 	ingress, _ := netip.MustParseAddrPort("10.0.0.1:7402").MarshalBinary()
-	w := wire{RequestID: id[:], IngressAddress: ingress}
+	span := NewSpanID()
+	w := wire{RequestID: id[:], IngressAddress: ingress, Span: span[:]}
 	change(&w)
 	content, _ := cbor.Marshal(w)
 	return version + base64.RawURLEncoding.EncodeToString(content)
@@ -77,6 +78,7 @@
 		"too long":        wireOf(func(w *wire) { w.Caller = strings.Repeat("x", MaxEncodedLength) }),
 		"short id":        wireOf(func(w *wire) { w.RequestID = w.RequestID[:15] }),
 		"ingress address": wireOf(func(w *wire) { w.IngressAddress = []byte{1, 2, 3} }),
+		"short span":      wireOf(func(w *wire) { w.Span = w.Span[:3] }),
 		"rank":            wireOf(func(w *wire) { w.Rank = criticality.RankCount }),
 		"hops":            wireOf(func(w *wire) { w.Hops = MaxHops + 1 }),
 		"caller":          wireOf(func(w *wire) { w.Caller = strings.Repeat("x", maxCallerLength+1) }),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/lugspur/lugspur/internal/criticality"
 	"github.com/lugspur/lugspur/internal/home"
 	"github.com/lugspur/lugspur/internal/problem"
+	"github.com/lugspur/lugspur/internal/resend"
 	"github.com/lugspur/lugspur/internal/shed"
 )
 
@@ -99,6 +100,7 @@
 	grants   Grants
 	ratio    Ratio
 	claims   Claims
+	resent   *resend.Table
 	observer Observer
 	log      *logrus.Entry
 	now      func() time.Time
@@ -135,6 +137,7 @@
 		grants:   parts.Grants,
 		ratio:    parts.Ratio,
 		claims:   parts.Claims,
+		resent:   resend.NewTable(parts.Now),
 		observer: parts.Observer,
 		log:      parts.Log,
 		now:      parts.Now,
--- a/internal/gateway/receive_test.go
+++ b/internal/gateway/receive_test.go
@@ -49,6 +49,8 @@
 	assert.Assert(t, got.Deadline.Equal(sent.Deadline))
 	got.Deadline = sent.Deadline
 	sent.Hops++
+	assert.Assert(t, got.Span != sent.Span, "every sending has a span of its own")
+	got.Span = sent.Span
 	assert.Equal(t, got, sent)
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -5,9 +5,11 @@
 	"net/http"
 	"time"
 
+	"github.com/lugspur/lugspur/internal/callcontext"
 	"github.com/lugspur/lugspur/internal/home"
 	"github.com/lugspur/lugspur/internal/policy"
 	"github.com/lugspur/lugspur/internal/problem"
+	"github.com/lugspur/lugspur/internal/resend"
 	"github.com/lugspur/lugspur/internal/transport"
 )
 
@@ -20,13 +22,37 @@
 	if c.listener == Edge {
 		g.budgets.Open(c.context.RequestID, g.maxRetries(c), c.context.Deadline.Add(budgetGrace))
 		defer g.budgets.Close(c.context.RequestID)
+		return g.runOnce(ctx, c)
 	}
+	if c.orphan {
+		return g.runOnce(ctx, c)
+	}
+	return g.runForTarget(ctx, c)
+}
+
+// runOnce has the call run, under a claim if it carries an idempotency key.
+func (g *Gateway) runOnce(ctx context.Context, c *call) (*home.Reply, *problem.Problem) {
 	if c.key == "" {
 		return g.attempts(ctx, c)
 	}
 	return g.runClaimed(ctx, c)
 }
 
+// runForTarget has a target's call run. One that failed before and that the
+// target sends again is a retry of the request and needs a grant.
+func (g *Gateway) runForTarget(ctx context.Context, c *call) (*home.Reply, *problem.Problem) {
+	fingerprint := resend.FingerprintOf(c.service.Name, c.message.Method, c.message.RequestURI, c.message.Body)
+	if g.resent.Resent(c.context, fingerprint) && !g.granted(ctx, c) {
+		return nil, g.problem(problem.RetriesSpent, "resend", "the request has no retry left for a call that was sent again").
+			WithRetryAfter(retryAfterDefault)
+	}
+	reply, failure := g.runOnce(ctx, c)
+	if failure != nil || reply.Status >= http.StatusInternalServerError {
+		g.resent.Failed(c.context, fingerprint)
+	}
+	return reply, failure
+}
+
 func (g *Gateway) maxRetries(c *call) int {
 	if c.service.Spec.MaxRetries != nil {
 		return *c.service.Spec.MaxRetries
@@ -91,7 +117,9 @@
 }
 
 func (g *Gateway) send(ctx context.Context, c *call, route Route) (*home.Reply, *problem.Problem) {
-	forwarded := &home.Call{Context: c.context, Call: transport.Call{
+	sent := c.context
+	sent.Span = callcontext.NewSpanID()
+	forwarded := &home.Call{Context: sent, Call: transport.Call{
 		Method:     c.message.Method,
 		RequestURI: c.message.RequestURI,
 		Header:     c.message.Header.Clone(),
@@ -108,7 +136,7 @@
 }
 
 func (g *Gateway) runHere(ctx context.Context, c *call, route Route, forwarded *home.Call) (*home.Reply, *problem.Problem) {
-	if err := c.context.SetHeader(forwarded.Header); err != nil {
+	if err := forwarded.Context.SetHeader(forwarded.Header); err != nil {
 		return nil, g.problem(problem.Internal, "context", err.Error()).WithCause(err)
 	}
 	reply, failure := g.homes.Run(ctx, c.service, route.Target, route.Owner, forwarded)
@@ -138,6 +166,11 @@
 	if !unreachable(failure) && !g.ratio.Allow() {
 		return false
 	}
+	return g.granted(ctx, c)
+}
+
+// granted asks the request's ingress node for one retry.
+func (g *Gateway) granted(ctx context.Context, c *call) bool {
 	ingress, known := c.ingress()
 	if !known {
 		return false
--- a/internal/policy/symbols.go
+++ b/internal/policy/symbols.go
@@ -58,7 +58,7 @@
 		problem.BadRequest, problem.BadContext, problem.BodyTooLarge, problem.UnknownService,
 		problem.NotAdmitted, problem.Overloaded, problem.NoTarget, problem.DeadlineExceeded,
 		problem.TooManyHops, problem.Draining, problem.NotReady, problem.TargetFailed,
-		problem.IncompleteAnswer, problem.DuplicateRequest, problem.ClaimsUnavailable,
+		problem.IncompleteAnswer, problem.DuplicateRequest, problem.ClaimsUnavailable, problem.RetriesSpent,
 		problem.CallerGone, problem.Internal,
 	}
 	names := make([]string, 0, len(reasons))
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -50,6 +50,7 @@
 	DuplicateRequest  Reason = "duplicate-request"
 	ClaimsUnavailable Reason = "claims-unavailable"
 	CallerGone        Reason = "caller-gone"
+	RetriesSpent      Reason = "retries-spent"
 	Internal          Reason = "internal"
 )
 
@@ -70,6 +71,7 @@
 	DuplicateRequest:  http.StatusConflict,
 	ClaimsUnavailable: http.StatusServiceUnavailable,
 	CallerGone:        499,
+	RetriesSpent:      http.StatusServiceUnavailable,
 	Internal:          http.StatusInternalServerError,
 }
 
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -168,7 +168,7 @@
 	// Replicas is how many nodes hold a claim; a majority must agree.
 	Replicas int `toml:"replicas" validate:"oneof=1 3 5 7"`
 	// Retention is how long a claim is held, in seconds.
-	Retention Seconds `toml:"retention_s" validate:"min=1,max=86400"`
+	Retention Seconds `toml:"retention_s" validate:"min=20,max=86400"`
 }
 
 // Features turns mechanisms off for experiments that measure what each brings.
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -205,9 +205,15 @@
 
 func (c *Cluster) settingsFile() string { return filepath.Join(c.Config.Directory, "node.toml") }
 
+// writeSettings writes the settings that all nodes share. The file is replaced
+// as a whole, because nodes may start meanwhile.
 func (c *Cluster) writeSettings() error {
 	content := fmt.Sprintf("[admin]\ntoken = %q\n", Token)
-	return os.WriteFile(c.settingsFile(), []byte(content), 0o600)
+	fresh := c.settingsFile() + ".new"
+	if err := os.WriteFile(fresh, []byte(content), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(fresh, c.settingsFile())
 }
 
 // freeAddresses finds free ports. The peer's is free for TCP and UDP.
