Build the view of the configuration only when its inputs changed

Cause: every node built services, targets and homes anew each second, because emergency drains expire, whether anything had changed or not.

Ruled out: building parts of the view (the whole is cheap when it is rare).

Change: the inputs are compared by their digests before a build.

--- a/internal/machines/machines.go
+++ b/internal/machines/machines.go
@@ -55,6 +55,8 @@
 	log      logrus.FieldLogger
 	changed  func()
 	leaving  atomic.Pointer[map[string]bool]
+	// generation counts the changes of leaving.
+	generation atomic.Uint64
 }
 
 // NewFollower returns a follower of the list at an IP address and port; the
@@ -74,6 +76,9 @@
 // Drained reports whether the drain name marks a machine that is leaving.
 func (f *Follower) Drained(drainName string) bool { return (*f.leaving.Load())[drainName] }
 
+// Generation returns a number that differs whenever what is leaving does.
+func (f *Follower) Generation() uint64 { return f.generation.Load() }
+
 // Run follows the list until the context ends. A list that can't be read
 // changes nothing.
 func (f *Follower) Run(ctx context.Context) {
@@ -134,6 +139,7 @@
 	}
 	before := *f.leaving.Swap(&leaving)
 	if !sameSet(before, leaving) {
+		f.generation.Add(1)
 		f.changed()
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,6 +57,7 @@
 	metrics     *metrics.Metrics
 	digests     *digestTable
 	view        *catalog.View
+	built       viewInputs
 	rebuild     chan struct{}
 	stopping    atomic.Bool
 	faultLogged sync.Map
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -91,7 +91,40 @@
 	}
 }
 
+// viewInputs is what a view is built from, in constant size. The same inputs
+// give the same view.
+type viewInputs struct {
+	objects    uint64
+	tombstones uint64
+	members    uint64
+	live       int
+	drains     uint64
+	machines   uint64
+}
+
+func (n *Node) viewInputs(live []membership.Member) viewInputs {
+	digest := n.replica.Digest()
+	inputs := viewInputs{
+		objects:    digest.Sum,
+		tombstones: digest.Tombstones,
+		members:    n.members.Digest(),
+		live:       len(live),
+		drains:     n.spreader.EmergencyDrains().Sum(),
+	}
+	if n.machines != nil {
+		inputs.machines = n.machines.Generation()
+	}
+	return inputs
+}
+
 func (n *Node) rebuildView() {
+	n.gateway.SetReady(n.spreader.Ready())
+	live := n.members.Live("")
+	inputs := n.viewInputs(live)
+	if inputs == n.built {
+		return
+	}
+	n.built = inputs
 	view, faults := catalog.Build(n.replica, marks{n}, n.view)
 	for _, fault := range faults {
 		if _, logged := n.faultLogged.LoadOrStore(fault.Error(), true); !logged {
@@ -99,10 +132,8 @@
 		}
 	}
 	n.view = view
-	live := n.members.Live("")
 	n.router.Update(view, live)
 	n.peers.Retain(peerAddresses(live))
-	n.gateway.SetReady(n.spreader.Ready())
 }
 
 func peerAddresses(members []membership.Member) map[string]bool {
