Leave room in a full node to more important calls

Cause: the bound on a node's concurrent calls refused whatever came last, so a vent order could be refused while log pulls held the node's room.

Ruled out: no bound for critical calls (memory must stay bounded).

Change: each level leaves a tenth of the bound to the levels above; calls of targets, which belong to requests under way, may come to twice the bound. The bound is applied after the rank is known.

--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -57,12 +57,13 @@
 	if failure := g.readContext(c, r, a.started); failure != nil {
 		return c, failure
 	}
-	if a.inFlight > g.settings.MaxConcurrent {
-		return c, g.problem(problem.Overloaded, "receive", "too many calls in the node").WithRetryAfter(retryAfterDefault)
-	}
 	if failure := g.admit(c, r, a.requestURI); failure != nil {
 		return c, failure
 	}
+	if a.inFlight > g.concurrencyFor(c) {
+		failure := g.problem(problem.Overloaded, "receive", "too many calls in the node")
+		return c, g.whenToComeBack(c, g.policyLoad(c), failure)
+	}
 	body, failure := g.readBody(w, r)
 	if failure != nil {
 		return c, failure
@@ -73,6 +74,26 @@
 	return c, nil
 }
 
+const (
+	// reservedPercent is the share of the node's concurrent calls, in percent,
+	// that each level leaves to the levels above it.
+	reservedPercent = 10
+	// meshFactor is how many times the node's concurrent calls are allowed to
+	// calls of targets: those belong to requests that are under way, and
+	// refusing them wastes what was done.
+	meshFactor = 2
+)
+
+// concurrencyFor returns how many calls may be in the node for the call to be
+// taken.
+func (g *Gateway) concurrencyFor(c *call) int64 {
+	allowed := g.settings.MaxConcurrent * int64(100-reservedPercent*int(c.context.Rank.Level)) / 100
+	if c.listener == Mesh {
+		allowed *= meshFactor
+	}
+	return max(allowed, 1)
+}
+
 func (g *Gateway) problem(reason problem.Reason, step, detail string) *problem.Problem {
 	return problem.New(reason, problem.ExecutedNo, step, g.settings.Node, detail)
 }
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -119,7 +119,9 @@
 	MaxAnswerBufferBytes int64 `toml:"max_answer_buffer_bytes" validate:"min=1024,max=67108864"`
 	// MaxHeaderBytes bounds the header of a call, in bytes.
 	MaxHeaderBytes int `toml:"max_header_bytes" validate:"min=1024,max=1048576"`
-	// MaxConcurrentCalls bounds the calls that are in the node at one time.
+	// MaxConcurrentCalls bounds the calls that are in the node at one time. Each
+	// criticality level leaves a tenth of it to the levels above; calls of targets
+	// may come to twice as many.
 	MaxConcurrentCalls int `toml:"max_concurrent_calls" validate:"min=1,max=1000000"`
 	// ReadHeaderTimeout bounds the time to read a call's header, in
 	// milliseconds.
