Tell the end of a shed level; add the lab's experiment, chaos, judge, scale

Ruled out: a shorter expiry alone (levels would flap between gossip rounds).

Change: a target's level is told for 3 s after it has ended, and a node takes its own homes' levels into its table each 100 ms. Idle connections between nodes are bounded. The lab's new commands are in work and registered.

--- a/cmd/lugspur-lab/main.go
+++ b/cmd/lugspur-lab/main.go
@@ -10,13 +10,18 @@
 
 	"github.com/google/subcommands"
 
+	"github.com/lugspur/lugspur/lab/chaos"
 	"github.com/lugspur/lugspur/lab/demo"
 	"github.com/lugspur/lugspur/lab/emulator"
+	"github.com/lugspur/lugspur/lab/experiment"
 	"github.com/lugspur/lugspur/lab/faultproxy"
+	"github.com/lugspur/lugspur/lab/judge"
 	"github.com/lugspur/lugspur/lab/kvstore"
 	"github.com/lugspur/lugspur/lab/load"
 	"github.com/lugspur/lugspur/lab/machinelist"
 	"github.com/lugspur/lugspur/lab/overhead"
+	"github.com/lugspur/lugspur/lab/report"
+	"github.com/lugspur/lugspur/lab/scale"
 )
 
 func main() {
@@ -24,13 +29,18 @@
 	commander.Register(commander.HelpCommand(), "help")
 	commander.Register(commander.FlagsCommand(), "help")
 	for _, commands := range [][]subcommands.Command{
+		chaos.Commands(),
 		demo.Commands(),
 		emulator.Commands(),
+		experiment.Commands(),
 		faultproxy.Commands(),
+		judge.Commands(),
 		kvstore.Commands(),
 		load.Commands(),
 		machinelist.Commands(),
 		overhead.Commands(),
+		report.Commands(),
+		scale.Commands(),
 	} {
 		for _, command := range commands {
 			commander.Register(command, "")
--- a/internal/membership/protocol_test.go
+++ b/internal/membership/protocol_test.go
@@ -178,6 +178,39 @@
 	}
 }
 
+func TestAnswerOfAPeerThatHoldsUsDeadProvesNothing(t *testing.T) {
+	s := newSimulation(26)
+	nodes := cluster(t, s, 2)
+	asker, peer := nodes[0], nodes[1]
+	s.cut = func(_, _ *simulatedNode) bool { return true }
+	dead := asker.Self()
+	dead.State = Dead
+	for _, updates := range [][]Member{{dead}, nil} {
+		asker.guard.reset()
+		asker.ping(peer.Self())
+		sequence := asker.prober.probes[len(asker.prober.probes)-1].sequence
+		answer := message{Kind: kindAck, Cluster: "test", Sequence: sequence, Sender: peer.Self(), Updates: updates}
+		encoded, err := encoder.Marshal(answer)
+		assert.NilError(t, err)
+		asker.receive(Packet{From: peer.address, Data: encoded})
+		assert.Equal(t, asker.Confident(), updates == nil)
+	}
+}
+
+func TestReturnOfADeadMemberPromptsAnExchange(t *testing.T) {
+	s := newSimulation(27)
+	nodes := cluster(t, s, 4)
+	s.advance(exchangePause * DefaultPeriod)
+	node, member := nodes[0], nodes[1]
+	node.believe(node.table.entries["node-1"], Dead)
+	member.Leave()
+	node.learn(member.Self(), "")
+	node.exchange.earliest = 0
+	address, _, due := node.ExchangeDue()
+	assert.Assert(t, due)
+	assert.Equal(t, address, member.address)
+}
+
 func TestSuspicionsDoNotRunOutDuringAPause(t *testing.T) {
 	s := newSimulation(22)
 	nodes := cluster(t, s, 5)
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -43,14 +43,41 @@
 	}
 }
 
+// levelMemory remembers when targets last had a shed level, so that its end is
+// told for as long as others might hold on to it.
+type levelMemory struct {
+	shedAt map[string]time.Time
+}
+
+func newLevelMemory() levelMemory { return levelMemory{shedAt: map[string]time.Time{}} }
+
+// tells reports whether the target's threshold has to be told now.
+func (m levelMemory) tells(target string, threshold uint16, now time.Time) bool {
+	if threshold < shed.None {
+		m.shedAt[target] = now
+		return true
+	}
+	at, known := m.shedAt[target]
+	if known && now.Sub(at) > shed.DefaultExpiry {
+		delete(m.shedAt, target)
+		return false
+	}
+	return known
+}
+
 // shedLevels returns the strictest shed levels of the targets that this node
-// guards.
+// guards, and of those that had one lately. This node's own table learns them
+// here as well: calls that it refuses bring no answers that would tell them.
 func (n *Node) shedLevels() []gossip.Level {
+	now := time.Now()
 	var levels []gossip.Level
 	for name, load := range n.homes.Loads() {
-		if load.Threshold < shed.None {
-			levels = append(levels, gossip.Level{Target: gateway.TargetHash(name), Threshold: load.Threshold})
+		if !n.levels.tells(name, load.Threshold, now) {
+			continue
 		}
+		level := gossip.Level{Target: gateway.TargetHash(name), Threshold: load.Threshold}
+		levels = append(levels, level)
+		n.takeLevel(n.settings.Name, load.Version, level)
 	}
 	return gossip.Strictest(levels)
 }
@@ -65,11 +92,12 @@
 	n.digests.set(from.Name, received.Digest.Floor)
 	n.spreader.HandleDigest(configurationMember(from), received.Digest)
 	for _, level := range received.Levels {
-		n.takeLevel(from, received.Version, level)
+		n.takeLevel(from.Name, received.Version, level)
 	}
 }
 
-func (n *Node) takeLevel(from membership.Member, version uint64, level gossip.Level) {
+// takeLevel takes in the shed level of a target as its home, origin, tells it.
+func (n *Node) takeLevel(origin string, version uint64, level gossip.Level) {
 	target := n.router.TargetByHash(level.Target)
 	if target == nil {
 		return
@@ -77,7 +105,7 @@
 	n.shedding.Update(shed.Entry{
 		Service:   target.Service,
 		Target:    target.Name,
-		Origin:    from.Name,
+		Origin:    origin,
 		Threshold: level.Threshold,
 		Weight:    float64(target.Slots),
 		Version:   version,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,6 +56,7 @@
 	claims      *claims
 	metrics     *metrics.Metrics
 	digests     *digestTable
+	levels      levelMemory
 	view        *catalog.View
 	built       viewInputs
 	rebuild     chan struct{}
@@ -82,6 +83,7 @@
 		rebuild:  make(chan struct{}, 1),
 		view:     catalog.Empty(),
 		digests:  newDigestTable(),
+		levels:   newLevelMemory(),
 		metrics:  metrics.New(),
 	}
 	if err := n.sockets.open(node.Listen); err != nil {
@@ -115,11 +117,13 @@
 func newPeerClient() *http.Client {
 	const (
 		dialTimeout     = time.Second
-		maxIdlePerPeer  = 8
-		idleConnTimeout = time.Minute
+		maxIdle         = 32
+		maxIdlePerPeer  = 4
+		idleConnTimeout = 20 * time.Second
 	)
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConns:        maxIdle,
 		MaxIdleConnsPerHost: maxIdlePerPeer,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
--- /dev/null
+++ b/lab/chaos/injector.go
@@ -0,0 +1,236 @@
+package chaos
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/lugspur/lugspur/lab/cluster"
+	"github.com/lugspur/lugspur/lab/emulator"
+	"github.com/lugspur/lugspur/lab/faultproxy"
+	"github.com/lugspur/lugspur/lab/judge"
+	"github.com/lugspur/lugspur/lab/kvstore"
+)
+
+const (
+	// stopTimeout bounds a planned stop; it is longer than a node's own bound.
+	stopTimeout = 40 * time.Second
+	// undoTimeout bounds the end of one fault.
+	undoTimeout = 10 * time.Second
+)
+
+// injector makes faults and ends them. It is safe for concurrent use.
+type injector struct {
+	cluster   *cluster.Proxied
+	recorder  *recorder
+	operators *operators
+	callers   *callers
+
+	// mutex guards the processes of the nodes and down.
+	mutex sync.Mutex
+	// down are the nodes that don't run or are stopping.
+	down map[string]bool
+	// perNode orders what is done to the process of one node.
+	perNode map[string]*sync.Mutex
+}
+
+func newInjector(running *cluster.Proxied, recorder *recorder, operators *operators, callers *callers) *injector {
+	i := &injector{
+		cluster:   running,
+		recorder:  recorder,
+		operators: operators,
+		callers:   callers,
+		down:      map[string]bool{},
+		perNode:   map[string]*sync.Mutex{},
+	}
+	for _, node := range running.Nodes {
+		i.perNode[node.Name] = &sync.Mutex{}
+	}
+	return i
+}
+
+// inject makes a fault, waits for its time and ends it. A fault that has begun
+// is ended also when the context has.
+func (i *injector) inject(ctx context.Context, fault Fault) error {
+	switch fault.Kind {
+	case Kill, Freeze, Stop:
+		return i.injectProcess(ctx, fault)
+	case CutZone, CutAll, LoseAnswers, LoseDatagrams:
+		return i.injectNetwork(ctx, fault)
+	case StoreRefuse, StoreHang, StoreUnavailable, StoreLostAnswers:
+		return i.injectStore(ctx, fault)
+	case Race:
+		i.operators.race(ctx, fault.Service, fault.Nodes)
+		return nil
+	case Drain:
+		i.operators.drain(ctx, fault.Target)
+		sleep(ctx, fault.length())
+		i.operators.join(ctx, fault.Target)
+		return nil
+	case Surge:
+		i.callers.setMultiplier(fault.Factor)
+		sleep(ctx, fault.length())
+		i.callers.setMultiplier(1)
+		return nil
+	}
+	return i.injectTarget(ctx, fault)
+}
+
+func undoContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.WithoutCancel(ctx), undoTimeout)
+}
+
+// networkFaults returns the faults of the proxy in front of a node.
+func networkFaults(fault Fault) faultproxy.Both {
+	cut := faultproxy.Faults{Cut: faultproxy.CutBlackhole}
+	switch fault.Kind {
+	case LoseAnswers:
+		return faultproxy.Both{ToClient: cut}
+	case LoseDatagrams:
+		return faultproxy.Both{ToUpstream: faultproxy.Faults{Loss: fault.Factor}}
+	}
+	return faultproxy.Both{ToUpstream: cut, ToClient: cut}
+}
+
+func (i *injector) injectNetwork(ctx context.Context, fault Fault) error {
+	faults := networkFaults(fault)
+	var failures []error
+	for _, node := range fault.Nodes {
+		i.recorder.note(judge.Event{Kind: judge.NodeCut, Node: node, Detail: string(fault.Kind)})
+		failures = append(failures, i.cluster.Proxies[node].SetFaults(faults.ToUpstream, faults.ToClient))
+	}
+	sleep(ctx, fault.length())
+	for _, node := range fault.Nodes {
+		i.cluster.Proxies[node].Clear()
+		i.recorder.note(judge.Event{Kind: judge.NodeJoined, Node: node})
+	}
+	return errors.Join(failures...)
+}
+
+func storeControl(fault Fault) kvstore.ControlRequest {
+	outages := map[FaultKind]kvstore.Outage{
+		StoreRefuse:      kvstore.OutageRefuse,
+		StoreHang:        kvstore.OutageHang,
+		StoreUnavailable: kvstore.OutageUnavailable,
+	}
+	if outage, ok := outages[fault.Kind]; ok {
+		return kvstore.ControlRequest{Outage: &outage}
+	}
+	return kvstore.ControlRequest{DropProbability: &fault.Factor}
+}
+
+func (i *injector) injectStore(ctx context.Context, fault Fault) error {
+	i.recorder.note(judge.Event{Kind: judge.StoreFaulty, Detail: string(fault.Kind)})
+	failed := i.cluster.StoreControl(ctx, storeControl(fault))
+	sleep(ctx, fault.length())
+	undo, cancel := undoContext(ctx)
+	defer cancel()
+	cleared := i.cluster.StoreControl(undo, kvstore.ControlRequest{Clear: true})
+	i.recorder.note(judge.Event{Kind: judge.StoreSound})
+	return errors.Join(failed, cleared)
+}
+
+func targetFaults(fault Fault) emulator.Faults {
+	switch fault.Kind {
+	case TargetSlow:
+		return emulator.Faults{SlowFactor: fault.Factor}
+	case TargetTruncate:
+		return emulator.Faults{TruncateRate: fault.Factor}
+	case TargetReset:
+		return emulator.Faults{ResetRate: fault.Factor}
+	case TargetFreeze:
+		return emulator.Faults{FreezeAnswers: true}
+	case TargetDown:
+		return emulator.Faults{Down: true}
+	}
+	idle := 0.0
+	return emulator.Faults{LoadLie: &idle, HealthLie: emulator.Healthy, IgnoreCancellation: true, SlowFactor: fault.Factor}
+}
+
+func (i *injector) injectTarget(ctx context.Context, fault Fault) error {
+	i.recorder.note(judge.Event{Kind: judge.TargetFaulty, Target: fault.Target, Detail: string(fault.Kind)})
+	failed := i.cluster.SetTargetFaults(ctx, fault.Target, targetFaults(fault))
+	sleep(ctx, fault.length())
+	undo, cancel := undoContext(ctx)
+	defer cancel()
+	cleared := i.cluster.SetTargetFaults(undo, fault.Target, emulator.Faults{})
+	i.recorder.note(judge.Event{Kind: judge.TargetSound, Target: fault.Target})
+	return errors.Join(failed, cleared)
+}
+
+func (i *injector) injectProcess(ctx context.Context, fault Fault) error {
+	name := fault.Nodes[0]
+	i.perNode[name].Lock()
+	defer i.perNode[name].Unlock()
+	if ctx.Err() != nil {
+		return nil
+	}
+	node := i.cluster.Nodes[slices.IndexFunc(i.cluster.Nodes, func(n *cluster.Node) bool { return n.Name == name })]
+	switch fault.Kind {
+	case Freeze:
+		i.freeze(ctx, node, fault.length())
+		return nil
+	case Kill:
+		i.recorder.note(judge.Event{Kind: judge.NodeKilled, Node: name})
+		i.processOf(node).Kill()
+		return errors.Join(i.pointMesh(ctx, node, true), i.startAgain(ctx, node, fault.length()))
+	}
+	redirected := i.pointMesh(ctx, node, true)
+	i.stop(node)
+	return errors.Join(redirected, i.startAgain(ctx, node, fault.length()))
+}
+
+func (i *injector) processOf(node *cluster.Node) *cluster.Process {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return node.Process
+}
+
+func (i *injector) freeze(ctx context.Context, node *cluster.Node, length time.Duration) {
+	process := i.processOf(node)
+	i.recorder.note(judge.Event{Kind: judge.NodeFrozen, Node: node.Name})
+	process.Freeze()
+	sleep(ctx, length)
+	process.Resume()
+	i.recorder.note(judge.Event{Kind: judge.NodeResumed, Node: node.Name})
+}
+
+func (i *injector) stop(node *cluster.Node) {
+	i.recorder.note(judge.Event{Kind: judge.StopAsked, Node: node.Name, Edge: node.Addresses.Edge})
+	ended := judge.Event{Kind: judge.StopEnded, Node: node.Name}
+	if err := i.processOf(node).Stop(stopTimeout); err != nil {
+		ended.Detail = err.Error()
+	}
+	i.recorder.note(ended)
+}
+
+// startAgain starts a new process of the node after a pause.
+func (i *injector) startAgain(ctx context.Context, node *cluster.Node, pause time.Duration) error {
+	if !sleep(ctx, pause) {
+		return nil
+	}
+	i.mutex.Lock()
+	i.recorder.note(judge.Event{Kind: judge.NodeStarted, Node: node.Name})
+	err := i.cluster.StartNode(node)
+	i.mutex.Unlock()
+	if err != nil {
+		return err
+	}
+	return i.pointMesh(ctx, node, false)
+}
+
+// pointMesh notes whether a node is down and has the targets of its zone call
+// through one that is not. When all are down they stay as they are.
+func (i *injector) pointMesh(ctx context.Context, node *cluster.Node, down bool) error {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.down[node.Name] = down
+	for _, candidate := range i.cluster.Nodes {
+		if candidate.Zone == node.Zone && !i.down[candidate.Name] {
+			return i.cluster.SetMeshAddresses(ctx, map[string]string{node.Zone: candidate.Addresses.Mesh})
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/lab/chaos/observer.go
@@ -0,0 +1,74 @@
+package chaos
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/lugspur/lugspur/internal/adminclient"
+	"github.com/lugspur/lugspur/internal/resource"
+	"github.com/lugspur/lugspur/lab/judge"
+)
+
+const (
+	// observeInterval is how often each node is asked for its policies.
+	observeInterval = 250 * time.Millisecond
+	// observeTimeout bounds one question.
+	observeTimeout = 2 * time.Second
+)
+
+// observer notes, again and again, which revision of each policy a node has in
+// force. It looks at one node and is for one goroutine.
+type observer struct {
+	node, admin string
+	recorder    *recorder
+	client      *adminclient.Client
+	http        *http.Client
+}
+
+func newObserver(node, address string, recorder *recorder) (*observer, error) {
+	client := &http.Client{Timeout: observeTimeout, Transport: &http.Transport{MaxIdleConns: 4}}
+	reader, err := adminclient.New(adminclient.Options{Addresses: []string{address}, HTTP: client, ReadTimeout: observeTimeout})
+	return &observer{node: node, admin: address, recorder: recorder, client: reader, http: client}, err
+}
+
+// run observes until the context ends.
+func (o *observer) run(ctx context.Context) {
+	defer o.http.CloseIdleConnections()
+	for sleep(ctx, observeInterval) {
+		o.observe(ctx)
+	}
+}
+
+// observe notes the policies of a node that takes calls: one that was ready
+// before and after it showed them.
+func (o *observer) observe(ctx context.Context) {
+	if !o.ready(ctx) {
+		return
+	}
+	asked := time.Now()
+	list, err := o.client.List(ctx, resource.KindPolicy)
+	at := time.Now()
+	if err != nil || !o.ready(ctx) {
+		return
+	}
+	for _, item := range list.Items {
+		o.recorder.note(judge.Event{
+			Kind: judge.Observed, At: at, Asked: asked, Node: o.node,
+			Object: resource.ID{Kind: item.Kind, Name: item.Name}.String(), Revision: int64(item.Revision),
+		})
+	}
+}
+
+func (o *observer) ready(ctx context.Context) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+o.admin+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := o.http.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
