Learn the roster of claim replicas from peers

Cause: a node that started while the store was down never learned the roster unless a replica's request happened to bring it, and refused every keyed call.

Ruled out: spreading the roster with the operators' objects (its key is apart from theirs on purpose, and only a node without one needs to ask).

Change: nodes serve the roster on the peer listener; one without asks a random live node each second. The administration listener bounds the time of a request.

--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -5,8 +5,11 @@
 	"encoding/binary"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/lugspur/lugspur/internal/claim"
 	"github.com/lugspur/lugspur/internal/gateway"
 	"github.com/lugspur/lugspur/internal/membership"
@@ -24,6 +27,9 @@
 // claims joins the gateway to the claim replicas.
 type claims struct {
 	node    string
+	members *membership.Membership
+	client  *http.Client
+	log     *logrus.Entry
 	service *claim.Service
 	claimer *claim.Claimer
 	manager *claim.Manager
@@ -47,6 +53,9 @@
 	}
 	return &claims{
 		node:    n.settings.Name,
+		members: n.members,
+		client:  n.peerClient,
+		log:     n.log.WithField("step", "claim"),
 		service: service,
 		claimer: claim.NewClaimer(claim.ClaimerConfig{Service: service, Client: n.peerClient}),
 		manager: claim.NewManager(claim.ManagerConfig{
@@ -81,12 +90,18 @@
 	return nodes
 }
 
-func (c *claims) register(mux *http.ServeMux) { c.service.Register(mux) }
+func (c *claims) register(mux *http.ServeMux) {
+	c.service.Register(mux)
+	mux.HandleFunc("GET "+rosterPath, c.serveRoster)
+}
 
 // run keeps the roster up to date until the context ends.
 func (c *claims) run(ctx context.Context) {
+	var learning sync.WaitGroup
+	learning.Go(func() { c.learnRoster(ctx) })
 	c.manager.Run(ctx)
 	c.claimer.Close()
+	learning.Wait()
 }
 
 // epoch returns the epoch of the roster that the node knows, zero without one.
--- a/internal/node/sockets.go
+++ b/internal/node/sockets.go
@@ -80,6 +80,8 @@
 			ErrorLog:     stdlog.New(errorLog, "", 0),
 		}
 	}
+	// Calls have deadlines of their own for their bodies.
+	s.admin.server.ReadTimeout = limits.ReadHeaderTimeout.Duration() + limits.ReadBodyTimeout.Duration()
 }
 
 // start serves all listeners and returns a channel of what made one end.
