Split the gateway, the node and the lab's cluster by job

Ruled out: nothing; no behaviour changes.

Change: bodies, admission and routes of calls, the node's provisioning, and the cluster's objects and waiting have files of their own.

--- /dev/null
+++ b/internal/gateway/admission.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/lugspur/lugspur/internal/criticality"
+	"github.com/lugspur/lugspur/internal/policy"
+	"github.com/lugspur/lugspur/internal/problem"
+)
+
+// admit applies the service's policy and the shed levels.
+func (g *Gateway) admit(c *call, r *http.Request, requestURI string) *problem.Problem {
+	c.policy = g.policyCall(c, r, requestURI)
+	shedBy := ""
+	c.threshold, shedBy = g.shedThreshold(c)
+	load := g.policyLoad(c)
+	admitted, err := c.service.Policy.Admit(c.policy, load)
+	g.notEvaluated(c, err)
+	if !admitted {
+		return g.problem(problem.NotAdmitted, "policy", "the service's policy does not admit the call")
+	}
+	g.notEvaluated(c, g.rank(c))
+	if g.settings.ShedLevels && c.context.Rank.Key() >= c.threshold {
+		failure := g.problem(problem.Overloaded, "shed", "calls of this rank are being shed by "+shedBy)
+		return g.whenToComeBack(c, load, failure)
+	}
+	return nil
+}
+
+// policyLoad returns the load of the call's service as its policy sees it.
+func (g *Gateway) policyLoad(c *call) policy.Load {
+	load := g.router.Load(c.service.Name)
+	load.ShedLevel = shedLevelName(c.threshold)
+	return load
+}
+
+// notEvaluated notes that a policy could not be evaluated. Strangers can cause
+// that, so it is no more than a debug message.
+func (g *Gateway) notEvaluated(c *call, err error) {
+	if err != nil {
+		g.log.WithError(err).WithField("step", "policy").WithField("service", c.service.Name).Debug("policy was not evaluated")
+	}
+}
+
+func (g *Gateway) rank(c *call) error {
+	if c.orphan {
+		return nil
+	}
+	level, err := c.service.Policy.Rank(c.policy)
+	c.context.Rank.Level = level
+	if g.settings.PriorityOff {
+		c.context.Rank = criticality.Rank{Level: criticality.SheddablePlus}
+	}
+	return err
+}
+
+func (g *Gateway) policyCall(c *call, r *http.Request, requestURI string) policy.Call {
+	path, _, _ := strings.Cut(requestURI, "?")
+	incoming := ""
+	if c.listener == Mesh && !c.orphan {
+		incoming = c.context.Rank.Level.String()
+	}
+	return policy.Call{
+		Service:      c.service.Name,
+		Method:       r.Method,
+		Path:         path,
+		Caller:       c.context.Caller,
+		Zone:         g.settings.Zone,
+		IncomingRank: incoming,
+		Repeatable:   c.key == "" && c.service.Repeatable(r.Method),
+		Keyed:        c.key != "",
+		External:     c.listener == Edge,
+		Hops:         int(c.context.Hops),
+		TimeoutMs:    int(time.Until(c.context.Deadline).Milliseconds()),
+	}
+}
+
+// shedLevelName returns the level of the most important calls that are shed.
+func shedLevelName(threshold uint16) string {
+	if threshold >= criticality.RankCount {
+		return ""
+	}
+	return criticality.RankOf(threshold).Level.String()
+}
+
+// whenToComeBack lets the policy say when the caller may come back.
+func (g *Gateway) whenToComeBack(c *call, load policy.Load, failure *problem.Problem) *problem.Problem {
+	outcome := policy.Outcome{Status: failure.Status, Executed: string(failure.Executed), Reason: string(failure.Reason)}
+	seconds, err := c.service.Policy.RefuseSeconds(c.policy, load, outcome)
+	g.notEvaluated(c, err)
+	return failure.WithRetryAfter(time.Duration(seconds) * time.Second)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,32 +5,23 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/samber/oops"
 	"github.com/sirupsen/logrus"
 
-	"github.com/lugspur/lugspur/internal/admin"
 	"github.com/lugspur/lugspur/internal/catalog"
 	"github.com/lugspur/lugspur/internal/configuration"
 	"github.com/lugspur/lugspur/internal/gateway"
-	"github.com/lugspur/lugspur/internal/grant"
 	"github.com/lugspur/lugspur/internal/home"
 	"github.com/lugspur/lugspur/internal/machines"
 	"github.com/lugspur/lugspur/internal/membership"
 	"github.com/lugspur/lugspur/internal/metrics"
-	"github.com/lugspur/lugspur/internal/retrybudget"
-	"github.com/lugspur/lugspur/internal/scheduler"
 	"github.com/lugspur/lugspur/internal/settings"
 	"github.com/lugspur/lugspur/internal/shed"
 	"github.com/lugspur/lugspur/internal/store"
-	"github.com/lugspur/lugspur/internal/store/etcd"
-	"github.com/lugspur/lugspur/internal/store/memory"
 )
 
 // Node is one running instance of lugspur.
@@ -96,235 +87,6 @@
 	return n, nil
 }
 
-func (n *Node) provisionParts() error {
-	n.peerClient = newPeerClient()
-	if err := n.openStore(); err != nil {
-		return err
-	}
-	if err := n.provisionMembership(); err != nil {
-		return err
-	}
-	n.provisionConfiguration()
-	if err := n.provisionCalls(); err != nil {
-		return err
-	}
-	n.provisionMetrics()
-	return nil
-}
-
-// newPeerClient returns the client for what nodes ask each other, apart from
-// calls.
-func newPeerClient() *http.Client {
-	const (
-		dialTimeout     = time.Second
-		maxIdle         = 32
-		maxIdlePerPeer  = 4
-		idleConnTimeout = 20 * time.Second
-	)
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConns:        maxIdle,
-		MaxIdleConnsPerHost: maxIdlePerPeer,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
-	}}
-}
-
-func (n *Node) openStore() error {
-	if n.settings.Store.Kind == settings.StoreMemory {
-		n.store = memory.New(time.Now)
-		n.closeStore = func() {}
-		return nil
-	}
-	client, err := etcd.New(etcd.Config{
-		Endpoints:         n.settings.Store.Endpoints,
-		RequestsPerSecond: float64(n.settings.Store.RequestsPerSecond),
-		RequestTimeout:    n.settings.Store.RequestTimeout.Duration(),
-	})
-	if err != nil {
-		return oops.In("node").With("step", "open store").Wrapf(err, "open store")
-	}
-	n.store = client
-	n.closeStore = client.Close
-	return nil
-}
-
-func (n *Node) provisionMembership() error {
-	self := membership.Member{
-		Name:        n.settings.Name,
-		Zone:        n.settings.Zone,
-		Region:      n.settings.Region,
-		PeerAddress: firstOf(n.settings.Advertise.Peer, n.settings.Listen.Peer),
-		MeshAddress: firstOf(n.settings.Advertise.Mesh, n.settings.Listen.Mesh),
-	}
-	members, err := membership.New(membership.Config{
-		ClusterName: n.settings.Cluster,
-		Self:        self,
-		Seeds:       n.settings.Membership.Seeds,
-		Period:      n.settings.Membership.Period.Duration(),
-		Transport:   n.sockets.gossip,
-		Exchange:    membership.HTTPExchange(n.peerClient, n.settings.Cluster),
-		OnPause:     n.paused,
-		OnPayload:   n.takeGossip,
-		Logger:      n.log,
-	})
-	if err != nil {
-		return oops.In("node").With("step", "membership").Wrapf(err, "provision membership")
-	}
-	n.members = members
-	members.Subscribe(func(membership.Event) { n.requestRebuild() })
-	return nil
-}
-
-func firstOf(preferred, fallback string) string {
-	if preferred != "" {
-		return preferred
-	}
-	return fallback
-}
-
-func (n *Node) provisionConfiguration() {
-	n.replica = configuration.NewReplica(time.Now)
-	n.spreader = configuration.NewSpreader(configuration.Options{
-		Self:       configuration.Member{Name: n.settings.Name, Zone: n.settings.Zone, PeerAddress: n.members.Self().PeerAddress, Live: true},
-		Store:      n.store,
-		Membership: memberView{n.members},
-		Seeds:      n.settings.Membership.Seeds,
-		Client:     n.peerClient,
-		Log:        n.log,
-		Now:        time.Now,
-	}, n.replica)
-	n.replica.Subscribe(n.configurationChanged)
-	if n.settings.MachineList.Address != "" {
-		n.machines = machines.NewFollower(n.settings.MachineList.Address, n.settings.MachineList.Poll.Duration(),
-			n.peerClient, n.log, n.requestRebuild)
-	}
-}
-
-func (n *Node) provisionCalls() error {
-	peer, err := netip.ParseAddrPort(n.members.Self().PeerAddress)
-	if err != nil {
-		return oops.In("node").With("step", "peer address").Wrapf(err, "peer address %s", n.members.Self().PeerAddress)
-	}
-	limits := n.settings.Limits
-	n.shedding = shed.NewTable(shed.TableConfig{})
-	n.router = gateway.NewRouter(gateway.RouterConfig{
-		Node:   n.settings.Name,
-		Zone:   n.settings.Zone,
-		Homes:  n.settings.Features.Homes,
-		Warmup: n.settings.Features.Warmup,
-		Shed:   n.shedding,
-		Now:    time.Now,
-	})
-	n.homes = home.NewManager(home.Settings{
-		Queue:       queueConfig(n.settings),
-		MaxBuffered: limits.MaxAnswerBufferBytes,
-		FixedLimit:  !n.settings.Features.AdaptiveLimit,
-	}, time.Now)
-	n.peers = home.NewClient(limits.MaxAnswerBufferBytes)
-	ledger := retrybudget.NewLedger(0, time.Now)
-	n.claims = n.newClaims()
-	n.gateway = gateway.New(gateway.Settings{
-		Node:            n.settings.Name,
-		Zone:            n.settings.Zone,
-		Peer:            peer,
-		MaxBodyBytes:    limits.MaxBodyBytes,
-		MaxConcurrent:   int64(limits.MaxConcurrentCalls),
-		ReadBodyTimeout: limits.ReadBodyTimeout.Duration(),
-		DefaultTimeout:  limits.DefaultTimeout.Duration(),
-		MaxTimeout:      limits.MaxTimeout.Duration(),
-		MaxRetries:      n.settings.Retries.MaxPerRequest,
-		ShedLevels:      n.settings.Features.ShedLevels,
-		PriorityOff:     !n.settings.Features.PriorityQueue,
-	}, gateway.Parts{
-		Router:   n.router,
-		Homes:    n.homes,
-		Peers:    n.peers,
-		Shed:     n.shedding,
-		Budgets:  ledger,
-		Grants:   grant.NewClient(peer, ledger, n.peerClient),
-		Ratio:    n.newRatio(),
-		Claims:   n.claims,
-		Observer: n.metrics,
-		Log:      n.log,
-		Now:      time.Now,
-	})
-	n.serve(ledger)
-	return nil
-}
-
-// queueConfig returns the bounds of the queues in front of targets.
-func queueConfig(node settings.Node) scheduler.Config {
-	const noQueue = -1
-	length := node.Queue.MaxLength
-	if length == 0 {
-		length = noQueue
-	}
-	return scheduler.Config{
-		MaxQueue:        length,
-		MaxWait:         node.Queue.MaxWait.Duration(),
-		FirstInFirstOut: !node.Features.PriorityQueue,
-	}
-}
-
-// fixedRatio allows every retry or none.
-type fixedRatio bool
-
-func (fixedRatio) Success()      {}
-func (r fixedRatio) Allow() bool { return bool(r) }
-
-func (n *Node) newRatio() gateway.Ratio {
-	if !n.settings.Features.RetryRatio {
-		return fixedRatio(true)
-	}
-	if n.settings.Retries.RatioPercent == 0 {
-		return fixedRatio(false)
-	}
-	return retrybudget.NewRatio(retrybudget.RatioConfig{Share: float64(n.settings.Retries.RatioPercent) / 100}, time.Now)
-}
-
-// serve registers the handlers of the four listeners.
-func (n *Node) serve(ledger grant.Ledger) {
-	peerMux := http.NewServeMux()
-	n.spreader.Register(peerMux)
-	grant.Register(peerMux, ledger)
-	n.claims.register(peerMux)
-	peerMux.Handle(membership.ExchangePath, n.members.Handler())
-
-	adminMux := http.NewServeMux()
-	admin.NewServer(admin.Options{
-		NodeName:  n.settings.Name,
-		Token:     n.settings.Admin.Token,
-		Writer:    configuration.NewWriter(n.store, n.replica, n.spreader.Announce, time.Now),
-		Replica:   n.replica,
-		Status:    n,
-		Emergency: emergencyDrains{n.spreader},
-		Log:       n.log,
-	}).Register(adminMux)
-	adminMux.Handle("GET /metrics", n.metrics.Handler())
-	registerProfiles(adminMux, n.settings.Admin.Token)
-
-	n.sockets.serve(n.settings.Limits, n.log, handlers{
-		edge:  n.gateway.Handler(gateway.Edge),
-		mesh:  n.gateway.Handler(gateway.Mesh),
-		peer:  n.gateway.PeerHandler(peerMux),
-		admin: adminMux,
-	})
-}
-
-func (n *Node) provisionMetrics() {
-	n.metrics.Homes(n.homes.Loads)
-	n.metrics.Gauge("calls_in_flight", "Calls in the node.", func() float64 { return float64(n.gateway.InFlight()) })
-	n.metrics.Gauge("configuration_floor", "Revision up to which the node's configuration is complete.",
-		func() float64 { return float64(n.replica.Floor()) })
-	n.metrics.Gauge("members_present", "Nodes that the node knows to be present, without itself.",
-		func() float64 { return float64(n.members.Stats().Present) })
-	n.metrics.Counter("gossip_sent_bytes_total", "Bytes of datagrams sent to other nodes.",
-		func() float64 { return float64(n.members.Stats().BytesSent) })
-	n.metrics.Counter("gossip_received_bytes_total", "Bytes of datagrams received from other nodes.",
-		func() float64 { return float64(n.members.Stats().BytesReceived) })
-}
-
 // run starts everything, waits for the end of the context or a failure, and
 // stops.
 func (n *Node) run(ctx context.Context) error {
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -12,15 +12,12 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
 	"github.com/samber/oops"
 
-	"github.com/lugspur/lugspur/internal/resource"
 	"github.com/lugspur/lugspur/lab/emulator"
 	"github.com/lugspur/lugspur/lab/mesh"
 )
@@ -281,147 +278,6 @@
 	return output.String(), nil
 }
 
-// objectFile is the form in which the command line takes objects.
-type objectFile struct {
-	Objects []object `toml:"object"`
-}
-
-type object struct {
-	Kind string `toml:"kind"`
-	Name string `toml:"name"`
-	Spec any    `toml:"spec"`
-}
-
-// applyObjects applies the mesh's services and targets, and the policies.
-func (c *Cluster) applyObjects(ctx context.Context) error {
-	file := filepath.Join(c.Config.Directory, "objects.toml")
-	content, err := toml.Marshal(objectFile{Objects: append(c.services(), c.targetObjects()...)})
-	if err != nil {
-		return err
-	}
-	if err := os.WriteFile(file, content, 0o644); err != nil {
-		return err
-	}
-	if _, err := c.Command(ctx, "apply", "-f", file); err != nil {
-		return err
-	}
-	if c.Config.Policies == "" {
-		return nil
-	}
-	for _, service := range c.Mesh.Services {
-		policy := filepath.Join(c.Config.Policies, service.Name+".toml")
-		if _, err := c.Command(ctx, "apply", "-f", policy); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// services returns the service objects: what each calls without fail, and how
-// its targets refuse.
-func (c *Cluster) services() []object {
-	var objects []object
-	for _, service := range c.Mesh.Services {
-		objects = append(objects, object{Kind: "service", Name: service.Name, Spec: resource.Service{
-			Calls:         requiredCalls(service),
-			RefusalHeader: emulator.ShedHeader,
-			LoadHeader:    emulator.LoadHeader,
-		}})
-	}
-	return objects
-}
-
-func requiredCalls(service mesh.Service) []string {
-	var required []string
-	for _, call := range service.Calls {
-		if !call.Optional && !slices.Contains(required, call.Service) {
-			required = append(required, call.Service)
-		}
-	}
-	return required
-}
-
-func (c *Cluster) targetObjects() []object {
-	var objects []object
-	for _, target := range c.targetAddresses.Targets {
-		objects = append(objects, object{Kind: "target", Name: target.Name, Spec: resource.Target{
-			Service:     target.Service,
-			Zone:        target.Zone,
-			Address:     target.Address,
-			Slots:       target.Slots,
-			Connections: target.Connections,
-		}})
-	}
-	return objects
-}
-
-const (
-	// startTimeout bounds the time until all nodes have what was applied.
-	startTimeout = 30 * time.Second
-	// pollInterval is how often nodes are asked for their status.
-	pollInterval = 50 * time.Millisecond
-)
-
-// AwaitMembers waits until every node that runs knows all the others.
-func (c *Cluster) AwaitMembers(ctx context.Context) error {
-	running := c.running()
-	return c.await(ctx, "membership", func(ctx context.Context) bool {
-		for _, node := range running {
-			status, err := node.Status(ctx)
-			if err != nil || aliveMembers(status.Members) < len(running) || !status.Node.Ready {
-				return false
-			}
-		}
-		return true
-	})
-}
-
-// AwaitReady waits until every running node has all objects of the mesh and
-// knows the claim replicas.
-func (c *Cluster) AwaitReady(ctx context.Context) error {
-	return c.await(ctx, "configuration", func(ctx context.Context) bool {
-		var floor int64
-		for i, node := range c.running() {
-			status, err := node.Status(ctx)
-			if err != nil || !status.Node.Ready || status.Node.ClaimEpoch == 0 || len(status.Targets) < len(c.Mesh.Targets) {
-				return false
-			}
-			if i == 0 {
-				floor = int64(status.Node.ConfigurationFloor)
-			}
-			if int64(status.Node.ConfigurationFloor) < floor {
-				return false
-			}
-		}
-		return true
-	})
-}
-
-func (c *Cluster) running() []*Node {
-	var running []*Node
-	for _, node := range c.Nodes {
-		if node.Process != nil && node.Running() {
-			running = append(running, node)
-		}
-	}
-	return running
-}
-
-func (c *Cluster) await(ctx context.Context, what string, holds func(context.Context) bool) error {
-	ctx, cancel := context.WithTimeout(ctx, startTimeout)
-	defer cancel()
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
-	for !holds(ctx) {
-		select {
-		case <-ctx.Done():
-			return oops.In("cluster").With("step", "await "+what).Wrapf(ctx.Err(), "nodes have no complete %s", what)
-		case <-ticker.C:
-		}
-	}
-	return nil
-}
-
 // stopTimeout bounds the planned stop of one process.
 const stopTimeout = 40 * time.Second
 
