Set the shed level by what the target serves

Ruled out: smaller steps alone (the delay stays).

Change: the controller takes in the queue, the limit and the calls served, and aims the admitted arrivals at what the target serves, keeping its queue short. A node is told ready only after its first view is built.

--- a/internal/home/guards.go
+++ b/internal/home/guards.go
@@ -167,7 +167,7 @@
 	defer m.mutex.Unlock()
 	for name, g := range m.guards {
 		stats := g.scheduler.Stats()
-		g.shedding.Tick(now, stats.Overloaded, utilization(stats))
+		g.shedding.Tick(now, ShedState(stats))
 		if stats.InFlight+stats.Queued > 0 {
 			g.lastUsed = now
 		} else if now.Sub(g.lastUsed) > idleLifetime {
@@ -177,7 +177,13 @@
 	}
 }
 
-// utilization is the work in hand as a share of the limit.
-func utilization(stats scheduler.Stats) float64 {
-	return float64(stats.InFlight+stats.Queued) / float64(max(stats.Limit, 1))
+// ShedState is what the shed threshold of a target depends on.
+func ShedState(stats scheduler.Stats) shed.State {
+	return shed.State{
+		InFlight:   stats.InFlight,
+		Limit:      stats.Limit,
+		Queued:     stats.Queued,
+		Overloaded: stats.Overloaded,
+		Served:     stats.Served,
+	}
 }
--- /dev/null
+++ b/internal/membership/scale_test.go
@@ -0,0 +1,73 @@
+package membership
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// bytesPerPeriod returns what a node sends on average in a quiet cluster.
+func bytesPerPeriod(t testing.TB, count, payload int) float64 {
+	s := newSimulation(19)
+	nodes := cluster(t, s, count)
+	for _, node := range nodes {
+		assert.NilError(t, node.SetPayload(make([]byte, payload)))
+	}
+	s.advance((introductionPeriods + 20) * DefaultPeriod)
+	before := totalBytesSent(nodes)
+	const periods = 60
+	s.advance(periods * DefaultPeriod)
+	return float64(totalBytesSent(nodes)-before) / float64(count*periods)
+}
+
+func TestBytesPerPeriodDoNotGrowWithTheCluster(t *testing.T) {
+	small, large := bytesPerPeriod(t, 20, 100), bytesPerPeriod(t, 200, 100)
+	t.Logf("bytes per node and period: %.1f at 20 nodes, %.1f at 200", small, large)
+	assert.Assert(t, large < 1.05*small, "%.1f at 20 nodes, %.1f at 200", small, large)
+}
+
+// BenchmarkLargeCluster measures a cluster of the size to design for, in
+// virtual time: the heap that a node takes, the detection of a crash, and the
+// healing of a cut that parts a third of the nodes from the rest.
+func BenchmarkLargeCluster(b *testing.B) {
+	const count = 820
+	for b.Loop() {
+		s := newSimulation(24)
+		nodes := cluster(b, s, count)
+		s.advance(introductionPeriods * DefaultPeriod)
+		var memory runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&memory)
+		b.ReportMetric(float64(memory.HeapAlloc)/count, "heap-bytes/node")
+		nodes[count-1].crash()
+		taken, _ := s.until(time.Minute, s.agreed)
+		b.ReportMetric(taken.Seconds(), "crash-seconds")
+		s.cut = func(from, to *simulatedNode) bool { return (from.zone == "zone-0") != (to.zone == "zone-0") }
+		s.advance(2 * time.Minute)
+		s.cut = func(_, _ *simulatedNode) bool { return false }
+		before := totalBytesSent(nodes)
+		taken, _ = s.until(5*time.Minute, s.agreed)
+		b.ReportMetric(taken.Seconds(), "heal-seconds")
+		b.ReportMetric(float64(totalBytesSent(nodes)-before)/count/taken.Seconds(), "heal-bytes/node/s")
+	}
+}
+
+func totalBytesSent(nodes []*simulatedNode) (total uint64) {
+	for _, node := range nodes {
+		total += node.Stats().BytesSent
+	}
+	return total
+}
+
+func BenchmarkBytesPerPeriod(b *testing.B) {
+	for _, count := range []int{20, 200, 820} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			for b.Loop() {
+				b.ReportMetric(bytesPerPeriod(b, count, 100), "bytes/node/period")
+			}
+		})
+	}
+}
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -123,7 +123,10 @@
 }
 
 func (n *Node) rebuildView() {
-	n.gateway.SetReady(n.spreader.Ready())
+	// Whether there is a complete view is read before and told after the build,
+	// so that no call is decided on an older one.
+	ready := n.spreader.Ready()
+	defer n.gateway.SetReady(ready)
 	live := n.members.Live("")
 	inputs := n.viewInputs(live)
 	if inputs == n.built {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -43,6 +43,8 @@
 	QueueDelay time.Duration
 	// Overloaded reports whether the queueing delay has stayed above the target.
 	Overloaded bool
+	// Served is the number of permits ever given.
+	Served uint64
 	// ExpectedService is the estimated service time, zero if unknown.
 	ExpectedService time.Duration
 }
@@ -56,6 +58,7 @@
 	mu       sync.Mutex
 	queue    queue
 	inFlight int
+	served   uint64
 	service  serviceTime
 	// aboveSince is when the queueing delay passed the target; zero while it is not above.
 	aboveSince time.Time
@@ -111,6 +114,7 @@
 		Limit:           s.limit(),
 		Queued:          s.queue.length,
 		Overloaded:      overloaded,
+		Served:          s.served,
 		ExpectedService: s.service.expected(now),
 	}
 	if oldest, any := s.queue.oldest(); any {
@@ -161,6 +165,7 @@
 
 func (s *Scheduler) admit(now time.Time) *Permit {
 	s.inFlight++
+	s.served++
 	return &Permit{scheduler: s, started: now, inFlight: s.inFlight}
 }
 
--- a/internal/shed/doc.go
+++ b/internal/shed/doc.go
@@ -8,20 +8,23 @@
 //
 // # Controller
 //
-// The Controller follows DAGOR (Zhou et al., "Overload Control for Scaling
-// WeChat Microservices", SoCC 2018): it keeps a histogram of recent arrivals by
-// rank, and at each tick moves the threshold so that the arrivals below it
-// shrink by CutShare while the target is overloaded, and grow by at least
-// RaiseShare otherwise. Two things differ.
+// The Controller takes from DAGOR (Zhou et al., "Overload Control for Scaling
+// WeChat Microservices", SoCC 2018) the histogram of arrivals by rank, from which
+// a threshold follows that lets a wanted rate in. It differs in how that rate
+// is found.
 //
-//   - Calls refused upstream are no longer seen here, so counts at and above the
+//   - DAGOR cuts by a fixed share in each period of overload. Thresholds take some
+//     hundred milliseconds to reach the nodes that refuse, and a target counts as
+//     overloaded until its whole backlog is gone, so that such steps add up: the
+//     target runs empty, then full again. Here the wanted rate is what the target
+//     serves, corrected in proportion to how far the queue is from its wanted
+//     length.
+//   - Calls refused upstream are no longer seen here, so the rates at and above the
 //     threshold would read zero and the threshold would jump to "none" at once.
-//     Those counts are therefore kept, and fade with ShedMemory, since what was
-//     shed a while ago says little about now.
-//   - Raising also uses the utilization of the limit: with spare room the
-//     admitted arrivals may grow by 1/utilization, at most doubling each tick.
-//     The threshold thus falls back to "none" as fast as the queue empties
-//     instead of by a small step a tick, which decides the recovery time.
+//     Those rates are therefore kept, and fade only while the target has room.
+//   - With room, the admitted arrivals may grow by 1/utilization, at most doubling
+//     each tick. The threshold thus falls back to "none" as fast as the queue
+//     empties instead of by a small step a tick, which decides the recovery time.
 //
 // Ranks more important than Floor are never refused upstream: the home's
 // queue alone decides on them.
