Let a resumed node act as a home only after it has caught up

Ruled out: the membership's pause callback (its goroutine comes too late); a lease in the store (rate limit, outages).

Change: a steady tick tells at the last moment before each call to a target whether the process was paused; after a pause the node refuses as a home, not run, until it has the configuration of a node that it heard since, or 2 s have passed. Watchers of the store come back within 3 s after an outage (30 s before) and give up a silent watch after 4 s, because a zone that is cut off learns from them alone. A node is ready when its view is built. Answers above 2 KiB have a deadline for writing. Clusters of the lab with more than five nodes use five claim replicas.

--- a/internal/callcontext/callcontext_test.go
+++ b/internal/callcontext/callcontext_test.go
@@ -19,6 +19,7 @@
 func example() Context {
 	return Context{
 		RequestID: NewRequestID(),
+		Span:      NewSpanID(),
 		Ingress:   netip.MustParseAddrPort("10.0.0.1:7402"),
 		Deadline:  time.UnixMilli(1_780_000_000_123),
 		Rank:      criticality.Rank{Level: criticality.Critical, Cohort: 99},
--- a/internal/configuration/cluster_test.go
+++ b/internal/configuration/cluster_test.go
@@ -213,3 +213,26 @@
 	assert.NilError(n.cluster.t, err)
 	return written
 }
+
+// TestPushAloneReachesAlmostAllNodes checks that few nodes are left to the
+// slower comparison of digests: with the gossip silenced, changes reach all but
+// a small share of the nodes.
+func TestPushAloneReachesAlmostAllNodes(t *testing.T) {
+	const nodes, changes, missesAllowed = 60, 20, 24
+	c := newCluster(t)
+	c.addMany(nodes, "zone-a", "zone-b", "zone-c", "zone-d", "zone-e")
+	c.silent.Store(true)
+	for number := range changes {
+		writer := c.nodes[number*7%nodes]
+		_, err := writer.writer.Write(t.Context(), service(fmt.Sprintf("service-%d", number), 1000), 0, resource.Change{ID: "create"})
+		assert.NilError(t, err)
+	}
+	missed := func() int {
+		missed := 0
+		for _, n := range c.nodes {
+			missed += changes - int(n.spreader.Digest().Count)
+		}
+		return missed
+	}
+	eventually(t, "spread by push", func() bool { return missed() <= missesAllowed })
+}
--- a/internal/configuration/options.go
+++ b/internal/configuration/options.go
@@ -27,7 +27,8 @@
 	// Now is the clock.
 	Now func() time.Time
 
-	// Fanout is how many peers a node passes news to (default 3).
+	// Fanout is how many peers a node passes news to (default 6, which leaves
+	// about one node in 400 to the comparison of digests).
 	Fanout int
 	// WatchersPerZone is how many live nodes of a zone watch the store (default 2).
 	WatchersPerZone int
@@ -41,7 +42,7 @@
 	// PeerTimeout bounds a request to a peer (default 3 s).
 	PeerTimeout time.Duration
 	// MinBackoff and MaxBackoff bound the pauses between failed attempts to
-	// watch the store (default 250 ms and 30 s).
+	// watch the store (default 250 ms and DefaultMaxBackoff).
 	MinBackoff, MaxBackoff time.Duration
 	// PollInterval is the least time between two safety polls of the store by
 	// this node (default 1 min).
@@ -67,15 +68,21 @@
 // hold the next one back for long.
 const MaxPullPause = 4 * time.Second
 
+// DefaultMaxBackoff is the longest pause between two attempts to watch the
+// store. A zone that is cut off from the others learns changes from its own
+// watchers alone, so that it bounds the time until a change is in force there
+// after the store has come back.
+const DefaultMaxBackoff = 3 * time.Second
+
 func (o Options) withDefaults() Options {
-	setDefault(&o.Fanout, 3)
+	setDefault(&o.Fanout, 6)
 	setDefault(&o.WatchersPerZone, 2)
 	setDefault(&o.DutyInterval, time.Second)
 	setDefault(&o.StartupGrace, 3*time.Second)
 	setDefault(&o.StoreTimeout, 10*time.Second)
 	setDefault(&o.PeerTimeout, 3*time.Second)
 	setDefault(&o.MinBackoff, 250*time.Millisecond)
-	setDefault(&o.MaxBackoff, 30*time.Second)
+	setDefault(&o.MaxBackoff, DefaultMaxBackoff)
 	setDefault(&o.PollInterval, time.Minute)
 	setDefault(&o.PollShare, 5*time.Second)
 	setDefault(&o.PollGrace, 3*time.Second)
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -318,6 +318,7 @@
 func someContext(ingress string) callcontext.Context {
 	return callcontext.Context{
 		RequestID: callcontext.NewRequestID(),
+		Span:      callcontext.NewSpanID(),
 		Ingress:   netip.MustParseAddrPort(ingress),
 		Deadline:  time.Now().Add(3 * time.Second).Truncate(time.Millisecond),
 		Rank:      criticality.Rank{Level: criticality.CriticalPlus, Cohort: 7},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -147,6 +147,9 @@
 // SetReady says whether the node has a complete view of the configuration.
 func (g *Gateway) SetReady(ready bool) { g.ready.Store(ready) }
 
+// Ready reports what SetReady said last.
+func (g *Gateway) Ready() bool { return g.ready.Load() }
+
 // SetClosing makes every answer ask its caller to close the connection, ahead
 // of a planned stop.
 func (g *Gateway) SetClosing() { g.closing.Store(true) }
--- a/internal/gateway/run_test.go
+++ b/internal/gateway/run_test.go
@@ -317,6 +317,45 @@
 	}
 }
 
+// Small answers that pile up behind a caller who does not read must not stay
+// in the node either.
+func TestSmallAnswersThatNobodyReads(t *testing.T) {
+	const calls = 4000
+	target := newBackEnd(t, saying(200, strings.Repeat("x", 9000)))
+	f := alone(t, resource.Service{}, generous, target)
+	connection := sendSlowly(t, f.edge, "")
+	go func() {
+		_, _ = io.WriteString(connection, strings.Repeat("GET /a/x HTTP/1.1\r\nHost: h\r\nLugspur-Timeout-Ms: 500\r\n\r\n", calls))
+	}()
+	last, since := 0, time.Now()
+	eventually(t, "writing to come to a halt", func() bool {
+		if count := len(target.calls()); count != last {
+			last, since = count, time.Now()
+		}
+		return last > 0 && time.Since(since) > 300*time.Millisecond
+	})
+	assert.Assert(t, last < calls, "all answers fitted into buffers, which proves nothing")
+	eventually(t, "call out of the node", func() bool { return f.InFlight() == 0 })
+}
+
+// The bound on one answer must not hold for the next one on the connection.
+func TestConnectionOutlivesTheDeadlineOfALargeAnswer(t *testing.T) {
+	body := strings.Repeat("0123456789", 10_000)
+	f := alone(t, resource.Service{}, generous, newBackEnd(t, saying(200, body)))
+	connection := sendSlowly(t, f.edge, "")
+	reader := bufio.NewReader(connection)
+	for _, timeout := range []string{"100", "5000"} {
+		_, err := io.WriteString(connection, "GET /a/x HTTP/1.1\r\nHost: h\r\nLugspur-Timeout-Ms: "+timeout+"\r\n\r\n")
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		got, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(got), body)
+		time.Sleep(150 * time.Millisecond)
+	}
+}
+
 func TestHeadAndBodylessAnswers(t *testing.T) {
 	for _, nodes := range []int{1, 2} {
 		f := cluster(t, nodes, oneService(resource.Service{}, generous, newBackEnd(t, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -64,6 +64,9 @@
 	Queue scheduler.Config
 	// MaxBuffered is the largest answer, in bytes, that is held whole.
 	MaxBuffered int64
+	// Acting reports whether this node may act as a home now; it is asked right
+	// before a call is sent. Nil means always.
+	Acting func() bool
 	// FixedLimit keeps the limit at the declared slots, for experiments.
 	FixedLimit bool
 }
@@ -113,9 +116,16 @@
 	if err != nil {
 		return nil, refused(target, err)
 	}
+	if !m.acting() {
+		permit.Cancel()
+		return nil, problem.New(problem.NoTarget, problem.ExecutedNo, Step, target.Name, "the home was paused and has not caught up").
+			WithRetryAfter(time.Second)
+	}
 	return g.exchange(ctx, service, permit, call, m.now)
 }
 
+func (m *Manager) acting() bool { return m.settings.Acting == nil || m.settings.Acting() }
+
 func refused(target *catalog.Target, err error) *problem.Problem {
 	var refusal *scheduler.Refusal
 	if !errors.As(err, &refusal) {
--- a/internal/home/peer.go
+++ b/internal/home/peer.go
@@ -205,6 +205,10 @@
 		WithRetryAfter(time.Second).WithCause(err)
 }
 
+// bufferedByServer is the size, in bytes, up to which net/http takes an answer
+// without waiting for its reader.
+const bufferedByServer = 2 << 10
+
 // WriteTo writes the answer. When the rest of a large answer breaks off or is
 // not taken before the deadline, the connection is aborted.
 func (r *Reply) WriteTo(w http.ResponseWriter, deadline time.Time) {
@@ -212,14 +216,14 @@
 	for name, values := range r.Header {
 		header[name] = values
 	}
-	switch {
-	case r.Rest != nil:
+	if r.Rest == nil && !r.NoBody {
+		header.Set("Content-Length", strconv.Itoa(len(r.Body)))
+	}
+	if r.Rest != nil || len(r.Body) > bufferedByServer {
 		// A connection that can't have a deadline is bounded by the server's own.
 		control := http.NewResponseController(w)
 		_ = control.SetWriteDeadline(deadline)
 		defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
-	case !r.NoBody:
-		header.Set("Content-Length", strconv.Itoa(len(r.Body)))
 	}
 	w.WriteHeader(r.Status)
 	_, err := w.Write(r.Body)
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -21,6 +21,10 @@
 // other nodes before it creates the first one.
 const rosterSettle = 2 * time.Second
 
+// rosterInterval is how often a node looks whether the roster needs a change; a
+// replica that died is replaced within a few of them.
+const rosterInterval = 500 * time.Millisecond
+
 // claimRetryAfter is told when a claim could not be decided.
 const claimRetryAfter = time.Second
 
@@ -70,6 +74,7 @@
 			Size:      size,
 			Retention: n.settings.Claims.Retention.Duration(),
 			Settle:    rosterSettle,
+			Interval:  rosterInterval,
 		}),
 	}
 }
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -91,6 +91,7 @@
 		return
 	}
 	n.digests.set(from.Name, received.Digest.Floor)
+	n.noteCaughtUp(received.Digest.Floor)
 	n.spreader.HandleDigest(configurationMember(from), received.Digest)
 	n.claims.heardOf(received.ClaimEpoch, from.PeerAddress)
 	for _, level := range received.Levels {
@@ -98,6 +99,15 @@
 	}
 }
 
+// noteCaughtUp ends the time after a pause in which the node does not act, once
+// it has the configuration of a node that it heard since, and its view is built
+// from it.
+func (n *Node) noteCaughtUp(floor store.Revision) {
+	if n.viewFloor.Load() >= int64(floor) {
+		n.liveness.CaughtUp(time.Now())
+	}
+}
+
 // takeLevel takes in the shed level of a target as its home, origin, tells it.
 func (n *Node) takeLevel(origin string, version uint64, level gossip.Level) {
 	target := n.router.TargetByHash(level.Target)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/lugspur/lugspur/internal/configuration"
 	"github.com/lugspur/lugspur/internal/gateway"
 	"github.com/lugspur/lugspur/internal/home"
+	"github.com/lugspur/lugspur/internal/liveness"
 	"github.com/lugspur/lugspur/internal/machines"
 	"github.com/lugspur/lugspur/internal/membership"
 	"github.com/lugspur/lugspur/internal/metrics"
@@ -35,21 +36,24 @@
 	closeStore func()
 	peerClient *http.Client
 
-	members     *membership.Membership
-	replica     *configuration.Replica
-	spreader    *configuration.Spreader
-	machines    *machines.Follower
-	router      *gateway.Router
-	homes       *home.Manager
-	peers       *home.Client
-	shedding    *shed.Table
-	gateway     *gateway.Gateway
-	claims      *claims
-	metrics     *metrics.Metrics
-	digests     *digestTable
-	levels      levelMemory
-	view        *catalog.View
-	built       viewInputs
+	members  *membership.Membership
+	replica  *configuration.Replica
+	spreader *configuration.Spreader
+	machines *machines.Follower
+	router   *gateway.Router
+	homes    *home.Manager
+	peers    *home.Client
+	shedding *shed.Table
+	gateway  *gateway.Gateway
+	claims   *claims
+	metrics  *metrics.Metrics
+	digests  *digestTable
+	levels   levelMemory
+	liveness *liveness.Watch
+	view     *catalog.View
+	built    viewInputs
+	// viewFloor is a revision up to which the view holds every change.
+	viewFloor   atomic.Int64
 	rebuild     chan struct{}
 	stopping    atomic.Bool
 	faultLogged sync.Map
@@ -75,6 +79,7 @@
 		view:     catalog.Empty(),
 		digests:  newDigestTable(),
 		levels:   newLevelMemory(),
+		liveness: liveness.NewWatch(time.Now),
 		metrics:  metrics.New(),
 	}
 	if err := n.sockets.open(node.Listen); err != nil {
@@ -97,6 +102,7 @@
 		background.Go(func() { work(running) })
 	}
 	start(func(ctx context.Context) { _ = n.members.Run(ctx) })
+	start(n.liveness.Run)
 	start(n.spreader.Run)
 	start(n.homes.Maintain)
 	start(n.keepRebuilding)
--- a/internal/node/provision.go
+++ b/internal/node/provision.go
@@ -57,6 +57,11 @@
 	}}
 }
 
+// watchIdleTimeout is the silence after which a watch of the store is taken for
+// dead. It counts towards the time in which a change is in force in a zone that
+// is cut off from the others.
+const watchIdleTimeout = 4 * time.Second
+
 func (n *Node) openStore() error {
 	if n.settings.Store.Kind == settings.StoreMemory {
 		n.store = memory.New(time.Now)
@@ -67,6 +72,7 @@
 		Endpoints:         n.settings.Store.Endpoints,
 		RequestsPerSecond: float64(n.settings.Store.RequestsPerSecond),
 		RequestTimeout:    n.settings.Store.RequestTimeout.Duration(),
+		WatchIdleTimeout:  watchIdleTimeout,
 	})
 	if err != nil {
 		return oops.In("node").With("step", "open store").Wrapf(err, "open store")
@@ -146,6 +152,7 @@
 	n.homes = home.NewManager(home.Settings{
 		Queue:       queueConfig(n.settings),
 		MaxBuffered: limits.MaxAnswerBufferBytes,
+		Acting:      n.liveness.Acting,
 		FixedLimit:  !n.settings.Features.AdaptiveLimit,
 	}, time.Now)
 	n.peers = home.NewClient(limits.MaxAnswerBufferBytes)
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -18,7 +18,7 @@
 // Readiness tells whether the node may be sent calls.
 func (n *Node) Readiness() admin.Readiness {
 	var reasons []string
-	if !n.spreader.Ready() {
+	if !n.gateway.Ready() {
 		reasons = append(reasons, "the node has no configuration yet")
 	}
 	if n.stopping.Load() {
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -84,12 +84,15 @@
 func (n *Node) keepRebuilding(ctx context.Context) {
 	ticker := time.NewTicker(rebuildInterval)
 	defer ticker.Stop()
-	for {
+	for ctx.Err() == nil {
 		n.rebuildView()
 		sleep(ctx, rebuildPause)
+		if !n.gateway.Ready() {
+			// A view may become complete without any change.
+			continue
+		}
 		select {
 		case <-ctx.Done():
-			return
 		case <-n.rebuild:
 		case <-ticker.C:
 		}
@@ -127,6 +130,8 @@
 	// so that no call is decided on an older one.
 	ready := n.spreader.Ready()
 	defer n.gateway.SetReady(ready)
+	floor := n.replica.Floor()
+	defer n.viewFloor.Store(int64(floor))
 	live := n.members.Live("")
 	inputs := n.viewInputs(live)
 	if inputs == n.built {
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -190,6 +190,7 @@
 		"-listen-peer", node.Addresses.Peer, "-listen-admin", node.Addresses.Admin,
 		"-store-endpoints", c.storeAddresses.Store,
 		"-membership-seeds", strings.Join(node.seeds, ","),
+		"-claims-replicas", strconv.Itoa(c.claimReplicas()),
 		"-f", c.settingsFile(),
 	}
 	if err := c.writeSettings(); err != nil {
@@ -200,6 +201,16 @@
 	return err
 }
 
+// claimReplicas returns how many claim replicas suit the number of nodes: three,
+// or five, which outlive the loss of two at once, with a node to spare.
+func (c *Cluster) claimReplicas() int {
+	const few, many = 3, 5
+	if len(c.Nodes) > many {
+		return many
+	}
+	return few
+}
+
 func (c *Cluster) settingsFile() string { return filepath.Join(c.Config.Directory, "node.toml") }
 
 // writeSettings writes the settings that all nodes share. The file is replaced
