Replay recorded traces with stated outcomes

Cause: decisions about overload, retries and revisions could be checked only by running processes, with other timings each time.

Ruled out: replaying through sockets (not repeatable to the byte).

Change: lab/replay drives the decision packages with a virtual clock over 14 traces and checks what they state; commands replay and record-trace.

The order in which gateway and home call the packages is repeated in the replay and not checked by it.

--- a/cmd/lugspur-lab/main.go
+++ b/cmd/lugspur-lab/main.go
@@ -20,6 +20,7 @@
 	"github.com/lugspur/lugspur/lab/load"
 	"github.com/lugspur/lugspur/lab/machinelist"
 	"github.com/lugspur/lugspur/lab/overhead"
+	"github.com/lugspur/lugspur/lab/replay"
 	"github.com/lugspur/lugspur/lab/report"
 	"github.com/lugspur/lugspur/lab/scale"
 )
@@ -39,6 +40,7 @@
 		load.Commands(),
 		machinelist.Commands(),
 		overhead.Commands(),
+		replay.Commands(),
 		report.Commands(),
 		scale.Commands(),
 	} {
--- a/cmd/lugspur/main.go
+++ b/cmd/lugspur/main.go
@@ -6,7 +6,6 @@
 	"context"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/sirupsen/logrus"
@@ -16,10 +15,6 @@
 	"github.com/lugspur/lugspur/internal/settings"
 )
 
-// garbagePercent is how much a node's heap may grow between two collections,
-// in percent of what is live.
-const garbagePercent = 400
-
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := command.Execute(ctx, command.NewProgram(), os.Args[1:], command.Node(runNode))
@@ -33,11 +28,6 @@
 	if err != nil {
 		return err
 	}
-	// The live heap of a node is small; collecting it less often takes the
-	// collector off the way of calls. GOGC in the environment goes first.
-	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(garbagePercent)
-	}
 	log := logrus.New()
 	log.SetLevel(level)
 	log.SetFormatter(&logrus.JSONFormatter{})
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -73,7 +73,7 @@
 		Keyed:        c.key != "",
 		External:     c.listener == Edge,
 		Hops:         int(c.context.Hops),
-		TimeoutMs:    int(time.Until(c.context.Deadline).Milliseconds()),
+		TimeoutMs:    int(c.context.Deadline.Sub(g.now()).Milliseconds()),
 	}
 }
 
