--- a/internal/gateway/run_test.go
+++ b/internal/gateway/run_test.go
@@ -89,6 +89,23 @@
 	}
 }
 
+type noRetries struct{}
+
+func (noRetries) Success()    {}
+func (noRetries) Allow() bool { return false }
+
+func TestNodesShareOfRetriesIsSpent(t *testing.T) {
+	target := newBackEnd(t, reset)
+	f := alone(t, resource.Service{}, generous, target)
+	f.ratio = noRetries{}
+	do(t, "GET", f.edge, "/a/x", "").refusedWith(t, 502, problem.TargetFailed, problem.ExecutedUnknown)
+	assert.Equal(t, len(target.calls()), 1)
+	f = alone(t, resource.Service{}, generous, closedPort(t))
+	f.ratio = noRetries{}
+	do(t, "GET", f.edge, "/a/x", "").refusedWith(t, 502, problem.TargetFailed, problem.ExecutedNo)
+	assert.Assert(t, f.observed.retried.Load() > 0, "retries that no target saw count as load")
+}
+
 // All retries of a request count together, at whatever hop of its chain.
 func TestRetriesOfAChainAreBounded(t *testing.T) {
 	for _, bound := range []int{0, 1, 2, 4} {
@@ -156,6 +173,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() {
 			request, _ := http.NewRequestWithContext(ctx, "GET", "http://"+f.edge+"/a/x", nil)
+			request.Header.Set(callcontext.TimeoutHeader, "10000") // longer than the test waits
 			_, _ = http.DefaultTransport.RoundTrip(request) //nolint:bodyclose // the call is cancelled
 		}()
 		<-began
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -250,6 +250,19 @@
 	}
 }
 
+func TestReportedLoadCanOnlyLowerTheLimit(t *testing.T) {
+	reporting := &catalog.Service{Name: "a", Spec: resource.Service{LoadHeader: "Target-Load"}}
+	for reported, want := range map[string]int{"": 8, "0": 8, "0.1": 8, "-3": 8, "much": 8, "NaN": 8, "+Inf": 8, "100": 4} {
+		t.Run(reported, func(t *testing.T) {
+			target, _ := newTarget(t, 8, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Target-Load", reported) })
+			m := newManager(Settings{FixedLimit: true})
+			_, failure := m.Run(t.Context(), reporting, target, true, newCall())
+			assert.Assert(t, failure == nil, "%v", failure)
+			assert.Equal(t, m.LoadOf("a-1").Limit, want)
+		})
+	}
+}
+
 // held is a target that answers when the test lets it.
 func held(t *testing.T, slots int) (*catalog.Target, *atomic.Int64, chan struct{}) {
 	release := make(chan struct{})
--- a/internal/transport/target_test.go
+++ b/internal/transport/target_test.go
@@ -27,6 +27,10 @@
 	left     chan int
 }
 
+// unread is the path of calls whose connection the target closes without
+// reading the body.
+const unread = "/unread"
+
 // answering runs on each call; it returns false to close the connection.
 type answering func(w io.Writer, call received) bool
 
@@ -58,20 +62,28 @@
 		if err != nil {
 			return
 		}
+		if request.URL.Path == unread {
+			r.note(received{connection: number, request: request})
+			return
+		}
 		body, err := io.ReadAll(request.Body)
 		if err != nil {
 			return
 		}
 		call := received{connection: number, request: request, body: string(body)}
-		r.mutex.Lock()
-		r.calls = append(r.calls, call)
-		r.mutex.Unlock()
+		r.note(call)
 		if !answer(connection, call) {
 			return
 		}
 	}
 }
 
+func (r *rawTarget) note(call received) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.calls = append(r.calls, call)
+}
+
 func (r *rawTarget) seen() []received {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -170,6 +170,17 @@
 	}
 }
 
+func TestACallIsNotSentAgainAfterAPartOfIt(t *testing.T) {
+	target := newRawTarget(t, writing(whole("ok"), true))
+	pool := target.pool(t, nil)
+	_, err := pool.Exchange(t.Context(), get())
+	assert.NilError(t, err)
+	call := &Call{Method: http.MethodPost, RequestURI: unread, Header: http.Header{}, Body: make([]byte, 32<<20)}
+	_, err = pool.Exchange(t.Context(), call)
+	assert.Assert(t, failureOf(t, err).Sent)
+	assert.Equal(t, len(target.seen()), 2)
+}
+
 func TestEndOfTheContextClosesTheConnection(t *testing.T) {
 	for name, start := range map[string]string{"before the answer": "", "in the answer": "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhe"} {
 		t.Run(name, func(t *testing.T) {
@@ -250,6 +261,24 @@
 	assert.Equal(t, got.request.ContentLength, int64(len(call.Body)))
 }
 
+func TestConnectionsThatMustNotBeUsedAgain(t *testing.T) {
+	for name, raw := range map[string]string{
+		"the target will close it": "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.0":                 "HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"bytes behind the answer":  whole("ok") + "H",
+	} {
+		t.Run(name, func(t *testing.T) {
+			target := newRawTarget(t, writing(raw, true))
+			pool := target.pool(t, nil)
+			for number := range 3 {
+				_, err := pool.Exchange(t.Context(), get())
+				assert.NilError(t, err)
+				assert.Equal(t, target.seen()[number].connection, number)
+			}
+		})
+	}
+}
+
 func TestConnectionsAreBounded(t *testing.T) {
 	release := make(chan struct{})
 	target := newRawTarget(t, func(w io.Writer, call received) bool {
--- a/lab/chaos/command.go
+++ b/lab/chaos/command.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"slices"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -22,7 +24,10 @@
 // their memory serve again within a run. No call may last longer than a claim.
 var nodeFlags = []string{"-claims-retention-s", "25", "-limits-max-timeout-ms", "10000"}
 
-type chaosCommand struct{ config Config }
+type chaosCommand struct {
+	config        Config
+	claimReplicas int
+}
 
 func (*chaosCommand) Name() string { return "chaos" }
 func (*chaosCommand) Synopsis() string {
@@ -52,7 +57,7 @@
 	flags.DurationVar(&c.config.Duration, "duration", 30*time.Second, "`time` with faults")
 	flags.DurationVar(&c.config.Settle, "settle", DefaultSettle, "`time` without faults after it")
 	flags.Float64Var(&c.config.Rate, "rate", 100, "calls a `second`")
-	c.config.Cluster.NodeFlags = nodeFlags
+	flags.IntVar(&c.claimReplicas, "claim-replicas", 3, "`nodes` that hold the claims of keyed calls: 1, 3, 5 or 7")
 	c.config.Settings = judge.DefaultSettings()
 	c.config.Settings.Register(flags)
 }
@@ -86,6 +91,7 @@
 	if c.config.Duration <= 0 || c.config.Rate <= 0 || c.config.Cluster.NodesPerZone < 1 {
 		return fmt.Errorf("duration, rate and nodes must be positive")
 	}
+	c.config.Cluster.NodeFlags = append(slices.Clone(nodeFlags), "-claims-replicas", strconv.Itoa(c.claimReplicas))
 	if c.config.Cluster.Lab, err = os.Executable(); err != nil {
 		return err
 	}
--- a/lab/judge/breach.go
+++ b/lab/judge/breach.go
@@ -74,6 +74,8 @@
 	Tries        int `json:"tries"`
 	Executions   int `json:"executions"`
 	Observations int `json:"observations"`
+	// Exercised tells how often each promise was put to the test.
+	Exercised Exercised `json:"exercised"`
 	// Counts are the breaches of each kind.
 	Counts map[BreachKind]int `json:"counts"`
 	// Breaches are those with the shortest evidence first, at most 50 a kind.
--- a/lab/judge/judge.go
+++ b/lab/judge/judge.go
@@ -68,6 +68,7 @@
 		}
 	}
 	recorded := newIndex(input)
+	report.Exercised = recorded.exercised()
 	for _, check := range []func(*index) []Breach{
 		checkRetries, checkInversion, checkAnswers, checkNotExecuted, checkKeys,
 		checkDrains, checkStops, checkInForce, checkReversal, checkHistory,
--- a/lab/judge/judge_test.go
+++ b/lab/judge/judge_test.go
@@ -155,6 +155,10 @@
 	report := Judge(cleanInput(t))
 	assert.DeepEqual(t, report.Breaches, []Breach{})
 	assert.Equal(t, report.Tries, 6)
+	assert.DeepEqual(t, report.Exercised, Exercised{
+		RetriedRequests: 2, MostRetries: 1, ShedOrders: 1, ToldNotRun: 3, KeysSentAgain: 1,
+		Drains: 1, PlannedStops: 1, AcceptedChanges: 1,
+	})
 }
 
 func TestEachBreachIsFound(t *testing.T) {
--- a/lab/judge/print.go
+++ b/lab/judge/print.go
@@ -15,6 +15,14 @@
 	if err != nil {
 		return err
 	}
+	e := r.Exercised
+	_, err = fmt.Fprintf(w, "put to the test by: %d retried requests (most retries %d), %d shed orders, %d told not run, "+
+		"%d keys sent again (%d duplicates refused), %d drains, %d planned stops with %d open calls, %d accepted changes\n",
+		e.RetriedRequests, e.MostRetries, e.ShedOrders, e.ToldNotRun, e.KeysSentAgain, e.DuplicatesCaught,
+		e.Drains, e.PlannedStops, e.OpenAtStop, e.AcceptedChanges)
+	if err != nil {
+		return err
+	}
 	if r.Clean() {
 		_, err = fmt.Fprintln(w, "no promise was broken")
 		return err
--- a/lab/scale/calculate_test.go
+++ b/lab/scale/calculate_test.go
@@ -113,7 +113,7 @@
 	const stat = "77 (a (b) c) S 1 77 77 0 -1 4194560 1 0 0 0 150 50 0 0 20 0 9 0 1 1 1"
 	used, err := parseUsage(stat, "900 25 3 1 0 100 0", 4096)
 	assert.NilError(t, err)
-	assert.Equal(t, used, usage{processor: 2 * time.Second, resident: 25 * 4096})
+	assert.Equal(t, used, usage{processor: 2 * time.Second, resident: 25 * 4096, anonymous: 22 * 4096})
 	for _, broken := range []string{"", "77 (x) S 1", "77 (x) S 1 1 1 1 1 1 1 1 1 1 1 x y 1"} {
 		_, err := parseUsage(broken, "900 25", 4096)
 		assert.Assert(t, err != nil, "%q", broken)
--- a/lab/scale/disturb.go
+++ b/lab/scale/disturb.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -89,7 +90,7 @@
 		}
 		replacement := e.fleet.config(e.config.Nodes - 1 - index)
 		replacement.Name = fmt.Sprintf("%s-replacement", failed)
-		if err := e.fleet.start(ctx, []HollowConfig{replacement}); err != nil {
+		if err := e.fleet.start(ctx, []HollowConfig{replacement}, nil); err != nil {
 			return err
 		}
 		restarted := hollowName(e.config.Nodes - 1 - failures - index)
@@ -101,7 +102,17 @@
 		}
 	}
 	_, err := e.fleet.awaitMembers(ctx, noticeTimeout)
-	return err
+	return e.noteUnreached("failures", err)
+}
+
+// noteUnreached notes that the nodes did not agree in time, after which the run
+// goes on. Other errors are returned.
+func (e *experiment) noteUnreached(phase string, err error) error {
+	if !errors.Is(err, errNotReached) {
+		return err
+	}
+	e.result.Unreached = append(e.result.Unreached, phase+": "+err.Error())
+	return nil
 }
 
 // changeBeforeOutage has one node make a change that no other node can read
@@ -163,7 +174,7 @@
 	}
 	took, err := e.fleet.awaitMembers(ctx, healTimeout)
 	e.result.HealSeconds = took.Seconds()
-	return err
+	return e.noteUnreached("cut", err)
 }
 
 // insideCut returns the addresses of the nodes inside and the names of those
--- a/lab/scale/fleet.go
+++ b/lab/scale/fleet.go
@@ -1,28 +1,24 @@
 package scale
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
-	"net/http"
 	"sync"
 	"time"
 
 	"github.com/samber/oops"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/lugspur/lugspur/internal/membership"
 	"github.com/lugspur/lugspur/lab/kvstore"
 )
 
 const (
 	clusterName = "scale"
-	// controlTimeout bounds one request to a group's control.
-	controlTimeout = time.Minute
-	// maxControlBytes bounds an answer of a group's control.
-	maxControlBytes = 256 << 20
+	// provisionTime is what a node's provision may take, in a group or while the
+	// other groups provision theirs.
+	provisionTime = 20 * time.Millisecond
 )
 
 // member is a node of the fleet.
@@ -49,54 +45,11 @@
 	return &fleet{store: store, groups: groups, nodes: map[string]member{}, lives: map[string]lifetime{}}
 }
 
-// call asks a group's control.
-func call[Answer any](ctx context.Context, address, path string, request any) (Answer, error) {
-	var answer Answer
-	failed := oops.In("scale").With("step", path).With("peer", address)
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
-	defer cancel()
-	encoded, err := json.Marshal(request)
-	if err != nil {
-		return answer, failed.Wrap(err)
-	}
-	message, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(encoded))
-	if err != nil {
-		return answer, failed.Wrap(err)
-	}
-	response, err := http.DefaultClient.Do(message)
-	if err != nil {
-		return answer, failed.Wrap(err)
-	}
-	defer response.Body.Close()
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxControlBytes))
-	if err == nil && response.StatusCode != http.StatusOK {
-		err = fmt.Errorf("status %d: %s", response.StatusCode, content)
-	}
-	if err == nil {
-		err = json.Unmarshal(content, &answer)
-	}
-	return answer, failed.Wrap(err)
-}
-
-// callAll asks all groups at once and returns their answers in order.
-func callAll[Answer any](ctx context.Context, f *fleet, path string, request any) ([]Answer, error) {
-	answers := make([]Answer, len(f.groups))
-	calls, ctx := errgroup.WithContext(ctx)
-	for index, address := range f.groups {
-		calls.Go(func() error {
-			answer, err := call[Answer](ctx, address, path, request)
-			answers[index] = answer
-			return err
-		})
-	}
-	return answers, calls.Wait()
-}
-
 func hollowName(index int) string { return fmt.Sprintf("hollow-%04d", index) }
 
-// start starts the nodes of the configurations, spread over the groups by
-// their order.
-func (f *fleet) start(ctx context.Context, configs []HollowConfig) error {
+// onGroups asks the groups for their share of the configurations, by order, and
+// notes the nodes that they answer with.
+func (f *fleet) onGroups(ctx context.Context, path string, configs []HollowConfig, request func([]HollowConfig) any) error {
 	batches := make([][]HollowConfig, len(f.groups))
 	for index, config := range configs {
 		batches[index%len(batches)] = append(batches[index%len(batches)], config)
@@ -105,10 +58,10 @@
 	calls, ctx := errgroup.WithContext(ctx)
 	for index, batch := range batches {
 		calls.Go(func() error {
-			started, err := call[[]StartedNode](ctx, f.groups[index], "/start", batch)
+			answered, err := call[[]StartedNode](ctx, f.groups[index], path, request(batch))
 			mutex.Lock()
 			defer mutex.Unlock()
-			for i, node := range started {
+			for i, node := range answered {
 				f.nodes[node.Name] = member{config: batch[i], group: index, address: node.Address}
 				f.lives[node.Name] = lifetime{start: time.Now().UnixMicro()}
 			}
@@ -118,24 +71,48 @@
 	return calls.Wait()
 }
 
-// startHollows starts that many nodes: one alone, the first of each other zone,
-// and the rest, which have the ones before as seeds.
+// start starts nodes that know the members from the start.
+func (f *fleet) start(ctx context.Context, configs []HollowConfig, known []membership.Member) error {
+	at := time.Now().Add(time.Duration(len(known)) * provisionTime)
+	return f.onGroups(ctx, "/start", configs, func(batch []HollowConfig) any {
+		return startRequest{Nodes: batch, Known: known, At: at.UnixMicro()}
+	})
+}
+
+// startHollows starts that many nodes. They know each other from the start, as
+// nodes do that have compared lists; else their joins alone would keep the
+// gossip busy for minutes.
 func (f *fleet) startHollows(ctx context.Context, count int) error {
-	started := 0
-	for _, end := range []int{1, min(count, zoneCount), count} {
-		var configs []HollowConfig
-		for index := started; index < end; index++ {
-			configs = append(configs, f.config(index))
-		}
-		if err := f.start(ctx, configs); err != nil {
-			return err
-		}
-		for index := started; index < min(end, zoneCount); index++ {
-			f.seeds = append(f.seeds, f.nodes[hollowName(index)].address)
+	configs := make([]HollowConfig, count)
+	for index := range configs {
+		configs[index] = f.config(index)
+		configs[index].Incarnation = uint64(time.Now().UnixNano())
+		configs[index].BootID = uint64(index) + 1
+	}
+	err := f.onGroups(ctx, "/reserve", configs, func(batch []HollowConfig) any { return batch })
+	if err != nil {
+		return err
+	}
+	known := make([]membership.Member, count)
+	for index, config := range configs {
+		address := f.nodes[config.Name].address
+		known[index] = membership.Member{
+			Name:        config.Name,
+			Zone:        config.Zone,
+			Region:      config.Region,
+			PeerAddress: address,
+			MeshAddress: address,
+			Incarnation: config.Incarnation,
+			BootID:      config.BootID,
 		}
-		started = end
 	}
-	return nil
+	for _, config := range configs[:min(count, zoneCount)] {
+		f.seeds = append(f.seeds, f.nodes[config.Name].address)
+	}
+	for index := range configs {
+		configs[index].Seeds = f.seeds
+	}
+	return f.start(ctx, configs, known)
 }
 
 func (f *fleet) config(index int) HollowConfig {
@@ -185,8 +162,9 @@
 	ended := f.nodes[node]
 	config := ended.config
 	config.Listen = ended.address
+	config.Incarnation, config.BootID = 0, 0
 	config.Seeds = f.seeds
-	if _, err := call[[]StartedNode](ctx, f.groups[ended.group], "/start", []HollowConfig{config}); err != nil {
+	if _, err := call[[]StartedNode](ctx, f.groups[ended.group], "/start", startRequest{Nodes: []HollowConfig{config}}); err != nil {
 		return err
 	}
 	f.lives[node] = lifetime{start: time.Now().UnixMicro()}
@@ -263,6 +241,11 @@
 	return err
 }
 
+// awaitQuiet waits until no hollow node has a membership change to pass on.
+func (f *fleet) awaitQuiet(ctx context.Context, limit time.Duration) (time.Duration, error) {
+	return f.await(ctx, "end of membership changes", limit, func(state NodeState) bool { return state.Queued == 0 })
+}
+
 // awaitMembers waits until every hollow node knows all live nodes and no other.
 func (f *fleet) awaitMembers(ctx context.Context, limit time.Duration) (time.Duration, error) {
 	others := f.live() - 1
--- a/lab/scale/fleet_test.go
+++ b/lab/scale/fleet_test.go
@@ -22,6 +22,7 @@
 // tinyFleet runs five hollow nodes, one a zone, in this process.
 func tinyFleet(t *testing.T) *fleet {
 	t.Helper()
+	t.Parallel()
 	store, err := kvstore.Start(kvstore.Config{}, "127.0.0.1:0", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(store.Close)
--- a/lab/scale/group.go
+++ b/lab/scale/group.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/http/pprof"
-	"runtime"
 	"slices"
 	"sync"
 	"time"
@@ -33,8 +32,9 @@
 	server   *http.Server
 	serving  sync.WaitGroup
 
-	mu    sync.Mutex
-	nodes map[string]*hollow
+	mu       sync.Mutex
+	nodes    map[string]*hollow
+	reserved map[string]peerSockets
 }
 
 // startGroup serves the control of an empty group on a free port.
@@ -43,8 +43,9 @@
 	if err != nil {
 		return nil, "", oops.In("scale").With("step", "listen").Wrap(err)
 	}
-	g = &group{cut: &cut{}, recorder: newRecorder(), nodes: map[string]*hollow{}}
+	g = &group{cut: &cut{}, recorder: newRecorder(), nodes: map[string]*hollow{}, reserved: map[string]peerSockets{}}
 	mux := http.NewServeMux()
+	handle(mux, "/reserve", g.reserve)
 	handle(mux, "/start", g.start)
 	handle(mux, "/kill", g.kill)
 	handle(mux, "/leave", g.leave)
@@ -84,6 +85,9 @@
 	g.mu.Lock()
 	nodes := g.nodes
 	g.nodes = map[string]*hollow{}
+	for _, sockets := range g.reserved {
+		sockets.close()
+	}
 	g.mu.Unlock()
 	var stopping sync.WaitGroup
 	for _, node := range nodes {
@@ -97,28 +101,6 @@
 // none is an empty request or answer.
 type none struct{}
 
-// StartedNode is a hollow node that runs.
-type StartedNode struct {
-	Name    string `json:"name"`
-	Zone    string `json:"zone"`
-	Address string `json:"address"`
-}
-
-func (g *group) start(_ context.Context, configs []HollowConfig) ([]StartedNode, error) {
-	var started []StartedNode
-	for _, config := range configs {
-		node, err := startHollow(config, g.cut, g.recorder)
-		if err != nil {
-			return nil, err
-		}
-		g.mu.Lock()
-		g.nodes[config.Name] = node
-		g.mu.Unlock()
-		started = append(started, StartedNode{Name: config.Name, Zone: config.Zone, Address: node.address})
-	}
-	return started, nil
-}
-
 func (g *group) find(name string) (*hollow, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -257,90 +239,4 @@
 	return nodes
 }
 
-// NodeState is what one hollow node knows and has done since its start.
-type NodeState struct {
-	Name     string         `json:"name"`
-	Present  int            `json:"present"`
-	Ready    bool           `json:"ready"`
-	Floor    store.Revision `json:"floor"`
-	Watching bool           `json:"watching"`
-	Counters Counters       `json:"counters"`
-}
-
-// Counters count a node's control traffic since its start. Bytes are those of
-// UDP contents and of TCP streams, without the headers of IP, UDP and TCP and
-// without requests to the store.
-type Counters struct {
-	DatagramsSent     int64 `json:"datagrams_sent"`
-	DatagramsReceived int64 `json:"datagrams_received"`
-	GossipSent        int64 `json:"gossip_sent_bytes"`
-	GossipReceived    int64 `json:"gossip_received_bytes"`
-	StreamSent        int64 `json:"stream_sent_bytes"`
-	StreamReceived    int64 `json:"stream_received_bytes"`
-	Dials             int64 `json:"dials"`
-	Exchanges         int64 `json:"exchanges"`
-	Pushes            int64 `json:"pushes"`
-	Pulls             int64 `json:"pulls"`
-	FullPulls         int64 `json:"full_pulls"`
-	Suspicions        int64 `json:"suspicions"`
-	Refutations       int64 `json:"refutations"`
-	Lost              int64 `json:"datagrams_lost"`
-}
-
-// ProcessState is the state of the nodes of one process.
-type ProcessState struct {
-	Nodes []NodeState `json:"nodes"`
-	// HeapBytes is the live heap of the process after a collection, zero if
-	// none was asked for.
-	HeapBytes  int64 `json:"heap_bytes"`
-	Goroutines int   `json:"goroutines"`
-}
-
-// stateRequest asks for the state, after a garbage collection if so said.
-type stateRequest struct {
-	Collect bool `json:"collect"`
-}
-
-func (g *group) state(_ context.Context, request stateRequest) (ProcessState, error) {
-	state := ProcessState{Goroutines: runtime.NumGoroutine()}
-	for _, node := range g.all() {
-		state.Nodes = append(state.Nodes, node.state())
-	}
-	if request.Collect {
-		runtime.GC()
-		var memory runtime.MemStats
-		runtime.ReadMemStats(&memory)
-		state.HeapBytes = int64(memory.HeapAlloc)
-	}
-	return state, nil
-}
-
-func (h *hollow) state() NodeState {
-	stats := h.members.Stats()
-	status := h.spreader.Status()
-	return NodeState{
-		Name:     h.config.Name,
-		Present:  stats.Present,
-		Ready:    status.Ready,
-		Floor:    status.Floor,
-		Watching: status.Watching,
-		Counters: Counters{
-			DatagramsSent:     int64(stats.DatagramsSent),
-			DatagramsReceived: int64(stats.DatagramsReceived),
-			GossipSent:        int64(stats.BytesSent),
-			GossipReceived:    int64(stats.BytesReceived),
-			StreamSent:        h.traffic.sent.Load(),
-			StreamReceived:    h.traffic.received.Load(),
-			Dials:             h.traffic.dials.Load(),
-			Exchanges:         int64(stats.Exchanges),
-			Pushes:            status.Traffic.Pushes,
-			Pulls:             status.Traffic.Pulls,
-			FullPulls:         status.Traffic.FullPulls,
-			Suspicions:        int64(stats.Suspicions),
-			Refutations:       int64(stats.Refutations),
-			Lost:              int64(h.packets.Dropped()),
-		},
-	}
-}
-
 var _ configuration.Membership = (*hollow)(nil)
--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/samber/oops"
 	"github.com/sirupsen/logrus"
 
 	"github.com/lugspur/lugspur/internal/configuration"
@@ -25,7 +24,6 @@
 	dialTimeout      = time.Second
 	maxIdle          = 16
 	idleTimeout      = 20 * time.Second
-	listenAttempts   = 20
 	storeRequestRate = 20
 	// gossipInterval is how often the payload is made anew, as in a real node.
 	gossipInterval = 100 * time.Millisecond
@@ -41,6 +39,9 @@
 	Store   string   `json:"store"`
 	// Listen is the peer address to take; empty means a free port.
 	Listen string `json:"listen,omitempty"`
+	// Incarnation and BootID are those of the run; zero draws new ones.
+	Incarnation uint64 `json:"incarnation,omitempty"`
+	BootID      uint64 `json:"boot_id,omitempty"`
 	// PeriodMillis is the time between two heartbeats; zero is the default.
 	PeriodMillis int `json:"period_ms,omitempty"`
 }
@@ -62,51 +63,29 @@
 	shedding *shed.Table
 	levels   atomic.Pointer[[]gossip.Level]
 	recorder *recorder
+	streams  net.Listener
+	lifetime context.Context
 	cancel   context.CancelFunc
 	running  sync.WaitGroup
 }
 
-// startHollow starts a node.
-func startHollow(config HollowConfig, cut *cut, recorder *recorder) (*hollow, error) {
+// newHollow returns a node on its sockets, which it closes when it ends. It
+// knows the given members from the start, as after a comparison of lists.
+func newHollow(config HollowConfig, sockets peerSockets, known []membership.Member, cut *cut, recorder *recorder) (*hollow, error) {
 	h := &hollow{config: config, traffic: &traffic{}, recorder: recorder, shedding: shed.NewTable(shed.TableConfig{})}
-	listener, transport, err := listenPeer(config.Listen)
-	if err != nil {
-		return nil, err
-	}
-	h.address = listener.Addr().String()
-	h.packets = newDatagrams(transport, h.address, cut)
+	h.lifetime, h.cancel = context.WithCancel(context.Background())
+	h.address = sockets.address()
+	h.packets = newDatagrams(sockets.datagrams, h.address, cut)
 	if err := h.provision(cut); err != nil {
-		_ = listener.Close()
+		_ = sockets.streams.Close()
 		_ = h.packets.Close()
 		return nil, err
 	}
-	h.run(countedListener{Listener: listener, traffic: h.traffic})
+	h.members.Merge(known)
+	h.streams = countedListener{Listener: sockets.streams, traffic: h.traffic}
 	return h, nil
 }
 
-// listenPeer opens a TCP listener and a UDP socket of the same port.
-func listenPeer(address string) (net.Listener, *membership.UDPTransport, error) {
-	wanted := address
-	if wanted == "" {
-		wanted = "127.0.0.1:0"
-	}
-	var err error
-	for range listenAttempts {
-		var listener net.Listener
-		listener, err = net.Listen("tcp", wanted)
-		if err != nil {
-			continue
-		}
-		var transport *membership.UDPTransport
-		transport, err = membership.ListenUDP(listener.Addr().String())
-		if err == nil {
-			return listener, transport, nil
-		}
-		_ = listener.Close()
-	}
-	return nil, nil, oops.In("scale").With("step", "listen").With("peer", wanted).Wrap(err)
-}
-
 func (h *hollow) provision(cut *cut) error {
 	h.client = &http.Transport{
 		DialContext:         h.traffic.dial,
@@ -134,6 +113,8 @@
 			Region:      h.config.Region,
 			PeerAddress: h.address,
 			MeshAddress: h.address,
+			Incarnation: h.config.Incarnation,
+			BootID:      h.config.BootID,
 		},
 		Seeds:     h.config.Seeds,
 		Period:    time.Duration(h.config.PeriodMillis) * time.Millisecond,
@@ -165,13 +146,13 @@
 	return nil
 }
 
-func (h *hollow) run(listener net.Listener) {
-	var ctx context.Context
-	ctx, h.cancel = context.WithCancel(context.Background())
+// run starts the node's work, which ends with stop.
+func (h *hollow) run() {
+	ctx := h.lifetime
 	h.running.Go(func() { _ = h.members.Run(ctx) })
 	h.running.Go(func() { h.spreader.Run(ctx) })
 	h.running.Go(func() { h.keepGossiping(ctx) })
-	h.running.Go(func() { _ = h.server.Serve(listener) })
+	h.running.Go(func() { _ = h.server.Serve(h.streams) })
 }
 
 // stop ends the node without a word to the others.
@@ -179,6 +160,7 @@
 	h.cancel()
 	_ = h.packets.Close()
 	_ = h.server.Close()
+	_ = h.streams.Close()
 	h.etcd.Close()
 	h.running.Wait()
 	h.client.CloseIdleConnections()
--- a/lab/scale/process.go
+++ b/lab/scale/process.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"errors"
 	"os"
 	"strconv"
 	"strings"
@@ -15,8 +16,9 @@
 // usage is what a process has used.
 type usage struct {
 	processor time.Duration
-	// resident is its memory in bytes, shared pages of files included.
-	resident int64
+	// resident is its memory in bytes, shared pages of files such as the program
+	// included; anonymous is without them.
+	resident, anonymous int64
 }
 
 // usageOf reads the usage of a process.
@@ -39,17 +41,19 @@
 	const userField, systemField = 11, 12
 	fields := strings.Fields(stat[strings.LastIndexByte(stat, ')')+1:])
 	pages := strings.Fields(memory)
-	if len(fields) <= systemField || len(pages) < 2 {
+	if len(fields) <= systemField || len(pages) < 3 {
 		return usage{}, oops.In("scale").With("step", "read usage").Errorf("unknown form of %q", stat)
 	}
 	user, userErr := strconv.ParseInt(fields[userField], 10, 64)
 	system, systemErr := strconv.ParseInt(fields[systemField], 10, 64)
 	resident, residentErr := strconv.ParseInt(pages[1], 10, 64)
-	if userErr != nil || systemErr != nil || residentErr != nil {
+	shared, sharedErr := strconv.ParseInt(pages[2], 10, 64)
+	if errors.Join(userErr, systemErr, residentErr, sharedErr) != nil {
 		return usage{}, oops.In("scale").With("step", "read usage").Errorf("unknown form of %q", stat)
 	}
 	return usage{
 		processor: time.Duration(user+system) * time.Second / ticksPerSecond,
 		resident:  resident * int64(pageSize),
+		anonymous: (resident - shared) * int64(pageSize),
 	}, nil
 }
--- a/lab/scale/result.go
+++ b/lab/scale/result.go
@@ -19,12 +19,19 @@
 	// HealSeconds is the time from the end of the cut until every node held all
 	// others present again.
 	HealSeconds float64 `json:"heal_seconds"`
+	// QuietSeconds is the time from then until no node had a membership change
+	// to pass on any more.
+	QuietSeconds float64 `json:"quiet_seconds"`
+	// QuietReached is false if there still were some after quietTimeout.
+	QuietReached bool `json:"quiet_reached"`
 	// FalseDeaths counts the notes of nodes that held one dead that ran, the
 	// cut apart.
 	FalseDeaths int           `json:"false_deaths"`
 	Convergence []Convergence `json:"convergence"`
 	Windows     []Window      `json:"windows"`
 	Memory      Memory        `json:"memory"`
+	// Unreached tells where the nodes did not agree in time.
+	Unreached []string `json:"unreached,omitempty"`
 	// Failure is why the run ended early; empty if it did not.
 	Failure string `json:"failure,omitempty"`
 }
@@ -37,11 +44,15 @@
 	HollowGoroutines float64 `json:"hollow_goroutines"`
 	RealResident     float64 `json:"real_resident_bytes"`
 	RealResidentMax  float64 `json:"real_resident_max_bytes"`
+	// RealAnonymous leaves out pages of files, such as the program itself.
+	RealAnonymous    float64 `json:"real_anonymous_bytes"`
+	RealAnonymousMax float64 `json:"real_anonymous_max_bytes"`
 	TotalResident    float64 `json:"total_resident_bytes"`
 }
 
 // Names of the windows.
 const (
+	windowCut     = "after a cut"
 	windowQuiet   = "quiet"
 	windowChanges = "changes"
 	windowLevels  = "shed levels"
@@ -50,7 +61,24 @@
 // reportedLevels is how many shed levels a node reports in their window.
 const reportedLevels = 12
 
+// quietTimeout bounds the time until the last membership change is passed on.
+const quietTimeout = 3 * time.Minute
+
+// measureWindows measures right after the cut, which every node still passes
+// changes on of, and then once all is quiet.
 func (e *experiment) measureWindows(ctx context.Context) error {
+	half := func(ctx context.Context) (int, error) { return 0, pause(ctx, e.config.Quiet/2) }
+	measured, err := e.measure(ctx, windowCut, half)
+	if err != nil {
+		return err
+	}
+	e.result.Windows = append(e.result.Windows, measured)
+	took, err := e.fleet.awaitQuiet(ctx, quietTimeout)
+	e.result.QuietReached = err == nil
+	if err := e.noteUnreached("windows", err); err != nil {
+		return err
+	}
+	e.result.QuietSeconds = measured.Seconds + took.Seconds()
 	if rest := e.config.Introduction - time.Since(e.started); rest > 0 {
 		if err := pause(ctx, rest); err != nil {
 			return err
@@ -130,6 +158,8 @@
 	for _, used := range taken.reals {
 		memory.RealResident += float64(used.resident) / float64(len(taken.reals))
 		memory.RealResidentMax = max(memory.RealResidentMax, float64(used.resident))
+		memory.RealAnonymous += float64(used.anonymous) / float64(len(taken.reals))
+		memory.RealAnonymousMax = max(memory.RealAnonymousMax, float64(used.anonymous))
 		memory.TotalResident += float64(used.resident)
 	}
 	return nil
@@ -153,6 +183,9 @@
 	{"real core share, quiet", ofWindow(windowQuiet, func(w Window) float64 { return w.RealCoreShare })},
 	{"real core share, changes", ofWindow(windowChanges, func(w Window) float64 { return w.RealCoreShare })},
 	{"gossip sent B/s, quiet", ofWindow(windowQuiet, func(w Window) float64 { return w.GossipSent })},
+	{"gossip sent B/s, after a cut", ofWindow(windowCut, func(w Window) float64 { return w.GossipSent })},
+	{"hollow core share, after a cut", ofWindow(windowCut, func(w Window) float64 { return w.HollowCoreShare })},
+	{"real core share, after a cut", ofWindow(windowCut, func(w Window) float64 { return w.RealCoreShare })},
 	{"gossip sent B/s, shed levels", ofWindow(windowLevels, func(w Window) float64 { return w.GossipSent })},
 	{"datagrams sent /s, quiet", ofWindow(windowQuiet, func(w Window) float64 { return w.DatagramsSent })},
 	{"streams sent B/s, quiet", ofWindow(windowQuiet, func(w Window) float64 { return w.StreamSent })},
@@ -161,6 +194,7 @@
 	{"open watches", ofWindow(windowQuiet, func(w Window) float64 { return float64(w.OpenWatches) })},
 	{"hollow heap B", func(r Result) (float64, bool) { return r.Memory.HollowHeap, r.Memory.HollowHeap > 0 }},
 	{"hollow resident B", func(r Result) (float64, bool) { return r.Memory.HollowResident, r.Memory.HollowResident > 0 }},
+	{"real anonymous B", func(r Result) (float64, bool) { return r.Memory.RealAnonymous, r.Memory.RealAnonymous > 0 }},
 	{"real resident B", func(r Result) (float64, bool) { return r.Memory.RealResident, r.Memory.RealResident > 0 }},
 }
 
@@ -211,8 +245,11 @@
 
 func (r Result) print(w io.Writer) {
 	const megabyte = 1 << 20
-	fmt.Fprintf(w, "\n%d hollow and %d real nodes: all known after %.1f s, ready after %.1f s, after the cut %.1f s; false deaths %d\n",
-		r.Nodes, r.Real, r.StartSeconds, r.ReadySeconds, r.HealSeconds, r.FalseDeaths)
+	fmt.Fprintf(w, "\n%d hollow and %d real nodes: all known after %.1f s, ready after %.1f s, after the cut %.1f s, quiet after %.1f s more (%t); false deaths %d\n",
+		r.Nodes, r.Real, r.StartSeconds, r.ReadySeconds, r.HealSeconds, r.QuietSeconds, r.QuietReached, r.FalseDeaths)
+	for _, phase := range r.Unreached {
+		fmt.Fprintf(w, "not reached: %s\n", phase)
+	}
 	if r.Failure != "" {
 		fmt.Fprintf(w, "ended early: %s\n", r.Failure)
 	}
@@ -221,12 +258,13 @@
 			kind.Kind, kind.Events, kind.LastP50Millis, kind.LastMaxMillis, kind.NodeP50Millis, kind.Incomplete, strings.Join(kind.Missing, " "))
 	}
 	for _, window := range r.Windows {
-		fmt.Fprintf(w, "  %-12s %3.0f s %3d changes: core hollow %.3f%% real %.3f%% (max %.3f%%); sent %.0f+%.0f B/s (max %.0f), received %.0f+%.0f; datagrams %.1f/s; real gossip %.0f B/s; store %.2f requests/s, %d watches; lost %.3f/s\n",
+		fmt.Fprintf(w, "  %-12s %3.0f s %3d changes: core hollow %.3f%% real %.3f%% (max %.3f%%); sent %.0f+%.0f B/s (max %.0f), received %.0f+%.0f; datagrams %.1f/s, %.1f changes queued; real gossip %.0f B/s; store %.2f requests/s, %d watches; lost %.3f/s\n",
 			window.Name, window.Seconds, window.Changes, 100*window.HollowCoreShare, 100*window.RealCoreShare, 100*window.RealCoreMax,
-			window.GossipSent, window.StreamSent, window.SentMax, window.GossipReceived, window.StreamReceived, window.DatagramsSent,
+			window.GossipSent, window.StreamSent, window.SentMax, window.GossipReceived, window.StreamReceived, window.DatagramsSent, window.Queued,
 			window.RealGossipSent, window.StoreRequests, window.OpenWatches, window.DatagramsLost)
 	}
-	fmt.Fprintf(w, "  memory: hollow heap %.2f MB, resident %.2f MB, %.1f goroutines; real resident %.1f MB (max %.1f); all %.0f MB\n",
+	fmt.Fprintf(w, "  memory: hollow heap %.2f MB, resident %.2f MB, %.1f goroutines; real resident %.1f MB (max %.1f), anonymous %.1f MB (max %.1f); all %.0f MB\n",
 		r.Memory.HollowHeap/megabyte, r.Memory.HollowResident/megabyte, r.Memory.HollowGoroutines,
-		r.Memory.RealResident/megabyte, r.Memory.RealResidentMax/megabyte, r.Memory.TotalResident/megabyte)
+		r.Memory.RealResident/megabyte, r.Memory.RealResidentMax/megabyte,
+		r.Memory.RealAnonymous/megabyte, r.Memory.RealAnonymousMax/megabyte, r.Memory.TotalResident/megabyte)
 }
--- a/lab/scale/window.go
+++ b/lab/scale/window.go
@@ -53,6 +53,9 @@
 	StoreRequests      float64 `json:"store_requests"`
 	StoreRateLimited   float64 `json:"store_rate_limited"`
 	OpenWatches        int64   `json:"open_watches"`
+	// Queued is how many membership changes a node still had to pass on at the
+	// end, on average.
+	Queued float64 `json:"queued"`
 }
 
 // snapshot reads all counters.
@@ -137,10 +140,12 @@
 		}
 		used := state.Counters.minus(earlier.Counters)
 		window.SentMax = max(window.SentMax, float64(used.GossipSent+used.StreamSent)/seconds)
+		window.Queued += float64(state.Queued)
 		all = all.plus(used)
 		nodes++
 	}
 	if nodes > 0 && seconds > 0 {
+		window.Queued /= nodes
 		window.setRates(all, nodes*seconds)
 		window.HollowCoreShare = processorOf(before.hollows, after.hollows) / (nodes * seconds)
 	}
--- a/test/linearizability_test.go
+++ b/test/linearizability_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/lugspur/lugspur/internal/admin"
 	"github.com/lugspur/lugspur/lab/cluster"
+	"github.com/lugspur/lugspur/lab/faultproxy"
 	"github.com/lugspur/lugspur/lab/kvstore"
 	"github.com/lugspur/lugspur/lab/linear"
 )
@@ -25,13 +26,15 @@
 	// writerTimeout is shorter than a node works on a write, so that clients
 	// give up on some whose outcome is open.
 	writerTimeout = 400 * time.Millisecond
+	// peerJitter lets messages between nodes overtake each other.
+	peerJitter = 150 * time.Millisecond
 	// askTimeout bounds a question after the faults.
 	askTimeout = 5 * time.Second
 )
 
 // history is the linearizability test's state.
 type history struct {
-	running  *cluster.Cluster
+	running  *cluster.Proxied
 	workload linear.Workload
 	random   *rand.Rand
 }
@@ -40,7 +43,7 @@
 // different nodes while the store and nodes fail, and checks everything that
 // the clients were told.
 func TestConfigurationIsLinearizable(t *testing.T) {
-	running := startCluster(t, 2, "-store-requests-per-second", "200")
+	running := startProxied(t, "-store-requests-per-second", "200")
 	h := &history{running: running, random: rand.New(rand.NewPCG(*linearizabilitySeed, *linearizabilitySeed))}
 	h.workload = linear.Workload{
 		Objects:        []string{"back", "lonely", "narrow"},
@@ -62,6 +65,24 @@
 	h.check(t)
 }
 
+// startProxied runs the small mesh with two nodes in each zone, whose traffic
+// with each other can be disturbed.
+func startProxied(t *testing.T, flags ...string) *cluster.Proxied {
+	t.Helper()
+	running, err := cluster.StartProxied(t.Context(), cluster.Config{
+		Lugspur:      program("lugspur"),
+		Lab:          program("lugspur-lab"),
+		MeshFile:     meshFile,
+		Directory:    logDirectory(t),
+		NodesPerZone: 2,
+		NodeFlags:    flags,
+		Seed:         *linearizabilitySeed,
+	})
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.Check(t, running.Stop()) })
+	return running
+}
+
 // runWithFaults runs the clients until the last fault is mended.
 func (h *history) runWithFaults(t *testing.T) {
 	t.Helper()
@@ -74,24 +95,35 @@
 	assert.NilError(t, <-ended)
 }
 
-// fail makes the faults, one after the other, for about 5 s.
+// fail makes the faults, one after the other, for about 5 s. The store hangs and
+// a node is frozen for longer than clients wait for an answer.
 func (h *history) fail(t *testing.T) {
 	t.Helper()
 	dropped := 0.2
 	h.control(t, kvstore.ControlRequest{DropProbability: &dropped})
+	h.disturbPeers(t, faultproxy.Faults{Jitter: peerJitter, Loss: 0.1})
 	victims := h.random.Perm(len(h.running.Nodes))
 	h.wait(500)
-	h.outage(t, kvstore.OutageHang, 600)
+	h.outage(t, kvstore.OutageHang, 1000)
 	h.wait(300)
 	h.restart(t, victims[0])
 	h.outage(t, kvstore.OutageRefuse, 400)
 	h.wait(300)
-	h.freeze(victims[1], 900)
+	h.freeze(victims[1], 1000)
 	h.control(t, kvstore.ControlRequest{CutWatches: true})
 	h.wait(300)
-	h.outage(t, kvstore.OutageHang, 500)
+	h.outage(t, kvstore.OutageHang, 1000)
 	h.wait(200)
 	h.control(t, kvstore.ControlRequest{Clear: true})
+	h.disturbPeers(t, faultproxy.Faults{})
+}
+
+// disturbPeers changes what happens to the traffic between nodes.
+func (h *history) disturbPeers(t *testing.T, faults faultproxy.Faults) {
+	t.Helper()
+	for _, proxy := range h.running.Proxies {
+		assert.NilError(t, proxy.SetFaults(faults, faultproxy.Faults{}))
+	}
 }
 
 func (h *history) control(t *testing.T, request kvstore.ControlRequest) {
