Tell callers when claims will be possible again

Ruled out: a fixed longer value (a lost answer of one replica needs 1 s).

Change: a waiting replica says how long it still waits; the refusal tells the longest of these.

Figures: TestLossOfMajorityRefusesUntilRetentionHasPassed, failing before.

--- a/internal/claim/claimer.go
+++ b/internal/claim/claimer.go
@@ -56,6 +56,9 @@
 	Outcome Outcome
 	// Epoch is the roster's in which the claim ended; zero without a roster.
 	Epoch uint64
+	// RetryAfter is how long replicas of a new generation still wait, where
+	// that is why the claim is Unavailable; otherwise zero.
+	RetryAfter time.Duration
 
 	key     KeyHash
 	attempt AttemptID
@@ -169,6 +172,7 @@
 		<-c.slots
 	}
 	decision.Epoch = coordinator.Epoch()
+	decision.RetryAfter = coordinator.Wait()
 	decision.voters = coordinator.Voters()
 	granted, _ := coordinator.count()
 	return decision, decision.Outcome == Held && granted > 0, g.cause()
--- a/internal/claim/coordinator.go
+++ b/internal/claim/coordinator.go
@@ -41,6 +41,7 @@
 	received time.Time
 	votes    map[Identity]Answer // zero: not answered
 	held     bool
+	wait     time.Duration
 	outcome  Outcome
 }
 
@@ -77,6 +78,10 @@
 // Epoch returns the epoch in which votes are gathered.
 func (c *Coordinator) Epoch() uint64 { return c.roster.Epoch }
 
+// Wait returns the longest time that a voter said it must still let pass, zero
+// if none did.
+func (c *Coordinator) Wait() time.Duration { return c.wait }
+
 // Voters returns the replicas to ask.
 func (c *Coordinator) Voters() []Member { return c.roster.Voters() }
 
@@ -90,6 +95,7 @@
 func (c *Coordinator) Receive(response Response, now time.Time) Outcome {
 	if response.Epoch == c.roster.Epoch && response.Key == c.key && response.Attempt == c.attempt {
 		c.vote(response.From, response.Answer)
+		c.wait = max(c.wait, min(response.Wait, c.roster.Retention))
 	}
 	return c.Decide(now)
 }
--- a/internal/claim/message.go
+++ b/internal/claim/message.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/oops"
@@ -93,6 +94,8 @@
 	Answer  Answer    `cbor:"5,keyasint"`
 	// Roster is set with AnswerStale.
 	Roster *Roster `cbor:"6,keyasint,omitempty"`
+	// Wait is set with AnswerWaiting: how long the replica still waits.
+	Wait time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // ReleaseRequest gives up an attempt that will never run.
--- a/internal/claim/replica.go
+++ b/internal/claim/replica.go
@@ -66,8 +66,11 @@
 	}
 	response := Response{From: r.self, Epoch: q.Epoch, Key: q.Key, Attempt: q.Attempt}
 	response.Answer = r.answer(q, now)
-	if response.Answer == AnswerStale {
+	switch response.Answer {
+	case AnswerStale:
 		response.Roster = r.roster
+	case AnswerWaiting:
+		response.Wait = r.roster.Retention - now.Sub(r.founderSince)
 	}
 	return response
 }
--- a/internal/claim/service_test.go
+++ b/internal/claim/service_test.go
@@ -95,6 +95,8 @@
 	roster, _ := n.nodes[0].service.Roster()
 	assert.Assert(t, roster.Founded > 1, "a new generation is founded")
 	assert.Equal(t, n.claim(0, "pay"), Unavailable)
+	decision, _ := n.nodes[0].claimer.Claim(t.Context(), "scope", "pay", NewAttemptID())
+	assert.Assert(t, decision.RetryAfter > 0 && decision.RetryAfter <= testRetention, "callers are told when to come back: %s", decision.RetryAfter)
 	n.advance(testRetention + time.Second)
 	assert.Equal(t, n.claim(0, "new"), Granted)
 }
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -25,7 +25,8 @@
 // replica that died is replaced within a few of them.
 const rosterInterval = 500 * time.Millisecond
 
-// claimRetryAfter is told when a claim could not be decided.
+// claimRetryAfter is told when a claim could not be decided and nothing better
+// is known.
 const claimRetryAfter = time.Second
 
 // claims joins the gateway to the claim replicas.
@@ -132,7 +133,7 @@
 			"a call with this idempotency key was made before").WithCause(err)
 	default:
 		return nil, problem.New(problem.ClaimsUnavailable, problem.ExecutedNo, "claim", c.node,
-			"no majority of claim replicas answered").WithCause(err).WithRetryAfter(claimRetryAfter)
+			"no majority of claim replicas answered").WithCause(err).WithRetryAfter(max(decision.RetryAfter, claimRetryAfter))
 	}
 }
 
