Close callers' connections only when callers have left

Ruled out: a longer fixed time (the moment stays).

Change: after the announcement new connections are refused, those that are open are served on, each answer closing its own; idle ones are closed once no call has come by the edge for a second, or after 10 s.

TestPlannedStop and TestRolling pass.

A caller silent for over a second that sends at that moment can still find its connection closed; HTTP/1.1 has no way to rule that out.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -108,6 +108,9 @@
 	ready    atomic.Bool
 	closing  atomic.Bool
 	inFlight atomic.Int64
+	// lastArrival is when the last call came in by the edge, in nanoseconds since
+	// 1970.
+	lastArrival atomic.Int64
 }
 
 // Parts are what a gateway works with.
@@ -157,6 +160,16 @@
 // InFlight returns the number of calls in the gateway.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
+// LastArrival returns when the last call came in by the edge listener; the zero
+// time if none has.
+func (g *Gateway) LastArrival() time.Time {
+	nanoseconds := g.lastArrival.Load()
+	if nanoseconds == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, nanoseconds)
+}
+
 // Handler serves the calls of one listener. The first part of the path names
 // the service and the rest is the target's. There is no ServeMux in between,
 // because it would answer unusual paths with a redirect in the target's place.
@@ -178,6 +191,9 @@
 
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, listener Listener) {
 	started := g.now()
+	if listener == Edge {
+		g.lastArrival.Store(started.UnixNano())
+	}
 	service, requestURI := splitPath(r.URL)
 	inFlight := g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
--- a/internal/membership/contacts.go
+++ b/internal/membership/contacts.go
@@ -57,7 +57,7 @@
 // contact tries to reach a seed or hint: every period while the node knows
 // nobody, seldom otherwise.
 func (m *Membership) contact() {
-	if m.table.present > 0 && m.periods%contactPeriods != 0 {
+	if m.contacts.none() || m.table.present.size() > 0 && m.periods%contactPeriods != 0 {
 		return
 	}
 	address, found := m.contacts.draw(m.random, m.lockedView().addresses)
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -165,11 +165,11 @@
 }
 
 func (m *Membership) randomPeer() string {
-	present := m.lockedView().present
-	if len(present) == 0 {
+	present := m.table.present
+	if present.size() == 0 {
 		return ""
 	}
-	return present[m.random.IntN(len(present))].PeerAddress
+	return present.entries[m.random.IntN(present.size())].PeerAddress
 }
 
 // fetch makes one exchange.
--- a/internal/membership/guard.go
+++ b/internal/membership/guard.go
@@ -67,7 +67,7 @@
 // updateAlone recomputes whether the node knows of no other member.
 func (m *Membership) updateAlone() {
 	tried := m.now.Monotonic-m.started >= joinPeriods*m.config.Period
-	m.guard.alone.Store(m.table.present == 0 && (tried || m.contacts.none()))
+	m.guard.alone.Store(m.table.present.size() == 0 && (tried || m.contacts.none()))
 }
 
 // noticePause handles a pause of the process before anything else happens.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -156,7 +156,7 @@
 
 // suspicionTime returns how long a suspect has to refute.
 func (m *Membership) suspicionTime() time.Duration {
-	scale := math.Max(1, math.Log10(float64(m.table.present+1)))
+	scale := math.Max(1, math.Log10(float64(m.table.present.size()+1)))
 	return time.Duration(DefaultSuspicionFactor * scale * float64(m.config.Period))
 }
 
@@ -164,6 +164,6 @@
 // members, a change misses one with a probability of e to the minus this limit,
 // and with more where receivers are dead.
 func (m *Membership) retransmitLimit() int {
-	scale := math.Max(1, math.Log(float64(m.table.present+1)))
+	scale := math.Max(1, math.Log(float64(m.table.present.size()+1)))
 	return int(math.Ceil(DefaultRetransmitFactor * scale))
 }
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -105,7 +105,7 @@
 
 // startRound shuffles all present members into a new round.
 func (m *Membership) startRound() {
-	for _, member := range m.lockedView().present {
+	for _, member := range m.table.present.entries {
 		m.prober.order = append(m.prober.order, member.Name)
 	}
 	order := m.prober.order
@@ -127,9 +127,9 @@
 
 // probeDead pings a dead member, so that a healed cut is noticed.
 func (m *Membership) probeDead() {
-	dead := m.lockedView().dead
-	if len(dead) > 0 {
-		m.ping(dead[m.random.IntN(len(dead))])
+	dead := m.table.dead
+	if dead.size() > 0 {
+		m.ping(dead.entries[m.random.IntN(dead.size())].Member)
 	}
 }
 
@@ -195,7 +195,7 @@
 // helpers draws the members that probe for us.
 func (m *Membership) helpers(target string) []Member {
 	count := m.config.IndirectProbes
-	present := m.lockedView().present
+	present := m.table.present
 	drawn := sample(m.random, present, count, func(candidate Member) bool {
 		return candidate.Name != target && candidate.State == Alive && m.inOtherZone(candidate)
 	})
--- a/internal/membership/send.go
+++ b/internal/membership/send.go
@@ -90,7 +90,7 @@
 }
 
 func (m *Membership) spreadReceivers() []Member {
-	present := m.lockedView().present
+	present := m.table.present
 	receivers := sample(m.random, present, 1, m.inOtherZone)
 	rest := m.config.Fanout - len(receivers)
 	more := sample(m.random, present, rest, func(candidate Member) bool {
@@ -104,7 +104,7 @@
 // announce tells some members at once about a change of our own record.
 func (m *Membership) announce() {
 	anyone := func(Member) bool { return true }
-	for _, receiver := range sample(m.random, m.lockedView().present, announceCount, anyone) {
+	for _, receiver := range sample(m.random, m.table.present, announceCount, anyone) {
 		m.send(toMember(receiver), message{Kind: kindGossip})
 	}
 }
--- a/internal/membership/stats.go
+++ b/internal/membership/stats.go
@@ -43,7 +43,7 @@
 	defer m.mutex.Unlock()
 	current := m.stats
 	current.Known = len(m.table.entries)
-	current.Present = m.table.present
+	current.Present = m.table.present.size()
 	current.QueuedUpdates = m.updates.len()
 	return current
 }
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -19,22 +19,71 @@
 	lastChecked bool
 	// goneAt is when the member was found dead or left, on the monotonic clock.
 	goneAt time.Duration
+	// position is the entry's place in the list that it is in.
+	position int
+	// hashed is what the digest was last made of.
+	hashed Member
+	digest uint64
 }
 
+// memberDigest returns the hash of the member that goes into the digest of the
+// list. It is made anew only after a change.
+func (e *entry) memberDigest() uint64 {
+	record := e.compact()
+	if record != e.hashed {
+		e.hashed, e.digest = record, memberDigest(record)
+	}
+	return e.digest
+}
+
+// entryList is a set of entries from which one is drawn in constant time.
+type entryList struct{ entries []*entry }
+
+func (l *entryList) add(added *entry) {
+	added.position = len(l.entries)
+	l.entries = append(l.entries, added)
+}
+
+// remove takes an entry out; the last one takes its place.
+func (l *entryList) remove(removed *entry) {
+	last := len(l.entries) - 1
+	moved := l.entries[last]
+	l.entries[removed.position] = moved
+	moved.position = removed.position
+	l.entries[last] = nil
+	l.entries = l.entries[:last]
+}
+
+func (l *entryList) size() int { return len(l.entries) }
+
 // table holds the beliefs about all other members, bounded in number.
 type table struct {
 	entries map[string]*entry
 	// suspects are the entries in the state Suspect.
 	suspects map[string]*entry
 	limit    int
-	// present counts the entries that are not gone.
-	present int
+	// present holds the entries that are not gone, dead those that are dead.
+	// Entries that left are in neither.
+	present entryList
+	dead    entryList
 }
 
 func newTable(limit int) *table {
 	return &table{entries: map[string]*entry{}, suspects: map[string]*entry{}, limit: limit}
 }
 
+// listOf returns the list for entries in the state, nil if there is none.
+func (t *table) listOf(state State) *entryList {
+	switch {
+	case !state.Gone():
+		return &t.present
+	case state == Dead:
+		return &t.dead
+	default:
+		return nil
+	}
+}
+
 // insert adds a member, for whom the oldest tombstone makes room if need be. It
 // returns nil when the table is full of members that are not gone.
 func (t *table) insert(member Member) *entry {
@@ -43,8 +92,8 @@
 	}
 	added := &entry{Member: member}
 	t.entries[member.Name] = added
-	if !member.State.Gone() {
-		t.present++
+	if list := t.listOf(member.State); list != nil {
+		list.add(added)
 	}
 	if member.State == Suspect {
 		t.suspects[member.Name] = added
@@ -52,13 +101,11 @@
 	return added
 }
 
-// setState changes the state of an entry and keeps the count of present ones.
+// setState changes the state of an entry and the list that it is in.
 func (t *table) setState(changed *entry, state State) {
-	if changed.State.Gone() && !state.Gone() {
-		t.present++
-	}
-	if !changed.State.Gone() && state.Gone() {
-		t.present--
+	before, after := t.listOf(changed.State), t.listOf(state)
+	if before != after {
+		move(changed, before, after)
 	}
 	changed.State = state
 	if state == Suspect {
@@ -68,6 +115,22 @@
 	delete(t.suspects, changed.Name)
 }
 
+// move takes an entry from one list to another; either may be nil.
+func move(moved *entry, from, to *entryList) {
+	if from != nil {
+		from.remove(moved)
+	}
+	if to != nil {
+		to.add(moved)
+	}
+}
+
+// drop forgets an entry.
+func (t *table) drop(dropped *entry) {
+	move(dropped, t.listOf(dropped.State), nil)
+	delete(t.entries, dropped.Name)
+}
+
 func (t *table) dropOldestTombstone() bool {
 	var oldest *entry
 	for _, candidate := range t.entries {
@@ -78,7 +141,7 @@
 	if oldest == nil {
 		return false
 	}
-	delete(t.entries, oldest.Name)
+	t.drop(oldest)
 	return true
 }
 
@@ -95,23 +158,19 @@
 // dropTombstonesBefore forgets the members that are gone since before the limit.
 func (t *table) dropTombstonesBefore(limit time.Duration) bool {
 	before := len(t.entries)
-	for name, candidate := range t.entries {
+	for _, candidate := range t.entries {
 		if candidate.State.Gone() && candidate.goneAt < limit {
-			delete(t.entries, name)
+			t.drop(candidate)
 		}
 	}
 	return len(t.entries) < before
 }
 
-// view is an immutable picture of the table and the node itself, built at most
-// once after a change.
+// view is an immutable picture of the table and the node itself for readers
+// outside the protocol, built at most once after a change.
 type view struct {
 	// all holds every member, tombstones included, by name.
-	all []Member
-	// present holds the other members that are not gone.
-	present []Member
-	// dead holds the dead members; those that left are not sought.
-	dead []Member
+	all  []Member
 	live []Member
 	// liveByZone holds the live members of each zone, by name.
 	liveByZone map[string][]Member
@@ -122,36 +181,36 @@
 
 // buildView builds the picture from the table and the node itself.
 func buildView(self Member, entries map[string]*entry) *view {
-	built := &view{liveByZone: map[string][]Member{}, addresses: map[string]struct{}{}}
-	built.all = make([]Member, 0, len(entries)+1)
-	built.all = append(built.all, self)
+	sorted := make([]*entry, 0, len(entries)+1)
+	sorted = append(sorted, &entry{Member: self})
 	for _, known := range entries {
-		built.all = append(built.all, known.Member)
+		sorted = append(sorted, known)
 	}
-	slices.SortFunc(built.all, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
-	for _, member := range built.all {
-		built.classify(member, self.Name)
+	slices.SortFunc(sorted, compareEntries)
+	built := &view{
+		all:        make([]Member, 0, len(sorted)),
+		live:       make([]Member, 0, len(sorted)),
+		liveByZone: map[string][]Member{},
+		addresses:  make(map[string]struct{}, len(sorted)),
+	}
+	for _, known := range sorted {
+		built.classify(known)
 	}
 	return built
 }
 
 // classify enters one member in the lists that it belongs to.
-func (v *view) classify(member Member, selfName string) {
-	if member.State.Live() {
-		v.live = append(v.live, member)
-		v.liveByZone[member.Zone] = append(v.liveByZone[member.Zone], member)
-	}
-	if member.State == Dead {
-		v.dead = append(v.dead, member)
+func (v *view) classify(known *entry) {
+	v.all = append(v.all, known.Member)
+	if known.State.Live() {
+		v.live = append(v.live, known.Member)
+		v.liveByZone[known.Zone] = append(v.liveByZone[known.Zone], known.Member)
 	}
-	if member.State.Gone() {
+	if known.State.Gone() {
 		return
 	}
-	v.digest ^= memberDigest(member)
-	v.addresses[member.PeerAddress] = struct{}{}
-	if member.Name != selfName {
-		v.present = append(v.present, member)
-	}
+	v.digest ^= known.memberDigest()
+	v.addresses[known.PeerAddress] = struct{}{}
 }
 
 // memberDigest hashes what two lists must agree on. A suspicion is local and
@@ -172,13 +231,13 @@
 
 // sample draws up to count distinct members that fit, in time that does not
 // grow with the list. It may miss members when few fit.
-func sample(random *rand.Rand, from []Member, count int, fits func(Member) bool) []Member {
+func sample(random *rand.Rand, from entryList, count int, fits func(Member) bool) []Member {
 	var drawn []Member
-	if len(from) == 0 {
+	if from.size() == 0 {
 		return nil
 	}
 	for attempt := 0; attempt < sampleAttempts*count && len(drawn) < count; attempt++ {
-		candidate := from[random.IntN(len(from))]
+		candidate := from.entries[random.IntN(from.size())].Member
 		if fits(candidate) && !containsName(drawn, candidate.Name) {
 			drawn = append(drawn, candidate)
 		}
--- a/internal/node/sockets.go
+++ b/internal/node/sockets.go
@@ -90,7 +90,7 @@
 	failed := make(chan error, len(listeners))
 	for _, l := range listeners {
 		go func() {
-			if err := l.server.Serve(l.socket); !errors.Is(err, http.ErrServerClosed) {
+			if err := l.server.Serve(l.socket); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				failed <- oops.In("node").With("step", "serve").With("peer", l.name).Wrapf(err, "%s listener", l.name)
 			}
 		}()
@@ -98,11 +98,14 @@
 	return failed
 }
 
+// stopAccepting refuses new connections; those that are open are served on.
+func (l *listener) stopAccepting() { _ = l.socket.Close() }
+
 // shutdown stops the listener and waits for its calls; those still there when
 // the context ends are cut off.
 func (l *listener) shutdown(ctx context.Context) error {
 	err := l.server.Shutdown(ctx)
-	if err != nil {
+	if err != nil && !errors.Is(err, net.ErrClosed) {
 		_ = l.server.Close()
 		return oops.In("node").With("step", "stop").With("peer", l.name).Wrapf(err, "%s listener", l.name)
 	}
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -11,6 +11,11 @@
 	// answer asks its caller to close the connection, so that callers leave
 	// before their connections do.
 	announcement = time.Second
+	// leavingTime is how long no call must have come before the connections of
+	// callers are closed: a call that comes on one at that moment would be lost.
+	leavingTime = time.Second
+	// leavingLimit bounds the wait for that.
+	leavingLimit = 10 * time.Second
 	// quietTime is how long the mesh must have been without calls before its
 	// listener stops: chains in flight elsewhere still call through it.
 	quietTime = 300 * time.Millisecond
@@ -20,7 +25,8 @@
 
 // stop ends the node as planned. The others are told first. A claim replica
 // waits for its successor, so that planned stops never cost a majority, and the
-// node goes on serving meanwhile. The listener for strangers stops next, the mesh when the chains that use it are done, and the
+// node goes on serving meanwhile. The listener for strangers takes no further
+// connections then and stops when callers have left, the mesh when the chains that use it are done, and the
 // peer listener last, because other nodes may still wait for targets that this
 // node is the home of.
 func (n *Node) stop() error {
@@ -32,6 +38,8 @@
 	n.members.Leave()
 	sleep(ctx, announcement)
 	n.claims.awaitHandover(ctx)
+	n.sockets.edge.stopAccepting()
+	n.awaitLeaving(ctx)
 	edgeErr := n.sockets.edge.shutdown(ctx)
 	n.awaitQuiet(ctx)
 	meshErr := n.sockets.mesh.shutdown(ctx)
@@ -41,6 +49,17 @@
 	return errors.Join(edgeErr, meshErr, peerErr, adminErr)
 }
 
+// awaitLeaving waits until callers have left: no call has come for leavingTime.
+// Every answer closes its connection, so that each caller comes at most once
+// more on each connection that it holds.
+func (n *Node) awaitLeaving(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leavingLimit)
+	defer cancel()
+	for ctx.Err() == nil && time.Since(n.gateway.LastArrival()) < leavingTime {
+		sleep(ctx, quietPoll)
+	}
+}
+
 // awaitQuiet waits until no call has been in the node for quietTime.
 func (n *Node) awaitQuiet(ctx context.Context) {
 	quietSince := time.Now()
