Pass over homes as soon as they are suspected

Ruled out: a time limit on a home's first byte (a slow target looks the same, and a call that was sent may have run).

Change: a suspected home is passed over for the next in line, and targets all of whose homes are suspected are picked at 2% of their capacity; a member's suspicion makes the view anew.

--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -5,6 +5,7 @@
 
 	"github.com/lugspur/lugspur/internal/catalog"
 	"github.com/lugspur/lugspur/internal/home"
+	"github.com/lugspur/lugspur/internal/membership"
 	"github.com/lugspur/lugspur/internal/policy"
 	"github.com/lugspur/lugspur/internal/routing"
 	"github.com/lugspur/lugspur/internal/shed"
@@ -55,23 +56,38 @@
 	return route, true
 }
 
-// routeTo finds the home: the first in line that is not suspect. A target
-// without a reachable home is guarded by this node itself.
+// routeTo finds the home: the first in line that answers as far as is known,
+// else the first that has not just refused a connection. A target without a
+// reachable home is guarded by this node itself.
 func (r *Router) routeTo(routes *routes, target *catalog.Target) Route {
 	if !r.homes {
 		return Route{Target: target, Home: r.node, Owner: true}
 	}
-	for i, member := range routes.placement.Homes(target.Name) {
-		if member.Name == r.node {
-			return Route{Target: target, Home: r.node, Owner: i == 0}
-		}
-		if !r.suspect(member.PeerAddress) {
-			return Route{Target: target, Home: member.Name, Peer: member.PeerAddress, Owner: i == 0}
+	homes := routes.placement.Homes(target.Name)
+	for _, reachable := range []func(membership.Member) bool{r.answers, r.takesConnections} {
+		for i, member := range homes {
+			if member.Name == r.node {
+				return Route{Target: target, Home: r.node, Owner: i == 0}
+			}
+			if reachable(member) {
+				return Route{Target: target, Home: member.Name, Peer: member.PeerAddress, Owner: i == 0}
+			}
 		}
 	}
 	return Route{Target: target, Home: r.node}
 }
 
+// answers reports whether the node is not suspected to have failed.
+func (r *Router) answers(member membership.Member) bool {
+	return member.State != membership.Suspect && r.takesConnections(member)
+}
+
+// takesConnections reports whether the node has not refused a connection of
+// this one lately.
+func (r *Router) takesConnections(member membership.Member) bool {
+	return !r.suspect(member.PeerAddress)
+}
+
 // Done ends a route and takes in the load that the home stated, if it did.
 func (r *Router) Done(route Route, load home.Load) {
 	route.picker.Done(route.Target.Name)
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -102,7 +102,7 @@
 		next.byHash[TargetHash(name)] = target
 	}
 	for name, service := range view.Services {
-		next.pickers[name] = r.pickerFor(before, service)
+		next.pickers[name] = r.pickerFor(before, next.placement, service)
 		next.loads[name] = loadFor(before, name)
 		r.shed.SetWeight(name, liveSlots(service))
 	}
@@ -118,7 +118,24 @@
 	return newServiceLoad()
 }
 
-func (r *Router) pickerFor(before *routes, service *catalog.Service) *routing.Picker {
+// suspectWeight is the weight of a target whose homes are all suspected to have
+// failed: calls to it would wait for an answer until their deadline.
+const suspectWeight = 0.02
+
+// weightOf returns the share of its capacity at which a target is picked.
+func (r *Router) weightOf(homes []membership.Member) float64 {
+	for _, member := range homes {
+		if member.Name == r.node || member.State != membership.Suspect {
+			return 1
+		}
+	}
+	if len(homes) == 0 || !r.homes {
+		return 1
+	}
+	return suspectWeight
+}
+
+func (r *Router) pickerFor(before *routes, homes *placement.Table, service *catalog.Service) *routing.Picker {
 	picker := before.pickers[service.Name]
 	if picker == nil {
 		picker = routing.NewPicker(routing.Config{Warmup: warmupOf(service)}, r.now)
@@ -130,6 +147,7 @@
 			Name:        target.Name,
 			Address:     target.Address,
 			Zone:        target.Zone,
+			Weight:      r.weightOf(homes.Homes(target.Name)),
 			Draining:    target.Draining,
 			WarmupStart: r.startOf(target, initial),
 			Slots:       target.Slots,
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/lugspur/lugspur/internal/catalog"
 	"github.com/lugspur/lugspur/internal/configuration"
 	"github.com/lugspur/lugspur/internal/membership"
@@ -106,6 +108,7 @@
 	tombstones uint64
 	members    uint64
 	live       int
+	suspects   uint64
 	drains     uint64
 	machines   uint64
 }
@@ -117,6 +120,7 @@
 		tombstones: digest.Tombstones,
 		members:    n.members.Digest(),
 		live:       len(live),
+		suspects:   suspectsOf(live),
 		drains:     n.spreader.EmergencyDrains().Sum(),
 	}
 	if n.machines != nil {
@@ -125,6 +129,17 @@
 	return inputs
 }
 
+// suspectsOf returns a hash of the members that are suspected to have failed.
+func suspectsOf(live []membership.Member) uint64 {
+	var sum uint64
+	for _, member := range live {
+		if member.State == membership.Suspect {
+			sum ^= xxhash.Sum64String(member.Name)
+		}
+	}
+	return sum
+}
+
 func (n *Node) rebuildView() {
 	// Whether there is a complete view is read before and told after the build,
 	// so that no call is decided on an older one.
