Make a guard's new version once

Cause: when the view of the configuration was built anew, every call that waited for the lock made the target's guard over again.

Change: the guard is left alone if it is up to date.

--- a/internal/home/guards.go
+++ b/internal/home/guards.go
@@ -38,9 +38,10 @@
 		g.close()
 		g = nil
 	}
-	if g == nil {
+	switch {
+	case g == nil:
 		g = m.newGuard(target, owner)
-	} else {
+	case g.target != target || g.owner != owner:
 		g = g.changed(target, owner)
 	}
 	m.guards[target.Name] = g
