Refuse at once what a home's own level refuses; lose no waiting connection

(2) Closing a listening socket resets connections that wait to be accepted, and calls that were sent on them (chaos: a planned stop, write: connection reset).

Ruled out: (1) a shorter wait for all (important calls may wait); (2) a longer announcement (callers keep coming).

--- a/internal/home/guards.go
+++ b/internal/home/guards.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lugspur/lugspur/internal/catalog"
+	"github.com/lugspur/lugspur/internal/criticality"
 	"github.com/lugspur/lugspur/internal/limit"
 	"github.com/lugspur/lugspur/internal/scheduler"
 	"github.com/lugspur/lugspur/internal/shed"
@@ -98,6 +99,16 @@
 	return &next
 }
 
+// sheds reports whether a call of the rank would only wait in vain: calls of its
+// rank are being shed, and enough others wait to keep all slots busy.
+func (g *guard) sheds(rank criticality.Rank) bool {
+	if !g.shedding.Refuses(rank) {
+		return false
+	}
+	stats := g.scheduler.Stats()
+	return stats.Queued >= stats.Limit
+}
+
 func (g *guard) close() {
 	g.scheduler.Close()
 	g.pool.Close()
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -107,6 +107,10 @@
 	}
 	g := m.guardOf(target, owner)
 	g.shedding.Observe(call.Context.Rank)
+	if g.sheds(call.Context.Rank) {
+		return nil, problem.New(problem.Overloaded, problem.ExecutedNo, Step, target.Name, "calls of this rank are being shed").
+			WithRetryAfter(time.Second)
+	}
 	permit, err := g.scheduler.Acquire(ctx, scheduler.Request{
 		Rank:     call.Context.Rank,
 		Deadline: call.Context.Deadline,
--- /dev/null
+++ b/internal/node/listener.go
@@ -0,0 +1,72 @@
+package node
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// drainingListener is a listening socket that can be closed without losing the
+// connections that the kernel has already set up: closing a socket resets
+// whatever waits to be accepted, and with it calls that callers have sent.
+type drainingListener struct {
+	*net.TCPListener
+	stopping atomic.Bool
+}
+
+// newDrainingListener listens on an IP address and port.
+func newDrainingListener(address string) (*drainingListener, error) {
+	resolved, err := net.ResolveTCPAddr("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.ListenTCP("tcp", resolved)
+	if err != nil {
+		return nil, err
+	}
+	return &drainingListener{TCPListener: listener}, nil
+}
+
+// Accept returns the next connection. After stopAccepting it returns those that
+// wait already, and then closes the socket and returns net.ErrClosed.
+func (l *drainingListener) Accept() (net.Conn, error) {
+	if !l.stopping.Load() {
+		connection, err := l.TCPListener.Accept()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return connection, err
+		}
+	}
+	return l.acceptWaiting()
+}
+
+// stopAccepting has Accept close the socket once nothing waits. It does not
+// block.
+func (l *drainingListener) stopAccepting() {
+	l.stopping.Store(true)
+	// An Accept that waits is woken, and finds that the listener is stopping.
+	_ = l.SetDeadline(time.Now())
+}
+
+// acceptWaiting accepts a connection that waits already. When none does, it
+// closes the socket at once, so that hardly any can come in between.
+func (l *drainingListener) acceptWaiting() (net.Conn, error) {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	var descriptor int
+	var failure error
+	err = raw.Control(func(socket uintptr) {
+		descriptor, _, failure = syscall.Accept4(int(socket), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+	})
+	if err = errors.Join(err, failure); err != nil {
+		_ = l.TCPListener.Close()
+		return nil, net.ErrClosed
+	}
+	file := os.NewFile(uintptr(descriptor), "connection")
+	defer func() { _ = file.Close() }()
+	return net.FileConn(file)
+}
--- a/internal/node/sockets.go
+++ b/internal/node/sockets.go
@@ -26,7 +26,7 @@
 // listener is one of the node's HTTP listeners.
 type listener struct {
 	name   string
-	socket net.Listener
+	socket *drainingListener
 	server *http.Server
 }
 
@@ -48,7 +48,7 @@
 func (s *sockets) open(listen settings.Listen) error {
 	s.edge.name, s.mesh.name, s.peer.name, s.admin.name = "edge", "mesh", "peer", "admin"
 	for i, address := range []string{listen.Edge, listen.Mesh, listen.Peer, listen.Admin} {
-		socket, err := net.Listen("tcp", address)
+		socket, err := newDrainingListener(address)
 		if err != nil {
 			s.close()
 			return oops.In("node").With("step", "listen").With("peer", address).Wrapf(err, "listen on %s", address)
@@ -98,8 +98,9 @@
 	return failed
 }
 
-// stopAccepting refuses new connections; those that are open are served on.
-func (l *listener) stopAccepting() { _ = l.socket.Close() }
+// stopAccepting refuses new connections; those that are open, or wait to be
+// accepted, are served on.
+func (l *listener) stopAccepting() { l.socket.stopAccepting() }
 
 // shutdown stops the listener and waits for its calls; those still there when
 // the context ends are cut off.
--- a/internal/shed/controller.go
+++ b/internal/shed/controller.go
@@ -152,7 +152,7 @@
 	c.measure(now, threshold, state)
 	switch {
 	case threshold == None && state.Overloaded:
-		threshold = min(c.fit(c.goal(state)), c.lastOccupied())
+		threshold = max(min(c.fit(c.goal(state)), c.lastOccupied()), c.config.Floor)
 	case threshold < None && state.utilization() >= nearlyFull:
 		threshold = c.fit(c.goal(state))
 	case threshold < None:
@@ -227,14 +227,15 @@
 	return max(threshold, c.config.Floor)
 }
 
-// lastOccupied returns the least important rank with arrivals.
+// lastOccupied returns the least important rank with arrivals, or the least
+// important of all while no arrivals were measured.
 func (c *Controller) lastOccupied() uint16 {
 	for threshold := None - 1; threshold > c.config.Floor; threshold-- {
 		if c.rates[threshold] > negligible {
 			return threshold
 		}
 	}
-	return c.config.Floor
+	return None - 1
 }
 
 // raise lifts the threshold while the arrivals below it stay within what the
--- a/internal/shed/shed_test.go
+++ b/internal/shed/shed_test.go
@@ -197,6 +197,12 @@
 	}
 }
 
+func TestOverloadBeforeAnyMeasurementShedsTheLeastOnly(t *testing.T) {
+	controller := shed.NewController(shed.Config{})
+	controller.Tick(epoch, overloaded(0))
+	assert.Equal(t, controller.Threshold(), shed.None-1)
+}
+
 func TestFewCallersAreStillCutAndReleased(t *testing.T) {
 	controller := shed.NewController(shed.Config{})
 	only := criticality.Rank{Level: criticality.Sheddable, Cohort: 17}
