--- /dev/null
+++ b/internal/gateway/answer_test.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lugspur/lugspur/internal/callcontext"
+	"github.com/lugspur/lugspur/internal/resource"
+)
+
+func TestLargeAnswers(t *testing.T) {
+	body := strings.Repeat("0123456789", 10_000)
+	whole := func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) }
+	cut := func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, body)
+		panic(http.ErrAbortHandler)
+	}
+	for _, nodes := range []int{1, 2} {
+		f := cluster(t, nodes, oneService(resource.Service{}, generous, newBackEnd(t, whole)))
+		do(t, "GET", f.edge, "/a/x", "").is(t, 200, body)
+		f = cluster(t, nodes, oneService(resource.Service{}, generous, newBackEnd(t, cut)))
+		assert.Assert(t, do(t, "GET", f.edge, "/a/x", "").err != nil, "a cut answer looks complete")
+		eventually(t, "permit given back", func() bool { return f.homes.InFlight() == 0 })
+	}
+}
+
+func TestCallerThatDoesNotRead(t *testing.T) {
+	endless := func(w http.ResponseWriter, _ *http.Request) {
+		for chunk := make([]byte, 1<<20); ; {
+			if _, err := w.Write(chunk); err != nil {
+				return
+			}
+		}
+	}
+	for _, nodes := range []int{1, 2} {
+		f := cluster(t, nodes, oneService(resource.Service{}, generous, newBackEnd(t, endless)))
+		connection := sendSlowly(t, f.edge, "GET /a/x HTTP/1.1\r\nHost: h\r\nLugspur-Timeout-Ms: 300\r\n\r\n")
+		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, 200)
+		eventually(t, "call out of the node", func() bool { return f.InFlight() == 0 && f.homes.InFlight() == 0 })
+	}
+}
+
+func TestSmallAnswersThatNobodyReads(t *testing.T) {
+	const calls = 4000
+	target := newBackEnd(t, saying(200, strings.Repeat("x", 9000)))
+	f := alone(t, resource.Service{}, generous, target)
+	connection := sendSlowly(t, f.edge, "")
+	go func() {
+		_, _ = io.WriteString(connection, strings.Repeat("GET /a/x HTTP/1.1\r\nHost: h\r\nLugspur-Timeout-Ms: 500\r\n\r\n", calls))
+	}()
+	last, since := 0, time.Now()
+	eventually(t, "writing to come to a halt", func() bool {
+		if count := len(target.calls()); count != last {
+			last, since = count, time.Now()
+		}
+		return last > 0 && time.Since(since) > 300*time.Millisecond
+	})
+	assert.Assert(t, last < calls, "all answers fitted into buffers, which proves nothing")
+	eventually(t, "call out of the node", func() bool { return f.InFlight() == 0 })
+}
+
+func TestConnectionOutlivesTheDeadlineOfALargeAnswer(t *testing.T) {
+	body := strings.Repeat("0123456789", 10_000)
+	f := alone(t, resource.Service{}, generous, newBackEnd(t, saying(200, body)))
+	connection := sendSlowly(t, f.edge, "")
+	reader := bufio.NewReader(connection)
+	for _, timeout := range []string{"100", "5000"} {
+		_, err := io.WriteString(connection, "GET /a/x HTTP/1.1\r\nHost: h\r\nLugspur-Timeout-Ms: "+timeout+"\r\n\r\n")
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		got, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(got), body)
+		time.Sleep(150 * time.Millisecond)
+	}
+}
+
+func TestHeadAndBodylessAnswers(t *testing.T) {
+	for _, nodes := range []int{1, 2} {
+		f := cluster(t, nodes, oneService(resource.Service{}, generous, newBackEnd(t, func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodHead {
+				w.Header().Set("Content-Length", "12345")
+				return
+			}
+			w.WriteHeader(http.StatusNoContent)
+		})))
+		got := do(t, "HEAD", f.edge, "/a/x", "")
+		got.is(t, 200, "")
+		assert.Equal(t, got.header.Get("Content-Length"), "12345")
+		do(t, "GET", f.edge, "/a/x", "").is(t, 204, "")
+	}
+}
+
+func TestAnswersCarryTheRequestID(t *testing.T) {
+	target := newBackEnd(t, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(callcontext.RequestIDHeader, "forged") })
+	f := alone(t, resource.Service{}, resource.Policy{}, target)
+	got := do(t, "GET", f.edge, "/a/x", "")
+	assert.Equal(t, got.header.Get(callcontext.RequestIDHeader), contextOf(t, target.calls()[0]).RequestID.String())
+}
+
+func TestClosingNodeAsksCallersToLeave(t *testing.T) {
+	f := alone(t, resource.Service{}, resource.Policy{}, newBackEnd(t, saying(200, "ok")))
+	f.SetClosing()
+	response, err := http.Get("http://" + f.edge + "/a/x")
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	assert.Equal(t, response.StatusCode, 200)
+	assert.Assert(t, response.Close)
+}
