Give claims five replicas by default

Ruled out: five without more (a cluster of three or four nodes would never have a roster).

Change: five by default; a smaller cluster is waited for for 20 s and then gets the largest odd size that it can hold, three at least.

Figures: TestFirstRosterOfASmallCluster for 2 to 6 nodes.

--- a/internal/claim/bootstrap.go
+++ b/internal/claim/bootstrap.go
@@ -27,7 +27,7 @@
 	if now.Sub(m.started) < m.config.Settle {
 		return nil
 	}
-	members := PlanGenesis(View{Self: m.self, Nodes: m.config.Members.Members()}, m.config.Size)
+	members := m.planGenesis(now)
 	if members == nil {
 		return nil
 	}
@@ -38,6 +38,23 @@
 	return m.write(ctx, 0, genesis, ChangeGenesis)
 }
 
+// planGenesis returns the members of the first roster, none while there are too
+// few nodes. Nodes that come late are waited for; after that a smaller roster
+// is better than none, down to smallestGenesis.
+func (m *Manager) planGenesis(now time.Time) []Member {
+	view := View{Self: m.self, Nodes: m.config.Members.Members()}
+	members := PlanGenesis(view, m.config.Size)
+	if members != nil || now.Sub(m.started) < m.config.Settle+genesisPatience {
+		return members
+	}
+	alive := len(view.alive())
+	size := min(alive-1+alive%2, m.config.Size)
+	if size < smallestGenesis {
+		return nil
+	}
+	return PlanGenesis(view, size)
+}
+
 // rank is the node's place among the live ones in an order drawn by the epoch.
 func (m *Manager) rank(epoch uint64) int {
 	type place struct {
--- a/internal/claim/manager.go
+++ b/internal/claim/manager.go
@@ -22,6 +22,12 @@
 	// DefaultInterval is the default time between two looks at the roster.
 	DefaultInterval = time.Second
 
+	// genesisPatience is how long nodes that are missing for a roster of the
+	// wanted size are waited for.
+	genesisPatience = 20 * time.Second
+	// smallestGenesis is the least size of a roster that is smaller than wanted.
+	smallestGenesis = 3
+
 	storeTimeout     = 5 * time.Second
 	maximumBackoff   = 30 * time.Second
 	joinTimeout      = 30 * time.Second
@@ -45,7 +51,8 @@
 	Client *http.Client
 	Logger logrus.FieldLogger
 	// Size is the number of replicas of a first roster, odd; zero is
-	// DefaultSize. An existing roster keeps its size.
+	// DefaultSize. A cluster with fewer nodes gets a smaller one after a while,
+	// of three at least. An existing roster keeps its size.
 	Size int
 	// Retention is that of a first roster; zero is DefaultRetention.
 	Retention time.Duration
--- a/internal/claim/nodes_test.go
+++ b/internal/claim/nodes_test.go
@@ -133,15 +133,20 @@
 	}
 }
 
+// lookOnce lets the managers of live nodes look once.
+func (n *testNodes) lookOnce() {
+	for _, node := range n.nodes {
+		if node.node.Alive {
+			node.manager.look(n.t.Context())
+		}
+	}
+}
+
 // settle lets the managers of live nodes look until nothing is left to do.
 func (n *testNodes) settle() {
 	for range 20 {
 		n.advance(2 * DefaultInterval)
-		for _, node := range n.nodes {
-			if node.node.Alive {
-				node.manager.look(n.t.Context())
-			}
-		}
+		n.lookOnce()
 	}
 }
 
--- a/internal/claim/service_test.go
+++ b/internal/claim/service_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -101,6 +102,27 @@
 	assert.Equal(t, n.claim(0, "new"), Granted)
 }
 
+// A cluster that is smaller than the wanted roster gets the largest that it can
+// hold, once latecomers were waited for.
+func TestFirstRosterOfASmallCluster(t *testing.T) {
+	for nodes, size := range map[int]int{2: 0, 3: 3, 4: 3, 5: 5, 6: 5} {
+		t.Run(strconv.Itoa(nodes), func(t *testing.T) {
+			n := startNodes(t, nodes, 0)
+			for _, node := range n.nodes {
+				node.manager.config.Size = 5
+				node.manager.started = n.now()
+			}
+			n.lookOnce()
+			_, known := n.nodes[0].service.Roster()
+			assert.Equal(t, known, size == 5, "at first")
+			n.advance(genesisPatience)
+			n.settle()
+			roster, _ := n.nodes[0].service.Roster()
+			assert.Equal(t, len(roster.Seats), size)
+		})
+	}
+}
+
 func TestForgetAllowsNewGeneration(t *testing.T) {
 	n := startNodes(t, 5, 0)
 	n.settle()
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -167,7 +167,8 @@
 
 // Claims tells how calls that are not repeatable are claimed.
 type Claims struct {
-	// Replicas is how many nodes hold a claim; a majority must agree.
+	// Replicas is how many nodes hold a claim; a majority must agree. A cluster
+	// with fewer nodes gets a smaller roster, of three at least.
 	Replicas int `toml:"replicas" validate:"oneof=1 3 5 7"`
 	// Retention is how long a claim is held, in seconds.
 	Retention Seconds `toml:"retention_s" validate:"min=20,max=86400"`
@@ -223,7 +224,7 @@
 		Queue:    Queue{MaxLength: 256, MaxWait: 500},
 		Drain:    Drain{Timeout: 30000},
 		Log:      Log{Level: "info"},
-		Claims:   Claims{Replicas: 3, Retention: 600},
+		Claims:   Claims{Replicas: 5, Retention: 600},
 		Features: Features{Homes: true, ShedLevels: true, AdaptiveLimit: true, PriorityQueue: true, RetryRatio: true, Warmup: true},
 	}
 }
