Try refused calls of the highest level at other targets

Ruled out: a longer wait in the one queue (its target may be stuck); a larger share of retries for all.

Change: a refusal that was not run needs none of the node's share of retries if the call is of the highest level; the request's budget still bounds it. The lab's targets pass on the reason of a failed call, by the chaos author. A stopping replica waits up to 15 s for its successor (8 s).

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lugspur/lugspur/internal/callcontext"
+	"github.com/lugspur/lugspur/internal/criticality"
 	"github.com/lugspur/lugspur/internal/home"
 	"github.com/lugspur/lugspur/internal/policy"
 	"github.com/lugspur/lugspur/internal/problem"
@@ -164,12 +165,27 @@
 	if err != nil || attempt > allowed {
 		return false
 	}
-	if !unreachable(failure) && !g.ratio.Allow() {
+	if !g.withinRatio(c, failure) {
 		return false
 	}
 	return g.granted(ctx, c)
 }
 
+// withinRatio reports whether the node's share of retries leaves room for one.
+// Two kinds of retries need none of it: those that have nothing to do with load,
+// and those of the most important calls after a refusal, because such a call
+// must not be shed by one target while another takes less important ones.
+func (g *Gateway) withinRatio(c *call, failure *problem.Problem) bool {
+	if unreachable(failure) {
+		return true
+	}
+	notRun := failure != nil && failure.Executed == problem.ExecutedNo
+	if notRun && c.context.Rank.Level == criticality.CriticalPlus {
+		return true
+	}
+	return g.ratio.Allow()
+}
+
 // granted asks the request's ingress node for one retry.
 func (g *Gateway) granted(ctx context.Context, c *call) bool {
 	ingress, known := c.ingress()
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -15,7 +15,7 @@
 	maxUpdates = 64
 	// maxQueuedUpdates leaves room for those that a message is about.
 	maxQueuedUpdates = maxUpdates - 4
-	maxUpdateBytes   = 512
+	maxUpdateBytes   = 320
 	maxNesting       = 4
 	maxPairs         = 16
 	updatesOverhead  = 4
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -21,7 +21,7 @@
 	learnTimeout = time.Second
 	// handoverTimeout bounds the time that a stopping replica waits for another
 	// node to take its seat.
-	handoverTimeout = 8 * time.Second
+	handoverTimeout = 15 * time.Second
 	// handoverPoll is how often that is looked at.
 	handoverPoll = 100 * time.Millisecond
 	// maxRosterBytes bounds an encoded roster.
--- a/lab/emulator/downstream.go
+++ b/lab/emulator/downstream.go
@@ -195,10 +195,15 @@
 }
 
 func (d *downstream) refused(call mesh.Call, response *http.Response, body []byte) *callFailure {
-	failure := d.failed(call, "answer", fmt.Errorf("status %d", response.StatusCode))
+	document, parseErr := problem.Parse(body)
+	cause := fmt.Errorf("status %d", response.StatusCode)
+	if parseErr == nil {
+		cause = fmt.Errorf("status %d at %s of %s, %s", response.StatusCode, document.Step, document.Peer, document.Reason)
+	}
+	failure := d.failed(call, "answer", cause)
 	failure.retryAfter = response.Header.Get("Retry-After")
 	failure.executed = response.Header.Get(problem.ExecutedHeader)
-	if document, err := problem.Parse(body); err == nil && document.Executed != "" {
+	if parseErr == nil && document.Executed != "" {
 		failure.executed = string(document.Executed)
 	}
 	if response.StatusCode == http.StatusServiceUnavailable {
--- a/lab/replay/run.go
+++ b/lab/replay/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lugspur/lugspur/internal/callcontext"
+	"github.com/lugspur/lugspur/internal/criticality"
 	"github.com/lugspur/lugspur/internal/home"
 	"github.com/lugspur/lugspur/internal/limit"
 	"github.com/lugspur/lugspur/internal/policy"
@@ -198,7 +199,7 @@
 	if err != nil || c.attempt > allowed {
 		return false
 	}
-	if !unreachable(failure) && !p.ratio.Allow() {
+	if !unreachable(failure) && !mostImportantNotRun(c, failure) && !p.ratio.Allow() {
 		return false
 	}
 	return p.granted(c, c.answer.GrantLost)
@@ -240,3 +241,9 @@
 	}
 	p.pending--
 }
+
+// mostImportantNotRun reports whether the failure is the refusal of a call of
+// the highest level that no target has run, as the gateway asks it.
+func mostImportantNotRun(c *call, failure *problem.Problem) bool {
+	return failure != nil && failure.Executed == problem.ExecutedNo && c.context.Rank.Level == criticality.CriticalPlus
+}
