Let calls of the highest level wait for a third of their time

Ruled out: waiting until the deadline at one target (it may be stuck).

Change: a call of the highest level may wait at a target for a third of its remaining time, if that is longer than queue.max_wait_ms.

--- a/internal/scheduler/doc.go
+++ b/internal/scheduler/doc.go
@@ -33,7 +33,8 @@
 // would almost surely fail are dropped. The estimate halves for each
 // estimateStale without a completion, so that it cannot lock a target out.
 // A waiter also leaves after MaxWait, at the last moment at which it could
-// still finish, and when its context ends.
+// still finish, and when its context ends. One of the highest level may wait for
+// a third of its remaining time if that is longer, since it is next in line.
 //
 // When the queue is full, the least important level queued gives way to a more
 // important arrival; inside that level the caller with the most queued calls
--- a/internal/scheduler/wait.go
+++ b/internal/scheduler/wait.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/lugspur/lugspur/internal/criticality"
 )
 
 // wait blocks until the waiter's outcome, its patience or its context ends.
@@ -29,10 +31,25 @@
 	expected := s.service.expected(now)
 	s.mu.Unlock()
 	untilTooLate := request.Deadline.Sub(now) - expected
-	if untilTooLate < s.config.MaxWait {
+	wait := s.maxWait(request, untilTooLate)
+	if untilTooLate < wait {
 		return Deadline, max(untilTooLate, 0)
 	}
-	return Overloaded, s.config.MaxWait
+	return Overloaded, wait
+}
+
+// criticalShare is the part of the time that a call of the highest level has
+// left which it may wait at one target; the rest is left for others.
+const criticalShare = 3
+
+// maxWait returns the longest wait of a call that can wait for so long before it
+// is too late. A call of the highest level is next in line wherever it waits, so
+// that giving it up after MaxWait would shed it while less important calls run.
+func (s *Scheduler) maxWait(request Request, untilTooLate time.Duration) time.Duration {
+	if request.Rank.Level == criticality.CriticalPlus {
+		return max(s.config.MaxWait, untilTooLate/criticalShare)
+	}
+	return s.config.MaxWait
 }
 
 // leave takes a waiter out of the queue when its patience ends. If its outcome
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -148,7 +148,8 @@
 type Queue struct {
 	// MaxLength bounds the calls that wait for one target.
 	MaxLength int `toml:"max_length" validate:"min=0,max=100000"`
-	// MaxWait bounds the time that a call waits, in milliseconds.
+	// MaxWait bounds the time that a call waits, in milliseconds. One of the
+	// highest criticality may wait for a third of its time if that is longer.
 	MaxWait Millis `toml:"max_wait_ms" validate:"min=0,max=600000"`
 }
 
--- a/lab/chaos/attempt.go
+++ b/lab/chaos/attempt.go
@@ -99,7 +99,7 @@
 	if err != nil {
 		attempt.Verdict = load.VerdictError
 		attempt.Error = "status " + strconv.Itoa(response.StatusCode) + " without a problem document: " + strings.TrimSpace(string(body))
-		return ""
+		return c.chainRefuser(string(body))
 	}
 	attempt.Verdict = load.VerdictRefused
 	attempt.Executed = document.Executed
@@ -127,3 +127,17 @@
 	}
 	return last
 }
+
+// chainRefuser returns the service at which a target's own call was refused for
+// load, as the stand-in targets say: "call SERVICE in zone ZONE: status 503,
+// overloaded".
+func (c *callers) chainRefuser(body string) string {
+	words := strings.Fields(body)
+	if len(words) < 2 || words[len(words)-1] != string(problem.Overloaded) {
+		return ""
+	}
+	if _, ok := c.mesh.Service(words[1]); words[0] != "call" || !ok {
+		return ""
+	}
+	return words[1]
+}
--- a/lab/chaos/chaos_test.go
+++ b/lab/chaos/chaos_test.go
@@ -177,6 +177,19 @@
 	}
 }
 
+func TestRefusalsInTheChainNameTheService(t *testing.T) {
+	c := newCallers(loadMesh(t), nil, &recorder{}, 1)
+	for body, service := range map[string]string{
+		"call cropcal in zone malolo: status 503, overloaded\n":    "cropcal",
+		"call cropcal in zone malolo: status 503, no-target\n":     "",
+		"call cropcal in zone malolo: status 503\n":                "",
+		"call unheard-of in zone malolo: status 503, overloaded\n": "",
+		"": "",
+	} {
+		assert.Equal(t, c.chainRefuser(body), service, "%q", body)
+	}
+}
+
 func TestRequestsCountOnce(t *testing.T) {
 	sent := func(nonce string, from int, verdict load.Verdict) judge.Call {
 		begun := time.Unix(int64(from), 0)
--- a/lab/chaos/command.go
+++ b/lab/chaos/command.go
@@ -13,6 +13,7 @@
 
 	"github.com/google/subcommands"
 
+	"github.com/lugspur/lugspur/internal/settings"
 	"github.com/lugspur/lugspur/lab/judge"
 )
 
@@ -57,7 +58,7 @@
 	flags.DurationVar(&c.config.Duration, "duration", 30*time.Second, "`time` with faults")
 	flags.DurationVar(&c.config.Settle, "settle", DefaultSettle, "`time` without faults after it")
 	flags.Float64Var(&c.config.Rate, "rate", 100, "calls a `second`")
-	flags.IntVar(&c.claimReplicas, "claim-replicas", 3, "`nodes` that hold the claims of keyed calls: 1, 3, 5 or 7")
+	flags.IntVar(&c.claimReplicas, "claim-replicas", settings.Default().Claims.Replicas, "`nodes` that hold the claims of keyed calls: 1, 3, 5 or 7")
 	c.config.Settings = judge.DefaultSettings()
 	c.config.Settings.Register(flags)
 }
--- a/lab/chaos/fault.go
+++ b/lab/chaos/fault.go
@@ -36,7 +36,9 @@
 	Drain FaultKind = "drain"
 	// Surge multiplies the rate of calls.
 	Surge FaultKind = "surge"
-	// The faults of targets.
+	// SlowService slows all targets of a service down.
+	SlowService FaultKind = "slow-service"
+	// The faults of single targets.
 	TargetSlow     FaultKind = "target-slow"
 	TargetTruncate FaultKind = "target-truncate"
 	TargetReset    FaultKind = "target-reset"
@@ -95,6 +97,7 @@
 	{kind: Race, weight: 4},
 	{kind: Drain, weight: 4, shortest: 6 * time.Second, longest: 11 * time.Second},
 	{kind: Surge, weight: 2, shortest: 2 * time.Second, longest: 4 * time.Second, least: 2, most: 5},
+	{kind: SlowService, weight: 3, shortest: 2 * time.Second, longest: 6 * time.Second, least: 8, most: 40},
 	{kind: TargetSlow, weight: 2, shortest: 2 * time.Second, longest: 6 * time.Second, least: 4, most: 15},
 	{kind: TargetTruncate, weight: 1, shortest: 2 * time.Second, longest: 6 * time.Second, least: 0.3, most: 1},
 	{kind: TargetReset, weight: 1, shortest: 2 * time.Second, longest: 6 * time.Second, least: 0.3, most: 1},
--- a/lab/chaos/injector.go
+++ b/lab/chaos/injector.go
@@ -12,6 +12,7 @@
 	"github.com/lugspur/lugspur/lab/faultproxy"
 	"github.com/lugspur/lugspur/lab/judge"
 	"github.com/lugspur/lugspur/lab/kvstore"
+	"github.com/lugspur/lugspur/lab/mesh"
 )
 
 const (
@@ -19,6 +20,10 @@
 	stopTimeout = 40 * time.Second
 	// undoTimeout bounds the end of one fault.
 	undoTimeout = 10 * time.Second
+	// servingTimeout bounds the wait for a node to answer after its start, and
+	// servingPause is the time between two questions.
+	servingTimeout = 10 * time.Second
+	servingPause   = 50 * time.Millisecond
 )
 
 // injector makes faults and ends them. It is safe for concurrent use.
@@ -134,7 +139,7 @@
 
 func targetFaults(fault Fault) emulator.Faults {
 	switch fault.Kind {
-	case TargetSlow:
+	case TargetSlow, SlowService:
 		return emulator.Faults{SlowFactor: fault.Factor}
 	case TargetTruncate:
 		return emulator.Faults{TruncateRate: fault.Factor}
@@ -150,14 +155,31 @@
 }
 
 func (i *injector) injectTarget(ctx context.Context, fault Fault) error {
-	i.recorder.note(judge.Event{Kind: judge.TargetFaulty, Target: fault.Target, Detail: string(fault.Kind)})
-	failed := i.cluster.SetTargetFaults(ctx, fault.Target, targetFaults(fault))
+	targets := []string{fault.Target}
+	if fault.Kind == SlowService {
+		targets = targetsOf(i.cluster.Mesh, fault.Service)
+	}
+	var failures []error
+	for _, target := range targets {
+		i.recorder.note(judge.Event{Kind: judge.TargetFaulty, Target: target, Detail: string(fault.Kind)})
+		failures = append(failures, i.cluster.SetTargetFaults(ctx, target, targetFaults(fault)))
+	}
 	sleep(ctx, fault.length())
 	undo, cancel := undoContext(ctx)
 	defer cancel()
-	cleared := i.cluster.SetTargetFaults(undo, fault.Target, emulator.Faults{})
-	i.recorder.note(judge.Event{Kind: judge.TargetSound, Target: fault.Target})
-	return errors.Join(failed, cleared)
+	for _, target := range targets {
+		failures = append(failures, i.cluster.SetTargetFaults(undo, target, emulator.Faults{}))
+		i.recorder.note(judge.Event{Kind: judge.TargetSound, Target: target})
+	}
+	return errors.Join(failures...)
+}
+
+func targetsOf(m *mesh.Mesh, service string) []string {
+	var names []string
+	for _, target := range m.TargetsOf(service) {
+		names = append(names, target.Name)
+	}
+	return names
 }
 
 func (i *injector) injectProcess(ctx context.Context, fault Fault) error {
@@ -177,6 +199,7 @@
 		i.processOf(node).Kill()
 		return errors.Join(i.pointMesh(ctx, node, true), i.startAgain(ctx, node, fault.length()))
 	}
+	i.awaitServing(ctx, node)
 	redirected := i.pointMesh(ctx, node, true)
 	i.stop(node)
 	return errors.Join(redirected, i.startAgain(ctx, node, fault.length()))
@@ -197,6 +220,18 @@
 	i.recorder.note(judge.Event{Kind: judge.NodeResumed, Node: node.Name})
 }
 
+// awaitServing waits until a node that was started just now answers: before
+// that it can't take a signal.
+func (i *injector) awaitServing(ctx context.Context, node *cluster.Node) {
+	ctx, cancel := context.WithTimeout(ctx, servingTimeout)
+	defer cancel()
+	for {
+		if _, err := node.Status(ctx); err == nil || !sleep(ctx, servingPause) {
+			return
+		}
+	}
+}
+
 func (i *injector) stop(node *cluster.Node) {
 	i.recorder.note(judge.Event{Kind: judge.StopAsked, Node: node.Name, Edge: node.Addresses.Edge})
 	ended := judge.Event{Kind: judge.StopEnded, Node: node.Name}
--- a/lab/chaos/schedule.go
+++ b/lab/chaos/schedule.go
@@ -22,7 +22,7 @@
 	// begun.
 	raceDelay = 150 * time.Millisecond
 	// stopReserve is kept free for a planned stop besides its duration.
-	stopReserve = 4 * time.Second
+	stopReserve = 9 * time.Second
 )
 
 // pairProbability is how often two faults begin at once.
@@ -143,9 +143,12 @@
 		target := pick(d, d.mesh.Targets)
 		fault.Target = target.Name
 		return []string{"drain of " + target.Service}
+	case SlowService:
+		fault.Service = pick(d, d.mesh.Services).Name
+		return targetNames(d.mesh.TargetsOf(fault.Service))
 	default:
 		fault.Target = pick(d, d.mesh.Targets).Name
-		return []string{"target " + fault.Target}
+		return targetNames([]mesh.Target{{Name: fault.Target}})
 	}
 	var concerned []string
 	for _, node := range fault.Nodes {
@@ -154,6 +157,15 @@
 	return concerned
 }
 
+// targetNames are the names under which targets are busy.
+func targetNames(targets []mesh.Target) []string {
+	var names []string
+	for _, target := range targets {
+		names = append(names, "target "+target.Name)
+	}
+	return names
+}
+
 // race draws two operators at two nodes who change the same policy.
 func (d *drawer) race(at time.Duration) Fault {
 	nodes := d.allNodes()
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -8,7 +8,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -224,30 +223,6 @@
 	return os.Rename(fresh, c.settingsFile())
 }
 
-// freeAddresses finds free ports. The peer's is free for TCP and UDP.
-func freeAddresses() (Addresses, error) {
-	var addresses Addresses
-	var held []net.Listener
-	defer func() {
-		for _, listener := range held {
-			_ = listener.Close()
-		}
-	}()
-	for _, address := range []*string{&addresses.Edge, &addresses.Mesh, &addresses.Peer, &addresses.Admin} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return addresses, oops.In("cluster").With("step", "find port").Wrap(err)
-		}
-		held = append(held, listener)
-		*address = listener.Addr().String()
-	}
-	socket, err := net.ListenPacket("udp", addresses.Peer)
-	if err != nil {
-		return addresses, oops.In("cluster").With("step", "find port").With("peer", addresses.Peer).Wrap(err)
-	}
-	return addresses, socket.Close()
-}
-
 // announceMesh tells the targets where the nodes of their zones are.
 func (c *Cluster) announceMesh(ctx context.Context) error {
 	addresses := map[string]string{}
--- a/lab/judge/inversion.go
+++ b/lab/judge/inversion.go
@@ -15,6 +15,10 @@
 type shedOrder struct {
 	call    Call
 	attempt load.Attempt
+	// from is the earliest moment at which it may have asked for what it was
+	// refused: when it was sent, or, where it was refused further down its chain,
+	// when its first execution began.
+	from time.Time
 	// services are those at which it may have been refused.
 	services []string
 }
@@ -54,14 +58,30 @@
 			continue
 		}
 		for _, attempt := range call.Attempts {
-			if attempt.Verdict == load.VerdictRefused && attempt.Reason == problem.Overloaded {
-				orders = append(orders, shedOrder{call: call, attempt: attempt, services: i.neededBy(call)})
+			if order, shed := i.shedOrder(call, attempt); shed {
+				orders = append(orders, order)
 			}
 		}
 	}
 	return orders
 }
 
+// shedOrder tells whether a try was refused for load, by its edge or further
+// down its chain. In the second case its caller got its target's failure.
+func (i *index) shedOrder(call Call, attempt load.Attempt) (shedOrder, bool) {
+	order := shedOrder{call: call, attempt: attempt, from: attempt.Start}
+	switch {
+	case attempt.Verdict == load.VerdictRefused && attempt.Reason == problem.Overloaded:
+		order.services = i.neededBy(call)
+		return order, true
+	case attempt.Verdict == load.VerdictError && call.RefusedBy != "" && len(i.byRequest[attempt.RequestID]) > 0:
+		order.services = []string{call.RefusedBy}
+		order.from = earliest(i.byRequest[attempt.RequestID]).Start
+		return order, true
+	}
+	return order, false
+}
+
 // neededBy returns the service that refused the call, if that is known, or
 // else all that the call can't do without.
 func (i *index) neededBy(call Call) []string {
@@ -137,7 +157,7 @@
 // sent within the tolerance after the order and begun at all: an edge that
 // refuses an order at once must refuse it as well.
 func overtook(order shedOrder, candidate admittedCall, tolerance time.Duration) bool {
-	later := candidate.attempt.Start.Sub(order.attempt.Start)
+	later := candidate.attempt.Start.Sub(order.from)
 	if later > tolerance && candidate.record.Start.Before(order.attempt.End.Add(-tolerance)) {
 		return true
 	}
--- a/lab/judge/judge.go
+++ b/lab/judge/judge.go
@@ -12,8 +12,8 @@
 // another edge makes a further Call with the same nonce and key.
 type Call struct {
 	load.Call
-	// RefusedBy names the service at which the last try was refused for load;
-	// empty means that it isn't known.
+	// RefusedBy names the service at which the last try was refused for load, by
+	// the edge or further down its chain; empty means that it isn't known.
 	RefusedBy string `json:"refused_by,omitempty"`
 }
 
--- a/lab/judge/judge_test.go
+++ b/lab/judge/judge_test.go
@@ -114,6 +114,8 @@
 func cleanInput(t *testing.T) Input {
 	reset := attempt("", 2_000, 2_050, load.VerdictError)
 	reset.Error = "dial tcp 127.0.0.1:1: connect: connection refused"
+	chainRefusal := call("order", "edge-n1", "k4", attempt("r13", 700, 900, load.VerdictError))
+	chainRefusal.RefusedBy, chainRefusal.Attempts[0].Status = "lookup", 503
 	return Input{
 		Mesh:     loadMesh(t),
 		Settings: DefaultSettings(),
@@ -124,6 +126,9 @@
 			call("order", "edge-n1", "k2", refused("r4", 100, 200, problem.Overloaded)),
 			call("view", "edge-n1", "", refused("r5", 110, 120, problem.Overloaded)),
 			call("view", "edge-n1", "", reset),
+			// Sent before the order reached the service that refused it.
+			call("view", "edge-n1", "", attempt("r12", 720, 790, load.VerdictComplete)),
+			chainRefusal,
 		},
 		Records: []emulator.Record{
 			execution("r2", "orders", "/orders", "k1", 10),
@@ -134,6 +139,8 @@
 			execution("r3", "lookup", "/y", "", 13),
 			execution("r3", "lookup", "/x", "", 22),
 			execution("r3", "lookup", "/y", "", 23),
+			execution("r12", "lookup", "/x", "", 725),
+			execution("r13", "orders", "/orders", "k4", 750),
 			execution("r9", "lookup", "/x", "", 9_000), // before the drain's allowance is over
 			execution("r9", "lookup", "/x", "", 30_000),
 		},
@@ -154,9 +161,9 @@
 func TestCleanRunHasNoBreach(t *testing.T) {
 	report := Judge(cleanInput(t))
 	assert.DeepEqual(t, report.Breaches, []Breach{})
-	assert.Equal(t, report.Tries, 6)
+	assert.Equal(t, report.Tries, 8)
 	assert.DeepEqual(t, report.Exercised, Exercised{
-		RetriedRequests: 2, MostRetries: 1, ShedOrders: 1, ToldNotRun: 3, KeysSentAgain: 1,
+		RetriedRequests: 2, MostRetries: 1, ShedOrders: 2, ToldNotRun: 3, KeysSentAgain: 1,
 		Drains: 1, PlannedStops: 1, AcceptedChanges: 1,
 	})
 }
@@ -191,6 +198,12 @@
 			i.Calls = append(i.Calls, order, call("view", "edge-n1", "", attempt("r10", 510, 590, load.VerdictComplete)))
 			i.Records = append(i.Records, execution("r10", "lookup", "/x", "", 520))
 		}},
+		{"order refused in its chain while a later view ran", CriticalityInversion, func(i *Input) {
+			order := call("order", "edge-n1", "k3", attempt("r11", 500, 700, load.VerdictError))
+			order.RefusedBy, order.Attempts[0].Status = "lookup", 503
+			i.Calls = append(i.Calls, order, call("view", "edge-n2", "", attempt("r10", 590, 690, load.VerdictComplete)))
+			i.Records = append(i.Records, execution("r11", "orders", "/orders", "k3", 560), execution("r10", "lookup", "/x", "", 600))
+		}},
 		{"wrong answer", WrongAnswer, func(i *Input) { i.Calls = append(i.Calls, call("view", "edge-n1", "", wrong)) }},
 		{"said not to have run", ExecutedAfterAll, func(i *Input) {
 			i.Records = append(i.Records, execution("r1", "lookup", "/x", "", 2))
