--- a/lab/scale/experiment.go
+++ b/lab/scale/experiment.go
@@ -139,12 +139,13 @@
 	}{
 		{"start", e.startNodes},
 		{"changes", e.changeHealthy},
+		{"windows", e.measureWindows},
+		{"memory", e.measureMemory},
 		{"failures", e.failNodes},
 		{"store outage", e.changeBeforeOutage},
 		{"cut", e.cutZone},
+		{"after the cut", e.measureAfterCut},
 		{"observe", e.judge},
-		{"windows", e.measureWindows},
-		{"memory", e.measureMemory},
 	} {
 		fmt.Printf("%s nodes=%d phase=%s\n", time.Now().Format(time.TimeOnly), e.config.Nodes, phase.name)
 		if err := phase.run(ctx); err != nil {
