--- a/lab/experiment/scenario.go
+++ b/lab/experiment/scenario.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"slices"
 	"time"
 
 	"github.com/go-playground/validator/v10"
@@ -13,7 +12,6 @@
 	"github.com/samber/oops"
 
 	"github.com/lugspur/lugspur/internal/criticality"
-	"github.com/lugspur/lugspur/lab/emulator"
 	"github.com/lugspur/lugspur/lab/load"
 	"github.com/lugspur/lugspur/lab/mesh"
 )
@@ -33,6 +31,9 @@
 	// TimeScale multiplies all service times and deadlines of the mesh, so that
 	// fewer calls a second fill it; zero means one.
 	TimeScale float64 `toml:"time_scale" validate:"gte=0,lte=100"`
+	// DeadlineScale multiplies the deadlines of clients besides, for clients that
+	// are less patient than the mesh file says; zero means one.
+	DeadlineScale float64 `toml:"deadline_scale" validate:"gte=0,lte=100"`
 	// WarmUpSeconds is how long the load of Before runs before it counts.
 	WarmUpSeconds float64 `toml:"warm_up_seconds" validate:"gte=0,lte=600"`
 	Before        Phase   `toml:"before"`
@@ -83,45 +84,6 @@
 	IgnoreRefusals bool `toml:"ignore_refusals"`
 }
 
-// Interval is a part of the run, counted from the start of the phase "during".
-type Interval struct {
-	// FromSeconds is the beginning.
-	FromSeconds float64 `toml:"from_seconds" validate:"gte=0"`
-	// Seconds is the length; zero means until the end of the phase "during".
-	Seconds float64 `toml:"seconds" validate:"gte=0"`
-}
-
-// Fault is what goes wrong with the named targets, all targets of the named
-// services and all targets in the named zones.
-type Fault struct {
-	Interval
-	Targets  []string `toml:"targets"`
-	Services []string `toml:"services"`
-	Zones    []string `toml:"zones"`
-	// SlowFactor multiplies service times; zero means one.
-	SlowFactor float64 `toml:"slow_factor" validate:"gte=0"`
-	// ErrorRate is the fraction of calls answered 500 after their work.
-	ErrorRate float64 `toml:"error_rate" validate:"gte=0,lte=1"`
-	// ResetRate is the fraction of calls whose connection is reset after their
-	// work.
-	ResetRate float64 `toml:"reset_rate" validate:"gte=0,lte=1"`
-	// LoadLie replaces the reported load.
-	LoadLie *float64 `toml:"load_lie" validate:"omitempty,gte=0,lte=1"`
-	// HealthLie replaces the reported health.
-	HealthLie string `toml:"health_lie" validate:"omitempty,oneof=healthy draining unhealthy"`
-	// Restart resets connections at the beginning and makes the targets cold.
-	Restart bool `toml:"restart"`
-}
-
-// ZoneLoss takes a zone away: its nodes are killed and its targets reset all
-// connections. Afterwards the nodes start anew and the targets are cold.
-// Clients that enter by the zone enter by others from the start of the run, as
-// the load has fixed addresses.
-type ZoneLoss struct {
-	Interval
-	Zone string `toml:"zone" validate:"required"`
-}
-
 // LoadScenario reads and checks a scenario file. Unknown keys are errors.
 func LoadScenario(path string) (*Scenario, error) {
 	content, err := os.ReadFile(path)
@@ -208,19 +170,25 @@
 }
 
 // Scaled returns the mesh with service times and deadlines multiplied by the
-// scenario's time scale.
+// scenario's time scale, and deadlines by the scenario's deadline scale too.
 func (s *Scenario) Scaled(m *mesh.Mesh) *mesh.Mesh {
-	if s.TimeScale == 0 || s.TimeScale == 1 {
-		return m
-	}
-	scaled := withTimes(m, func(string) float64 { return s.TimeScale })
+	times, deadlines := orOne(s.TimeScale), orOne(s.DeadlineScale)
+	scaled := withTimes(m, func(string) float64 { return times })
 	scaled.Kinds = append([]mesh.Kind(nil), m.Kinds...)
 	for i := range scaled.Kinds {
-		scaled.Kinds[i].DeadlineMs *= s.TimeScale
+		scaled.Kinds[i].DeadlineMs *= times * deadlines
 	}
 	return scaled
 }
 
+// orOne returns one in place of a factor that is not set.
+func orOne(factor float64) float64 {
+	if factor == 0 {
+		return 1
+	}
+	return factor
+}
+
 // retry returns what the load's clients do.
 func (c Clients) retry() load.Retry {
 	return load.Retry{
@@ -275,35 +243,6 @@
 
 func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
 
-// targetsOf returns the names of the mesh's targets that the fault hits.
-func (f Fault) targetsOf(m *mesh.Mesh) []string {
-	var names []string
-	for _, target := range m.Targets {
-		if slices.Contains(f.Targets, target.Name) || slices.Contains(f.Services, target.Service) || slices.Contains(f.Zones, target.Zone) {
-			names = append(names, target.Name)
-		}
-	}
-	return names
-}
-
-func (f Fault) emulated() emulator.Faults {
-	return emulator.Faults{
-		SlowFactor: f.SlowFactor,
-		ErrorRate:  f.ErrorRate,
-		ResetRate:  f.ResetRate,
-		LoadLie:    f.LoadLie,
-		HealthLie:  emulator.Health(f.HealthLie),
-	}
-}
-
-// end returns the end of the interval in seconds from the start of "during".
-func (i Interval) end(during Phase) float64 {
-	if i.Seconds == 0 {
-		return during.Seconds
-	}
-	return i.FromSeconds + i.Seconds
-}
-
 // levelOf returns the criticality of a kind; the mesh file was checked.
 func levelOf(kind mesh.Kind) criticality.Level {
 	level, err := criticality.ParseLevel(kind.Criticality)
--- a/lab/experiment/scenario_test.go
+++ b/lab/experiment/scenario_test.go
@@ -87,6 +87,11 @@
 	assert.Equal(t, scaled.Capacity().RequestsPerSecond, original.Capacity().RequestsPerSecond/2)
 	assert.Equal(t, scaled.Kinds[0].Deadline(), 2*original.Kinds[0].Deadline())
 	assert.Equal(t, original.Services[0].Time.MeanMs, 10.0)
+
+	scenario.DeadlineScale = 0.25
+	impatient := scenario.Scaled(original)
+	assert.Equal(t, impatient.Kinds[0].Deadline(), original.Kinds[0].Deadline()/2)
+	assert.Equal(t, impatient.Services[0].Time.MeanMs, 20.0)
 }
 
 func TestParseScenarioRefuses(t *testing.T) {
