Show members to the configuration in one place

Cause: the node and the scale tool's hollow nodes each turned members of the membership into the configuration's, in the same lines.

Change: gossip.Members and gossip.MemberOf, used by both.

--- a/internal/node/provision.go
+++ b/internal/node/provision.go
@@ -11,6 +11,7 @@
 	"github.com/lugspur/lugspur/internal/admin"
 	"github.com/lugspur/lugspur/internal/configuration"
 	"github.com/lugspur/lugspur/internal/gateway"
+	"github.com/lugspur/lugspur/internal/gossip"
 	"github.com/lugspur/lugspur/internal/grant"
 	"github.com/lugspur/lugspur/internal/home"
 	"github.com/lugspur/lugspur/internal/machines"
@@ -121,7 +122,7 @@
 	n.spreader = configuration.NewSpreader(configuration.Options{
 		Self:       configuration.Member{Name: n.settings.Name, Zone: n.settings.Zone, PeerAddress: n.members.Self().PeerAddress, Live: true},
 		Store:      n.store,
-		Membership: memberView{n.members},
+		Membership: gossip.Members{Membership: n.members},
 		Seeds:      n.settings.Membership.Seeds,
 		Client:     n.peerClient,
 		Log:        n.log,
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -12,28 +12,6 @@
 	"github.com/lugspur/lugspur/internal/resource"
 )
 
-// memberView shows the membership as the configuration sees nodes.
-type memberView struct{ members *membership.Membership }
-
-// Members returns the nodes known now.
-func (v memberView) Members() []configuration.Member {
-	known := v.members.Members()
-	members := make([]configuration.Member, 0, len(known))
-	for _, member := range known {
-		members = append(members, configurationMember(member))
-	}
-	return members
-}
-
-func configurationMember(member membership.Member) configuration.Member {
-	return configuration.Member{
-		Name:        member.Name,
-		Zone:        member.Zone,
-		PeerAddress: member.PeerAddress,
-		Live:        member.State.Live(),
-	}
-}
-
 // emergencyDrains lets the administration API mark drains without the store.
 type emergencyDrains struct{ spreader *configuration.Spreader }
 
--- a/lab/scale/group.go
+++ b/lab/scale/group.go
@@ -13,7 +13,6 @@
 
 	"github.com/samber/oops"
 
-	"github.com/lugspur/lugspur/internal/configuration"
 	"github.com/lugspur/lugspur/internal/gateway"
 	"github.com/lugspur/lugspur/internal/gossip"
 	"github.com/lugspur/lugspur/internal/resource"
@@ -238,5 +237,3 @@
 	})
 	return nodes
 }
-
-var _ configuration.Membership = (*hollow)(nil)
--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -133,7 +133,7 @@
 	h.spreader = configuration.NewSpreader(configuration.Options{
 		Self:       configuration.Member{Name: h.config.Name, Zone: h.config.Zone, PeerAddress: h.address, Live: true},
 		Store:      h.store,
-		Membership: h,
+		Membership: gossip.Members{Membership: h.members},
 		Seeds:      h.config.Seeds,
 		Client:     client,
 		Log:        log,
@@ -174,25 +174,6 @@
 	h.stop()
 }
 
-// Members implements configuration.Membership.
-func (h *hollow) Members() []configuration.Member {
-	known := h.members.Members()
-	members := make([]configuration.Member, 0, len(known))
-	for _, member := range known {
-		members = append(members, configurationMember(member))
-	}
-	return members
-}
-
-func configurationMember(member membership.Member) configuration.Member {
-	return configuration.Member{
-		Name:        member.Name,
-		Zone:        member.Zone,
-		PeerAddress: member.PeerAddress,
-		Live:        member.State.Live(),
-	}
-}
-
 func (h *hollow) keepGossiping(ctx context.Context) {
 	ticker := time.NewTicker(gossipInterval)
 	defer ticker.Stop()
@@ -225,7 +206,7 @@
 	if err != nil {
 		return
 	}
-	h.spreader.HandleDigest(configurationMember(from), received.Digest)
+	h.spreader.HandleDigest(gossip.MemberOf(from), received.Digest)
 	for _, level := range received.Levels {
 		if target, known := targetByHash[level.Target]; known {
 			h.shedding.Update(shed.Entry{
