Run a node beside a target on the platform: the thin path

Cause: the users' platform replaces the control machines; the product had no program that speaks its protocol.

Change: the verb "sidecar" with the packages routetable, registry, guard, forward, peering, configfeed, eventlog and store/follow; platform/ holds names and formats; deploy/ describes the deployment. The transport passes over answers that belong to other calls and can take undelimited ones.

Ruled out: hashed placement and gossip on the platform, as the node beside a target is the only process that reaches it and the store lists the records.

--- /dev/null
+++ b/internal/eventlog/event.go
@@ -0,0 +1,108 @@
+// Package eventlog writes one JSON line for each decision that touches a
+// request or changes what the process believes. Recording an event never
+// blocks: events wait in a bounded buffer, the least telling kinds are left out
+// first when it fills, and what was left out is counted.
+package eventlog
+
+import "time"
+
+// Kind names what was decided.
+type Kind uint8
+
+// The kinds of events.
+const (
+	ProcessStarted Kind = iota
+	ProcessStopping
+	ProcessStopped
+	SettingsReloaded
+	DependencyLost
+	DependencyRegained
+	ConfigurationTaken
+	ConfigurationRejected
+	TargetChanged
+	HeartbeatRefused
+	HomeChanged
+	HomeSuspected
+	HomeTrusted
+	LeaseGranted
+	LeaseLost
+	LimitChanged
+	AdmissionChanged
+	RequestAnswered
+	RequestRefused
+	RequestFailed
+	RequestRetried
+	RequestAbandoned
+	CallRefused
+	CallFailed
+	EventsLost
+	kindCount
+)
+
+// class is how early a kind of event is left out under load.
+type class uint8
+
+const (
+	// belief and failure events are left out only when the buffer is full.
+	belief class = iota
+	refusal
+	success
+)
+
+type kindInfo struct {
+	name  string
+	class class
+	about string
+}
+
+var kinds = [kindCount]kindInfo{
+	ProcessStarted:        {"process-started", belief, "the process serves; version is its build"},
+	ProcessStopping:       {"process-stopping", belief, "a planned stop began"},
+	ProcessStopped:        {"process-stopped", belief, "the process ends; count is the requests still in flight"},
+	SettingsReloaded:      {"settings-reloaded", belief, "the settings were read again; reason says what became of them"},
+	DependencyLost:        {"dependency-lost", belief, "peer stopped answering; reason is its first error"},
+	DependencyRegained:    {"dependency-regained", belief, "peer answers again; age is how long it did not"},
+	ConfigurationTaken:    {"configuration-taken", belief, "version is in force from now on; previous was before; peer is where it came from"},
+	ConfigurationRejected: {"configuration-rejected", belief, "a configuration from peer was not taken; reason says why"},
+	TargetChanged:         {"target-changed", belief, "the target beside the node is now in state outcome; version is its heartbeat's sequence number"},
+	HeartbeatRefused:      {"heartbeat-refused", belief, "a heartbeat got no acknowledgement; reason says why"},
+	HomeChanged:           {"home-changed", belief, "the record of the home at peer is now outcome; version is the record's revision"},
+	HomeSuspected:         {"home-suspected", belief, "the home at peer is passed over; reason says why"},
+	HomeTrusted:           {"home-trusted", belief, "the home at peer is used again; age is how long it was passed over"},
+	LeaseGranted:          {"lease-granted", belief, "a lease was granted; version is its number"},
+	LeaseLost:             {"lease-lost", belief, "the lease ended without this node's doing; version is its number"},
+	LimitChanged:          {"limit-changed", belief, "count is the new concurrency limit of the target"},
+	AdmissionChanged:      {"admission-changed", belief, "count is the share of the route's new requests admitted, in percent; reason is the measure that moved it"},
+	RequestAnswered:       {"request-answered", success, "a target's answer went back to the caller"},
+	RequestRefused:        {"request-refused", refusal, "the request was refused without having run; wait is when to come back"},
+	RequestFailed:         {"request-failed", belief, "the request failed and may have run"},
+	RequestRetried:        {"request-retried", refusal, "the request goes to another home; reason is why the one before did not do"},
+	RequestAbandoned:      {"request-abandoned", refusal, "the caller left before the answer"},
+	CallRefused:           {"call-refused", refusal, "the home beside the target refused a call; count is the queue's length"},
+	CallFailed:            {"call-failed", belief, "the exchange with the target brought no usable answer"},
+	EventsLost:            {"events-lost", belief, "count events were left out of the log since the line before"},
+}
+
+// String returns the name that log lines and metrics carry.
+func (k Kind) String() string { return kinds[k].name }
+
+// Event is one decision with the inputs that led to it. Zero fields are left
+// out of the line.
+type Event struct {
+	Kind Kind
+	// Request is the id of the request that the event touches.
+	Request string
+	// Route, Service and Target name what was decided about; Peer is the other
+	// side.
+	Route, Service, Target, Peer string
+	// Reason is the input that decided, Outcome the result.
+	Reason, Outcome string
+	Status          int
+	Attempt         int
+	Count           int
+	// Version and Previous number configurations, records, leases, heartbeats.
+	Version, Previous uint64
+	// Age is how old the deciding input was, Wait a delay told or served,
+	// Duration the time since the request arrived.
+	Age, Wait, Duration time.Duration
+}
--- /dev/null
+++ b/internal/forward/run.go
@@ -0,0 +1,191 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/lugspur/lugspur/internal/eventlog"
+	"github.com/lugspur/lugspur/internal/peering"
+	"github.com/lugspur/lugspur/internal/problem"
+	"github.com/lugspur/lugspur/internal/registry"
+	"github.com/lugspur/lugspur/internal/retrybudget"
+	"github.com/lugspur/lugspur/internal/routetable"
+)
+
+const (
+	// maxHomes bounds the homes that one request is offered to.
+	maxHomes = 4
+	// defaultRetryAfter is told where no home proposed a time.
+	defaultRetryAfter = 150 * time.Millisecond
+)
+
+// run offers the request to homes until one answers or none is left.
+func (f *Forwarder) run(ctx context.Context, q *request) (*peering.Reply, *problem.Problem) {
+	f.budget(q.service).Success()
+	for range maxHomes {
+		home := f.choose(q.service, q.excluded)
+		if home == nil {
+			break
+		}
+		reply := f.offer(ctx, q, home)
+		if reply.Outcome == peering.Answered {
+			q.attempts++
+			return reply, nil
+		}
+		q.lastReason = reply.Reason
+		if ctx.Err() != nil {
+			return nil, f.timedOut(q, reply)
+		}
+		q.excluded = append(q.excluded, home)
+		if reply.Outcome == peering.Refused {
+			q.noteWait(reply.RetryAfter)
+			continue
+		}
+		q.attempts++
+		if failure := f.repeatable(q, reply); failure != nil {
+			return nil, failure
+		}
+		f.log.Record(eventlog.Event{Kind: eventlog.RequestRetried, Request: q.id, Route: q.route.Name, Service: q.service, Peer: home.Address,
+			Attempt: q.attempts, Reason: string(reply.Reason)})
+	}
+	return nil, f.exhausted(q)
+}
+
+func (q *request) noteWait(proposed time.Duration) {
+	if proposed > 0 && (q.retryAfter == 0 || proposed < q.retryAfter) {
+		q.retryAfter = proposed
+	}
+}
+
+// repeatable returns nil if the request, which may have run, may go to another
+// target.
+func (f *Forwarder) repeatable(q *request, reply *peering.Reply) *problem.Problem {
+	detail := ""
+	switch {
+	case q.route.Kind != routetable.Repeatable:
+		detail = "may have run and must not run twice"
+	case q.attempts >= max(q.route.Attempts, 1):
+		detail = "no attempts left"
+	case !f.budget(q.service).Allow():
+		detail = "no retry budget left"
+	default:
+		return nil
+	}
+	return f.problem(problem.TargetFailed, problem.ExecutedUnknown, "run", string(reply.Reason)+": "+detail)
+}
+
+// timedOut returns the answer to a request whose time is over.
+func (f *Forwarder) timedOut(q *request, reply *peering.Reply) *problem.Problem {
+	if q.attempts == 0 && reply.Outcome == peering.Refused {
+		return f.problem(problem.Overloaded, problem.ExecutedNo, "run", "no room before the deadline").WithRetryDelay(defaultRetryAfter)
+	}
+	return f.problem(problem.DeadlineExceeded, problem.ExecutedUnknown, "run", "no answer before the deadline")
+}
+
+// exhausted returns the answer to a request that no home took.
+func (f *Forwarder) exhausted(q *request) *problem.Problem {
+	if q.attempts > 0 {
+		return f.problem(problem.TargetFailed, problem.ExecutedUnknown, "run", "no other home took the repetition")
+	}
+	reason := problem.Overloaded
+	if len(q.excluded) == 0 || q.lastReason.Final() {
+		reason = problem.NoTarget
+	}
+	delay := q.retryAfter
+	if delay == 0 {
+		delay = defaultRetryAfter
+	}
+	return f.problem(reason, problem.ExecutedNo, "run", "no home took the request: "+string(q.lastReason)).WithRetryDelay(delay)
+}
+
+// offer has one home run the request.
+func (f *Forwarder) offer(ctx context.Context, q *request, home *registry.Home) *peering.Reply {
+	state := f.homes.state(home.Address)
+	call := *q.call
+	call.Header = q.call.Header.Clone()
+	call.Remaining = q.deadline.Sub(f.now())
+	if call.Remaining <= 0 {
+		return &peering.Reply{Outcome: peering.Refused, Reason: peering.DeadlinePassed}
+	}
+	if home.Address == f.config.Address {
+		done := state.begin(nil, f.now())
+		defer done()
+		reply := f.local.Run(ctx, &call)
+		f.heed(home, state, reply)
+		return reply
+	}
+	return f.offerToPeer(ctx, q, home, state, &call)
+}
+
+func (f *Forwarder) offerToPeer(ctx context.Context, q *request, home *registry.Home, state *homeState, call *peering.Call) *peering.Reply {
+	offerCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	abandon := cancel
+	if q.route.Kind != routetable.Repeatable {
+		// It must not go elsewhere, so that waiting for the home is all that is left.
+		abandon = nil
+	}
+	done := state.begin(abandon, f.now())
+	reply, err := f.peers.Call(offerCtx, home.Address, call)
+	done()
+	if err == nil {
+		f.heed(home, state, reply)
+		return reply
+	}
+	return f.peerFailed(ctx, offerCtx, state, err)
+}
+
+// peerFailed says what a missing reply means.
+func (f *Forwarder) peerFailed(ctx, offerCtx context.Context, state *homeState, err error) *peering.Reply {
+	var failure *peering.Error
+	outcome, reason := peering.Failed, peering.Broken
+	if errors.As(err, &failure) && !failure.Sent {
+		outcome, reason = peering.Refused, peering.Unconnected
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		reason = peering.DeadlinePassed
+	case ctx.Err() != nil:
+		reason = peering.CallerLeft
+	case errors.Is(context.Cause(offerCtx), errSuspected):
+		reason = peering.Suspected
+	default:
+		f.suspect(state, err.Error())
+		f.peers.Forget(state.address)
+	}
+	return &peering.Reply{Outcome: outcome, Reason: reason}
+}
+
+// heed takes what a reply tells of the home.
+func (f *Forwarder) heed(home *registry.Home, state *homeState, reply *peering.Reply) {
+	f.trust(state)
+	state.report(reply.Load, f.now())
+	if reply.Outcome == peering.Refused && reply.Reason.Final() {
+		state.depart(home, f.now())
+	}
+	if reply.Version > uint64(f.routes.Version()) {
+		f.newerAt(home.Address, reply.Version)
+	}
+}
+
+// budget returns the service's retry budget.
+func (f *Forwarder) budget(service string) *retrybudget.Ratio {
+	f.budgetMutex.Lock()
+	defer f.budgetMutex.Unlock()
+	budget := f.budgets[service]
+	if budget == nil {
+		budget = retrybudget.NewRatio(retrybudget.RatioConfig{
+			Share:            f.config.RetryShare,
+			Reserve:          f.config.RetryReserve,
+			ReservePerSecond: f.config.RetryReservePerSecond,
+			MaxBalance:       f.config.RetryReserve + maxRetryBalance,
+		}, f.now)
+		f.budgets[service] = budget
+	}
+	return budget
+}
+
+// maxRetryBalance bounds the repetitions that many requests can pay for in
+// advance.
+const maxRetryBalance = 4
--- /dev/null
+++ b/internal/peering/message.go
@@ -0,0 +1,127 @@
+// Package peering is what nodes say to each other: a node passes a call on to
+// the node beside the target that is to run it, which answers with what became
+// of the call. Messages are CBOR bodies of HTTP/1.1 exchanges; a connection
+// carries one exchange at a time, and its end withdraws the call.
+package peering
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Paths of the exchanges.
+const (
+	callPath          = "/v1/call"
+	pingPath          = "/v1/ping"
+	configurationPath = "/v1/configuration"
+)
+
+// Call is a request on its way to a home.
+type Call struct {
+	// Service is the service whose target is to run the request.
+	Service   string      `cbor:"1,keyasint"`
+	RequestID string      `cbor:"2,keyasint"`
+	Method    string      `cbor:"3,keyasint"`
+	URI       string      `cbor:"4,keyasint"`
+	Host      string      `cbor:"5,keyasint"`
+	Header    http.Header `cbor:"6,keyasint"`
+	Body      []byte      `cbor:"7,keyasint,omitempty"`
+	// Remaining is the time left to answer; the two clocks are never compared.
+	Remaining time.Duration `cbor:"8,keyasint"`
+	// Caller is the service on whose machine the request began.
+	Caller string `cbor:"9,keyasint"`
+	Route  string `cbor:"10,keyasint"`
+	// Priority ranks the call; zero is the most important.
+	Priority int `cbor:"11,keyasint"`
+	// MaxWait is how long the call may wait for room at the target; zero leaves
+	// it to the home.
+	MaxWait time.Duration `cbor:"12,keyasint"`
+}
+
+// Outcome is what became of a call.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Answered means that the target's answer follows, whole.
+	Answered Outcome = iota + 1
+	// Refused means that the call has not run and will not.
+	Refused
+	// Failed means that the call may have run and that no usable answer came.
+	Failed
+)
+
+// Load is a home's report of its own state.
+type Load struct {
+	InFlight int `cbor:"1,keyasint"`
+	Queued   int `cbor:"2,keyasint"`
+	Limit    int `cbor:"3,keyasint"`
+	// Latency is the usual time of a call at the target.
+	Latency time.Duration `cbor:"4,keyasint"`
+}
+
+// Reply is a home's answer to a call.
+type Reply struct {
+	Outcome Outcome `cbor:"1,keyasint"`
+	// Reason says why a call was refused or failed.
+	Reason Reason      `cbor:"2,keyasint,omitempty"`
+	Status int         `cbor:"3,keyasint,omitempty"`
+	Header http.Header `cbor:"4,keyasint,omitempty"`
+	Body   []byte      `cbor:"5,keyasint,omitempty"`
+	// RetryAfter is when the home expects room again.
+	RetryAfter time.Duration `cbor:"6,keyasint,omitempty"`
+	Load       Load          `cbor:"7,keyasint"`
+	// Version is that of the configuration in force at the home.
+	Version uint64 `cbor:"8,keyasint"`
+}
+
+// Reason says why a call was refused or failed.
+type Reason string
+
+// The reasons of refusals and failures.
+const (
+	// NoTarget: the node has no ready target of the service.
+	NoTarget Reason = "no-target"
+	// TargetLeaving: the target said that it leaves.
+	TargetLeaving Reason = "target-leaving"
+	// Stopping: the home itself is about to stop.
+	Stopping Reason = "stopping"
+	// QueueFull, Evicted, Late and Waited: no room came in time.
+	QueueFull Reason = "queue-full"
+	Evicted   Reason = "evicted"
+	Late      Reason = "late"
+	Waited    Reason = "waited"
+	// TargetFull: the target itself refused.
+	TargetFull Reason = "target-full"
+	// Misdirected: another target answers at the address.
+	Misdirected Reason = "misdirected"
+	// Unconnected: no connection to the target or to the home came about.
+	Unconnected Reason = "unconnected"
+	// Broken: the exchange with the target or the home broke off.
+	Broken Reason = "broken"
+	// Spoilt: the target's answer was not one that may be passed on.
+	Spoilt Reason = "spoilt"
+	// DeadlinePassed: the deadline came before the answer.
+	DeadlinePassed Reason = "deadline"
+	// CallerLeft: the caller left before the answer.
+	CallerLeft Reason = "caller-left"
+	// Suspected: the home was silent for too long.
+	Suspected Reason = "suspected"
+)
+
+// Final reports whether the home has nothing for the service until it says
+// otherwise.
+func (r Reason) Final() bool {
+	return r == NoTarget || r == TargetLeaving || r == Stopping || r == Misdirected
+}
+
+func encode(message any) []byte {
+	content, err := cbor.Marshal(message)
+	if err != nil {
+		// Messages hold only strings, numbers and bytes, which always have a form.
+		panic(err)
+	}
+	return content
+}
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -100,7 +100,10 @@
 	Peer string `json:"peer,omitempty"`
 
 	Reason Reason `json:"-"`
-	cause  error
+	// RetryDelay is when to come back, to the millisecond; the header tells it in
+	// place of the whole seconds where it is set.
+	RetryDelay time.Duration `json:"-"`
+	cause      error
 }
 
 // typePrefix starts the type member of every document.
@@ -128,6 +131,12 @@
 	return p
 }
 
+// WithRetryDelay says when to come back, to the millisecond.
+func (p *Problem) WithRetryDelay(delay time.Duration) *Problem {
+	p.RetryDelay = delay
+	return p.WithRetryAfter(delay)
+}
+
 // WithCause keeps the error that led to the problem, for logs and errors.Is.
 func (p *Problem) WithCause(err error) *Problem {
 	p.cause = err
@@ -151,6 +160,9 @@
 	if p.RetryAfterSeconds > 0 {
 		header.Set("Retry-After", strconv.Itoa(p.RetryAfterSeconds))
 	}
+	if p.RetryDelay > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(p.RetryDelay.Seconds(), 'f', 3, 64))
+	}
 	body := p.Document()
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(p.Status)
--- /dev/null
+++ b/internal/registry/record.go
@@ -0,0 +1,105 @@
+// Package registry keeps the targets and the nodes beside them. The Registrar
+// takes the heartbeats of the target beside this node and publishes a record of
+// it; the Directory follows the records of all nodes.
+//
+// A record lies under a lease. Its disappearance is only a hint, as leases also
+// run out while the store is down; a record that says that the target leaves is
+// a fact. A departure is written under a lease of its own before it is
+// acknowledged, so that it binds every later process on the machine.
+package registry
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/lugspur/lugspur/internal/store"
+)
+
+// Heartbeat is what a target tells of itself.
+type Heartbeat struct {
+	ID       string
+	Service  string
+	Address  string
+	Slots    int
+	Draining bool
+	// Warmup is how much longer the target is slow from its start.
+	Warmup time.Duration
+	// Sequence rises with each heartbeat of one target.
+	Sequence uint64
+}
+
+// Receiver takes heartbeats. A nil error acknowledges.
+type Receiver interface {
+	Heartbeat(ctx context.Context, beat Heartbeat) error
+	// Depart takes a target's notice that it leaves.
+	Depart(ctx context.Context, id string) error
+}
+
+// State is how far a target's life has come. It only moves forward.
+type State uint8
+
+// The states.
+const (
+	Absent State = iota
+	Ready
+	Draining
+	Gone
+)
+
+var stateNames = [...]string{"absent", "ready", "draining", "gone"}
+
+// String returns the state's name as logs write it.
+func (s State) String() string { return stateNames[s] }
+
+// Target is the target beside a node.
+type Target struct {
+	ID        string
+	Service   string
+	Slots     int
+	State     State
+	Sequence  uint64
+	WarmUntil time.Time
+}
+
+// Record is what a node publishes of itself and the target beside it.
+type Record struct {
+	Instance string `cbor:"1,keyasint"`
+	Service  string `cbor:"2,keyasint"`
+	Zone     string `cbor:"3,keyasint"`
+	// Address is where the node takes calls from its peers.
+	Address string `cbor:"4,keyasint"`
+	Slots   int    `cbor:"5,keyasint"`
+	State   State  `cbor:"6,keyasint"`
+	// Life tells two processes at one address apart.
+	Life uint64 `cbor:"7,keyasint"`
+}
+
+// Departure is the durable note that a target leaves.
+type Departure struct {
+	Instance string `cbor:"1,keyasint"`
+	// Address is that of the node beside the target.
+	Address string `cbor:"2,keyasint"`
+}
+
+func encode(value any) []byte {
+	content, err := cbor.Marshal(value)
+	if err != nil {
+		// Records hold only strings and numbers, which always have a form.
+		panic(err)
+	}
+	return content
+}
+
+func decodeRecord(entry store.Entry) (Record, error) {
+	var record Record
+	err := cbor.Unmarshal(entry.Value, &record)
+	return record, err
+}
+
+func decodeDeparture(entry store.Entry) (Departure, error) {
+	var departure Departure
+	err := cbor.Unmarshal(entry.Value, &departure)
+	return departure, err
+}
--- /dev/null
+++ b/internal/registry/registrar.go
@@ -0,0 +1,275 @@
+package registry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/lugspur/lugspur/internal/eventlog"
+	"github.com/lugspur/lugspur/internal/store"
+)
+
+// RegistrarConfig describes the node and where its records lie.
+type RegistrarConfig struct {
+	// Zone and Address are the node's, as peers see it.
+	Zone, Address string
+	// Life tells this process from earlier ones at the address.
+	Life             uint64
+	HomesPrefix      string
+	DeparturesPrefix string
+	// OnTarget is told each new state of the target, in order.
+	OnTarget func(Target)
+}
+
+// Registrar keeps the state of the target beside the node. It is safe for
+// concurrent use.
+type Registrar struct {
+	config    RegistrarConfig
+	store     store.Store
+	log       *eventlog.Log
+	now       func() time.Time
+	publisher *publisher
+	departing departureLease
+
+	mutex  sync.Mutex
+	target Target
+	// departed holds the targets that are known to leave or to have left.
+	departed  map[string]bool
+	recovered bool
+}
+
+// ackTimeout bounds the time for making a departure durable. The target takes
+// no acknowledgement that comes later than a second.
+const ackTimeout = 900 * time.Millisecond
+
+// NewRegistrar returns a registrar that knows no target yet.
+func NewRegistrar(config RegistrarConfig, target store.Store, log *eventlog.Log, now func() time.Time) *Registrar {
+	r := &Registrar{config: config, store: target, log: log, now: now, departed: make(map[string]bool)}
+	r.publisher = newPublisher(target, config.HomesPrefix+config.Address, log, now)
+	r.departing.store = target
+	return r
+}
+
+// Run reads what earlier processes acknowledged and then keeps the node's
+// record published until the context ends.
+func (r *Registrar) Run(ctx context.Context) {
+	go r.recover(ctx)
+	r.publisher.run(ctx)
+}
+
+// Withdraw removes the node's record, ahead of a planned stop.
+func (r *Registrar) Withdraw(ctx context.Context) { r.publisher.withdraw(ctx) }
+
+// recoverPause is the pause between tries to read the departures.
+const recoverPause = 200 * time.Millisecond
+
+// recover learns which targets said that they leave. Until then no target is
+// told as ready.
+func (r *Registrar) recover(ctx context.Context) {
+	for ctx.Err() == nil {
+		snapshot, err := r.store.List(ctx, r.config.DeparturesPrefix)
+		if err == nil {
+			r.recoverFrom(snapshot)
+			return
+		}
+		pause(ctx, recoverPause)
+	}
+}
+
+func (r *Registrar) recoverFrom(snapshot store.Snapshot) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, entry := range snapshot.Entries {
+		departure, err := decodeDeparture(entry)
+		if err == nil && departure.Address == r.config.Address {
+			r.departed[departure.Instance] = true
+		}
+	}
+	r.recovered = true
+	if r.departed[r.target.ID] && r.target.State == Ready {
+		r.target.State = Draining
+	}
+	r.changed()
+}
+
+// Target returns the target beside the node. Its state is Absent while it is
+// not known what an earlier process acknowledged.
+func (r *Registrar) Target() Target {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.visible()
+}
+
+func (r *Registrar) visible() Target {
+	target := r.target
+	if !r.recovered && target.State == Ready {
+		target.State = Absent
+	}
+	return target
+}
+
+// Heartbeat takes a heartbeat. One that says that the target leaves is
+// acknowledged only once that is durable.
+func (r *Registrar) Heartbeat(ctx context.Context, beat Heartbeat) error {
+	r.mutex.Lock()
+	r.take(beat)
+	r.mutex.Unlock()
+	if !beat.Draining {
+		return nil
+	}
+	return r.makeDurable(ctx, beat.ID)
+}
+
+// take applies a heartbeat to the state. A late one of a target that left or
+// was replaced changes nothing.
+func (r *Registrar) take(beat Heartbeat) {
+	if r.departed[beat.ID] {
+		return
+	}
+	if beat.ID != r.target.ID {
+		if r.target.ID != "" {
+			r.departed[r.target.ID] = true
+		}
+		r.target = Target{ID: beat.ID, Service: beat.Service, State: Ready}
+	}
+	if beat.Draining {
+		r.depart(beat.ID, Draining)
+		return
+	}
+	if beat.Sequence < r.target.Sequence {
+		return
+	}
+	fresh := r.target.Sequence == 0 || r.target.Slots != beat.Slots
+	r.target.Sequence = beat.Sequence
+	r.target.Slots = beat.Slots
+	if fresh {
+		r.target.WarmUntil = r.now().Add(beat.Warmup)
+		r.changed()
+	}
+}
+
+// Depart takes the notice that a target leaves.
+func (r *Registrar) Depart(ctx context.Context, id string) error {
+	r.mutex.Lock()
+	r.depart(id, Gone)
+	r.mutex.Unlock()
+	return r.makeDurable(ctx, id)
+}
+
+// depart moves the target forward to a state in which it gets no new work.
+func (r *Registrar) depart(id string, state State) {
+	r.departed[id] = true
+	if r.target.ID == id && r.target.State < state {
+		r.target.State = state
+		r.changed()
+	}
+}
+
+// changed tells the new state of the target. The lock is held, so that states
+// are told in order.
+func (r *Registrar) changed() {
+	target := r.visible()
+	r.log.Record(eventlog.Event{Kind: eventlog.TargetChanged, Service: target.Service, Target: target.ID, Outcome: target.State.String(),
+		Version: target.Sequence, Count: target.Slots})
+	if r.config.OnTarget != nil {
+		r.config.OnTarget(target)
+	}
+	if target.State != Absent {
+		r.publisher.publish(Record{
+			Instance: target.ID,
+			Service:  target.Service,
+			Zone:     r.config.Zone,
+			Address:  r.config.Address,
+			Slots:    target.Slots,
+			State:    target.State,
+			Life:     r.config.Life,
+		})
+	}
+}
+
+// makeDurable writes the departure of a target, so that it binds later
+// processes on this machine.
+func (r *Registrar) makeDurable(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, ackTimeout)
+	defer cancel()
+	key := r.config.DeparturesPrefix + id
+	value := encode(Departure{Instance: id, Address: r.config.Address})
+	err := r.departing.write(ctx, key, value)
+	if err != nil {
+		err = fmt.Errorf("make departure of %s durable: %w", id, err)
+		r.log.Record(eventlog.Event{Kind: eventlog.HeartbeatRefused, Target: id, Reason: err.Error()})
+	}
+	return err
+}
+
+// departureLease writes departures under one long lease of the process.
+type departureLease struct {
+	store store.Store
+
+	mutex   sync.Mutex
+	lease   store.LeaseID
+	written map[string]bool
+}
+
+const (
+	// departureTTL is how long a departure is remembered. No target that left
+	// sends heartbeats for so long.
+	departureTTL = 10 * time.Minute
+	// writeTimeout bounds one call, so that a lost answer leaves time for others.
+	writeTimeout = 250 * time.Millisecond
+	writePause   = 30 * time.Millisecond
+)
+
+// write writes the departure until it is known to be there or the context ends.
+func (d *departureLease) write(ctx context.Context, key string, value []byte) error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.written[key] {
+		return nil
+	}
+	var failure error
+	for ctx.Err() == nil {
+		failure = d.try(ctx, key, value)
+		if failure == nil {
+			if d.written == nil {
+				d.written = make(map[string]bool)
+			}
+			d.written[key] = true
+			return nil
+		}
+		pause(ctx, writePause)
+	}
+	return errors.Join(ctx.Err(), failure)
+}
+
+func (d *departureLease) try(ctx context.Context, key string, value []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	if d.lease == 0 {
+		lease, err := d.store.GrantLease(ctx, departureTTL)
+		if err != nil {
+			return err
+		}
+		d.lease = lease
+	}
+	_, err := d.store.CompareAndSwap(ctx, key, 0, value, d.lease)
+	switch {
+	case err == nil || errors.Is(err, store.ErrConflict):
+		// Nobody writes anything else under the key.
+		return nil
+	case errors.Is(err, store.ErrLeaseLost):
+		d.lease = 0
+	}
+	return err
+}
+
+func pause(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -29,6 +29,8 @@
 	ID string
 	// Caller is a hash of the caller, by which the level is shared fairly.
 	Caller uint64
+	// MaxWait is the longest time that this call waits; zero means the queue's own bound.
+	MaxWait time.Duration
 }
 
 // Stats is the state of a scheduler at one moment.
--- a/internal/scheduler/wait.go
+++ b/internal/scheduler/wait.go
@@ -25,7 +25,7 @@
 // patience returns how long the call may wait and why it is refused then.
 func (s *Scheduler) patience(request Request, now time.Time) (Reason, time.Duration) {
 	if request.Deadline.IsZero() {
-		return Overloaded, s.config.MaxWait
+		return Overloaded, s.maxWait(request, 0)
 	}
 	s.mu.Lock()
 	expected := s.service.expected(now)
@@ -46,6 +46,9 @@
 // is too late. A call of the highest level is next in line wherever it waits, so
 // that giving it up after MaxWait would shed it while less important calls run.
 func (s *Scheduler) maxWait(request Request, untilTooLate time.Duration) time.Duration {
+	if request.MaxWait > 0 {
+		return request.MaxWait
+	}
 	if request.Rank.Level == criticality.CriticalPlus {
 		return max(s.config.MaxWait, untilTooLate/criticalShare)
 	}
--- /dev/null
+++ b/internal/sidecar/metrics.go
@@ -0,0 +1,105 @@
+package sidecar
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/lugspur/lugspur/internal/eventlog"
+)
+
+const (
+	namespace = "lugspur"
+	// maxRoutes bounds the routes that metrics tell apart; all others are counted
+	// under otherRoute.
+	maxRoutes  = 64
+	otherRoute = "other"
+)
+
+// metrics counts what becomes of requests. It implements forward.Observer.
+type metrics struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	duration *prometheus.HistogramVec
+
+	mutex  sync.Mutex
+	routes map[string]bool
+}
+
+func newMetrics(log *eventlog.Log) *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace,
+			Name:      "requests_total",
+			Help:      "Requests that began on this machine, by route, status and reason; status 0 is a caller that left.",
+		}, []string{"route", "status", "reason"}),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace,
+			Name:      "request_duration_seconds",
+			Help:      "Time from a request's arrival to its end, by route and whether a target answered.",
+			Buckets:   []float64{.005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5},
+		}, []string{"route", "answered"}),
+		routes: make(map[string]bool),
+	}
+	m.registry.MustRegister(m.requests, m.duration, &eventCollector{log: log})
+	return m
+}
+
+// Finished counts a request that ended.
+func (m *metrics) Finished(route string, status int, reason string, duration time.Duration) {
+	route = m.bounded(route)
+	m.requests.WithLabelValues(route, strconv.Itoa(status), reason).Inc()
+	m.duration.WithLabelValues(route, strconv.FormatBool(reason == "")).Observe(duration.Seconds())
+}
+
+func (m *metrics) bounded(route string) string {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.routes[route] {
+		return route
+	}
+	if len(m.routes) >= maxRoutes {
+		return otherRoute
+	}
+	m.routes[route] = true
+	return route
+}
+
+func (m *metrics) gauge(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
+}
+
+func (m *metrics) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{DisableCompression: true}))
+	return mux
+}
+
+// eventCollector tells the counts of events by their kinds.
+type eventCollector struct {
+	log *eventlog.Log
+}
+
+var (
+	eventsDescription = prometheus.NewDesc(namespace+"_events_total", "Events by kind, written to the log or not.", []string{"kind"}, nil)
+	lostDescription   = prometheus.NewDesc(namespace+"_events_lost_total", "Events that were left out of the log.", nil, nil)
+)
+
+// Describe tells the metrics.
+func (c *eventCollector) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- eventsDescription
+	descriptions <- lostDescription
+}
+
+// Collect tells the values.
+func (c *eventCollector) Collect(values chan<- prometheus.Metric) {
+	c.log.Counts(func(kind eventlog.Kind, count uint64) {
+		values <- prometheus.MustNewConstMetric(eventsDescription, prometheus.CounterValue, float64(count), kind.String())
+	})
+	values <- prometheus.MustNewConstMetric(lostDescription, prometheus.CounterValue, float64(c.log.Lost()))
+}
--- /dev/null
+++ b/internal/sidecar/node.go
@@ -0,0 +1,225 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/lugspur/lugspur/internal/configfeed"
+	"github.com/lugspur/lugspur/internal/eventlog"
+	"github.com/lugspur/lugspur/internal/forward"
+	"github.com/lugspur/lugspur/internal/guard"
+	"github.com/lugspur/lugspur/internal/peering"
+	"github.com/lugspur/lugspur/internal/registry"
+	"github.com/lugspur/lugspur/internal/routetable"
+	"github.com/lugspur/lugspur/internal/version"
+	"github.com/lugspur/lugspur/platform"
+)
+
+const (
+	// maxMessageBytes bounds a request or an answer, in bytes.
+	maxMessageBytes = 80 << 20
+	// maxHeaderBytes bounds the header of a request, in bytes.
+	maxHeaderBytes = 32 << 10
+	// headerTimeout and idleTimeout bound connections of callers.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 75 * time.Second
+	// defaultTimeout bounds a request whose caller and route say nothing.
+	defaultTimeout = 10 * time.Second
+	// Bounds of the exchanges with peers.
+	peerDialTimeout = 400 * time.Millisecond
+	peerUserTimeout = time.Second
+	peerIdleTimeout = 30 * time.Second
+	peerMaxIdle     = 32
+	// nodeRetryShare is the part of the retry budget's ratio that nodes use by
+	// themselves. The rest is left for the calls that a repeated run makes again.
+	nodeRetryShare = 0.25
+	// retryReserve and its rate bound a node's repetitions without traffic.
+	retryReserve          = 1.0
+	retryReservePerSecond = 0.05
+	fetchTimeout          = time.Second
+)
+
+// Node is a node beside a target.
+type Node struct {
+	settings  Settings
+	log       *eventlog.Log
+	metrics   *metrics
+	store     *platform.Store
+	routes    *routetable.Holder
+	feed      *configfeed.Feed
+	directory *registry.Directory
+	registrar *registry.Registrar
+	guard     *guard.Guard
+	peers     *peering.Client
+	forwarder *forward.Forwarder
+	servers   []*http.Server
+	stopping  atomic.Bool
+	fetching  atomic.Bool
+	running   sync.WaitGroup
+}
+
+// New provisions a node. Nothing is sent or listened to before Run.
+func New(settings Settings, output io.Writer) *Node {
+	n := &Node{settings: settings, routes: &routetable.Holder{}}
+	n.log = eventlog.New(eventlog.Config{}, settings.Name, output, time.Now)
+	n.metrics = newMetrics(n.log)
+	n.store = platform.NewStore(settings.Store)
+	n.feed = configfeed.New(n.store, platform.ConfigurationKey, platform.Configuration, n.routes, n.log, time.Now)
+	n.directory = registry.NewDirectory(n.store, platform.HomesPrefix, n.log, time.Now)
+	n.guard = guard.New(guard.Config{
+		Service:        settings.Service,
+		Address:        settings.Target,
+		Headers:        platform.Headers(),
+		SlotShare:      settings.Queue.SlotShare,
+		MaxQueue:       settings.Queue.MaxLength,
+		MaxBuffered:    maxMessageBytes,
+		Version:        func() uint64 { return uint64(n.routes.Version()) },
+		MaxConnections: n.maxConnections,
+	}, n.log, time.Now)
+	n.registrar = registry.NewRegistrar(registry.RegistrarConfig{
+		Zone:             settings.Zone,
+		Address:          settings.Listen.Peers,
+		Life:             rand.Uint64(),
+		HomesPrefix:      platform.HomesPrefix,
+		DeparturesPrefix: platform.DeparturesPrefix,
+		OnTarget:         n.guard.SetTarget,
+	}, n.store, n.log, time.Now)
+	n.peers = peering.NewClient(peering.ClientConfig{
+		MaxBuffered: maxMessageBytes,
+		DialTimeout: peerDialTimeout,
+		UserTimeout: peerUserTimeout,
+		IdleTimeout: peerIdleTimeout,
+		MaxIdle:     peerMaxIdle,
+	})
+	n.forwarder = n.newForwarder()
+	n.provisionGauges()
+	return n
+}
+
+func (n *Node) newForwarder() *forward.Forwarder {
+	return forward.New(forward.Config{
+		Node:                  n.settings.Name,
+		Zone:                  n.settings.Zone,
+		Service:               n.settings.Service,
+		Address:               n.settings.Listen.Peers,
+		Headers:               platform.Headers(),
+		DefaultTimeout:        defaultTimeout,
+		RetryShare:            n.settings.Retries.BudgetRatio * nodeRetryShare,
+		RetryReserve:          retryReserve,
+		RetryReservePerSecond: retryReservePerSecond,
+		WaitShare:             n.settings.Queue.ObjectiveShare,
+	}, forward.Parts{
+		Routes:    n.routes,
+		Directory: n.directory,
+		Local:     n.guard,
+		Peers:     n.peers,
+		NewerAt:   n.fetchFrom,
+		Observer:  n.metrics,
+		Log:       n.log,
+		Now:       time.Now,
+	})
+}
+
+// maxConnections returns the bound on connections of the target's service.
+func (n *Node) maxConnections() int {
+	table := n.routes.Current()
+	if table == nil {
+		return 0
+	}
+	service := table.Service(n.settings.Service)
+	if service == nil {
+		return 0
+	}
+	return service.MaxConnections
+}
+
+// fetchFrom takes the configuration of a peer that has a newer one.
+func (n *Node) fetchFrom(address string, _ uint64) {
+	if !n.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer n.fetching.Store(false)
+		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+		defer cancel()
+		if document, err := n.peers.Configuration(ctx, address); err == nil {
+			n.feed.Offer(document, address)
+		}
+	}()
+}
+
+func (n *Node) provisionGauges() {
+	n.metrics.gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(n.routes.Version()) })
+	n.metrics.gauge("homes_known", "Homes with a ready target that the node knows.", func() float64 { return float64(n.directory.Count()) })
+	n.metrics.gauge("requests_in_flight", "Requests that wait for their answer.", func() float64 { return float64(n.forwarder.InFlight()) })
+	n.metrics.gauge("target_in_flight", "Calls at the target beside the node.", func() float64 { return float64(n.guard.Load().InFlight) })
+	n.metrics.gauge("target_queued", "Calls that wait for the target.", func() float64 { return float64(n.guard.Load().Queued) })
+	n.metrics.gauge("target_limit", "Calls that the target may work on at once.", func() float64 { return float64(n.guard.Load().Limit) })
+}
+
+// ready reports whether the node takes work.
+func (n *Node) ready() bool {
+	return !n.stopping.Load() && n.routes.Current() != nil && n.directory.Listed()
+}
+
+// Run serves until the context ends and then stops in order.
+func (n *Node) Run(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	logged := make(chan struct{})
+	go func() {
+		n.log.Run(background)
+		close(logged)
+	}()
+	if err := n.listen(); err != nil {
+		return err
+	}
+	n.log.Record(eventlog.Event{Kind: eventlog.ProcessStarted, Service: n.settings.Service, Target: n.settings.Target, Outcome: version.Current().Version})
+	for _, run := range []func(context.Context){n.feed.Run, n.directory.Run, n.registrar.Run, n.forwarder.Run} {
+		n.running.Go(func() { run(background) })
+	}
+	<-ctx.Done()
+	n.stop()
+	cancel()
+	<-logged
+	return nil
+}
+
+// listen opens all listeners and serves them.
+func (n *Node) listen() error {
+	document := func() []byte {
+		content, _ := n.feed.Document()
+		return content
+	}
+	listeners := []struct {
+		address string
+		handler http.Handler
+	}{
+		{n.settings.Listen.Calls, n.forwarder},
+		{n.settings.Listen.Peers, peering.Handler(n.guard, document, maxMessageBytes)},
+		{n.settings.Listen.Ready, platform.ReadyHandler(n.ready)},
+		{n.settings.Listen.Heartbeats, platform.HeartbeatHandler(n.registrar)},
+		{n.settings.Listen.Metrics, n.metrics.handler()},
+	}
+	for _, l := range listeners {
+		if l.address == "" {
+			continue
+		}
+		socket, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return oops.In("sidecar").With("step", "listen").With("peer", l.address).Wrapf(err, "listen at %s", l.address)
+		}
+		server := &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+		n.servers = append(n.servers, server)
+		go func() { _ = server.Serve(socket) }()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/sidecar/settings.go
@@ -0,0 +1,157 @@
+// Package sidecar runs a node beside one target on the platform: it provisions
+// the parts, serves until told to stop, and stops without cutting a request.
+package sidecar
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/samber/oops"
+)
+
+// Settings are the settings of a node beside a target. Keys that are not known
+// are ignored.
+type Settings struct {
+	// Name and Zone are the node's.
+	Name string `toml:"name"`
+	Zone string `toml:"zone"`
+	// Service is that of the target beside the node, and Target its address.
+	Service string `toml:"service"`
+	Target  string `toml:"target"`
+	// Store is the address of the metadata store.
+	Store   string        `toml:"store"`
+	Listen  Listen        `toml:"listen"`
+	Stop    StopSettings  `toml:"stop"`
+	Retries RetrySettings `toml:"retries"`
+	Queue   QueueSettings `toml:"queue"`
+}
+
+// Listen holds the addresses that the node listens at.
+type Listen struct {
+	// Calls takes requests of the clients and the target on the machine.
+	Calls string `toml:"calls"`
+	// Peers takes calls of other nodes.
+	Peers string `toml:"peers"`
+	// Ready answers whether the node takes work.
+	Ready string `toml:"ready"`
+	// Heartbeats takes those of the target.
+	Heartbeats string `toml:"heartbeats"`
+	// Metrics serves metrics; empty means that none are served.
+	Metrics string `toml:"metrics"`
+}
+
+// StopSettings bound a planned stop.
+type StopSettings struct {
+	// GraceSeconds is the time from the signal to stop until the process is killed.
+	GraceSeconds float64 `toml:"grace-seconds"`
+}
+
+// RetrySettings bound the repetitions of requests that may have run.
+type RetrySettings struct {
+	// BudgetRatio is the part of a service's requests that all nodes together may
+	// repeat.
+	BudgetRatio float64 `toml:"budget-ratio"`
+}
+
+// QueueSettings bound the queue in front of the target.
+type QueueSettings struct {
+	// MaxLength is the number of calls that may wait.
+	MaxLength int `toml:"max-length"`
+	// ObjectiveShare is the part of a route's objective for which a call may wait.
+	ObjectiveShare float64 `toml:"objective-share"`
+	// SlotShare is the part of the target's slots that is used.
+	SlotShare float64 `toml:"slot-share"`
+}
+
+// Defaults of settings.
+const (
+	DefaultGraceSeconds   = 6.0
+	DefaultBudgetRatio    = 0.2
+	DefaultQueueLength    = 256
+	DefaultObjectiveShare = 0.2
+	DefaultSlotShare      = 0.95
+)
+
+// Load reads and checks settings. The error names every fault.
+func Load(path string) (Settings, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, oops.In("sidecar").With("step", "read settings").Wrapf(err, "read settings")
+	}
+	settings, err := Parse(content)
+	if err != nil {
+		return Settings{}, oops.In("sidecar").With("step", "check settings").Wrapf(err, "settings %s", path)
+	}
+	return settings, nil
+}
+
+// Parse reads and checks settings.
+func Parse(content []byte) (Settings, error) {
+	settings := Settings{
+		Stop:    StopSettings{GraceSeconds: DefaultGraceSeconds},
+		Retries: RetrySettings{BudgetRatio: DefaultBudgetRatio},
+		Queue:   QueueSettings{MaxLength: DefaultQueueLength, ObjectiveShare: DefaultObjectiveShare, SlotShare: DefaultSlotShare},
+	}
+	if err := toml.Unmarshal(content, &settings); err != nil {
+		return Settings{}, fmt.Errorf("parse: %w", err)
+	}
+	return settings, settings.Check()
+}
+
+// Check reports every fault of the settings, nil if there is none.
+func (s *Settings) Check() error {
+	return errors.Join(
+		required("name", s.Name),
+		required("zone", s.Zone),
+		required("service", s.Service),
+		address("target", s.Target),
+		address("store", s.Store),
+		address("listen.calls", s.Listen.Calls),
+		address("listen.peers", s.Listen.Peers),
+		address("listen.ready", s.Listen.Ready),
+		address("listen.heartbeats", s.Listen.Heartbeats),
+		optionalAddress("listen.metrics", s.Listen.Metrics),
+		between("stop.grace-seconds", s.Stop.GraceSeconds, 0.5, 600),
+		between("retries.budget-ratio", s.Retries.BudgetRatio, 0, 1),
+		between("queue.max-length", float64(s.Queue.MaxLength), 1, 1<<16),
+		between("queue.objective-share", s.Queue.ObjectiveShare, 0.001, 1),
+		between("queue.slot-share", s.Queue.SlotShare, 0.01, 1),
+	)
+}
+
+func required(key, value string) error {
+	if value == "" {
+		return fmt.Errorf("%s is missing", key)
+	}
+	return nil
+}
+
+func address(key, value string) error {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		return fmt.Errorf("%s must be an IP address with a port, not %q", key, value)
+	}
+	return nil
+}
+
+func optionalAddress(key, value string) error {
+	if value == "" {
+		return nil
+	}
+	return address(key, value)
+}
+
+func between(key string, value, least, most float64) error {
+	if !(value >= least && value <= most) {
+		return fmt.Errorf("%s must lie between %g and %g, not %g", key, least, most, value)
+	}
+	return nil
+}
+
+// grace returns the time that a planned stop may take.
+func (s *Settings) grace() time.Duration {
+	return time.Duration(s.Stop.GraceSeconds * float64(time.Second))
+}
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -31,7 +31,10 @@
 	// headerLeft is how much more of a header may be read; negative while a
 	// body is read.
 	headerLeft int64
-	unwatch    func() bool
+	// keepAlive is how long the other side said that it keeps the connection when
+	// idle; zero means that it did not say.
+	keepAlive time.Duration
+	unwatch   func() bool
 }
 
 func newConnection(socket net.Conn) *connection {
@@ -130,6 +133,9 @@
 // header were parsed by net/http or made by this program, so that none holds a
 // line break; header values are cleaned of them all the same.
 func encode(host string, call *Call) *encoded {
+	if call.Host != "" {
+		host = call.Host
+	}
 	message := messages.Get().(*encoded)
 	message.WriteString(call.Method)
 	message.WriteByte(' ')
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -25,7 +25,7 @@
 // NewPool returns a pool without connections; they are opened on demand.
 func NewPool(config Config) *Pool {
 	config = config.withDefaults()
-	p := &Pool{config: config, dialer: net.Dialer{Timeout: config.DialTimeout}}
+	p := &Pool{config: config, dialer: net.Dialer{Timeout: config.DialTimeout, Control: SocketControl(config.UserTimeout)}}
 	if config.MaxConnections > 0 {
 		p.room = make(chan struct{}, config.MaxConnections)
 	}
@@ -54,7 +54,7 @@
 		return nil, false, err
 	}
 	for c := p.takeIdle(); c != nil; c = p.takeIdle() {
-		if time.Since(c.idleSince) < p.config.IdleTimeout && c.alive() {
+		if time.Since(c.idleSince) < c.idleLimit(p.config.IdleTimeout) && c.alive() {
 			return c, true, nil
 		}
 		_ = c.socket.Close()
@@ -100,6 +100,7 @@
 
 // release gives a connection back after a complete exchange.
 func (p *Pool) release(c *connection, response *http.Response) {
+	c.keepAlive = keepAliveOf(response.Header)
 	if response.Close || !c.unwatch() || c.reader.Buffered() > 0 || !p.keep(c) {
 		p.discard(c)
 		return
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -40,6 +40,13 @@
 	MaxBuffered int64
 	// MaxHeaderBytes bounds the header of an answer.
 	MaxHeaderBytes int64
+	// AcceptUndelimited takes an answer without a length or chunks as complete
+	// when its connection ends in order. Without it such an answer is a failure,
+	// because one that was cut off can look the same.
+	AcceptUndelimited bool
+	// UserTimeout bounds the time for which sent bytes may stay unacknowledged by
+	// the other side's machine; zero leaves it to the system.
+	UserTimeout time.Duration
 }
 
 // Defaults of a Config.
@@ -76,10 +83,16 @@
 // Call is a call as the target receives it.
 type Call struct {
 	Method string
+	// Host is the Host header; empty means the target's address.
+	Host string
 	// RequestURI is the path with the query.
 	RequestURI string
 	Header     http.Header
 	Body       []byte
+	// Belongs reports whether an answer with the header belongs to the call; nil
+	// means that each does. One that does not, such as a surplus answer to an
+	// earlier call, is passed over, and the next one is awaited.
+	Belongs func(http.Header) bool
 }
 
 // Answer is a target's answer. When Rest is nil the body is complete.
@@ -133,7 +146,7 @@
 	if failure != nil {
 		return nil, failure
 	}
-	answer, err := p.receive(ctx, connection, call.Method)
+	answer, err := p.receive(ctx, connection, call)
 	if err != nil {
 		return nil, err
 	}
@@ -164,8 +177,9 @@
 }
 
 // receive reads the answer to a call that was sent.
-func (p *Pool) receive(ctx context.Context, c *connection, method string) (*Answer, *Failure) {
-	response, err := c.readHeader(method, p.config.MaxHeaderBytes)
+func (p *Pool) receive(ctx context.Context, c *connection, call *Call) (*Answer, *Failure) {
+	method := call.Method
+	response, err := p.awaitOwn(c, call)
 	if err != nil {
 		p.discard(c)
 		return nil, p.failure("await answer", true, false, contextError(ctx, err))
@@ -177,8 +191,11 @@
 		return answer, nil
 	}
 	if !delimited(response) {
-		p.discard(c)
-		return nil, p.failure("read answer", true, true, errNotDelimited)
+		if !p.config.AcceptUndelimited {
+			p.discard(c)
+			return nil, p.failure("read answer", true, true, errNotDelimited)
+		}
+		response.Close = true
 	}
 	answer.Body, err = readUpTo(response.Body, response.ContentLength, p.config.MaxBuffered)
 	switch {
@@ -193,6 +210,32 @@
 	return answer, nil
 }
 
+// maxForeign bounds the answers that are passed over for one call.
+const maxForeign = 4
+
+var errForeign = errors.New("the answers on the connection belong to other calls")
+
+// awaitOwn reads the header of the call's own answer and passes over answers
+// that belong to other calls.
+func (p *Pool) awaitOwn(c *connection, call *Call) (*http.Response, error) {
+	for range maxForeign {
+		response, err := c.readHeader(call.Method, p.config.MaxHeaderBytes)
+		if err != nil {
+			return nil, err
+		}
+		if call.Belongs == nil || call.Belongs(response.Header) {
+			return response, nil
+		}
+		if response.Close || !delimited(response) {
+			return nil, errForeign
+		}
+		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, p.config.MaxBuffered)); err != nil {
+			return nil, err
+		}
+	}
+	return nil, errForeign
+}
+
 // errNotDelimited means that an answer ends with its connection: a complete one
 // looks like one that was cut off.
 var errNotDelimited = errors.New("the answer has neither a length nor chunks")
