Refuse a request where it begins when its chain of calls lacks room

Ruled out: waiting longer at the bottom alone, as the demand is above what the slots carry; throttling each route by its own failures, as that does not favour the more important route.

Change: a home reports the shed threshold of its queue on every reply; a node learns which calls a route's requests make (the id of a call begins with that of its parent, which runs at the target beside the node) and tells thresholds on up the chain; new requests above the threshold are refused at once. Calls of running requests queue ahead and wait longer.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -72,7 +72,7 @@
 	LeaseGranted:          {"lease-granted", belief, "a lease was granted; version is its number"},
 	LeaseLost:             {"lease-lost", belief, "the lease ended without this node's doing; version is its number"},
 	LimitChanged:          {"limit-changed", belief, "count is the new concurrency limit of the target"},
-	AdmissionChanged:      {"admission-changed", belief, "count is the share of the route's new requests admitted, in percent; reason is the measure that moved it"},
+	AdmissionChanged:      {"admission-changed", belief, "count is the shed threshold as a share of all ranks, in percent; reason is the queueing delay that moved it"},
 	RequestAnswered:       {"request-answered", success, "a target's answer went back to the caller"},
 	RequestRefused:        {"request-refused", refusal, "the request was refused without having run; wait is when to come back"},
 	RequestFailed:         {"request-failed", belief, "the request failed and may have run"},
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -15,9 +15,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/lugspur/lugspur/internal/callheader"
+	"github.com/lugspur/lugspur/internal/criticality"
 	"github.com/lugspur/lugspur/internal/eventlog"
+	"github.com/lugspur/lugspur/internal/guard"
 	"github.com/lugspur/lugspur/internal/peering"
+	"github.com/lugspur/lugspur/internal/pressure"
 	"github.com/lugspur/lugspur/internal/problem"
 	"github.com/lugspur/lugspur/internal/registry"
 	"github.com/lugspur/lugspur/internal/retrybudget"
@@ -40,8 +45,12 @@
 	// RetryReservePerSecond how fast it comes back.
 	RetryReserve, RetryReservePerSecond float64
 	// WaitShare is the part of a route's objective for which a request may wait
-	// for room at a target.
-	WaitShare float64
+	// for room at a target, and InnerWaitShare that for a call of a running
+	// request.
+	WaitShare, InnerWaitShare float64
+	// ParentOf returns the id of the request that made a call, false if the call's
+	// id does not tell.
+	ParentOf func(id string) (string, bool)
 }
 
 // Parts are what a forwarder works with.
@@ -49,8 +58,10 @@
 	Routes    *routetable.Holder
 	Directory *registry.Directory
 	// Local runs calls at the target beside the node.
-	Local peering.Home
-	Peers *peering.Client
+	Local LocalHome
+	// Levels hold the shed thresholds of routes.
+	Levels *pressure.Levels
+	Peers  *peering.Client
 	// NewerAt is told of a peer with a newer configuration.
 	NewerAt  func(address string, version uint64)
 	Observer Observer
@@ -58,6 +69,13 @@
 	Now      func() time.Time
 }
 
+// LocalHome runs calls at the target beside the node and knows what runs there.
+type LocalHome interface {
+	peering.Home
+	// Running returns a request that the target works on.
+	Running(id string) (guard.Running, bool)
+}
+
 // Observer sees what becomes of requests, for metrics.
 type Observer interface {
 	// Finished sees a request that ended. Refusals and failures have a reason.
@@ -69,7 +87,8 @@
 	config    Config
 	routes    *routetable.Holder
 	directory *registry.Directory
-	local     peering.Home
+	local     LocalHome
+	levels    *pressure.Levels
 	peers     *peering.Client
 	newerAt   func(address string, version uint64)
 	observer  Observer
@@ -96,6 +115,7 @@
 		routes:    parts.Routes,
 		directory: parts.Directory,
 		local:     parts.Local,
+		levels:    parts.Levels,
 		peers:     parts.Peers,
 		newerAt:   parts.NewerAt,
 		observer:  parts.Observer,
@@ -132,6 +152,9 @@
 	// attempts counts the targets that may have run the request.
 	attempts int
 	excluded []*registry.Home
+	rank     criticality.Rank
+	// inner tells that a request at the target beside the node made the call.
+	inner bool
 	// retryAfter is the shortest wait that a home proposed.
 	retryAfter time.Duration
 	// lastReason says why the last home did not answer.
@@ -188,6 +211,9 @@
 // notReadyDelay is told to callers while the node has no configuration.
 const notReadyDelay = 200 * time.Millisecond
 
+// shedDelay is told to callers that are refused for want of room further down.
+const shedDelay = time.Second
+
 // receive reads a request whole.
 func (f *Forwarder) receive(w http.ResponseWriter, r *http.Request, started time.Time) (*request, *problem.Problem) {
 	q := &request{id: r.Header.Get(f.config.Headers.RequestID), arrived: started}
@@ -202,6 +228,10 @@
 	if q.id == "" {
 		return q, f.problem(problem.BadRequest, problem.ExecutedNo, "receive", "no request id")
 	}
+	q.rank, q.inner = f.rankOf(q)
+	if !q.inner && f.levels.Refuses(q.route.Name, q.rank) {
+		return q, f.problem(problem.Overloaded, problem.ExecutedNo, "admit", "the chain of calls has no room").WithRetryDelay(shedDelay)
+	}
 	q.deadline = started.Add(f.timeoutOf(q.route, r.Header))
 	body, failure := f.readBody(w, r, table.Limits().MaxBodyBytes)
 	if failure != nil {
@@ -220,15 +250,33 @@
 		Body:      body,
 		Caller:    f.config.Service,
 		Route:     q.route.Name,
-		Priority:  q.route.Priority,
-		MaxWait:   f.maxWait(q.route),
+		Rank:      q.rank.Key(),
+		Inner:     q.inner,
+		MaxWait:   f.maxWait(q),
 	}
 	return q, nil
 }
 
-// maxWait returns how long a request of the route may wait for room.
-func (f *Forwarder) maxWait(route *routetable.Route) time.Duration {
-	return time.Duration(float64(route.Objective) * f.config.WaitShare)
+// maxWait returns how long a request may wait for room.
+func (f *Forwarder) maxWait(q *request) time.Duration {
+	share := f.config.WaitShare
+	if q.inner {
+		share = f.config.InnerWaitShare
+	}
+	return time.Duration(float64(q.route.Objective) * share)
+}
+
+// rankOf returns the rank of a request: that of the request that made the call
+// where one runs at the target beside the node, else one by its own route.
+func (f *Forwarder) rankOf(q *request) (rank criticality.Rank, inner bool) {
+	if parent, told := f.config.ParentOf(q.id); told {
+		if running, found := f.local.Running(parent); found {
+			f.levels.Learn(running.Route, q.route.Name)
+			return running.Rank, true
+		}
+	}
+	level := criticality.Level(min(max(q.route.Priority, 0), criticality.LevelCount-1))
+	return criticality.Rank{Level: level, Cohort: uint8(xxhash.Sum64String(q.id) % criticality.CohortCount)}, false
 }
 
 // timeoutOf returns the shortest of what the caller and the route allow.
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -112,7 +112,7 @@
 		done := state.begin(nil, f.now())
 		defer done()
 		reply := f.local.Run(ctx, &call)
-		f.heed(home, state, reply)
+		f.heed(q, home, state, reply)
 		return reply
 	}
 	return f.offerToPeer(ctx, q, home, state, &call)
@@ -130,7 +130,7 @@
 	reply, err := f.peers.Call(offerCtx, home.Address, call)
 	done()
 	if err == nil {
-		f.heed(home, state, reply)
+		f.heed(q, home, state, reply)
 		return reply
 	}
 	return f.peerFailed(ctx, offerCtx, state, err)
@@ -158,9 +158,12 @@
 }
 
 // heed takes what a reply tells of the home.
-func (f *Forwarder) heed(home *registry.Home, state *homeState, reply *peering.Reply) {
+func (f *Forwarder) heed(q *request, home *registry.Home, state *homeState, reply *peering.Reply) {
 	f.trust(state)
 	state.report(reply.Load, f.now())
+	if reply.Load.Limit > 0 {
+		f.levels.Report(q.route.Name, home.Address, reply.Load.Threshold, reply.Load.Limit)
+	}
 	if reply.Outcome == peering.Refused && reply.Reason.Final() {
 		state.depart(home, f.now())
 	}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -21,6 +21,7 @@
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/registry"
 	"github.com/lugspur/lugspur/internal/scheduler"
+	"github.com/lugspur/lugspur/internal/shed"
 	"github.com/lugspur/lugspur/internal/transport"
 )
 
@@ -43,6 +44,9 @@
 	Version func() uint64
 	// MaxConnections returns the target's bound on connections, zero for none.
 	MaxConnections func() int
+	// Below returns the lowest threshold of the calls that requests of the route
+	// make.
+	Below func(route string) uint16
 }
 
 // Guard admits calls to the target. It is safe for concurrent use.
@@ -54,6 +58,7 @@
 	stopping atomic.Bool
 	inFlight atomic.Int64
 	current  atomic.Pointer[incarnation]
+	running  runningTable
 	mutex    sync.Mutex
 }
 
@@ -64,6 +69,7 @@
 	scheduler *scheduler.Scheduler
 	pool      *transport.Pool
 	latency   meanLatency
+	shedding  *shed.Controller
 	leaving   atomic.Bool
 }
 
@@ -106,6 +112,7 @@
 	return &incarnation{
 		target:    target,
 		limit:     bound,
+		shedding:  shed.NewController(shed.Config{Floor: shedFloor}),
 		scheduler: scheduler.New(scheduler.Config{MaxQueue: g.config.MaxQueue, MaxWait: g.config.MaxWait}, bound, g.now),
 		pool: transport.NewPool(transport.Config{
 			Address:           g.config.Address,
@@ -140,10 +147,11 @@
 func (g *Guard) Load() peering.Load {
 	i := g.current.Load()
 	if i == nil {
-		return peering.Load{}
+		return peering.Load{Threshold: shed.None}
 	}
 	stats := i.scheduler.Stats()
-	return peering.Load{InFlight: stats.InFlight, Queued: stats.Queued, Limit: stats.Limit, Latency: i.latency.value()}
+	return peering.Load{InFlight: stats.InFlight, Queued: stats.Queued, Limit: stats.Limit, Latency: i.latency.value(),
+		Threshold: i.shedding.Threshold()}
 }
 
 // Run runs the call at the target and says what became of it.
@@ -153,6 +161,7 @@
 	started := g.now()
 	reply := g.run(ctx, call, started.Add(call.Remaining))
 	reply.Load = g.Load()
+	reply.Load.Threshold = min(reply.Load.Threshold, g.config.Below(call.Route))
 	reply.Version = g.config.Version()
 	g.note(call, reply, started)
 	return reply
@@ -190,8 +199,10 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	rank := criticality.RankOf(call.Rank)
+	i.shedding.Observe(rank)
 	permit, err := i.scheduler.Acquire(ctx, scheduler.Request{
-		Rank:     criticality.Rank{Level: levelOf(call.Priority)},
+		Rank:     criticality.Rank{Level: queueLevel(rank, call.Inner)},
 		Deadline: deadline,
 		ID:       call.RequestID,
 		MaxWait:  call.MaxWait,
@@ -206,9 +217,13 @@
 	return g.exchange(ctx, i, permit, call, deadline)
 }
 
-// levelOf returns the level in which a call of the priority queues.
-func levelOf(priority int) criticality.Level {
-	return criticality.Level(min(max(priority, 0), criticality.LevelCount-1))
+// queueLevel returns the level in which a call queues. A call whose request
+// already runs goes one level ahead, as refusing it wastes what was done.
+func queueLevel(rank criticality.Rank, inner bool) criticality.Level {
+	if inner {
+		return rank.Level
+	}
+	return min(rank.Level+1, criticality.LevelCount-1)
 }
 
 var schedulerReasons = map[scheduler.Reason]peering.Reason{
@@ -237,6 +252,8 @@
 		permit.Cancel()
 		return refused(peering.Late)
 	}
+	done := g.running.begin(call)
+	defer done()
 	answer, err := i.pool.Exchange(ctx, g.message(i, call, remaining))
 	duration := g.now().Sub(started)
 	if err != nil {
--- /dev/null
+++ b/internal/guard/running.go
@@ -0,0 +1,94 @@
+package guard
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/lugspur/lugspur/internal/criticality"
+	"github.com/lugspur/lugspur/internal/eventlog"
+	"github.com/lugspur/lugspur/internal/peering"
+	"github.com/lugspur/lugspur/internal/shed"
+)
+
+// Running is a request that the target works on.
+type Running struct {
+	Route string
+	Rank  criticality.Rank
+}
+
+// runningTable holds the requests at the target by their ids.
+type runningTable struct {
+	mutex    sync.Mutex
+	requests map[string]Running
+}
+
+// begin notes a request at the target. The returned function ends it.
+func (t *runningTable) begin(call *peering.Call) func() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.requests == nil {
+		t.requests = make(map[string]Running)
+	}
+	t.requests[call.RequestID] = Running{Route: call.Route, Rank: criticality.RankOf(call.Rank)}
+	return func() {
+		t.mutex.Lock()
+		defer t.mutex.Unlock()
+		delete(t.requests, call.RequestID)
+	}
+}
+
+// Running returns a request that the target works on.
+func (g *Guard) Running(id string) (Running, bool) {
+	g.running.mutex.Lock()
+	defer g.running.mutex.Unlock()
+	running, found := g.running.requests[id]
+	return running, found
+}
+
+const (
+	// tick is how often the shed threshold is moved.
+	tick = 100 * time.Millisecond
+	// shedFloor lets thresholds fall until next to nothing is admitted.
+	shedFloor = 8
+	// loggedStep is the least change of the threshold that is worth a line.
+	loggedStep = criticality.CohortCount / 4
+)
+
+// Watch moves the shed threshold with the queue until the context ends.
+func (g *Guard) Watch(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	logged := shed.None
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			logged = g.moveThreshold(logged)
+		}
+	}
+}
+
+// moveThreshold moves the threshold and returns the one logged last.
+func (g *Guard) moveThreshold(logged uint16) uint16 {
+	i := g.current.Load()
+	if i == nil {
+		return logged
+	}
+	stats := i.scheduler.Stats()
+	i.shedding.Tick(g.now(), shed.State{
+		InFlight:   stats.InFlight,
+		Limit:      stats.Limit,
+		Queued:     stats.Queued,
+		Overloaded: stats.Overloaded,
+		Served:     stats.Served,
+	})
+	threshold := i.shedding.Threshold()
+	if max(threshold, logged)-min(threshold, logged) < loggedStep {
+		return logged
+	}
+	g.log.Record(eventlog.Event{Kind: eventlog.AdmissionChanged, Service: i.target.Service, Target: i.target.ID,
+		Count: int(threshold) * 100 / criticality.RankCount, Reason: "queue " + stats.QueueDelay.String()})
+	return threshold
+}
--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -33,11 +33,14 @@
 	// Caller is the service on whose machine the request began.
 	Caller string `cbor:"9,keyasint"`
 	Route  string `cbor:"10,keyasint"`
-	// Priority ranks the call; zero is the most important.
-	Priority int `cbor:"11,keyasint"`
+	// Rank is that of the request at the beginning of the chain; a lower key is
+	// more important.
+	Rank uint16 `cbor:"11,keyasint"`
 	// MaxWait is how long the call may wait for room at the target; zero leaves
 	// it to the home.
 	MaxWait time.Duration `cbor:"12,keyasint"`
+	// Inner tells that a running request made the call.
+	Inner bool `cbor:"13,keyasint,omitempty"`
 }
 
 // Outcome is what became of a call.
@@ -60,6 +63,9 @@
 	Limit    int `cbor:"3,keyasint"`
 	// Latency is the usual time of a call at the target.
 	Latency time.Duration `cbor:"4,keyasint"`
+	// Threshold is the rank from which on the home wants calls of the route to be
+	// refused where they begin.
+	Threshold uint16 `cbor:"5,keyasint"`
 }
 
 // Reply is a home's answer to a call.
--- /dev/null
+++ b/internal/pressure/pressure_test.go
@@ -0,0 +1,49 @@
+package pressure
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lugspur/lugspur/internal/criticality"
+	"github.com/lugspur/lugspur/internal/shed"
+)
+
+// TestThresholdsTravelUpTheChain is the chain of two nodes: the second one
+// knows the bottom's threshold and tells it on for the route that calls there.
+func TestThresholdsTravelUpTheChain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	clock := func() time.Time { return now }
+	middle, ingress := New(clock), New(clock)
+	middle.Learn("view", "fetch")
+	middle.Report("fetch", "bottom-1", 200, 10)
+	middle.Report("fetch", "bottom-2", 300, 10)
+	assert.Equal(t, middle.Below("view"), uint16(300))
+	assert.Equal(t, middle.Below("export"), shed.None, "a route that calls nothing is not held back")
+	ingress.Report("view", "middle", middle.Below("view"), 10)
+	assert.Assert(t, ingress.Refuses("view", criticality.RankOf(300)))
+	assert.Assert(t, !ingress.Refuses("view", criticality.RankOf(299)))
+	assert.Assert(t, !ingress.Refuses("export", criticality.Lowest))
+}
+
+func TestAThresholdExpires(t *testing.T) {
+	now := time.Unix(1000, 0)
+	levels := New(func() time.Time { return now })
+	levels.Report("view", "home", 1, 10)
+	assert.Assert(t, levels.Refuses("view", criticality.Lowest))
+	now = now.Add(expiry + time.Millisecond)
+	assert.Assert(t, !levels.Refuses("view", criticality.Lowest))
+}
+
+func TestARepeatedReportKeepsTheThreshold(t *testing.T) {
+	now := time.Unix(1000, 0)
+	levels := New(func() time.Time { return now })
+	for range 40 {
+		levels.Report("view", "home", 1, 10)
+		assert.Assert(t, levels.Refuses("view", criticality.Lowest))
+		now = now.Add(expiry / 20)
+	}
+	levels.Report("view", "home", shed.None, 10)
+	assert.Assert(t, !levels.Refuses("view", criticality.Lowest), "a raised threshold holds at once")
+}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -17,6 +17,7 @@
 	"github.com/lugspur/lugspur/internal/forward"
 	"github.com/lugspur/lugspur/internal/guard"
 	"github.com/lugspur/lugspur/internal/peering"
+	"github.com/lugspur/lugspur/internal/pressure"
 	"github.com/lugspur/lugspur/internal/registry"
 	"github.com/lugspur/lugspur/internal/routetable"
 	"github.com/lugspur/lugspur/internal/version"
@@ -59,6 +60,7 @@
 	registrar *registry.Registrar
 	guard     *guard.Guard
 	peers     *peering.Client
+	levels    *pressure.Levels
 	forwarder *forward.Forwarder
 	servers   []*http.Server
 	stopping  atomic.Bool
@@ -74,6 +76,7 @@
 	n.store = platform.NewStore(settings.Store)
 	n.feed = configfeed.New(n.store, platform.ConfigurationKey, platform.Configuration, n.routes, n.log, time.Now)
 	n.directory = registry.NewDirectory(n.store, platform.HomesPrefix, n.log, time.Now)
+	n.levels = pressure.New(time.Now)
 	n.guard = guard.New(guard.Config{
 		Service:        settings.Service,
 		Address:        settings.Target,
@@ -83,6 +86,7 @@
 		MaxBuffered:    maxMessageBytes,
 		Version:        func() uint64 { return uint64(n.routes.Version()) },
 		MaxConnections: n.maxConnections,
+		Below:          n.levels.Below,
 	}, n.log, time.Now)
 	n.registrar = registry.NewRegistrar(registry.RegistrarConfig{
 		Zone:             settings.Zone,
@@ -116,10 +120,13 @@
 		RetryReserve:          retryReserve,
 		RetryReservePerSecond: retryReservePerSecond,
 		WaitShare:             n.settings.Queue.ObjectiveShare,
+		InnerWaitShare:        n.settings.Queue.InnerObjectiveShare,
+		ParentOf:              platform.ParentOf,
 	}, forward.Parts{
 		Routes:    n.routes,
 		Directory: n.directory,
 		Local:     n.guard,
+		Levels:    n.levels,
 		Peers:     n.peers,
 		NewerAt:   n.fetchFrom,
 		Observer:  n.metrics,
@@ -183,7 +190,7 @@
 		return err
 	}
 	n.log.Record(eventlog.Event{Kind: eventlog.ProcessStarted, Service: n.settings.Service, Target: n.settings.Target, Outcome: version.Current().Version})
-	for _, run := range []func(context.Context){n.feed.Run, n.directory.Run, n.registrar.Run, n.forwarder.Run} {
+	for _, run := range []func(context.Context){n.feed.Run, n.directory.Run, n.registrar.Run, n.guard.Watch, n.forwarder.Run} {
 		n.running.Go(func() { run(background) })
 	}
 	<-ctx.Done()
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -63,6 +63,8 @@
 	MaxLength int `toml:"max-length"`
 	// ObjectiveShare is the part of a route's objective for which a call may wait.
 	ObjectiveShare float64 `toml:"objective-share"`
+	// InnerObjectiveShare is the same for a call that a running request makes.
+	InnerObjectiveShare float64 `toml:"inner-objective-share"`
 	// SlotShare is the part of the target's slots that is used.
 	SlotShare float64 `toml:"slot-share"`
 }
@@ -73,6 +75,7 @@
 	DefaultBudgetRatio    = 0.2
 	DefaultQueueLength    = 256
 	DefaultObjectiveShare = 0.2
+	DefaultInnerShare     = 0.6
 	DefaultSlotShare      = 0.95
 )
 
@@ -94,7 +97,8 @@
 	settings := Settings{
 		Stop:    StopSettings{GraceSeconds: DefaultGraceSeconds},
 		Retries: RetrySettings{BudgetRatio: DefaultBudgetRatio},
-		Queue:   QueueSettings{MaxLength: DefaultQueueLength, ObjectiveShare: DefaultObjectiveShare, SlotShare: DefaultSlotShare},
+		Queue: QueueSettings{MaxLength: DefaultQueueLength, ObjectiveShare: DefaultObjectiveShare,
+			InnerObjectiveShare: DefaultInnerShare, SlotShare: DefaultSlotShare},
 	}
 	if err := toml.Unmarshal(content, &settings); err != nil {
 		return Settings{}, fmt.Errorf("parse: %w", err)
@@ -119,6 +123,7 @@
 		between("retries.budget-ratio", s.Retries.BudgetRatio, 0, 1),
 		between("queue.max-length", float64(s.Queue.MaxLength), 1, 1<<16),
 		between("queue.objective-share", s.Queue.ObjectiveShare, 0.001, 1),
+		between("queue.inner-objective-share", s.Queue.InnerObjectiveShare, 0.001, 1),
 		between("queue.slot-share", s.Queue.SlotShare, 0.01, 1),
 	)
 }
