--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,356 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/lugspur/lugspur/internal/callheader"
+	"github.com/lugspur/lugspur/internal/criticality"
+	"github.com/lugspur/lugspur/internal/guard"
+	"github.com/lugspur/lugspur/internal/peering"
+	"github.com/lugspur/lugspur/internal/pressure"
+	"github.com/lugspur/lugspur/internal/registry"
+	"github.com/lugspur/lugspur/internal/routetable"
+	"github.com/lugspur/lugspur/internal/shed"
+	"github.com/lugspur/lugspur/internal/store/memory"
+)
+
+// fakeHome answers calls by a function and counts them.
+type fakeHome struct {
+	mutex  sync.Mutex
+	calls  []*peering.Call
+	answer func(ctx context.Context, call *peering.Call) *peering.Reply
+}
+
+func (h *fakeHome) Run(ctx context.Context, call *peering.Call) *peering.Reply {
+	h.mutex.Lock()
+	h.calls = append(h.calls, call)
+	h.mutex.Unlock()
+	return h.answer(ctx, call)
+}
+
+func (h *fakeHome) Running(id string) (guard.Running, bool) {
+	return guard.Running{Route: "parent", Rank: criticality.RankOf(7)}, id == "running"
+}
+
+func (h *fakeHome) count() int {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return len(h.calls)
+}
+
+func answered(context.Context, *peering.Call) *peering.Reply {
+	return &peering.Reply{Outcome: peering.Answered, Status: 200, Header: http.Header{"X-Signature": {"s"}}, Body: []byte("ok"),
+		Load: peering.Load{Limit: 10, Threshold: shed.None}}
+}
+
+func refusing(reason peering.Reason) func(context.Context, *peering.Call) *peering.Reply {
+	return func(context.Context, *peering.Call) *peering.Reply {
+		return &peering.Reply{Outcome: peering.Refused, Reason: reason, RetryAfter: 300 * time.Millisecond, Load: peering.Load{Limit: 10, Threshold: shed.None}}
+	}
+}
+
+func failing(context.Context, *peering.Call) *peering.Reply {
+	return &peering.Reply{Outcome: peering.Failed, Reason: peering.Broken, Load: peering.Load{Limit: 10, Threshold: shed.None}}
+}
+
+type observer struct{}
+
+func (observer) Finished(string, int, string, time.Duration) {}
+
+// fixture is a forwarder with peers behind real sockets.
+type fixture struct {
+	forwarder *Forwarder
+	homes     []*fakeHome
+	levels    *pressure.Levels
+	fetched   chan string
+}
+
+const testTimeout = 2 * time.Second
+
+func newFixture(t *testing.T, answers ...func(context.Context, *peering.Call) *peering.Reply) *fixture {
+	t.Helper()
+	fixture := &fixture{levels: pressure.New(time.Now), fetched: make(chan string, 10)}
+	addresses := make([]string, len(answers))
+	for i, answer := range answers {
+		home := &fakeHome{answer: answer}
+		server := httptest.NewServer(peering.Handler(home, func() []byte { return []byte("document") }, 1<<20))
+		t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+		fixture.homes = append(fixture.homes, home)
+		addresses[i] = strings.TrimPrefix(server.URL, "http://")
+	}
+	fixture.forwarder = newForwarder(t, fixture, addresses)
+	return fixture
+}
+
+func newForwarder(t *testing.T, fixture *fixture, addresses []string) *Forwarder {
+	t.Helper()
+	routes := &routetable.Holder{}
+	service := []routetable.WeightedService{{Name: "s", Weight: 1}}
+	routes.Offer(&routetable.Configuration{Version: 4, Limits: routetable.Limits{MaxBodyBytes: 100}, Routes: []routetable.Route{
+		{Name: "read", Host: "a.example", Prefix: "/read/", Kind: routetable.Repeatable, Attempts: 2, Timeout: testTimeout, Objective: time.Second, Priority: 2, Services: service},
+		{Name: "once", Host: "a.example", Prefix: "/once/", Kind: routetable.Once, Attempts: 2, Timeout: testTimeout, Objective: time.Second, Services: service},
+		{Name: "brief", Host: "a.example", Prefix: "/brief/", Kind: routetable.Repeatable, Attempts: 2, Timeout: 200 * time.Millisecond, Objective: time.Second, Services: service},
+	}})
+	return New(Config{
+		Node: "node", Zone: "z", Service: "caller", Address: "here", DefaultTimeout: time.Second, RetryShare: 0.1, RetryReserve: 1, WaitShare: 0.2, InnerWaitShare: 0.6,
+		Headers: callheader.Names{RequestID: "X-Id", DeadlineMillis: "X-Deadline"},
+		ParentOf: func(id string) (string, bool) {
+			parent, _, told := strings.Cut(id, ".")
+			return parent, told
+		},
+	}, Parts{
+		Routes: routes, Directory: directoryOf(t, addresses), Local: &fakeHome{answer: answered}, Levels: fixture.levels,
+		Peers:    peering.NewClient(peering.ClientConfig{MaxBuffered: 1 << 20, DialTimeout: time.Second, UserTimeout: time.Second, MaxIdle: 4, IdleTimeout: time.Minute}),
+		NewerAt:  func(address string, _ uint64) { fixture.fetched <- address },
+		Observer: observer{}, Now: time.Now,
+	})
+}
+
+// directoryOf returns a directory in which the addresses are homes of the
+// service in the node's zone.
+func directoryOf(t *testing.T, addresses []string) *registry.Directory {
+	t.Helper()
+	held := memory.New(time.Now)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	for i, address := range addresses {
+		record, err := cbor.Marshal(registry.Record{Instance: "i-" + strconv.Itoa(i), Service: "s", Zone: "z", Address: address, Slots: 10, State: registry.Ready})
+		assert.NilError(t, err)
+		_, err = held.CompareAndSwap(ctx, "homes/"+address, 0, record, 0)
+		assert.NilError(t, err)
+	}
+	directory := registry.NewDirectory(held, "homes/", nil, time.Now)
+	go directory.Run(ctx)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if directory.Listed() {
+			return poll.Success()
+		}
+		return poll.Continue("not listed")
+	}, poll.WithDelay(time.Millisecond))
+	return directory
+}
+
+func (f *fixture) do(method, path, id, body string) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(method, "http://a.example"+path, strings.NewReader(body))
+	request.RequestURI = path
+	request.Header.Set("X-Id", id)
+	request.Header.Set("X-Deadline", "5000")
+	answer := httptest.NewRecorder()
+	f.forwarder.ServeHTTP(answer, request)
+	return answer
+}
+
+func (f *fixture) calls() int {
+	total := 0
+	for _, home := range f.homes {
+		total += home.count()
+	}
+	return total
+}
+
+func TestARequestIsAnswered(t *testing.T) {
+	f := newFixture(t, answered)
+	answer := f.do("GET", "/read/x?y=1", "a", "")
+	assert.Equal(t, answer.Code, 200)
+	assert.Equal(t, answer.Body.String(), "ok")
+	assert.Equal(t, answer.Header().Get("X-Signature"), "s")
+	sent := f.homes[0].calls[0]
+	assert.Equal(t, sent.URI, "/read/x?y=1")
+	assert.Equal(t, sent.Host, "a.example")
+	assert.Equal(t, sent.Caller, "caller")
+	assert.Assert(t, sent.Remaining <= testTimeout, "the route's timeout is shorter than the caller's deadline")
+	assert.Equal(t, sent.MaxWait, 200*time.Millisecond)
+}
+
+func TestWhatTheNodeAnswersItself(t *testing.T) {
+	f := newFixture(t, answered)
+	assert.Equal(t, f.do("GET", "/none/", "a", "").Code, http.StatusNotFound)
+	assert.Equal(t, f.do("GET", "/read/", "", "").Code, http.StatusBadRequest)
+	assert.Equal(t, f.do("POST", "/read/", "a", strings.Repeat("x", 101)).Code, http.StatusRequestEntityTooLarge)
+	assert.Equal(t, f.calls(), 0)
+	f.forwarder.routes = &routetable.Holder{}
+	answer := f.do("GET", "/read/", "a", "")
+	assert.Equal(t, answer.Code, http.StatusServiceUnavailable, "a node without configuration")
+	assert.Assert(t, answer.Header().Get("Retry-After") != "")
+}
+
+func TestARefusalGoesToAnotherHome(t *testing.T) {
+	for _, path := range []string{"/read/x", "/once/x"} {
+		f := newFixture(t, refusing(peering.QueueFull), answered)
+		assert.Equal(t, f.do("GET", path, "a", "").Code, 200)
+	}
+}
+
+func TestARefusalByAllTellsWhenToComeBack(t *testing.T) {
+	f := newFixture(t, refusing(peering.QueueFull), refusing(peering.Waited))
+	answer := f.do("GET", "/once/x", "a", "")
+	assert.Equal(t, answer.Code, http.StatusServiceUnavailable)
+	assert.Equal(t, answer.Header().Get("Retry-After"), "0.300")
+	assert.Equal(t, f.calls(), 2)
+}
+
+func TestWhatMayHaveRunIsRepeatedOnlyWhereAllowed(t *testing.T) {
+	once := newFixture(t, failing, failing)
+	assert.Equal(t, once.do("POST", "/once/x", "a", "").Code, http.StatusBadGateway)
+	assert.Equal(t, once.calls(), 1, "a request that must not run twice")
+	read := newFixture(t, failing, failing, failing)
+	assert.Equal(t, read.do("GET", "/read/x", "a", "").Code, http.StatusBadGateway)
+	assert.Equal(t, read.calls(), 2, "the route's attempts")
+}
+
+// TestAFailureIsNotToldAsNotRun has one home fail and the other refuse: the
+// request may have run, whatever the second home says.
+func TestAFailureIsNotToldAsNotRun(t *testing.T) {
+	for range 8 {
+		f := newFixture(t, failing, refusing(peering.QueueFull))
+		answer := f.do("GET", "/read/x", "a", "")
+		assert.Equal(t, answer.Code, http.StatusBadGateway)
+	}
+}
+
+func TestTheRetryBudgetBoundsRepetitions(t *testing.T) {
+	f := newFixture(t, failing, failing)
+	const requests = 50
+	for i := range requests {
+		f.do("GET", "/read/x", strconv.Itoa(i), "")
+	}
+	repeated := f.calls() - requests
+	assert.Assert(t, repeated >= 1 && repeated <= 1+requests/10+1, "%d repetitions of %d requests", repeated, requests)
+}
+
+func TestADeadHomeIsPassedOver(t *testing.T) {
+	f := newFixture(t, answered)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	dead := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	live := f.forwarder.directory.Homes("s")[0].Address
+	f.forwarder = newForwarder(t, f, []string{dead, live})
+	for i := range 20 {
+		assert.Equal(t, f.do("POST", "/once/x", strconv.Itoa(i), "").Code, 200, "an unreached home has not run it")
+	}
+}
+
+func TestASilentHomeIsGivenUpForRepeatableRequests(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	f := newFixture(t, answered)
+	live := f.forwarder.directory.Homes("s")[0].Address
+	f.forwarder = newForwarder(t, f, []string{listener.Addr().String(), live})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.forwarder.Run(ctx)
+	// The silent home takes connections and never answers.
+	state := f.forwarder.homes.state(listener.Addr().String())
+	suspected := func() bool {
+		state.mutex.Lock()
+		defer state.mutex.Unlock()
+		return state.suspicion.pause > 0
+	}
+	const enough = 100
+	for i := 0; i < enough && !suspected(); i++ {
+		assert.Equal(t, f.do("GET", "/read/x", strconv.Itoa(i), "").Code, 200)
+	}
+	assert.Assert(t, suspected(), "the silent home was chosen and passed over")
+}
+
+func TestARequestIsAnsweredAtItsRoutesTimeout(t *testing.T) {
+	f := newFixture(t, func(ctx context.Context, call *peering.Call) *peering.Reply {
+		<-ctx.Done()
+		return failing(ctx, call)
+	})
+	started := time.Now()
+	answer := f.do("GET", "/brief/x", "a", "")
+	assert.Equal(t, answer.Code, http.StatusGatewayTimeout)
+	assert.Assert(t, time.Since(started) < testTimeout)
+}
+
+func TestACallersEndWithdrawsTheCall(t *testing.T) {
+	withdrawn := make(chan struct{})
+	f := newFixture(t, func(ctx context.Context, call *peering.Call) *peering.Reply {
+		<-ctx.Done()
+		close(withdrawn)
+		return failing(ctx, call)
+	})
+	server := httptest.NewServer(f.forwarder)
+	defer server.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, "GET", server.URL+"/read/x", nil)
+	assert.NilError(t, err)
+	request.Host = "a.example"
+	request.Header.Set("X-Id", "a")
+	go func() {
+		for f.calls() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	_, err = http.DefaultClient.Do(request)
+	assert.Assert(t, errors.Is(err, context.Canceled))
+	select {
+	case <-withdrawn:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the home was not told")
+	}
+}
+
+// TestAFullChainIsRefusedWhereRequestsBegin reports a threshold that refuses
+// less important requests, and finds that these are refused here and that a
+// call of a running request and a more important request are not.
+func TestAFullChainIsRefusedWhereRequestsBegin(t *testing.T) {
+	f := newFixture(t, answered)
+	address := f.forwarder.directory.Homes("s")[0].Address
+	for _, route := range []string{"read", "once"} {
+		f.levels.Report(route, address, criticality.CohortCount, 10)
+	}
+	answer := f.do("GET", "/read/x", "a", "")
+	assert.Equal(t, answer.Code, http.StatusServiceUnavailable)
+	assert.Assert(t, answer.Header().Get("Retry-After") != "")
+	assert.Equal(t, f.calls(), 0)
+	assert.Equal(t, f.do("POST", "/once/x", "a", "").Code, 200)
+	assert.Equal(t, f.do("GET", "/read/x", "running.b", "").Code, 200)
+	inner := f.homes[0].calls[1]
+	assert.Equal(t, inner.Rank, uint16(7), "a call has the rank of the request that made it")
+	assert.Assert(t, inner.Inner)
+	assert.Equal(t, inner.MaxWait, 600*time.Millisecond)
+	assert.Equal(t, f.levels.Below("parent"), uint16(shed.None), "the reply's own threshold is the newest")
+}
+
+func TestANewerConfigurationOfAPeerIsFetched(t *testing.T) {
+	f := newFixture(t, func(ctx context.Context, call *peering.Call) *peering.Reply {
+		reply := answered(ctx, call)
+		reply.Version = 5
+		return reply
+	})
+	f.do("GET", "/read/x", "a", "")
+	address := <-f.fetched
+	document, err := f.forwarder.peers.Configuration(context.Background(), address)
+	assert.NilError(t, err)
+	assert.Equal(t, string(document), "document")
+}
+
+func TestAStoppingNodeAsksCallersToClose(t *testing.T) {
+	f := newFixture(t, answered)
+	f.forwarder.Stop()
+	answer := f.do("GET", "/read/x", "a", "")
+	assert.Equal(t, answer.Code, 200)
+	assert.Equal(t, answer.Header().Get("Connection"), "close")
+	body, err := io.ReadAll(answer.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "ok")
+}
--- a/lab/cluster/ports.go
+++ b/lab/cluster/ports.go
@@ -33,7 +33,7 @@
 func freeAddresses() (Addresses, error) {
 	var addresses Addresses
 	for _, address := range []*string{&addresses.Edge, &addresses.Mesh, &addresses.Peer, &addresses.Admin} {
-		found, err := freeAddress()
+		found, err := FreeAddress()
 		if err != nil {
 			return addresses, oops.In("cluster").With("step", "find port").Wrap(err)
 		}
@@ -42,7 +42,8 @@
 	return addresses, nil
 }
 
-func freeAddress() (string, error) {
+// FreeAddress finds a loopback address whose port is free and stays free.
+func FreeAddress() (string, error) {
 	for range portTries {
 		offset := (int64(os.Getpid())*portsPerProcess + portsIssued.Add(1)) % (highestPort - lowestPort)
 		address := net.JoinHostPort("127.0.0.1", strconv.FormatInt(lowestPort+offset, 10))
