Choose homes by route latency and failures; gate repetitions by what arrives

Change: a home reports latency by route, the part of calls without usable answer (silent ones included), and the part of arrivals that are repetitions, which is marked down the chain; nodes prefer homes by these and repeat only below a ceiling. Records are not withdrawn at a planned stop and changes are gathered longer, since each change wakes every node.

--- a/internal/configfeed/feed.go
+++ b/internal/configfeed/feed.go
@@ -17,6 +17,10 @@
 // Decode reads a configuration document.
 type Decode func([]byte) (*routetable.Configuration, error)
 
+// gatherTime is how long a change that follows another may wait, so that a
+// quick succession costs fewer calls.
+const gatherTime = 400 * time.Millisecond
+
 // sourceStore names the store in log lines.
 const sourceStore = "store"
 
@@ -48,6 +52,7 @@
 		Change:   f.take,
 		Lost:     f.lost,
 		Regained: f.regained,
+		Gather:   gatherTime,
 	}
 	follower.Run(ctx)
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -44,6 +44,9 @@
 	// RetryReserve is the number of repetitions allowed without requests, and
 	// RetryReservePerSecond how fast it comes back.
 	RetryReserve, RetryReservePerSecond float64
+	// RepeatCeiling is the part of the arrivals at a service, in percent, up to
+	// which requests that reach it are repeated.
+	RepeatCeiling int
 	// WaitShare is the part of a route's objective for which a request may wait
 	// for room at a target, and InnerWaitShare that for a call of a running
 	// request.
@@ -228,7 +231,11 @@
 	if q.id == "" {
 		return q, f.problem(problem.BadRequest, problem.ExecutedNo, "receive", "no request id")
 	}
-	q.rank, q.inner = f.rankOf(q)
+	parent, inner := f.parentOf(q)
+	q.rank, q.inner = parent.Rank, inner
+	if !inner {
+		q.rank = rankOf(q)
+	}
 	if !q.inner && f.levels.Refuses(q.route.Name, q.rank) {
 		return q, f.problem(problem.Overloaded, problem.ExecutedNo, "admit", "the chain of calls has no room").WithRetryDelay(shedDelay)
 	}
@@ -252,6 +259,7 @@
 		Route:     q.route.Name,
 		Rank:      q.rank.Key(),
 		Inner:     q.inner,
+		Repeat:    parent.Repeat,
 		MaxWait:   f.maxWait(q),
 	}
 	return q, nil
@@ -266,17 +274,24 @@
 	return time.Duration(float64(q.route.Objective) * share)
 }
 
-// rankOf returns the rank of a request: that of the request that made the call
-// where one runs at the target beside the node, else one by its own route.
-func (f *Forwarder) rankOf(q *request) (rank criticality.Rank, inner bool) {
-	if parent, told := f.config.ParentOf(q.id); told {
-		if running, found := f.local.Running(parent); found {
-			f.levels.Learn(running.Route, q.route.Name)
-			return running.Rank, true
-		}
+// parentOf returns the request at the target beside the node that made the
+// call, false if none did.
+func (f *Forwarder) parentOf(q *request) (guard.Running, bool) {
+	id, told := f.config.ParentOf(q.id)
+	if !told {
+		return guard.Running{}, false
+	}
+	parent, found := f.local.Running(id)
+	if found {
+		f.levels.Learn(parent.Route, q.route.Name)
 	}
+	return parent, found
+}
+
+// rankOf returns the rank of a request that begins here.
+func rankOf(q *request) criticality.Rank {
 	level := criticality.Level(min(max(q.route.Priority, 0), criticality.LevelCount-1))
-	return criticality.Rank{Level: level, Cohort: uint8(xxhash.Sum64String(q.id) % criticality.CohortCount)}, false
+	return criticality.Rank{Level: level, Cohort: uint8(xxhash.Sum64String(q.id) % criticality.CohortCount)}
 }
 
 // timeoutOf returns the shortest of what the caller and the route allow.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -106,7 +106,7 @@
 		{Name: "brief", Host: "a.example", Prefix: "/brief/", Kind: routetable.Repeatable, Attempts: 2, Timeout: 200 * time.Millisecond, Objective: time.Second, Services: service},
 	}})
 	return New(Config{
-		Node: "node", Zone: "z", Service: "caller", Address: "here", DefaultTimeout: time.Second, RetryShare: 0.1, RetryReserve: 1, WaitShare: 0.2, InnerWaitShare: 0.6,
+		Node: "node", Zone: "z", Service: "caller", Address: "here", DefaultTimeout: time.Second, RetryShare: 0.1, RetryReserve: 1, RepeatCeiling: 100, WaitShare: 0.2, InnerWaitShare: 0.6,
 		Headers: callheader.Names{RequestID: "X-Id", DeadlineMillis: "X-Deadline"},
 		ParentOf: func(id string) (string, bool) {
 			parent, _, told := strings.Cut(id, ".")
@@ -316,7 +316,7 @@
 	f := newFixture(t, answered)
 	address := f.forwarder.directory.Homes("s")[0].Address
 	for _, route := range []string{"read", "once"} {
-		f.levels.Report(route, address, criticality.CohortCount, 10)
+		f.levels.Report(route, address, pressure.Level{Threshold: criticality.CohortCount}, 10)
 	}
 	answer := f.do("GET", "/read/x", "a", "")
 	assert.Equal(t, answer.Code, http.StatusServiceUnavailable)
@@ -328,7 +328,7 @@
 	assert.Equal(t, inner.Rank, uint16(7), "a call has the rank of the request that made it")
 	assert.Assert(t, inner.Inner)
 	assert.Equal(t, inner.MaxWait, 600*time.Millisecond)
-	assert.Equal(t, f.levels.Below("parent"), uint16(shed.None), "the reply's own threshold is the newest")
+	assert.Equal(t, f.levels.Below("parent").Threshold, shed.None, "the reply's own threshold is the newest")
 }
 
 func TestANewerConfigurationOfAPeerIsFetched(t *testing.T) {
--- a/internal/forward/home.go
+++ b/internal/forward/home.go
@@ -10,6 +10,7 @@
 	"github.com/lugspur/lugspur/internal/eventlog"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/registry"
+	"github.com/lugspur/lugspur/internal/routetable"
 )
 
 // homeState is what this node has learned of one home by calling it.
@@ -22,6 +23,8 @@
 	nextCall uint64
 	load     peering.Load
 	loadAt   time.Time
+	// latencies are the home's usual times by route.
+	latencies map[string]knownLatency
 	// heard is when the home last answered anything.
 	heard time.Time
 	// waitingSince is when a call began to wait while none did before.
@@ -33,6 +36,12 @@
 	recheck  time.Time
 }
 
+// knownLatency is the usual time of a call as the home told it.
+type knownLatency struct {
+	value time.Duration
+	at    time.Time
+}
+
 // suspicion passes a home over that failed, for longer each time.
 type suspicion struct {
 	since, until time.Time
@@ -47,8 +56,12 @@
 	departedRecheck = time.Second
 	// loadFresh is how long a home's report of its load is believed.
 	loadFresh = time.Second
-	// defaultLatency stands for that of a home that has not answered yet.
-	defaultLatency = 50 * time.Millisecond
+	// standingFresh is how long a home's latencies and failures are believed. A
+	// home that did badly is tried again after that.
+	standingFresh = 2 * time.Second
+	// maxLatencies bounds the routes whose latencies are kept for one home.
+	maxLatencies = 256
+	percent      = 100
 )
 
 // usable reports whether the home may be chosen.
@@ -61,12 +74,21 @@
 	return !now.Before(s.suspicion.until)
 }
 
-// occupancy returns the part of the home's limit that is in use, above 1 when
-// calls wait, and the usual latency of a call there.
-func (s *homeState) occupancy(home *registry.Home, now time.Time) (occupancy float64, latency time.Duration) {
+// standing is what a choice between homes rests on.
+type standing struct {
+	// occupancy is the part of the home's limit that is in use, above 1 when calls
+	// wait.
+	occupancy float64
+	// latency is the usual time of a call of the route, zero if not known.
+	latency time.Duration
+	// failures is the part of calls that fail at the target.
+	failures float64
+}
+
+func (s *homeState) standing(home *registry.Home, route string, now time.Time) standing {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	limit := max(s.load.Limit, home.Slots, 1)
+	limit := max(home.Slots, 1)
 	if s.load.Limit > 0 {
 		limit = s.load.Limit
 	}
@@ -74,11 +96,14 @@
 	if now.Sub(s.loadAt) < loadFresh {
 		busy = max(busy, s.load.InFlight+s.load.Queued)
 	}
-	latency = s.load.Latency
-	if latency == 0 {
-		latency = defaultLatency
+	known := standing{occupancy: float64(busy) / float64(limit)}
+	if latency := s.latencies[route]; now.Sub(latency.at) < standingFresh {
+		known.latency = latency.value
+	}
+	if now.Sub(s.loadAt) < standingFresh {
+		known.failures = float64(s.load.Failures) / percent
 	}
-	return float64(busy) / float64(limit), latency
+	return known
 }
 
 // begin notes a call that waits for the home. The returned function ends it.
@@ -125,10 +150,16 @@
 	return suspectedFor
 }
 
-// report notes the home's load.
-func (s *homeState) report(load peering.Load, now time.Time) {
+// report notes what the home told on a call of the route.
+func (s *homeState) report(route string, load peering.Load, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if load.Latency > 0 {
+		if s.latencies == nil || len(s.latencies) >= maxLatencies {
+			s.latencies = make(map[string]knownLatency)
+		}
+		s.latencies[route] = knownLatency{value: load.Latency, at: now}
+	}
 	s.load = load
 	s.loadAt = now
 }
@@ -200,64 +231,98 @@
 }
 
 const (
-	// comfortable is the occupancy up to which a home's calls are not slowed by
-	// each other.
+	// comfortable is the occupancy up to which calls at a home hardly slow each
+	// other; crowding is by how much the cost grows from there to a full home, and
+	// filling by how much up to there.
 	comfortable = 0.6
-	// crowding is by how much the cost of a full home exceeds that of an idle one.
-	crowding = 2.0
+	crowding    = 2.0
+	filling     = 0.5
 	// remoteFactor is how much cheaper a home in another zone must be to be
 	// preferred to one in the node's own.
 	remoteFactor = 2.0
+	// failureFactor is how much dearer a home is whose calls all fail, and
+	// onceFailureFactor that for requests that can't be repeated.
+	failureFactor     = 12.0
+	onceFailureFactor = 40.0
 	// jitter spreads the choices of nodes that know the same.
 	jitter = 0.2
 )
 
-// choose returns the home with the least expected cost that is not excluded,
-// nil if there is none. Suspected homes are chosen only where no other is left.
-func (f *Forwarder) choose(service string, excluded []*registry.Home) *registry.Home {
+// choose returns the home with the least expected cost that was not tried yet,
+// nil if there is none. A suspected home is chosen only for a first try where no
+// other is left.
+func (f *Forwarder) choose(q *request) *registry.Home {
 	now := f.now()
 	var best, fallback *registry.Home
 	least, leastFallback := math.Inf(1), math.Inf(1)
-	for _, home := range f.directory.Homes(service) {
-		if contains(excluded, home) {
+	candidates := f.directory.Homes(q.service)
+	common := f.commonLatency(candidates, q.route.Name, now)
+	for _, home := range candidates {
+		if contains(q.excluded, home) {
 			continue
 		}
 		state := f.homes.state(home.Address)
-		cost := f.cost(home, state, now)
-		if !state.usable(home, now) {
-			if cost < leastFallback && !state.isDeparted(home, now) {
-				fallback, leastFallback = home, cost
+		cost := f.cost(q, home, state.standing(home, q.route.Name, now), common)
+		switch {
+		case state.usable(home, now):
+			if cost < least {
+				best, least = home, cost
 			}
-			continue
-		}
-		if cost < least {
-			best, least = home, cost
+		case cost < leastFallback && !state.isDeparted(home, now):
+			fallback, leastFallback = home, cost
 		}
 	}
-	if best == nil && len(excluded) == 0 {
+	if best == nil && len(q.excluded) == 0 {
 		return fallback
 	}
 	return best
 }
 
-func (s *homeState) isDeparted(home *registry.Home, now time.Time) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.departed == uint64(home.Revision) && now.Before(s.recheck)
+// commonLatency returns the mean of the known latencies, which stands for those
+// of homes that are not known.
+func (f *Forwarder) commonLatency(homes []*registry.Home, route string, now time.Time) time.Duration {
+	var sum time.Duration
+	known := 0
+	for _, home := range homes {
+		if latency := f.homes.state(home.Address).standing(home, route, now).latency; latency > 0 {
+			sum += latency
+			known++
+		}
+	}
+	if known == 0 {
+		return time.Millisecond
+	}
+	return sum / time.Duration(known)
 }
 
-func (f *Forwarder) cost(home *registry.Home, state *homeState, now time.Time) float64 {
-	occupancy, latency := state.occupancy(home, now)
-	cost := latency.Seconds()
-	if occupancy > comfortable {
-		cost *= 1 + crowding*(occupancy-comfortable)/(1-comfortable)
+// cost returns what a call at the home is expected to cost, in seconds of
+// latency.
+func (f *Forwarder) cost(q *request, home *registry.Home, s standing, common time.Duration) float64 {
+	latency := s.latency
+	if latency == 0 {
+		latency = common
+	}
+	cost := latency.Seconds() * (1 + filling*min(s.occupancy, comfortable))
+	if s.occupancy > comfortable {
+		cost *= 1 + crowding*(s.occupancy-comfortable)/(1-comfortable)
+	}
+	factor := failureFactor
+	if q.route.Kind == routetable.Once {
+		factor = onceFailureFactor
 	}
+	cost *= 1 + factor*s.failures
 	if home.Zone != f.config.Zone {
 		cost *= remoteFactor
 	}
 	return cost * (1 + jitter*rand.Float64())
 }
 
+func (s *homeState) isDeparted(home *registry.Home, now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.departed == uint64(home.Revision) && now.Before(s.recheck)
+}
+
 func contains(homes []*registry.Home, home *registry.Home) bool {
 	for _, other := range homes {
 		if other.Address == home.Address {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/lugspur/lugspur/internal/eventlog"
 	"github.com/lugspur/lugspur/internal/peering"
+	"github.com/lugspur/lugspur/internal/pressure"
 	"github.com/lugspur/lugspur/internal/problem"
 	"github.com/lugspur/lugspur/internal/registry"
 	"github.com/lugspur/lugspur/internal/retrybudget"
@@ -24,7 +25,7 @@
 func (f *Forwarder) run(ctx context.Context, q *request) (*peering.Reply, *problem.Problem) {
 	f.budget(q.service).Success()
 	for range maxHomes {
-		home := f.choose(q.service, q.excluded)
+		home := f.choose(q)
 		if home == nil {
 			break
 		}
@@ -67,7 +68,7 @@
 		detail = "may have run and must not run twice"
 	case q.attempts >= max(q.route.Attempts, 1):
 		detail = "no attempts left"
-	case !f.budget(q.service).Allow():
+	case f.levels.Repeats(q.route.Name) >= f.config.RepeatCeiling || !f.budget(q.service).Allow():
 		detail = "no retry budget left"
 	default:
 		return nil
@@ -104,6 +105,7 @@
 	state := f.homes.state(home.Address)
 	call := *q.call
 	call.Header = q.call.Header.Clone()
+	call.Repeat = call.Repeat || q.attempts > 0
 	call.Remaining = q.deadline.Sub(f.now())
 	if call.Remaining <= 0 {
 		return &peering.Reply{Outcome: peering.Refused, Reason: peering.DeadlinePassed}
@@ -160,9 +162,9 @@
 // heed takes what a reply tells of the home.
 func (f *Forwarder) heed(q *request, home *registry.Home, state *homeState, reply *peering.Reply) {
 	f.trust(state)
-	state.report(reply.Load, f.now())
+	state.report(q.route.Name, reply.Load, f.now())
 	if reply.Load.Limit > 0 {
-		f.levels.Report(q.route.Name, home.Address, reply.Load.Threshold, reply.Load.Limit)
+		f.levels.Report(q.route.Name, home.Address, pressure.Level{Threshold: reply.Load.Threshold, Repeats: reply.Load.Repeats}, reply.Load.Limit)
 	}
 	if reply.Outcome == peering.Refused && reply.Reason.Final() {
 		state.depart(home, f.now())
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -19,6 +19,7 @@
 	"github.com/lugspur/lugspur/internal/eventlog"
 	"github.com/lugspur/lugspur/internal/limit"
 	"github.com/lugspur/lugspur/internal/peering"
+	"github.com/lugspur/lugspur/internal/pressure"
 	"github.com/lugspur/lugspur/internal/registry"
 	"github.com/lugspur/lugspur/internal/scheduler"
 	"github.com/lugspur/lugspur/internal/shed"
@@ -44,9 +45,8 @@
 	Version func() uint64
 	// MaxConnections returns the target's bound on connections, zero for none.
 	MaxConnections func() int
-	// Below returns the lowest threshold of the calls that requests of the route
-	// make.
-	Below func(route string) uint16
+	// Below returns what is known of the calls that requests of the route make.
+	Below func(route string) pressure.Level
 }
 
 // Guard admits calls to the target. It is safe for concurrent use.
@@ -68,7 +68,7 @@
 	limit     *fixedLimit
 	scheduler *scheduler.Scheduler
 	pool      *transport.Pool
-	latency   meanLatency
+	record    trackRecord
 	shedding  *shed.Controller
 	leaving   atomic.Bool
 }
@@ -143,15 +143,23 @@
 // InFlight returns the number of calls at the target or waiting for it.
 func (g *Guard) InFlight() int64 { return g.inFlight.Load() }
 
-// Load returns the guard's state as peers are told it.
-func (g *Guard) Load() peering.Load {
+// Load returns the guard's state as peers are told it on calls of the route.
+func (g *Guard) Load(route string) peering.Load {
 	i := g.current.Load()
 	if i == nil {
 		return peering.Load{Threshold: shed.None}
 	}
 	stats := i.scheduler.Stats()
-	return peering.Load{InFlight: stats.InFlight, Queued: stats.Queued, Limit: stats.Limit, Latency: i.latency.value(),
-		Threshold: i.shedding.Threshold()}
+	below := g.config.Below(route)
+	return peering.Load{
+		InFlight:  stats.InFlight,
+		Queued:    stats.Queued,
+		Limit:     stats.Limit,
+		Latency:   i.record.latency(route),
+		Threshold: min(i.shedding.Threshold(), below.Threshold),
+		Failures:  i.record.failures(),
+		Repeats:   max(i.record.repeats(g.now()), below.Repeats),
+	}
 }
 
 // Run runs the call at the target and says what became of it.
@@ -160,15 +168,14 @@
 	defer g.inFlight.Add(-1)
 	started := g.now()
 	reply := g.run(ctx, call, started.Add(call.Remaining))
-	reply.Load = g.Load()
-	reply.Load.Threshold = min(reply.Load.Threshold, g.config.Below(call.Route))
+	reply.Load = g.Load(call.Route)
 	reply.Version = g.config.Version()
 	g.note(call, reply, started)
 	return reply
 }
 
 func (g *Guard) note(call *peering.Call, reply *peering.Reply, started time.Time) {
-	if reply.Outcome == peering.Answered {
+	if reply.Outcome == peering.Answered || reply.Reason == peering.CallerLeft {
 		return
 	}
 	kind := eventlog.CallRefused
@@ -254,18 +261,19 @@
 	}
 	done := g.running.begin(call)
 	defer done()
+	i.record.arrived(call.Repeat, started)
 	answer, err := i.pool.Exchange(ctx, g.message(i, call, remaining))
 	duration := g.now().Sub(started)
 	if err != nil {
 		permit.Release(limit.Sample{Outcome: limit.Failure})
-		return g.failureOf(ctx, call, err)
+		reply := g.failureOf(ctx, call, err)
+		i.record.ended(call.Route, reply, duration)
+		return reply
 	}
 	defer answer.Close()
 	reply := g.judge(answer)
 	permit.Release(limit.Sample{Outcome: outcomeOf(reply), Latency: duration})
-	if reply.Outcome == peering.Answered {
-		i.latency.add(duration)
-	}
+	i.record.ended(call.Route, reply, duration)
 	if reply.Reason == peering.Misdirected {
 		i.leave()
 	}
@@ -319,7 +327,9 @@
 	case !sent:
 		reason = peering.Unconnected
 	}
-	g.log.Record(eventlog.Event{Kind: eventlog.CallFailed, Request: call.RequestID, Route: call.Route, Reason: err.Error()})
+	if ctx.Err() == nil {
+		g.log.Record(eventlog.Event{Kind: eventlog.CallFailed, Request: call.RequestID, Route: call.Route, Reason: err.Error()})
+	}
 	if sent {
 		return failed(reason)
 	}
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -16,6 +16,7 @@
 	"github.com/lugspur/lugspur/internal/callheader"
 	"github.com/lugspur/lugspur/internal/criticality"
 	"github.com/lugspur/lugspur/internal/peering"
+	"github.com/lugspur/lugspur/internal/pressure"
 	"github.com/lugspur/lugspur/internal/registry"
 	"github.com/lugspur/lugspur/internal/shed"
 )
@@ -61,7 +62,7 @@
 		MaxBuffered:    1 << 20,
 		Version:        func() uint64 { return 3 },
 		MaxConnections: func() int { return 100 },
-		Below:          func(string) uint16 { return shed.None },
+		Below:          func(string) pressure.Level { return pressure.Level{Threshold: shed.None} },
 	}, nil, time.Now)
 	g.SetTarget(target(registry.Ready, 2))
 	return g
@@ -182,10 +183,10 @@
 func awaitLoad(t *testing.T, g *Guard, accept func(peering.Load) bool) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if accept(g.Load()) {
+		if accept(g.Load("r")) {
 			return poll.Success()
 		}
-		return poll.Continue("load %+v", g.Load())
+		return poll.Continue("load %+v", g.Load("r"))
 	}, poll.WithDelay(2*time.Millisecond))
 }
 
--- a/internal/guard/running.go
+++ b/internal/guard/running.go
@@ -15,6 +15,8 @@
 type Running struct {
 	Route string
 	Rank  criticality.Rank
+	// Repeat tells that the request, or one that led to it, ran before.
+	Repeat bool
 }
 
 // runningTable holds the requests at the target by their ids.
@@ -30,7 +32,7 @@
 	if t.requests == nil {
 		t.requests = make(map[string]Running)
 	}
-	t.requests[call.RequestID] = Running{Route: call.Route, Rank: criticality.RankOf(call.Rank)}
+	t.requests[call.RequestID] = Running{Route: call.Route, Rank: criticality.RankOf(call.Rank), Repeat: call.Repeat}
 	return func() {
 		t.mutex.Lock()
 		defer t.mutex.Unlock()
--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -41,6 +41,8 @@
 	MaxWait time.Duration `cbor:"12,keyasint"`
 	// Inner tells that a running request made the call.
 	Inner bool `cbor:"13,keyasint,omitempty"`
+	// Repeat tells that the request, or one that led to it, went to a target before.
+	Repeat bool `cbor:"14,keyasint,omitempty"`
 }
 
 // Outcome is what became of a call.
@@ -61,11 +63,17 @@
 	InFlight int `cbor:"1,keyasint"`
 	Queued   int `cbor:"2,keyasint"`
 	Limit    int `cbor:"3,keyasint"`
-	// Latency is the usual time of a call at the target.
+	// Latency is the usual time of a call of the route at the target; zero if it is
+	// not known.
 	Latency time.Duration `cbor:"4,keyasint"`
 	// Threshold is the rank from which on the home wants calls of the route to be
 	// refused where they begin.
 	Threshold uint16 `cbor:"5,keyasint"`
+	// Failures is the part of the calls that brought no usable answer, in percent.
+	Failures int `cbor:"6,keyasint,omitempty"`
+	// Repeats is the part of the arrivals at the service that are repetitions, in
+	// percent; the highest of the services that the route's requests call counts.
+	Repeats int `cbor:"7,keyasint,omitempty"`
 }
 
 // Reply is a home's answer to a call.
--- a/internal/pressure/pressure.go
+++ b/internal/pressure/pressure.go
@@ -35,6 +35,7 @@
 	mutex   sync.Mutex
 	calls   map[string]map[string]bool
 	reports map[reportKey]report
+	repeats map[string]repeatReport
 }
 
 type reportKey struct{ route, home string }
@@ -44,6 +45,21 @@
 	at        time.Time
 }
 
+// Level is what is known of a route, or of the calls that its requests make.
+type Level struct {
+	// Threshold is the rank key from which on requests are to be refused;
+	// shed.None refuses nothing.
+	Threshold uint16
+	// Repeats is the part of the arrivals that are repetitions, in percent.
+	Repeats int
+}
+
+// repeatReport is the part of repetitions that was told last.
+type repeatReport struct {
+	percent int
+	at      time.Time
+}
+
 // New returns levels that refuse nothing.
 func New(now func() time.Time) *Levels {
 	return &Levels{
@@ -51,6 +67,7 @@
 		now:     now,
 		calls:   make(map[string]map[string]bool),
 		reports: make(map[reportKey]report),
+		repeats: make(map[string]repeatReport),
 	}
 }
 
@@ -71,12 +88,14 @@
 	}
 }
 
-// Report notes the threshold that a home told for calls of the route. The
-// weight is the home's part of the room, in calls at once.
-func (l *Levels) Report(route, home string, threshold uint16, weight int) {
+// Report notes what a home told for calls of the route. The weight is the
+// home's part of the room, in calls at once.
+func (l *Levels) Report(route, home string, level Level, weight int) {
 	now := l.now()
+	threshold := level.Threshold
 	key := reportKey{route: route, home: home}
 	l.mutex.Lock()
+	l.noteRepeats(route, level.Repeats, now)
 	last, known := l.reports[key]
 	if known && last.threshold == threshold && now.Sub(last.at) < repeatAfter {
 		l.mutex.Unlock()
@@ -96,6 +115,31 @@
 	}, now)
 }
 
+// noteRepeats keeps the highest part of repetitions told lately.
+func (l *Levels) noteRepeats(route string, percent int, now time.Time) {
+	last, known := l.repeats[route]
+	if known && percent < last.percent && now.Sub(last.at) < expiry {
+		return
+	}
+	if !known && len(l.repeats) >= maxRoutes {
+		return
+	}
+	l.repeats[route] = repeatReport{percent: percent, at: now}
+}
+
+// Repeats returns the part of the arrivals that are repetitions, in percent, at
+// the services that requests of the route reach.
+func (l *Levels) Repeats(route string) int {
+	now := l.now()
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	last := l.repeats[route]
+	if now.Sub(last.at) >= expiry {
+		return 0
+	}
+	return last.percent
+}
+
 // Threshold returns the rank key from which on requests of the route are to be
 // refused; shed.None refuses nothing.
 func (l *Levels) Threshold(route string) uint16 { return l.table.Threshold(route, l.now()) }
@@ -105,18 +149,19 @@
 	return rank.Key() >= l.Threshold(route)
 }
 
-// Below returns the lowest threshold of the calls that the route's requests
-// make.
-func (l *Levels) Below(route string) uint16 {
+// Below returns the lowest threshold and the highest part of repetitions of the
+// calls that the route's requests make.
+func (l *Levels) Below(route string) Level {
 	l.mutex.Lock()
 	called := make([]string, 0, len(l.calls[route]))
 	for name := range l.calls[route] {
 		called = append(called, name)
 	}
 	l.mutex.Unlock()
-	lowest := shed.None
+	level := Level{Threshold: shed.None}
 	for _, name := range called {
-		lowest = min(lowest, l.Threshold(name))
+		level.Threshold = min(level.Threshold, l.Threshold(name))
+		level.Repeats = max(level.Repeats, l.Repeats(name))
 	}
-	return lowest
+	return level
 }
--- a/internal/pressure/pressure_test.go
+++ b/internal/pressure/pressure_test.go
@@ -17,10 +17,10 @@
 	clock := func() time.Time { return now }
 	middle, ingress := New(clock), New(clock)
 	middle.Learn("view", "fetch")
-	middle.Report("fetch", "bottom-1", 200, 10)
-	middle.Report("fetch", "bottom-2", 300, 10)
-	assert.Equal(t, middle.Below("view"), uint16(300))
-	assert.Equal(t, middle.Below("export"), shed.None, "a route that calls nothing is not held back")
+	middle.Report("fetch", "bottom-1", Level{Threshold: 200}, 10)
+	middle.Report("fetch", "bottom-2", Level{Threshold: 300}, 10)
+	assert.Equal(t, middle.Below("view").Threshold, uint16(300))
+	assert.Equal(t, middle.Below("export").Threshold, shed.None, "a route that calls nothing is not held back")
 	ingress.Report("view", "middle", middle.Below("view"), 10)
 	assert.Assert(t, ingress.Refuses("view", criticality.RankOf(300)))
 	assert.Assert(t, !ingress.Refuses("view", criticality.RankOf(299)))
@@ -30,7 +30,7 @@
 func TestAThresholdExpires(t *testing.T) {
 	now := time.Unix(1000, 0)
 	levels := New(func() time.Time { return now })
-	levels.Report("view", "home", 1, 10)
+	levels.Report("view", "home", Level{Threshold: 1}, 10)
 	assert.Assert(t, levels.Refuses("view", criticality.Lowest))
 	now = now.Add(expiry + time.Millisecond)
 	assert.Assert(t, !levels.Refuses("view", criticality.Lowest))
@@ -40,10 +40,21 @@
 	now := time.Unix(1000, 0)
 	levels := New(func() time.Time { return now })
 	for range 40 {
-		levels.Report("view", "home", 1, 10)
+		levels.Report("view", "home", Level{Threshold: 1}, 10)
 		assert.Assert(t, levels.Refuses("view", criticality.Lowest))
 		now = now.Add(expiry / 20)
 	}
-	levels.Report("view", "home", shed.None, 10)
+	levels.Report("view", "home", Level{Threshold: shed.None}, 10)
 	assert.Assert(t, !levels.Refuses("view", criticality.Lowest), "a raised threshold holds at once")
 }
+
+func TestRepetitionsAreToldUpTheChain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	levels := New(func() time.Time { return now })
+	levels.Learn("view", "fetch")
+	levels.Report("fetch", "bottom-1", Level{Threshold: shed.None, Repeats: 12}, 10)
+	levels.Report("fetch", "bottom-2", Level{Threshold: shed.None, Repeats: 3}, 10)
+	assert.Equal(t, levels.Below("view").Repeats, 12, "the highest part counts")
+	now = now.Add(expiry)
+	assert.Equal(t, levels.Below("view").Repeats, 0)
+}
--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -22,7 +22,7 @@
 
 const (
 	// gatherTime is how long changes of records are gathered.
-	gatherTime = 250 * time.Millisecond
+	gatherTime = 800 * time.Millisecond
 	// lapsedFor is how long a home is still known after its record disappeared.
 	lapsedFor = 30 * time.Second
 )
--- a/internal/registry/publisher.go
+++ b/internal/registry/publisher.go
@@ -30,9 +30,8 @@
 	now   func() time.Time
 	wake  chan struct{}
 
-	mutex     sync.Mutex
-	wanted    []byte
-	withdrawn bool
+	mutex  sync.Mutex
+	wanted []byte
 
 	// Owned by run: the lease, when to renew it, and what lies in the store.
 	lease     store.LeaseID
@@ -62,23 +61,9 @@
 	}
 }
 
-// withdraw ends the lease, and with it the record.
-func (p *publisher) withdraw(ctx context.Context) {
-	p.mutex.Lock()
-	p.withdrawn = true
-	lease := p.lease
-	p.mutex.Unlock()
-	if lease != 0 {
-		_ = p.store.RevokeLease(ctx, lease)
-	}
-}
-
 func (p *publisher) want() []byte {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.withdrawn {
-		return nil
-	}
 	return p.wanted
 }
 
@@ -126,7 +111,7 @@
 		if err != nil {
 			return err
 		}
-		p.setLease(lease)
+		p.lease = lease
 		p.current = false
 		p.renewAt = p.now().Add(leaseTTL / renewPart)
 		p.log.Record(eventlog.Event{Kind: eventlog.LeaseGranted, Version: uint64(lease)})
@@ -138,7 +123,7 @@
 	left, err := p.store.RenewLease(ctx, p.lease)
 	if errors.Is(err, store.ErrLeaseLost) {
 		p.log.Record(eventlog.Event{Kind: eventlog.LeaseLost, Version: uint64(p.lease)})
-		p.setLease(0)
+		p.lease = 0
 		return p.holdLease(ctx)
 	}
 	if err != nil {
@@ -148,12 +133,6 @@
 	return nil
 }
 
-func (p *publisher) setLease(lease store.LeaseID) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.lease = lease
-}
-
 // write puts the record, guarded by the revision that was last seen. Where the
 // outcome is not known, the next step reads first.
 func (p *publisher) write(ctx context.Context, wanted []byte) error {
@@ -168,7 +147,7 @@
 		p.revision, p.published, p.current = revision, wanted, true
 		return nil
 	case errors.Is(err, store.ErrLeaseLost):
-		p.setLease(0)
+		p.lease = 0
 	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrUnknownOutcome):
 		p.current = false
 		if failure := p.refresh(ctx); failure != nil {
--- a/internal/registry/registrar.go
+++ b/internal/registry/registrar.go
@@ -59,9 +59,6 @@
 	r.publisher.run(ctx)
 }
 
-// Withdraw removes the node's record, ahead of a planned stop.
-func (r *Registrar) Withdraw(ctx context.Context) { r.publisher.withdraw(ctx) }
-
 // recoverPause is the pause between tries to read the departures.
 const recoverPause = 200 * time.Millisecond
 
@@ -177,13 +174,14 @@
 		r.config.OnTarget(target)
 	}
 	if target.State != Absent {
+		// That a leaving target is gone makes no difference to peers.
 		r.publisher.publish(Record{
 			Instance: target.ID,
 			Service:  target.Service,
 			Zone:     r.config.Zone,
 			Address:  r.config.Address,
 			Slots:    target.Slots,
-			State:    target.State,
+			State:    min(target.State, Draining),
 			Life:     r.config.Life,
 		})
 	}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -39,13 +39,17 @@
 	peerUserTimeout = time.Second
 	peerIdleTimeout = 30 * time.Second
 	peerMaxIdle     = 32
-	// nodeRetryShare is the part of the retry budget's ratio that nodes use by
-	// themselves. The rest is left for the calls that a repeated run makes again.
-	nodeRetryShare = 0.25
+	// nodeRetryShare is the part of the retry budget's ratio that one service's
+	// requests may use, and repeatCeilingShare the part of it up to which the
+	// arrivals at a service may be repetitions, those made by repeated runs
+	// included. The rest is left for what is repeated before homes have told.
+	nodeRetryShare     = 0.6
+	repeatCeilingShare = 0.5
 	// retryReserve and its rate bound a node's repetitions without traffic.
 	retryReserve          = 1.0
 	retryReservePerSecond = 0.05
 	fetchTimeout          = time.Second
+	percent               = 100
 )
 
 // Node is a node beside a target.
@@ -117,6 +121,7 @@
 		Headers:               platform.Headers(),
 		DefaultTimeout:        defaultTimeout,
 		RetryShare:            n.settings.Retries.BudgetRatio * nodeRetryShare,
+		RepeatCeiling:         int(n.settings.Retries.BudgetRatio * repeatCeilingShare * percent),
 		RetryReserve:          retryReserve,
 		RetryReservePerSecond: retryReservePerSecond,
 		WaitShare:             n.settings.Queue.ObjectiveShare,
@@ -167,9 +172,9 @@
 	n.metrics.gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(n.routes.Version()) })
 	n.metrics.gauge("homes_known", "Homes with a ready target that the node knows.", func() float64 { return float64(n.directory.Count()) })
 	n.metrics.gauge("requests_in_flight", "Requests that wait for their answer.", func() float64 { return float64(n.forwarder.InFlight()) })
-	n.metrics.gauge("target_in_flight", "Calls at the target beside the node.", func() float64 { return float64(n.guard.Load().InFlight) })
-	n.metrics.gauge("target_queued", "Calls that wait for the target.", func() float64 { return float64(n.guard.Load().Queued) })
-	n.metrics.gauge("target_limit", "Calls that the target may work on at once.", func() float64 { return float64(n.guard.Load().Limit) })
+	n.metrics.gauge("target_in_flight", "Calls at the target beside the node.", func() float64 { return float64(n.guard.Load("").InFlight) })
+	n.metrics.gauge("target_queued", "Calls that wait for the target.", func() float64 { return float64(n.guard.Load("").Queued) })
+	n.metrics.gauge("target_limit", "Calls that the target may work on at once.", func() float64 { return float64(n.guard.Load("").Limit) })
 }
 
 // ready reports whether the node takes work.
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"context"
 	"time"
 
 	"github.com/lugspur/lugspur/internal/eventlog"
@@ -16,32 +15,26 @@
 	// stopMargin is left between the end of the stop and the end of the grace time.
 	stopMargin = 300 * time.Millisecond
 	stopPoll   = 50 * time.Millisecond
-	// withdrawTimeout bounds the removal of the node's record.
-	withdrawTimeout = time.Second
 )
 
 // stop ends the node without cutting a request: it takes no new calls for its
 // target, tells callers to close their connections, serves what still comes,
-// and ends once nothing is in flight or the grace time is over.
+// and ends once nothing is in flight or the grace time is over. Its record stays
+// in the store until its lease ends: peers are told by the first refusal, and
+// one that starts again at the address writes a new one, so that a removal would
+// only wake every node once more.
 func (n *Node) stop() {
 	started := time.Now()
 	n.log.Record(eventlog.Event{Kind: eventlog.ProcessStopping})
 	n.stopping.Store(true)
 	n.guard.Stop()
 	n.forwarder.Stop()
-	go n.withdraw()
 	for time.Since(started) < n.settings.grace()-stopMargin && !n.idle(started) {
 		time.Sleep(stopPoll)
 	}
 	n.log.Record(eventlog.Event{Kind: eventlog.ProcessStopped, Count: n.inFlight()})
 }
 
-func (n *Node) withdraw() {
-	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
-	defer cancel()
-	n.registrar.Withdraw(ctx)
-}
-
 func (n *Node) inFlight() int { return int(n.forwarder.InFlight() + n.guard.InFlight()) }
 
 // idle reports whether the node may end: its stop was noticed, and nothing came
