--- a/cmd/lugspur/main.go
+++ b/cmd/lugspur/main.go
@@ -13,12 +13,11 @@
 	"github.com/lugspur/lugspur/internal/command"
 	"github.com/lugspur/lugspur/internal/node"
 	"github.com/lugspur/lugspur/internal/settings"
-	"github.com/lugspur/lugspur/internal/sidecar"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := command.Execute(ctx, command.NewProgram(), os.Args[1:], command.Node(runNode), command.Sidecar(runSidecar))
+	code := command.Execute(ctx, command.NewProgram(), os.Args[1:], command.Node(runNode))
 	stop()
 	os.Exit(code)
 }
@@ -34,15 +33,3 @@
 	log.SetFormatter(&logrus.JSONFormatter{})
 	return node.Run(ctx, configured, logrus.NewEntry(log))
 }
-
-// runSidecar runs a node beside a target that logs JSON lines to standard
-// output.
-func runSidecar(ctx context.Context, path string) error {
-	configured, err := sidecar.Load(path)
-	if err != nil {
-		return err
-	}
-	node := sidecar.New(configured, os.Stdout)
-	go node.Reload(ctx, path)
-	return node.Run(ctx)
-}
--- /dev/null
+++ b/internal/explain/story_test.go
@@ -0,0 +1,39 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const logs = `
+  1.2 node-b {"msg":"call-failed","node":"node-b","request":"a","reason":"broken","time":"2026-01-01T00:00:02.2Z","duration_ms":100}
+  1.0 node-a {"msg":"home-suspected","node":"node-a","peer":"10.0.0.2:1","time":"2026-01-01T00:00:01.5Z"}
+  1.0 node-c {"msg":"home-suspected","node":"node-c","peer":"10.0.0.2:1","time":"2026-01-01T00:00:01.5Z"}
+  0.1 node-a {"msg":"home-suspected","node":"node-a","peer":"old","time":"2026-01-01T00:00:00Z"}
+  1.3 node-a {"msg":"request-failed","node":"node-a","request":"a","status":502,"time":"2026-01-01T00:00:02.3Z","duration_ms":300}
+  1.3 node-b {"msg":"request-refused","node":"node-b","request":"a.x","status":503,"time":"2026-01-01T00:00:02.1Z"}
+  1.3 node-b {"msg":"request-refused","node":"node-b","request":"b","status":503,"time":"2026-01-01T00:00:02.1Z"}
+not a line
+{"broken
+`
+
+func TestAStoryInOrder(t *testing.T) {
+	story := NewStory("a")
+	assert.NilError(t, story.Read(strings.NewReader(logs)))
+	var out strings.Builder
+	assert.NilError(t, story.Print(&out))
+	told := strings.Split(strings.TrimSpace(out.String()), "\n")
+	assert.Equal(t, len(told), 4, out.String())
+	for i, part := range []string{"home-suspected", "request=a.x", "call-failed", "request-failed"} {
+		assert.Assert(t, strings.Contains(told[i], part), "line %d: %s", i, told[i])
+	}
+}
+
+func TestAnUnknownRequest(t *testing.T) {
+	story := NewStory("none")
+	assert.NilError(t, story.Read(strings.NewReader(logs)))
+	var out strings.Builder
+	assert.ErrorIs(t, story.Print(&out), ErrNotFound)
+}
