--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -193,4 +193,4 @@
 
 // maxRetryBalance bounds the repetitions that many requests can pay for in
 // advance.
-const maxRetryBalance = 4
+const maxRetryBalance = 12
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -12,8 +12,8 @@
 	watchPeriod = 200 * time.Millisecond
 	// silence is how long calls may wait without a sign of the home before it is
 	// asked whether it is there.
-	silence     = 500 * time.Millisecond
-	pingTimeout = 500 * time.Millisecond
+	silence     = 300 * time.Millisecond
+	pingTimeout = 400 * time.Millisecond
 )
 
 // errSuspected ends calls that wait for a home that does not answer.
