Serve waiting calls by the rank of their request

Change: within a level the queue serves by the whole rank, which all calls of a request share; more important requests go ahead of calls of less important ones that run.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -112,8 +112,8 @@
 	return &incarnation{
 		target:    target,
 		limit:     bound,
-		shedding:  shed.NewController(shed.Config{Floor: shedFloor}),
-		scheduler: scheduler.New(scheduler.Config{MaxQueue: g.config.MaxQueue, MaxWait: g.config.MaxWait}, bound, g.now),
+		shedding:  shed.NewController(shedConfig),
+		scheduler: scheduler.New(scheduler.Config{MaxQueue: g.config.MaxQueue, MaxWait: g.config.MaxWait, ByRank: true}, bound, g.now),
 		pool: transport.NewPool(transport.Config{
 			Address:           g.config.Address,
 			MaxConnections:    g.config.MaxConnections(),
@@ -209,7 +209,7 @@
 	rank := criticality.RankOf(call.Rank)
 	i.shedding.Observe(rank)
 	permit, err := i.scheduler.Acquire(ctx, scheduler.Request{
-		Rank:     criticality.Rank{Level: queueLevel(rank, call.Inner)},
+		Rank:     criticality.Rank{Level: queueLevel(rank, call.Inner), Cohort: rank.Cohort},
 		Deadline: deadline,
 		ID:       call.RequestID,
 		MaxWait:  call.MaxWait,
@@ -224,13 +224,14 @@
 	return g.exchange(ctx, i, permit, call, deadline)
 }
 
-// queueLevel returns the level in which a call queues. A call whose request
-// already runs goes one level ahead, as refusing it wastes what was done.
+// queueLevel returns the level in which a call queues. Among the less important
+// ones a call whose request already runs goes ahead, as refusing it wastes what
+// was done.
 func queueLevel(rank criticality.Rank, inner bool) criticality.Level {
-	if inner {
-		return rank.Level
+	if !inner && rank.Level >= criticality.SheddablePlus {
+		return criticality.Sheddable
 	}
-	return min(rank.Level+1, criticality.LevelCount-1)
+	return rank.Level
 }
 
 var schedulerReasons = map[scheduler.Reason]peering.Reason{
--- a/internal/guard/running.go
+++ b/internal/guard/running.go
@@ -51,12 +51,13 @@
 const (
 	// tick is how often the shed threshold is moved.
 	tick = 100 * time.Millisecond
-	// shedFloor lets thresholds fall until next to nothing is admitted.
-	shedFloor = 8
 	// loggedStep is the least change of the threshold that is worth a line.
 	loggedStep = criticality.CohortCount / 4
 )
 
+// shedConfig lets thresholds fall until next to nothing is admitted.
+var shedConfig = shed.Config{Floor: 8}
+
 // Watch moves the shed threshold with the queue until the context ends.
 func (g *Guard) Watch(ctx context.Context) {
 	ticker := time.NewTicker(tick)
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -48,6 +48,8 @@
 type queue struct {
 	levels [criticality.LevelCount]levelQueue
 	length int
+	// byRank orders the waiters of a level by their rank.
+	byRank bool
 }
 
 func (q *queue) push(w *waiter) {
@@ -69,13 +71,21 @@
 		if level.oldest == nil {
 			continue
 		}
-		w := level.first(overloaded)
+		w := q.first(level, overloaded)
 		q.remove(w)
 		return w
 	}
 	return nil
 }
 
+// first returns the level's waiter to serve next. The level must not be empty.
+func (q *queue) first(level *levelQueue, overloaded bool) *waiter {
+	if q.byRank {
+		return level.mostImportant()
+	}
+	return level.first(overloaded)
+}
+
 // oldest returns the arrival of the waiter that waits longest; false if empty.
 func (q *queue) oldest() (time.Time, bool) {
 	var oldest time.Time
@@ -162,6 +172,18 @@
 	return c.newest
 }
 
+// mostImportant returns the waiter with the lowest rank key, the oldest among
+// equals. Its cost is one step per waiter.
+func (l *levelQueue) mostImportant() *waiter {
+	best := l.oldest
+	for w := l.oldest.newer; w != nil; w = w.newer {
+		if w.request.Rank.MoreImportantThan(best.request.Rank) {
+			best = w
+		}
+	}
+	return best
+}
+
 func (l *levelQueue) remove(w *waiter) {
 	if w.older == nil {
 		l.oldest = w.newer
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -76,6 +76,7 @@
 		limiter: limiter,
 		now:     now,
 		service: serviceTime{quantile: config.ServiceQuantile},
+		queue:   queue{byRank: config.ByRank},
 	}
 }
 
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -239,3 +239,39 @@
 		b.drain(busy, waiting)
 	})
 }
+
+func ranked(l criticality.Level, cohort uint8) scheduler.Request {
+	return scheduler.Request{Rank: criticality.Rank{Level: l, Cohort: cohort}}
+}
+
+// TestByRankServesEachRequestsCallsAlike keeps the queue overloaded, in which
+// it would serve the newest call first, and finds that the calls of the more
+// important request go first whenever they came.
+func TestByRankServesEachRequestsCallsAlike(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1, scheduler.Config{ByRank: true, MaxWait: time.Minute})
+		calls := []*call{
+			b.start("busy", ranked(criticality.Critical, 0)),
+			b.start("b 1", ranked(criticality.Critical, 9)),
+			b.start("a 1", ranked(criticality.Critical, 3)),
+			b.start("b 2", ranked(criticality.Critical, 9)),
+			b.start("a 2", ranked(criticality.Critical, 3)),
+			b.start("plus", ranked(criticality.CriticalPlus, 99)),
+		}
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, b.drain(calls...), []string{"plus", "a 1", "a 2", "b 1", "b 2"})
+	})
+}
+
+func TestAWaitOfTheCallsOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1, scheduler.Config{MaxWait: time.Minute})
+		b.start("busy", level(criticality.Critical))
+		impatient := level(criticality.Critical)
+		impatient.MaxWait = 50 * time.Millisecond
+		waiting := b.start("impatient", impatient)
+		time.Sleep(51 * time.Millisecond)
+		synctest.Wait()
+		b.assertRefused(waiting, scheduler.Overloaded)
+	})
+}
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -123,7 +123,7 @@
 		between("retries.budget-ratio", s.Retries.BudgetRatio, 0, 1),
 		between("queue.max-length", float64(s.Queue.MaxLength), 1, 1<<16),
 		between("queue.objective-share", s.Queue.ObjectiveShare, 0.001, 1),
-		between("queue.inner-objective-share", s.Queue.InnerObjectiveShare, 0.001, 1),
+		between("queue.inner-objective-share", s.Queue.InnerObjectiveShare, 0.001, 10),
 		between("queue.slot-share", s.Queue.SlotShare, 0.01, 1),
 	)
 }
