--- a/internal/eventlog/log.go
+++ b/internal/eventlog/log.go
@@ -102,7 +102,7 @@
 
 // Run writes events until the context ends, and then those that wait.
 func (l *Log) Run(ctx context.Context) {
-	told := uint64(0)
+	told := toldLoss{}
 	for {
 		select {
 		case r := <-l.events:
@@ -133,14 +133,23 @@
 	}
 }
 
+// toldLoss is the number of lost events told last, and when.
+type toldLoss struct {
+	lost uint64
+	at   time.Time
+}
+
+// tellLossEvery bounds the lines that tell of lost events.
+const tellLossEvery = time.Second
+
 // tellLost writes how many events were lost since the count told before.
-func (l *Log) tellLost(told uint64) uint64 {
-	lost := l.lost.Load()
-	if lost == told {
+func (l *Log) tellLost(told toldLoss) toldLoss {
+	lost, now := l.lost.Load(), l.now()
+	if lost == told.lost || now.Sub(told.at) < tellLossEvery {
 		return told
 	}
-	l.write(record{at: l.now(), event: Event{Kind: EventsLost, Count: int(lost - told)}})
-	return lost
+	l.write(record{at: now, event: Event{Kind: EventsLost, Count: int(lost - told.lost)}})
+	return toldLoss{lost: lost, at: now}
 }
 
 func (l *Log) write(r record) {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -160,7 +161,9 @@
 	inner bool
 	// retryAfter is the shortest wait that a home proposed.
 	retryAfter time.Duration
-	// lastReason says why the last home did not answer.
+	// lastHome is the home that the request was offered to last, and lastReason
+	// why it did not answer.
+	lastHome   string
 	lastReason peering.Reason
 }
 
@@ -236,8 +239,9 @@
 	if !inner {
 		q.rank = rankOf(q)
 	}
-	if !q.inner && f.levels.Refuses(q.route.Name, q.rank) {
-		return q, f.problem(problem.Overloaded, problem.ExecutedNo, "admit", "the chain of calls has no room").WithRetryDelay(shedDelay)
+	if threshold := f.levels.Threshold(q.route.Name); !q.inner && q.rank.Key() >= threshold {
+		detail := fmt.Sprintf("the chain of calls has no room: rank %d, threshold %d", q.rank.Key(), threshold)
+		return q, f.problem(problem.Overloaded, problem.ExecutedNo, "admit", detail).WithRetryDelay(shedDelay)
 	}
 	q.deadline = started.Add(f.timeoutOf(q.route, r.Header))
 	body, failure := f.readBody(w, r, table.Limits().MaxBodyBytes)
@@ -353,7 +357,7 @@
 	duration := f.now().Sub(q.arrived)
 	f.observer.Finished(q.route.Name, reply.Status, "", duration)
 	f.log.Record(eventlog.Event{Kind: eventlog.RequestAnswered, Request: q.id, Route: q.route.Name, Service: q.service,
-		Status: reply.Status, Attempt: q.attempts, Duration: duration})
+		Peer: q.lastHome, Status: reply.Status, Attempt: q.attempts, Duration: duration})
 }
 
 // refuse answers with a problem.
@@ -364,7 +368,7 @@
 	}
 	failure.Write(w)
 	duration := f.now().Sub(q.arrived)
-	event := eventlog.Event{Kind: eventlog.RequestRefused, Request: q.id, Service: q.service, Status: failure.Status, Attempt: q.attempts,
+	event := eventlog.Event{Kind: eventlog.RequestRefused, Request: q.id, Service: q.service, Peer: q.lastHome, Status: failure.Status, Attempt: q.attempts,
 		Reason: string(failure.Reason) + ": " + failure.Detail, Wait: failure.RetryDelay, Duration: duration, Version: uint64(f.routes.Version())}
 	if q.route != nil {
 		event.Route = q.route.Name
@@ -381,5 +385,5 @@
 	duration := f.now().Sub(q.arrived)
 	f.observer.Finished(q.route.Name, 0, string(problem.CallerGone), duration)
 	f.log.Record(eventlog.Event{Kind: eventlog.RequestAbandoned, Request: q.id, Route: q.route.Name, Service: q.service,
-		Attempt: q.attempts, Reason: string(q.lastReason), Duration: duration})
+		Peer: q.lastHome, Attempt: q.attempts, Reason: string(q.lastReason), Duration: duration})
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -29,6 +29,7 @@
 		if home == nil {
 			break
 		}
+		q.lastHome = home.Address
 		reply := f.offer(ctx, q, home)
 		if reply.Outcome == peering.Answered {
 			q.attempts++
--- a/internal/pressure/pressure.go
+++ b/internal/pressure/pressure.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/lugspur/lugspur/internal/criticality"
 	"github.com/lugspur/lugspur/internal/shed"
 )
 
@@ -144,11 +143,6 @@
 // refused; shed.None refuses nothing.
 func (l *Levels) Threshold(route string) uint16 { return l.table.Threshold(route, l.now()) }
 
-// Refuses reports whether a request of the rank is to be refused on the route.
-func (l *Levels) Refuses(route string, rank criticality.Rank) bool {
-	return rank.Key() >= l.Threshold(route)
-}
-
 // Below returns the lowest threshold and the highest part of repetitions of the
 // calls that the route's requests make.
 func (l *Levels) Below(route string) Level {
--- a/internal/pressure/pressure_test.go
+++ b/internal/pressure/pressure_test.go
@@ -6,7 +6,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/lugspur/lugspur/internal/criticality"
 	"github.com/lugspur/lugspur/internal/shed"
 )
 
@@ -22,18 +21,18 @@
 	assert.Equal(t, middle.Below("view").Threshold, uint16(300))
 	assert.Equal(t, middle.Below("export").Threshold, shed.None, "a route that calls nothing is not held back")
 	ingress.Report("view", "middle", middle.Below("view"), 10)
-	assert.Assert(t, ingress.Refuses("view", criticality.RankOf(300)))
-	assert.Assert(t, !ingress.Refuses("view", criticality.RankOf(299)))
-	assert.Assert(t, !ingress.Refuses("export", criticality.Lowest))
+	assert.Assert(t, ingress.Threshold("view") <= 300)
+	assert.Assert(t, ingress.Threshold("view") > 299)
+	assert.Assert(t, ingress.Threshold("export") == shed.None)
 }
 
 func TestAThresholdExpires(t *testing.T) {
 	now := time.Unix(1000, 0)
 	levels := New(func() time.Time { return now })
 	levels.Report("view", "home", Level{Threshold: 1}, 10)
-	assert.Assert(t, levels.Refuses("view", criticality.Lowest))
+	assert.Assert(t, levels.Threshold("view") == 1)
 	now = now.Add(expiry + time.Millisecond)
-	assert.Assert(t, !levels.Refuses("view", criticality.Lowest))
+	assert.Assert(t, levels.Threshold("view") == shed.None)
 }
 
 func TestARepeatedReportKeepsTheThreshold(t *testing.T) {
@@ -41,11 +40,11 @@
 	levels := New(func() time.Time { return now })
 	for range 40 {
 		levels.Report("view", "home", Level{Threshold: 1}, 10)
-		assert.Assert(t, levels.Refuses("view", criticality.Lowest))
+		assert.Assert(t, levels.Threshold("view") == 1)
 		now = now.Add(expiry / 20)
 	}
 	levels.Report("view", "home", Level{Threshold: shed.None}, 10)
-	assert.Assert(t, !levels.Refuses("view", criticality.Lowest), "a raised threshold holds at once")
+	assert.Assert(t, levels.Threshold("view") == shed.None, "a raised threshold holds at once")
 }
 
 func TestRepetitionsAreToldUpTheChain(t *testing.T) {
