--- /dev/null
+++ b/internal/forward/answer.go
@@ -0,0 +1,56 @@
+package forward
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/lugspur/lugspur/internal/eventlog"
+	"github.com/lugspur/lugspur/internal/peering"
+	"github.com/lugspur/lugspur/internal/problem"
+)
+
+// answer passes the target's answer on.
+func (f *Forwarder) answer(w http.ResponseWriter, q *request, reply *peering.Reply) {
+	header := w.Header()
+	for name, values := range reply.Header {
+		header[name] = values
+	}
+	if _, told := header["Content-Type"]; !told {
+		header["Content-Type"] = nil
+	}
+	header.Set("Content-Length", strconv.Itoa(len(reply.Body)))
+	w.WriteHeader(reply.Status)
+	_, _ = w.Write(reply.Body)
+	duration := f.now().Sub(q.arrived)
+	f.observer.Finished(q.route.Name, reply.Status, "", duration)
+	f.log.Record(eventlog.Event{Kind: eventlog.RequestAnswered, Request: q.id, Route: q.route.Name, Service: q.service,
+		Peer: q.lastHome, Status: reply.Status, Attempt: q.attempts, Duration: duration})
+}
+
+// refuse answers with a problem.
+func (f *Forwarder) refuse(w http.ResponseWriter, q *request, failure *problem.Problem) {
+	failure.RequestID = q.id
+	if q.id != "" {
+		w.Header().Set(f.config.Headers.RequestID, q.id)
+	}
+	failure.Write(w)
+	duration := f.now().Sub(q.arrived)
+	event := eventlog.Event{Kind: eventlog.RequestRefused, Request: q.id, Service: q.service, Peer: q.lastHome, Status: failure.Status, Attempt: q.attempts,
+		Reason: string(failure.Reason) + ": " + failure.Detail, Wait: failure.RetryDelay, Duration: duration, Version: uint64(f.routes.Version())}
+	if q.route != nil {
+		event.Route = q.route.Name
+	}
+	if failure.Executed != problem.ExecutedNo {
+		event.Kind = eventlog.RequestFailed
+	}
+	f.observer.Finished(event.Route, failure.Status, string(failure.Reason), duration)
+	f.log.Record(event)
+}
+
+// abandoned notes a request whose caller left.
+func (f *Forwarder) abandoned(q *request) {
+	duration := f.now().Sub(q.arrived)
+	f.observer.Finished(q.route.Name, 0, string(problem.CallerGone), duration)
+	f.log.Record(eventlog.Event{Kind: eventlog.RequestAbandoned, Request: q.id, Route: q.route.Name, Service: q.service,
+		Peer: q.lastHome, Attempt: q.attempts, Reason: string(q.lastReason), Duration: duration})
+}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -100,7 +100,7 @@
 	t.Helper()
 	routes := &routetable.Holder{}
 	service := []routetable.WeightedService{{Name: "s", Weight: 1}}
-	routes.Offer(&routetable.Configuration{Version: 4, Limits: routetable.Limits{MaxBodyBytes: 100}, Routes: []routetable.Route{
+	routes.Offer(&routetable.Configuration{Version: 4, Limits: routetable.Limits{MaxBodyBytes: 100, MaxHeaderBytes: 1000}, Routes: []routetable.Route{
 		{Name: "read", Host: "a.example", Prefix: "/read/", Kind: routetable.Repeatable, Attempts: 2, Timeout: testTimeout, Objective: time.Second, Priority: 2, Services: service},
 		{Name: "once", Host: "a.example", Prefix: "/once/", Kind: routetable.Once, Attempts: 2, Timeout: testTimeout, Objective: time.Second, Services: service},
 		{Name: "brief", Host: "a.example", Prefix: "/brief/", Kind: routetable.Repeatable, Attempts: 2, Timeout: 200 * time.Millisecond, Objective: time.Second, Services: service},
@@ -181,6 +181,7 @@
 	assert.Equal(t, f.do("GET", "/none/", "a", "").Code, http.StatusNotFound)
 	assert.Equal(t, f.do("GET", "/read/", "", "").Code, http.StatusBadRequest)
 	assert.Equal(t, f.do("POST", "/read/", "a", strings.Repeat("x", 101)).Code, http.StatusRequestEntityTooLarge)
+	assert.Equal(t, f.do("GET", "/read/"+strings.Repeat("x", 1000), "a", "").Code, http.StatusRequestHeaderFieldsTooLarge)
 	assert.Equal(t, f.calls(), 0)
 	f.forwarder.routes = &routetable.Holder{}
 	answer := f.do("GET", "/read/", "a", "")
--- /dev/null
+++ b/internal/forward/receive.go
@@ -0,0 +1,179 @@
+package forward
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lugspur/lugspur/internal/callheader"
+	"github.com/lugspur/lugspur/internal/criticality"
+	"github.com/lugspur/lugspur/internal/guard"
+	"github.com/lugspur/lugspur/internal/peering"
+	"github.com/lugspur/lugspur/internal/problem"
+	"github.com/lugspur/lugspur/internal/routetable"
+)
+
+// rawPath returns the request's path as the caller wrote it.
+func rawPath(r *http.Request) string {
+	if !strings.HasPrefix(r.RequestURI, "/") {
+		return r.URL.EscapedPath()
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return path
+}
+
+func requestURI(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+// notReadyDelay is told to callers while the node has no configuration.
+const notReadyDelay = 200 * time.Millisecond
+
+// shedDelay is told to callers that are refused for want of room further down.
+const shedDelay = time.Second
+
+// receive reads a request whole.
+func (f *Forwarder) receive(w http.ResponseWriter, r *http.Request, started time.Time) (*request, *problem.Problem) {
+	q := &request{id: r.Header.Get(f.config.Headers.RequestID), arrived: started}
+	table := f.routes.Current()
+	if table == nil {
+		return q, f.problem(problem.NotReady, problem.ExecutedNo, "receive", "no configuration yet").WithRetryDelay(notReadyDelay)
+	}
+	if bound := table.Limits().MaxHeaderBytes; bound > 0 && headerBytes(r) > bound {
+		return q, f.problem(problem.HeaderTooLarge, problem.ExecutedNo, "receive", "the header is too large")
+	}
+	q.route = table.Match(r.Host, rawPath(r))
+	if q.route == nil {
+		return q, f.problem(problem.UnknownService, problem.ExecutedNo, "route", "no route matches")
+	}
+	if q.id == "" {
+		return q, f.problem(problem.BadRequest, problem.ExecutedNo, "receive", "no request id")
+	}
+	parent, inner := f.parentOf(q)
+	q.rank, q.inner = parent.Rank, inner
+	if !inner {
+		q.rank = rankOf(q)
+	}
+	if threshold := f.levels.Threshold(q.route.Name); !q.inner && q.rank.Key() >= threshold {
+		detail := fmt.Sprintf("the chain of calls has no room: rank %d, threshold %d", q.rank.Key(), threshold)
+		return q, f.problem(problem.Overloaded, problem.ExecutedNo, "admit", detail).WithRetryDelay(shedDelay)
+	}
+	q.deadline = started.Add(f.timeoutOf(q.route, r.Header))
+	body, failure := f.readBody(w, r, table.Limits().MaxBodyBytes)
+	if failure != nil {
+		return q, failure
+	}
+	callheader.StripConnection(r.Header)
+	r.Header.Del("Content-Length")
+	q.service = f.splitter.Choose(q.route)
+	q.call = &peering.Call{
+		Service:   q.service,
+		RequestID: q.id,
+		Method:    r.Method,
+		URI:       requestURI(r),
+		Host:      r.Host,
+		Header:    r.Header,
+		Body:      body,
+		Caller:    f.config.Service,
+		Route:     q.route.Name,
+		Rank:      q.rank.Key(),
+		Inner:     q.inner,
+		Repeat:    parent.Repeat,
+		MaxWait:   f.maxWait(q),
+	}
+	return q, nil
+}
+
+// headerBytes returns the size of a request's header fields, in bytes.
+func headerBytes(r *http.Request) int64 {
+	const separators = 4
+	size := len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return int64(size)
+}
+
+// maxWait returns how long a request may wait for room.
+func (f *Forwarder) maxWait(q *request) time.Duration {
+	share := f.config.WaitShare
+	if q.inner {
+		share = f.config.InnerWaitShare
+	}
+	return time.Duration(float64(q.route.Objective) * share)
+}
+
+// parentOf returns the request at the target beside the node that made the
+// call, false if none did.
+func (f *Forwarder) parentOf(q *request) (guard.Running, bool) {
+	id, told := f.config.ParentOf(q.id)
+	if !told {
+		return guard.Running{}, false
+	}
+	parent, found := f.local.Running(id)
+	if found {
+		f.levels.Learn(parent.Route, q.route.Name)
+	}
+	return parent, found
+}
+
+// rankOf returns the rank of a request that begins here.
+func rankOf(q *request) criticality.Rank {
+	level := criticality.Level(min(max(q.route.Priority, 0), criticality.LevelCount-1))
+	return criticality.Rank{Level: level, Cohort: uint8(xxhash.Sum64String(q.id) % criticality.CohortCount)}
+}
+
+// timeoutOf returns the shortest of what the caller and the route allow.
+func (f *Forwarder) timeoutOf(route *routetable.Route, header http.Header) time.Duration {
+	timeout := f.config.DefaultTimeout
+	if route.Timeout > 0 {
+		timeout = route.Timeout
+	}
+	millis, err := strconv.ParseInt(header.Get(f.config.Headers.DeadlineMillis), 10, 64)
+	if err == nil && millis >= 0 {
+		timeout = min(timeout, time.Duration(millis)*time.Millisecond)
+	}
+	return timeout
+}
+
+func (f *Forwarder) readBody(w http.ResponseWriter, r *http.Request, maxBytes int64) ([]byte, *problem.Problem) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	tooLarge := func() *problem.Problem {
+		return f.problem(problem.BodyTooLarge, problem.ExecutedNo, "receive", "the body is too large")
+	}
+	if maxBytes > 0 {
+		if r.ContentLength > maxBytes {
+			return nil, tooLarge()
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, maxBytes)
+	}
+	var body []byte
+	var err error
+	if r.ContentLength > 0 {
+		body = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(r.Body, body)
+	} else {
+		body, err = io.ReadAll(r.Body)
+	}
+	var limitError *http.MaxBytesError
+	switch {
+	case errors.As(err, &limitError):
+		return nil, tooLarge()
+	case err != nil:
+		return nil, f.problem(problem.BadRequest, problem.ExecutedNo, "receive", "the body ended early")
+	}
+	return body, nil
+}
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -37,6 +37,7 @@
 	BadRequest        Reason = "bad-request"
 	BadContext        Reason = "bad-context"
 	BodyTooLarge      Reason = "body-too-large"
+	HeaderTooLarge    Reason = "header-too-large"
 	UnknownService    Reason = "unknown-service"
 	NotAdmitted       Reason = "not-admitted"
 	Overloaded        Reason = "overloaded"
@@ -58,6 +59,7 @@
 	BadRequest:        http.StatusBadRequest,
 	BadContext:        http.StatusBadRequest,
 	BodyTooLarge:      http.StatusRequestEntityTooLarge,
+	HeaderTooLarge:    http.StatusRequestHeaderFieldsTooLarge,
 	UnknownService:    http.StatusNotFound,
 	NotAdmitted:       http.StatusForbidden,
 	Overloaded:        http.StatusServiceUnavailable,
