--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -191,7 +191,7 @@
 }
 
 func TestAWithdrawnCallClosesTheTargetsConnection(t *testing.T) {
-	closed := make(chan struct{})
+	arrived, closed := make(chan struct{}), make(chan struct{})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer listener.Close()
@@ -203,6 +203,7 @@
 		defer connection.Close()
 		reader := bufio.NewReader(connection)
 		_, _ = http.ReadRequest(reader)
+		close(arrived)
 		_, _ = reader.ReadByte()
 		close(closed)
 	}()
@@ -210,7 +211,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan *peering.Reply, 1)
 	go func() { done <- g.Run(ctx, call("a")) }()
-	awaitLoad(t, g, func(load peering.Load) bool { return load.InFlight == 1 })
+	// A call that is withdrawn before it is sent reaches no target at all.
+	<-arrived
 	cancel()
 	reply := <-done
 	assert.Equal(t, reply.Reason, peering.CallerLeft)
--- a/lab/platformstub/store.go
+++ b/lab/platformstub/store.go
@@ -4,6 +4,7 @@
 package platformstub
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -212,8 +213,9 @@
 	query := r.URL.Query()
 	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(query.Get("wait-ms"))
-	answer := watchAnswer{Events: []wireItem{}, At: after}
-	err := s.firstBatch(r, query.Get("path-prefix"), store.Revision(after), time.Duration(wait)*time.Millisecond, &answer)
+	ctx, cancel := context.WithTimeout(r.Context(), min(time.Duration(wait)*time.Millisecond, maxWatchWait))
+	defer cancel()
+	answer, err := s.firstBatch(ctx, cancel, query.Get("path-prefix"), store.Revision(after))
 	if errors.Is(err, store.ErrCompacted) {
 		fail(w, err)
 		return
@@ -221,45 +223,29 @@
 	write(w, answer)
 }
 
-// progressAfter is how soon a watch without events is answered where the
-// revision has moved, so that conformance tests see progress.
-const progressAfter = 300 * time.Millisecond
-
-func (s *Store) firstBatch(r *http.Request, prefix string, after store.Revision, wait time.Duration, answer *watchAnswer) error {
-	timeout := time.NewTimer(min(wait, 30*time.Second))
-	defer timeout.Stop()
-	done := make(chan struct{})
-	failed := make(chan error, 1)
-	var once sync.Once
-	var mutex sync.Mutex
-	ctx := r.Context()
-	go func() {
-		failed <- s.held.Watch(ctx, prefix, after, func(batch []store.Entry, progress store.Revision) {
-			mutex.Lock()
-			defer mutex.Unlock()
-			for _, entry := range batch {
-				answer.Events = append(answer.Events, wireOf(entry))
-			}
-			answer.At = max(answer.At, int64(progress))
-			if len(batch) > 0 {
-				once.Do(func() { close(done) })
-			} else {
-				time.AfterFunc(progressAfter, func() { once.Do(func() { close(done) }) })
-			}
-		})
-	}()
-	var err error
-	select {
-	case <-done:
-	case <-timeout.C:
-	case err = <-failed:
-	}
-	mutex.Lock()
-	defer mutex.Unlock()
-	copied := *answer
-	copied.Events = append([]wireItem{}, answer.Events...)
-	*answer = copied
-	return err
+const (
+	// progressAfter is how soon a watch without events is answered where the
+	// revision has moved, so that conformance tests see progress.
+	progressAfter = 300 * time.Millisecond
+	maxWatchWait  = 30 * time.Second
+)
+
+// firstBatch returns the first events under the prefix, or none when the context
+// ends. It ends the context itself once it has what it returns.
+func (s *Store) firstBatch(ctx context.Context, cancel context.CancelFunc, prefix string, after store.Revision) (watchAnswer, error) {
+	answer := watchAnswer{Events: []wireItem{}, At: int64(after)}
+	err := s.held.Watch(ctx, prefix, after, func(batch []store.Entry, progress store.Revision) {
+		for _, entry := range batch {
+			answer.Events = append(answer.Events, wireOf(entry))
+		}
+		answer.At = max(answer.At, int64(progress))
+		if len(batch) > 0 {
+			cancel()
+			return
+		}
+		time.AfterFunc(progressAfter, cancel)
+	})
+	return answer, err
 }
 
 func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
