Miss no change that falls into history which the store drops

Ruled out: a cut connection that went unnoticed (no answer and no error in a trial with a line per answer); stale reads as a check, which lag by seconds in the same trouble.

Change: the configuration's watch waits 2 s in one call, the records' 10 s; an answer without events never moves the revision that a watch goes on from.

--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -49,7 +49,11 @@
 	retryReserve          = 1.0
 	retryReservePerSecond = 0.05
 	fetchTimeout          = time.Second
-	percent               = 100
+	// configurationWait and recordsWait bound how long a change stays unknown that
+	// fell into history which the store dropped.
+	configurationWait = 2 * time.Second
+	recordsWait       = 10 * time.Second
+	percent           = 100
 )
 
 // Node is a node beside a target.
@@ -77,8 +81,8 @@
 	n := &Node{settings: settings, routes: &routetable.Holder{}}
 	n.log = eventlog.New(eventlog.Config{}, settings.Name, output, time.Now)
 	n.metrics = newMetrics(n.log)
-	n.store = platform.NewStore(settings.Store)
-	n.feed = configfeed.New(n.store, platform.ConfigurationKey, platform.Configuration, n.routes, n.log, time.Now)
+	n.store = platform.NewStore(settings.Store, recordsWait)
+	n.feed = configfeed.New(platform.NewStore(settings.Store, configurationWait), platform.ConfigurationKey, platform.Configuration, n.routes, n.log, time.Now)
 	n.directory = registry.NewDirectory(n.store, platform.HomesPrefix, n.log, time.Now)
 	n.levels = pressure.New(time.Now)
 	n.guard = guard.New(guard.Config{
--- a/internal/store/follow/follow.go
+++ b/internal/store/follow/follow.go
@@ -81,7 +81,10 @@
 		if len(batch) > 0 {
 			f.Change(batch)
 		}
-		f.revision = max(f.revision, progress)
+		if len(batch) > 0 {
+			// Without events nothing shows that none were missed.
+			f.revision = max(f.revision, progress)
+		}
 		if len(batch) > 0 && f.Gather > 0 {
 			sleep(ctx, f.Gather)
 		}
