--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -49,7 +49,7 @@
 	candidates := make([]candidate, 0, len(homes))
 	common := f.homes.commonOf(q.route.Name)
 	for _, home := range homes {
-		if contains(q.excluded, home) {
+		if contains(q.excluded, home) || contains(q.rejected, home) {
 			continue
 		}
 		state := f.homes.state(home.Address)
@@ -63,8 +63,6 @@
 	home *registry.Home
 	// latency is how long a call there is likely to take.
 	latency time.Duration
-	// excess is by how much its target fails more of its calls than others do.
-	excess float64
 }
 
 // choose returns the home with the least expected cost that was not tried yet,
@@ -88,10 +86,10 @@
 		switch {
 		case c.state.usable(c.home, now):
 			if cost < least {
-				best, least = choice{c.home, latency, excess}, cost
+				best, least = choice{c.home, latency}, cost
 			}
 		case cost < leastFallback && !c.state.isDeparted(c.home, now):
-			fallback, leastFallback = choice{c.home, latency, excess}, cost
+			fallback, leastFallback = choice{c.home, latency}, cost
 		}
 	}
 	if best.home == nil && len(q.excluded) == 0 {
--- a/internal/forward/choose_test.go
+++ b/internal/forward/choose_test.go
@@ -9,9 +9,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lugspur/lugspur/internal/peering"
-	"github.com/lugspur/lugspur/internal/policy"
-	"github.com/lugspur/lugspur/internal/pressure"
-	"github.com/lugspur/lugspur/internal/routetable"
 	"github.com/lugspur/lugspur/internal/shed"
 )
 
@@ -126,23 +123,33 @@
 	assert.Equal(t, alike.homes[0].count(), before+20, "the faster home is used")
 }
 
-// TestAnOwnFailureIsRepeatedWhereItsHomeIsToBlame asks whether a request goes on
-// after a target's own failure.
-func TestAnOwnFailureIsRepeatedWhereItsHomeIsToBlame(t *testing.T) {
-	f := newFixture(t, answered)
-	failure := &peering.Reply{Outcome: peering.Answered, Status: http.StatusInternalServerError}
-	ask := func(kind routetable.Kind, attempts int, excess float64, reply *peering.Reply) bool {
-		route := &routetable.Route{Name: "read", Kind: kind, Attempts: 2}
-		q := &request{id: "a", route: route, service: "s", attempts: attempts, policyCall: policy.Call{Attempts: 2}}
-		f.forwarder.budget("s").Success()
-		return f.forwarder.worthRepeating(q, choice{excess: excess}, reply)
+// TestAnOwnFailureIsRepeated has one target fail by itself: a request that may run
+// again goes to another, even if all targets fail now and then.
+func TestAnOwnFailureIsRepeated(t *testing.T) {
+	f := newFixture(t, erringItself, answered)
+	for f.homes[0].count() == 0 {
+		assert.Equal(t, f.do("GET", "/read/x", "a", "").Code, 200)
 	}
-	assert.Assert(t, ask(routetable.Repeatable, 1, 0.5, failure))
-	assert.Assert(t, !ask(routetable.Repeatable, 1, 0.05, failure), "all homes do alike")
-	assert.Assert(t, !ask(routetable.Repeatable, 2, 0.5, failure), "the route's attempts")
-	assert.Assert(t, !ask(routetable.Once, 1, 0.5, failure), "it must not run twice")
-	late := &peering.Reply{Outcome: peering.Answered, Status: http.StatusGatewayTimeout}
-	assert.Assert(t, !ask(routetable.Repeatable, 1, 0.5, late), "no time is left")
-	f.levels.Report("read", "home", pressure.Level{Threshold: 500}, 10)
-	assert.Assert(t, !ask(routetable.Repeatable, 1, 0.5, failure), "the chain sheds")
+	once := newFixture(t, erringItself, erringItself)
+	answer := once.do("POST", "/once/x", "a", "")
+	assert.Equal(t, answer.Code, http.StatusInternalServerError, "it must not run twice")
+	assert.Equal(t, answer.Header().Get("X-Signature"), "s", "the answer is passed on as it came")
+	assert.Equal(t, once.calls(), 1)
+	read := newFixture(t, erringItself, erringItself, erringItself)
+	assert.Equal(t, read.do("GET", "/read/x", "a", "").Code, http.StatusInternalServerError)
+	assert.Equal(t, read.calls(), 2, "the route's attempts")
+}
+
+// TestAnInnerCallThatFailedIsTold has a call of a running request fail, and finds
+// that the home beside the node is told, so that its target is not blamed.
+func TestAnInnerCallThatFailedIsTold(t *testing.T) {
+	f := newFixture(t, erring)
+	local := f.forwarder.local.(*fakeHome)
+	f.do("GET", "/read/x", "a", "")
+	assert.Equal(t, len(local.callsFailed), 0, "nobody made that request")
+	f.do("GET", "/read/x", "running.1", "")
+	assert.DeepEqual(t, local.callsFailed, []string{"running"})
+	good := newFixture(t, answered)
+	good.do("GET", "/read/x", "running.1", "")
+	assert.Equal(t, len(good.forwarder.local.(*fakeHome).callsFailed), 0)
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -36,14 +36,8 @@
 	Headers callheader.Names
 	// DefaultTimeout bounds a request whose caller and route say nothing.
 	DefaultTimeout time.Duration
-	// RetryShare is the part of a service's requests that may be repeated.
-	RetryShare float64
-	// RetryReserve is the number of repetitions allowed without requests, and
-	// RetryReservePerSecond how fast it comes back.
-	RetryReserve, RetryReservePerSecond float64
-	// RepeatCeiling is the part of the arrivals at a service, in percent, up to
-	// which requests that reach it are repeated.
-	RepeatCeiling int
+	// Retries bounds the repetitions of requests to each service.
+	Retries retrybudget.AllowanceConfig
 	// WaitShare is the part of a route's objective for which a request may wait
 	// for room at a target, and InnerWaitShare that for a call of a running
 	// request.
@@ -63,7 +57,7 @@
 	Policies *routepolicy.Holder
 	// Levels hold the shed thresholds of routes.
 	Levels   *pressure.Levels
-	Peers    *peering.Client
+	Peers    Peers
 	Observer Observer
 	Log      *eventlog.Log
 	Now      func() time.Time
@@ -74,6 +68,21 @@
 	peering.Home
 	// Running returns a request that the target works on.
 	Running(id string) (guard.Running, bool)
+	// CallMade notes that such a request makes a call of the route, and returns how
+	// many it has made by now.
+	CallMade(id, route string) int
+	// CallFailed notes that a call that such a request made brought no success.
+	CallFailed(id string)
+}
+
+// Peers reach the homes beside other targets.
+type Peers interface {
+	// Call has the home at the address run the call. The error is a *peering.Error.
+	Call(ctx context.Context, address string, call *peering.Call) (*peering.Reply, error)
+	// Ping asks the node at the address whether it is there.
+	Ping(ctx context.Context, address string) error
+	// Forget closes the idle connections to a node.
+	Forget(address string)
 }
 
 // Observer sees what becomes of requests, for metrics.
@@ -90,7 +99,7 @@
 	local     LocalHome
 	policies  *routepolicy.Holder
 	levels    *pressure.Levels
-	peers     *peering.Client
+	peers     Peers
 	observer  Observer
 	log       *eventlog.Log
 	now       func() time.Time
@@ -105,7 +114,7 @@
 	arrived atomic.Int64
 
 	budgetMutex sync.Mutex
-	budgets     map[string]*retrybudget.Ratio
+	budgets     map[string]*retrybudget.Allowance
 }
 
 // New returns a forwarder.
@@ -122,7 +131,7 @@
 		log:       parts.Log,
 		now:       parts.Now,
 		made:      parts.Now(),
-		budgets:   make(map[string]*retrybudget.Ratio),
+		budgets:   make(map[string]*retrybudget.Allowance),
 	}
 }
 
@@ -182,15 +191,21 @@
 	deadline time.Time
 	// policyCall holds what policies see of the request.
 	policyCall policy.Call
-	// attempts counts the targets that may have run the request, and offers the
-	// homes that it was offered to.
-	attempts, offers int
-	excluded         []*registry.Home
+	// attempts counts the targets that may have run the request, offers the homes
+	// that it was offered to, and arrivals the targets that it may have reached.
+	attempts, offers, arrivals int
+	// excluded are the homes that it is not offered to again, and rejected those
+	// whose targets turned it away, which are offered to again once no other is left.
+	excluded, rejected []*registry.Home
 	// errorAnswer is an answer in which a target says that it failed.
 	errorAnswer *peering.Reply
 	rank        criticality.Rank
 	// inner tells that a request at the target beside the node made the call.
 	inner bool
+	// parent is the id of that request, parentRoute its route, and callNumber how
+	// many calls of the route it had made with this one.
+	parent, parentRoute string
+	callNumber          int
 	// retryAfter is the shortest wait that a home proposed.
 	retryAfter time.Duration
 	// lastHome is the home that the request was offered to last, and lastReason
@@ -216,6 +231,9 @@
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	reply, failure := f.run(ctx, q)
+	if q.inner && (failure != nil || reply.Status >= http.StatusMultipleChoices) {
+		f.local.CallFailed(q.parent)
+	}
 	switch {
 	case r.Context().Err() != nil:
 		f.abandoned(q)
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -23,6 +23,7 @@
 	"github.com/lugspur/lugspur/internal/pressure"
 	"github.com/lugspur/lugspur/internal/registry"
 	"github.com/lugspur/lugspur/internal/replica"
+	"github.com/lugspur/lugspur/internal/retrybudget"
 	"github.com/lugspur/lugspur/internal/routepolicy"
 	"github.com/lugspur/lugspur/internal/routetable"
 	"github.com/lugspur/lugspur/internal/shed"
@@ -31,9 +32,11 @@
 
 // fakeHome answers calls by a function and counts them.
 type fakeHome struct {
-	mutex  sync.Mutex
-	calls  []*peering.Call
-	answer func(ctx context.Context, call *peering.Call) *peering.Reply
+	mutex sync.Mutex
+	calls []*peering.Call
+	// callsFailed are the requests of which a call failed.
+	callsFailed []string
+	answer      func(ctx context.Context, call *peering.Call) *peering.Reply
 }
 
 func (h *fakeHome) Run(ctx context.Context, call *peering.Call) *peering.Reply {
@@ -47,6 +50,14 @@
 	return guard.Running{Route: "parent", Rank: criticality.RankOf(7)}, id == "running"
 }
 
+func (h *fakeHome) CallMade(string, string) int { return 1 }
+
+func (h *fakeHome) CallFailed(id string) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.callsFailed = append(h.callsFailed, id)
+}
+
 func (h *fakeHome) count() int {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -64,13 +75,20 @@
 	}
 }
 
-// erring answers with a failure of the target's own.
+// erring answers with a failure after a call that the target made had failed.
 func erring(ctx context.Context, call *peering.Call) *peering.Reply {
 	reply := answered(ctx, call)
 	reply.Status = http.StatusInternalServerError
 	return reply
 }
 
+// erringItself answers with a failure of the target's own.
+func erringItself(ctx context.Context, call *peering.Call) *peering.Reply {
+	reply := erring(ctx, call)
+	reply.OwnFailure = true
+	return reply
+}
+
 func failing(context.Context, *peering.Call) *peering.Reply {
 	return &peering.Reply{Outcome: peering.Failed, Reason: peering.Broken, Load: peering.Load{Limit: 10, Threshold: shed.None}}
 }
@@ -86,7 +104,14 @@
 	levels    *pressure.Levels
 }
 
-const testTimeout = 2 * time.Second
+const (
+	testTimeout = 2 * time.Second
+	// testRetryShare is the repetitions that a request pays for, so that this many
+	// requests pay for one.
+	testRetryShare             = 0.1
+	testRequestsForARepetition = 10
+	testRetryWindow            = 10 * time.Second
+)
 
 func newFixture(t *testing.T, answers ...func(context.Context, *peering.Call) *peering.Reply) *fixture {
 	t.Helper()
@@ -112,8 +137,9 @@
 		{Name: "once", Host: "a.example", Prefix: "/once/", Kind: routetable.Once, Attempts: 2, Timeout: testTimeout, Objective: time.Second, Services: service},
 		{Name: "brief", Host: "a.example", Prefix: "/brief/", Kind: routetable.Repeatable, Attempts: 2, Timeout: 200 * time.Millisecond, Objective: time.Second, Services: service},
 	}})
-	return New(Config{
-		Node: "node", Zone: "z", Service: "caller", Address: "here", DefaultTimeout: time.Second, RetryShare: 0.1, RetryReserve: 1, RepeatCeiling: 100, WaitShare: 0.2, InnerWaitShare: 0.6,
+	forwarder := New(Config{
+		Node: "node", Zone: "z", Service: "caller", Address: "here", DefaultTimeout: time.Second, WaitShare: 0.2, InnerWaitShare: 0.6,
+		Retries: retrybudget.AllowanceConfig{EarnedShare: testRetryShare, Reserve: func() float64 { return 1 }, Window: testRetryWindow},
 		Headers: callheader.Names{RequestID: "X-Id", DeadlineMillis: "X-Deadline"},
 		ParentOf: func(id string) (string, bool) {
 			parent, _, told := strings.Cut(id, ".")
@@ -124,6 +150,10 @@
 		Peers:    peering.NewClient(peering.ClientConfig{MaxBuffered: 1 << 20, DialTimeout: time.Second, UserTimeout: time.Second, MaxIdle: 4, IdleTimeout: time.Minute}),
 		Observer: observer{}, Now: time.Now,
 	})
+	for range testRequestsForARepetition {
+		forwarder.budget("s").Request()
+	}
+	return forwarder
 }
 
 func policiesOf(t *testing.T, sources routepolicy.Sources) *routepolicy.Holder {
@@ -215,9 +245,9 @@
 	assert.Equal(t, read.calls(), 2, "the route's attempts")
 }
 
-// TestATargetsOwnFailureStands has targets fail alike: the failure comes back as
-// the target gave it, and the request runs once.
-func TestATargetsOwnFailureStands(t *testing.T) {
+// TestAFailurePassedOnStands has targets fail after calls of theirs had failed: the
+// failure comes back as the target gave it, and the request runs once.
+func TestAFailurePassedOnStands(t *testing.T) {
 	for _, path := range []string{"/read/x", "/once/x"} {
 		f := newFixture(t, erring, erring)
 		answer := f.do("GET", path, "a", "")
--- a/internal/forward/receive.go
+++ b/internal/forward/receive.go
@@ -12,6 +12,7 @@
 	"github.com/lugspur/lugspur/internal/callheader"
 	"github.com/lugspur/lugspur/internal/guard"
 	"github.com/lugspur/lugspur/internal/peering"
+	"github.com/lugspur/lugspur/internal/pressure"
 	"github.com/lugspur/lugspur/internal/problem"
 	"github.com/lugspur/lugspur/internal/routetable"
 )
@@ -56,8 +57,8 @@
 		return q, f.problem(problem.BadRequest, problem.ExecutedNo, "receive", "no request id")
 	}
 	q.deadline = started.Add(f.timeoutOf(q.route, r.Header))
-	parent, inner := f.parentOf(q)
-	q.rank, q.inner = parent.Rank, inner
+	parent := f.parentOf(q)
+	q.rank = parent.Rank
 	q.policyCall = f.policyCallOf(q, r)
 	if failure := f.admit(q); failure != nil {
 		return q, failure
@@ -69,6 +70,7 @@
 	callheader.StripConnection(r.Header)
 	r.Header.Del("Content-Length")
 	q.service = f.splitter.Choose(q.route)
+	f.learnCall(q)
 	q.call = &peering.Call{
 		Service:   q.service,
 		RequestID: q.id,
@@ -108,18 +110,30 @@
 	return time.Duration(float64(q.route.Objective) * share)
 }
 
-// parentOf returns the request at the target beside the node that made the
-// call, false if none did.
-func (f *Forwarder) parentOf(q *request) (guard.Running, bool) {
+// parentOf finds the request at the target beside the node that made the call. If
+// there is one, the call is an inner one.
+func (f *Forwarder) parentOf(q *request) guard.Running {
 	id, told := f.config.ParentOf(q.id)
 	if !told {
-		return guard.Running{}, false
+		return guard.Running{}
 	}
 	parent, found := f.local.Running(id)
-	if found {
-		f.levels.Learn(parent.Route, q.route.Name)
+	if !found {
+		return guard.Running{}
 	}
-	return parent, found
+	q.inner, q.parent, q.parentRoute = true, id, parent.Route
+	q.callNumber = f.local.CallMade(id, q.route.Name)
+	return parent
+}
+
+// learnCall notes which calls requests of the caller's route make, and whether
+// their repetitions could be paid for here.
+func (f *Forwarder) learnCall(q *request) {
+	if !q.inner {
+		return
+	}
+	expected := max(f.levels.Expected(q.parentRoute, q.route.Name), q.callNumber)
+	f.levels.Learn(q.parentRoute, q.route.Name, pressure.Calls{Count: q.callNumber, Scarce: !f.budget(q.service).Ample(expected)})
 }
 
 // admit ranks a request that begins here and refuses it if its policy does or if
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"github.com/lugspur/lugspur/internal/eventlog"
@@ -11,17 +10,12 @@
 	"github.com/lugspur/lugspur/internal/pressure"
 	"github.com/lugspur/lugspur/internal/problem"
 	"github.com/lugspur/lugspur/internal/registry"
-	"github.com/lugspur/lugspur/internal/retrybudget"
 	"github.com/lugspur/lugspur/internal/routetable"
-	"github.com/lugspur/lugspur/internal/shed"
 )
 
 const (
 	// maxHomes bounds the homes that one request is offered to.
 	maxHomes = 4
-	// notableExcess is by how much more a target must fail than others for its own
-	// failures to be its own fault.
-	notableExcess = 0.1
 	// hopelessDelay is told where no home is likely to answer in time.
 	hopelessDelay = 700 * time.Millisecond
 	// defaultRetryAfter is told where no home proposed a time.
@@ -31,7 +25,9 @@
 // run offers the request to homes until one answers or none is left. A target's
 // own failure stands if no other target answers.
 func (f *Forwarder) run(ctx context.Context, q *request) (*peering.Reply, *problem.Problem) {
-	f.budget(q.service).Success()
+	if !q.call.Repeat {
+		f.budget(q.service).Request()
+	}
 	reply, failure := f.tryHomes(ctx, q)
 	if failure != nil && q.errorAnswer != nil {
 		return q.errorAnswer, nil
@@ -41,7 +37,7 @@
 
 func (f *Forwarder) tryHomes(ctx context.Context, q *request) (*peering.Reply, *problem.Problem) {
 	for q.offers < maxHomes {
-		next := f.choose(q)
+		next := f.chooseAgain(q)
 		home := next.home
 		if home == nil {
 			break
@@ -49,24 +45,38 @@
 		if f.hopeless(q, next) {
 			return nil, f.refusal(q, problem.Overloaded, "run", "no home is likely to answer in time", hopelessDelay)
 		}
+		repeats := q.repeats()
+		if repeats && !f.budget(q.service).Spend(f.urgency(q)) {
+			return nil, f.unpaid(q)
+		}
+		if q.arrivals > 0 {
+			f.noteRetry(q)
+		}
 		q.lastHome = home.Address
 		q.offers++
 		reply := f.offer(ctx, q, home)
+		reached := reply.Reached()
+		if repeats && !reached {
+			f.budget(q.service).Return()
+		}
+		if reached {
+			q.arrivals++
+		}
 		if reply.Outcome == peering.Answered {
 			q.attempts++
-			if !f.worthRepeating(q, next, reply) {
+			if !f.worthRepeating(q, reply) {
 				return reply, nil
 			}
 			q.errorAnswer = reply
+			q.lastReason = peering.TargetFailed
 			q.excluded = append(q.excluded, home)
-			f.noteRetry(q, home, "target's own failure")
 			continue
 		}
 		q.lastReason = reply.Reason
 		if ctx.Err() != nil {
 			return nil, f.timedOut(q, reply)
 		}
-		q.excluded = append(q.excluded, home)
+		q.exclude(home, reply)
 		if reply.Outcome == peering.Refused {
 			q.noteWait(reply.RetryAfter)
 			if q.offers > f.retries(q) {
@@ -78,29 +88,42 @@
 		if failure := f.repeatable(q, reply); failure != nil {
 			return nil, failure
 		}
-		f.noteRetry(q, home, string(reply.Reason))
 	}
 	return nil, f.exhausted(q)
 }
 
-func (f *Forwarder) noteRetry(q *request, home *registry.Home, reason string) {
-	f.log.Record(eventlog.Event{Kind: eventlog.RequestRetried, Request: q.id, Route: q.route.Name, Service: q.service, Peer: home.Address,
-		Attempt: q.attempts, Reason: reason})
+// chooseAgain returns the home that the request goes to next. Once no other is
+// left, homes whose targets turned it away are chosen again: these may reject
+// requests at random.
+func (f *Forwarder) chooseAgain(q *request) choice {
+	next := f.choose(q)
+	if next.home != nil || len(q.rejected) == 0 {
+		return next
+	}
+	q.rejected = nil
+	return f.choose(q)
+}
+
+// exclude keeps the request from being offered to the home once more.
+func (q *request) exclude(home *registry.Home, reply *peering.Reply) {
+	if reply.Reason == peering.TargetFull {
+		q.rejected = append(q.rejected, home)
+		return
+	}
+	q.excluded = append(q.excluded, home)
+}
+
+// noteRetry logs that the request is repeated after what the last home said.
+func (f *Forwarder) noteRetry(q *request) {
+	f.log.Record(eventlog.Event{Kind: eventlog.RequestRetried, Request: q.id, Route: q.route.Name, Service: q.service, Peer: q.lastHome,
+		Attempt: q.attempts, Reason: string(q.lastReason)})
 }
 
 // worthRepeating reports whether a request goes to another target although one
-// answered: with a failure of its own, for a request that may run again, while
-// the chain has room and the retry budget allows it. The home's target must fail
-// more than others do: else the request itself or a service further down is the
-// cause, and another target would fail as well.
-func (f *Forwarder) worthRepeating(q *request, next choice, reply *peering.Reply) bool {
-	if reply.Status < http.StatusInternalServerError || reply.Status == http.StatusGatewayTimeout {
-		return false
-	}
-	if next.excess < notableExcess || f.levels.Threshold(q.route.Name) < shed.None {
-		return false
-	}
-	return f.repeatable(q, reply) == nil
+// answered: with a failure of its own, for a request that may run again. If a
+// call that the request made had failed, another target would fail as well.
+func (f *Forwarder) worthRepeating(q *request, reply *peering.Reply) bool {
+	return reply.OwnFailure && f.repeatable(q, reply) == nil
 }
 
 // hopeless reports whether a request that must not run twice would most likely
@@ -125,8 +148,8 @@
 		detail = "may have run and must not run twice"
 	case q.attempts >= max(q.route.Attempts, 1), q.attempts > f.retries(q):
 		detail = "no attempts left"
-	case f.levels.Repeats(q.route.Name) >= f.config.RepeatCeiling || !f.budget(q.service).Allow():
-		detail = "no retry budget left"
+	case f.levels.Scarce(q.route.Name):
+		detail = "no retry budget left for the calls of the request"
 	default:
 		return nil
 	}
@@ -162,7 +185,7 @@
 	state := f.homes.state(home.Address)
 	call := *q.call
 	call.Header = q.call.Header.Clone()
-	call.Repeat = call.Repeat || q.attempts > 0
+	call.Repeat = q.repeats()
 	call.Remaining = q.deadline.Sub(f.now())
 	if call.Remaining <= 0 {
 		return &peering.Reply{Outcome: peering.Refused, Reason: peering.DeadlinePassed}
@@ -221,30 +244,9 @@
 	f.trust(state)
 	state.report(q.route.Name, reply.Load, f.homes.commonOf(q.route.Name), f.now())
 	if reply.Load.Limit > 0 {
-		f.levels.Report(q.route.Name, home.Address, pressure.Level{Threshold: reply.Load.Threshold, Repeats: reply.Load.Repeats}, reply.Load.Limit)
+		f.levels.Report(q.route.Name, home.Address, pressure.Level{Threshold: reply.Load.Threshold, Calls: reply.Load.Calls, Scarce: reply.Load.Scarce}, reply.Load.Limit)
 	}
 	if reply.Outcome == peering.Refused && reply.Reason.Final() {
 		state.depart(home, f.now())
 	}
 }
-
-// budget returns the service's retry budget.
-func (f *Forwarder) budget(service string) *retrybudget.Ratio {
-	f.budgetMutex.Lock()
-	defer f.budgetMutex.Unlock()
-	budget := f.budgets[service]
-	if budget == nil {
-		budget = retrybudget.NewRatio(retrybudget.RatioConfig{
-			Share:            f.config.RetryShare,
-			Reserve:          f.config.RetryReserve,
-			ReservePerSecond: f.config.RetryReservePerSecond,
-			MaxBalance:       f.config.RetryReserve + maxRetryBalance,
-		}, f.now)
-		f.budgets[service] = budget
-	}
-	return budget
-}
-
-// maxRetryBalance bounds the repetitions that many requests can pay for in
-// advance.
-const maxRetryBalance = 12
--- a/internal/guard/exchange.go
+++ b/internal/guard/exchange.go
@@ -24,10 +24,9 @@
 		return refused(peering.Late)
 	}
 	done := g.running.begin(call)
-	defer done()
-	i.record.arrived(call.Repeat, started)
 	i.record.began(call.Route, started)
 	answer, err := i.pool.Exchange(ctx, g.message(i, call, remaining))
+	callFailed := done()
 	ended := g.now()
 	duration := ended.Sub(started)
 	if err != nil {
@@ -42,6 +41,7 @@
 	defer answer.Close()
 	g.noteReach(i, true)
 	reply := g.judge(answer)
+	reply.OwnFailure = failedItself(reply) && !callFailed
 	permit.Release(limit.Sample{Outcome: outcomeOf(reply), Latency: duration})
 	i.record.ended(call.Route, reply, duration, ended)
 	if reply.Reason == peering.Misdirected {
@@ -50,6 +50,12 @@
 	return reply
 }
 
+// failedItself reports whether the answer says that the target failed. One at the
+// deadline says more of the time that the target was given.
+func failedItself(reply *peering.Reply) bool {
+	return reply.Outcome == peering.Answered && reply.Status >= http.StatusInternalServerError && reply.Status != http.StatusGatewayTimeout
+}
+
 func outcomeOf(reply *peering.Reply) limit.Outcome {
 	switch {
 	case reply.Outcome == peering.Answered && reply.Status < http.StatusInternalServerError:
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -167,7 +167,8 @@
 		Threshold: min(i.shedding.Threshold(), below.Threshold),
 		Failures:  i.record.failures(),
 		Errors:    i.record.errors(),
-		Repeats:   max(i.record.repeats(g.now()), below.Repeats),
+		Calls:     below.Calls,
+		Scarce:    below.Scarce,
 		Stopping:  g.stopping.Load(),
 	}
 }
--- a/internal/guard/record.go
+++ b/internal/guard/record.go
@@ -1,7 +1,6 @@
 package guard
 
 import (
-	"net/http"
 	"sync"
 	"time"
 
@@ -13,9 +12,7 @@
 	recordWeight = 1.0 / 16
 	// maxRouteLatencies bounds the routes whose latencies are kept.
 	maxRouteLatencies = 256
-	// repeatWindow is half of the time over which repetitions are counted.
-	repeatWindow = 5 * time.Second
-	percent      = 100
+	percent           = 100
 )
 
 // trackRecord is how one target has served so far. It is safe for concurrent
@@ -26,49 +23,7 @@
 	failing   float64
 	// erring is the part of the answers that say that the target failed.
 	erring float64
-	// recent and earlier count arrivals of two windows that follow each other.
-	recent, earlier arrivals
-	windowBegan     time.Time
-	epoch           time.Time
-}
-
-type arrivals struct{ all, repeated int }
-
-// arrived counts a call that was sent to the target.
-func (r *trackRecord) arrived(repeated bool, now time.Time) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.turn(now)
-	r.recent.all++
-	if repeated {
-		r.recent.repeated++
-	}
-}
-
-// turn begins a new window when the present one is over.
-func (r *trackRecord) turn(now time.Time) {
-	age := now.Sub(r.windowBegan)
-	if age < repeatWindow {
-		return
-	}
-	r.earlier = r.recent
-	if age >= 2*repeatWindow {
-		r.earlier = arrivals{}
-	}
-	r.recent = arrivals{}
-	r.windowBegan = now
-}
-
-// repeats returns the part of the arrivals that were repetitions, in percent.
-func (r *trackRecord) repeats(now time.Time) int {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.turn(now)
-	all := r.recent.all + r.earlier.all
-	if all == 0 {
-		return 0
-	}
-	return (r.recent.repeated + r.earlier.repeated) * percent / all
+	epoch  time.Time
 }
 
 // began notes a call that was sent to the target.
@@ -113,7 +68,8 @@
 	case reply.Outcome == peering.Refused:
 		known.cancel(r.seconds(now.Add(-duration)))
 	default:
-		known.end(r.seconds(now), duration.Seconds(), reply.Outcome == peering.Answered)
+		// A target that fails at once is not a quick one.
+		known.end(r.seconds(now), duration.Seconds(), reply.Outcome == peering.Answered && !failedItself(reply))
 	}
 }
 
@@ -121,35 +77,34 @@
 // lasted to count as failed: it may as well have been given up early.
 const overdue = 3
 
-// noteFailure counts a call as failed if no usable answer came.
+// noteFailure counts a call as failed if no usable answer came, or if the target
+// turned it away although it was offered no more than its slots.
 func (r *trackRecord) noteFailure(route string, reply *peering.Reply, duration time.Duration) {
 	if reply.Outcome == peering.Answered {
-		r.noteAnswer(reply.Status)
+		r.erring += (shareOf(reply.OwnFailure) - r.erring) * recordWeight
 	}
-	failed := 0.0
-	if reply.Outcome == peering.Failed {
-		switch reply.Reason {
-		case peering.Broken, peering.Spoilt:
-			failed = 1
-		default:
-			known := r.latencies[route]
-			if known == nil || known.usual == 0 || duration.Seconds() < overdue*known.usual {
-				return
-			}
-			failed = 1
+	failed := false
+	switch {
+	case reply.Reason == peering.Broken, reply.Reason == peering.Spoilt, reply.Reason == peering.TargetFull:
+		failed = true
+	case reply.Outcome == peering.Failed:
+		known := r.latencies[route]
+		if known == nil || known.usual == 0 || duration.Seconds() < overdue*known.usual {
+			return
 		}
+		failed = true
+	case reply.Outcome == peering.Refused:
+		return
 	}
-	r.failing += (failed - r.failing) * recordWeight
+	r.failing += (shareOf(failed) - r.failing) * recordWeight
 }
 
-// noteAnswer counts an answer in which the target says that it failed. One at the
-// deadline says more of the time that it was given.
-func (r *trackRecord) noteAnswer(status int) {
-	erred := 0.0
-	if status >= http.StatusInternalServerError && status != http.StatusGatewayTimeout {
-		erred = 1
+// shareOf is the part that one call makes up.
+func shareOf(holds bool) float64 {
+	if holds {
+		return 1
 	}
-	r.erring += (erred - r.erring) * recordWeight
+	return 0
 }
 
 // errors returns the part of the answers that are failures of the target, in
--- a/internal/guard/record_test.go
+++ b/internal/guard/record_test.go
@@ -83,32 +83,45 @@
 	assert.Assert(t, record.failures() < 5, "a target's own failure is an answer")
 }
 
-func TestRepetitionsAreCountedOverAWindow(t *testing.T) {
-	var record trackRecord
-	now := time.Unix(1000, 0)
-	for i := range 100 {
-		record.arrived(i%4 == 0, now)
-	}
-	assert.Equal(t, record.repeats(now), 25)
-	now = now.Add(repeatWindow)
-	assert.Equal(t, record.repeats(now), 25, "the window before still counts")
-	now = now.Add(2 * repeatWindow)
-	assert.Equal(t, record.repeats(now), 0)
-}
-
 func TestErrorsOfTheTargetAreToldApart(t *testing.T) {
 	var record trackRecord
 	for i := range 200 {
-		status := 200
-		if i%2 == 0 {
-			status = 500
-		}
-		record.ended("r", &peering.Reply{Outcome: peering.Answered, Status: status}, time.Millisecond, start)
+		record.ended("r", &peering.Reply{Outcome: peering.Answered, Status: 500, OwnFailure: i%2 == 0}, time.Millisecond, start)
 	}
 	assert.Assert(t, record.errors() > 30 && record.errors() < 70, "%d", record.errors())
 	assert.Equal(t, record.failures(), 0)
 	for range 100 {
-		record.ended("r", &peering.Reply{Outcome: peering.Answered, Status: 504}, time.Millisecond, start)
+		record.ended("r", &peering.Reply{Outcome: peering.Answered, Status: 500}, time.Millisecond, start)
 	}
-	assert.Assert(t, record.errors() < 5, "an answer at the deadline is none")
+	assert.Assert(t, record.errors() < 5, "what a call further down is to blame for is none")
+}
+
+// TestATargetThatFailsAtOnceIsNoQuickOne has a target answer in 100 ms and then
+// fail within a millisecond: its usual time must not fall.
+func TestATargetThatFailsAtOnceIsNoQuickOne(t *testing.T) {
+	var record trackRecord
+	now := start
+	for range 50 {
+		record.began("r", now)
+		now = now.Add(100 * time.Millisecond)
+		record.ended("r", &peering.Reply{Outcome: peering.Answered, Status: 200}, 100*time.Millisecond, now)
+	}
+	for range 200 {
+		record.began("r", now)
+		now = now.Add(time.Millisecond)
+		record.ended("r", &peering.Reply{Outcome: peering.Answered, Status: 500, OwnFailure: true}, time.Millisecond, now)
+	}
+	assert.Assert(t, record.latency("r", now) >= 99*time.Millisecond, "%s", record.latency("r", now))
+	assert.Assert(t, record.errors() > 90)
+}
+
+// TestRejectionsByTheTargetCountAsFailures has a target turn calls away although it
+// is offered no more than its slots.
+func TestRejectionsByTheTargetCountAsFailures(t *testing.T) {
+	var record trackRecord
+	for range 100 {
+		record.ended("r", &peering.Reply{Outcome: peering.Refused, Reason: peering.TargetFull}, time.Millisecond, start)
+	}
+	assert.Assert(t, record.failures() > 90)
+	assert.Equal(t, record.errors(), 0)
 }
--- a/internal/guard/running.go
+++ b/internal/guard/running.go
@@ -19,24 +19,38 @@
 	Repeat bool
 }
 
+// runningRequest is a request at the target with the calls that it made.
+type runningRequest struct {
+	Running
+	// calls counts the calls that the request made by their routes.
+	calls map[string]int
+	// callFailed tells that one of them brought no success.
+	callFailed bool
+}
+
 // runningTable holds the requests at the target by their ids.
 type runningTable struct {
 	mutex    sync.Mutex
-	requests map[string]Running
+	requests map[string]*runningRequest
 }
 
-// begin notes a request at the target. The returned function ends it.
-func (t *runningTable) begin(call *peering.Call) func() {
+// begin notes a request at the target. The returned function ends it and reports
+// whether a call that the request made had failed.
+func (t *runningTable) begin(call *peering.Call) func() (callFailed bool) {
+	request := &runningRequest{Running: Running{Route: call.Route, Rank: criticality.RankOf(call.Rank), Repeat: call.Repeat}}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.requests == nil {
-		t.requests = make(map[string]Running)
+		t.requests = make(map[string]*runningRequest)
 	}
-	t.requests[call.RequestID] = Running{Route: call.Route, Rank: criticality.RankOf(call.Rank), Repeat: call.Repeat}
-	return func() {
+	t.requests[call.RequestID] = request
+	return func() bool {
 		t.mutex.Lock()
 		defer t.mutex.Unlock()
-		delete(t.requests, call.RequestID)
+		if t.requests[call.RequestID] == request {
+			delete(t.requests, call.RequestID)
+		}
+		return request.callFailed
 	}
 }
 
@@ -44,8 +58,37 @@
 func (g *Guard) Running(id string) (Running, bool) {
 	g.running.mutex.Lock()
 	defer g.running.mutex.Unlock()
-	running, found := g.running.requests[id]
-	return running, found
+	request, found := g.running.requests[id]
+	if !found {
+		return Running{}, false
+	}
+	return request.Running, true
+}
+
+// CallMade notes that a request at the target made a call of the route. It returns
+// how many it has made by now.
+func (g *Guard) CallMade(id, route string) int {
+	g.running.mutex.Lock()
+	defer g.running.mutex.Unlock()
+	request, found := g.running.requests[id]
+	if !found {
+		return 0
+	}
+	if request.calls == nil {
+		request.calls = make(map[string]int)
+	}
+	request.calls[route]++
+	return request.calls[route]
+}
+
+// CallFailed notes that a call which a request at the target made brought no
+// success, so that the target is not to blame if the request fails.
+func (g *Guard) CallFailed(id string) {
+	g.running.mutex.Lock()
+	defer g.running.mutex.Unlock()
+	if request, found := g.running.requests[id]; found {
+		request.callFailed = true
+	}
 }
 
 const (
--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -99,14 +99,17 @@
 	Threshold uint16 `cbor:"5,keyasint"`
 	// Failures is the part of the calls that brought no usable answer, in percent.
 	Failures int `cbor:"6,keyasint,omitempty"`
-	// Repeats is the part of the arrivals at the service that are repetitions, in
-	// percent; the highest of the services that the route's requests call counts.
-	Repeats int `cbor:"7,keyasint,omitempty"`
 	// Stopping tells that the home is about to stop and that others do better.
 	Stopping bool `cbor:"8,keyasint,omitempty"`
 	// Errors is the part of the answers in which the target says that it failed, in
-	// percent. Calls further down may be the cause.
+	// percent, without those after a call that the request made had failed.
 	Errors int `cbor:"9,keyasint,omitempty"`
+	// Calls is the number of calls that one request of the route leads to, those
+	// further down included.
+	Calls int `cbor:"10,keyasint,omitempty"`
+	// Scarce tells that the calls of a repeated request could hardly be paid for out
+	// of the retry budgets.
+	Scarce bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Reply is a home's answer to a call.
@@ -120,6 +123,9 @@
 	// RetryAfter is when the home expects room again.
 	RetryAfter time.Duration `cbor:"6,keyasint,omitempty"`
 	Load       Load          `cbor:"7,keyasint"`
+	// OwnFailure tells that the answer says that the target failed, and that no call
+	// that the request made had failed before.
+	OwnFailure bool `cbor:"8,keyasint,omitempty"`
 	// Digests say how far the home's copies of the store reach.
 	Digests []replica.Digest `cbor:"9,keyasint,omitempty"`
 }
@@ -142,6 +148,9 @@
 	Waited    Reason = "waited"
 	// TargetFull: the target itself refused.
 	TargetFull Reason = "target-full"
+	// TargetFailed: the target answered that it failed, by no fault of another. No
+	// reply has this reason; requests that go on after such an answer do.
+	TargetFailed Reason = "target-failed"
 	// Misdirected: another target answers at the address.
 	Misdirected Reason = "misdirected"
 	// Unconnected: no connection to the target or to the home came about.
@@ -164,6 +173,14 @@
 	return r == NoTarget || r == TargetLeaving || r == Stopping || r == Misdirected
 }
 
+// Reached reports whether a call with this reply reached a target, or may have.
+func (r *Reply) Reached() bool {
+	if r.Outcome == Refused {
+		return r.Reason == TargetFull || r.Reason == Misdirected
+	}
+	return true
+}
+
 func encode(message any) []byte {
 	content, err := cbor.Marshal(message)
 	if err != nil {
--- a/internal/pressure/pressure.go
+++ b/internal/pressure/pressure.go
@@ -32,9 +32,18 @@
 	version atomic.Uint64
 
 	mutex   sync.Mutex
-	calls   map[string]map[string]bool
+	calls   map[string]map[string]Calls
 	reports map[reportKey]report
-	repeats map[string]repeatReport
+	told    map[string]toldOfRoute
+}
+
+// Calls is what is known of the calls of one route that a request of another
+// route makes.
+type Calls struct {
+	// Count is the most calls that one request was seen to make.
+	Count int
+	// Scarce tells that so many repetitions could hardly be paid for by this node.
+	Scarce bool
 }
 
 type reportKey struct{ route, home string }
@@ -49,14 +58,19 @@
 	// Threshold is the rank key from which on requests are to be refused;
 	// shed.None refuses nothing.
 	Threshold uint16
-	// Repeats is the part of the arrivals that are repetitions, in percent.
-	Repeats int
+	// Calls is the number of calls that one request leads to, those further down
+	// included.
+	Calls int
+	// Scarce tells that these calls could hardly be paid for out of the retry budgets
+	// if the request were repeated.
+	Scarce bool
 }
 
-// repeatReport is the part of repetitions that was told last.
-type repeatReport struct {
-	percent int
-	at      time.Time
+// toldOfRoute is what homes told of a route.
+type toldOfRoute struct {
+	calls int
+	// scarceAt is when one told last that repetitions are scarce.
+	scarceAt time.Time
 }
 
 // New returns levels that refuse nothing.
@@ -64,14 +78,15 @@
 	return &Levels{
 		table:   shed.NewTable(shed.TableConfig{Expiry: expiry}),
 		now:     now,
-		calls:   make(map[string]map[string]bool),
+		calls:   make(map[string]map[string]Calls),
 		reports: make(map[reportKey]report),
-		repeats: make(map[string]repeatReport),
+		told:    make(map[string]toldOfRoute),
 	}
 }
 
-// Learn notes that requests of the route make calls of the other route.
-func (l *Levels) Learn(route, called string) {
+// Learn notes that a request of the route makes calls of the other route, and how
+// many that one has made so far.
+func (l *Levels) Learn(route, called string, seen Calls) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	calls := l.calls[route]
@@ -79,14 +94,23 @@
 		if len(l.calls) >= maxRoutes {
 			return
 		}
-		calls = make(map[string]bool)
+		calls = make(map[string]Calls)
 		l.calls[route] = calls
 	}
-	if len(calls) < maxCalls {
-		calls[called] = true
+	known, found := calls[called]
+	if found || len(calls) < maxCalls {
+		calls[called] = Calls{Count: max(known.Count, seen.Count), Scarce: seen.Scarce}
 	}
 }
 
+// Expected returns how many calls of the other route a request of the route makes,
+// zero if that is not known.
+func (l *Levels) Expected(route, called string) int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.calls[route][called].Count
+}
+
 // Report notes what a home told for calls of the route. The weight is the
 // home's part of the room, in calls at once.
 func (l *Levels) Report(route, home string, level Level, weight int) {
@@ -94,7 +118,7 @@
 	threshold := level.Threshold
 	key := reportKey{route: route, home: home}
 	l.mutex.Lock()
-	l.noteRepeats(route, level.Repeats, now)
+	l.note(route, level, now)
 	last, known := l.reports[key]
 	if known && last.threshold == threshold && now.Sub(last.at) < repeatAfter {
 		l.mutex.Unlock()
@@ -114,48 +138,62 @@
 	}, now)
 }
 
-// noteRepeats keeps the highest part of repetitions told lately.
-func (l *Levels) noteRepeats(route string, percent int, now time.Time) {
-	last, known := l.repeats[route]
-	if known && percent < last.percent && now.Sub(last.at) < expiry {
+// note keeps what was told of a route's calls.
+func (l *Levels) note(route string, level Level, now time.Time) {
+	known, found := l.told[route]
+	if !found && len(l.told) >= maxRoutes {
 		return
 	}
-	if !known && len(l.repeats) >= maxRoutes {
-		return
+	if level.Calls > 0 {
+		known.calls = level.Calls
 	}
-	l.repeats[route] = repeatReport{percent: percent, at: now}
+	if level.Scarce {
+		known.scarceAt = now
+	}
+	l.told[route] = known
+}
+
+// Calls returns how many calls a request of the route leads to, zero if it makes
+// none or if nobody told.
+func (l *Levels) Calls(route string) int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.told[route].calls
 }
 
-// Repeats returns the part of the arrivals that are repetitions, in percent, at
-// the services that requests of the route reach.
-func (l *Levels) Repeats(route string) int {
+// Scarce reports whether the calls of a repeated request of the route could
+// hardly be paid for, as a home told lately.
+func (l *Levels) Scarce(route string) bool {
 	now := l.now()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	last := l.repeats[route]
-	if now.Sub(last.at) >= expiry {
-		return 0
-	}
-	return last.percent
+	return l.scarce(route, now)
+}
+
+func (l *Levels) scarce(route string, now time.Time) bool {
+	at := l.told[route].scarceAt
+	return !at.IsZero() && now.Sub(at) < expiry
 }
 
 // Threshold returns the rank key from which on requests of the route are to be
 // refused; shed.None refuses nothing.
 func (l *Levels) Threshold(route string) uint16 { return l.table.Threshold(route, l.now()) }
 
-// Below returns the lowest threshold and the highest part of repetitions of the
-// calls that the route's requests make.
+// Below returns what holds for the calls that the route's requests make: the
+// lowest threshold, their number, and whether repetitions of any are scarce.
 func (l *Levels) Below(route string) Level {
+	now := l.now()
+	level := Level{Threshold: shed.None}
 	l.mutex.Lock()
 	called := make([]string, 0, len(l.calls[route]))
-	for name := range l.calls[route] {
+	for name, calls := range l.calls[route] {
 		called = append(called, name)
+		level.Calls += calls.Count * (1 + l.told[name].calls)
+		level.Scarce = level.Scarce || calls.Scarce || l.scarce(name, now)
 	}
 	l.mutex.Unlock()
-	level := Level{Threshold: shed.None}
 	for _, name := range called {
 		level.Threshold = min(level.Threshold, l.Threshold(name))
-		level.Repeats = max(level.Repeats, l.Repeats(name))
 	}
 	return level
 }
--- a/internal/pressure/pressure_test.go
+++ b/internal/pressure/pressure_test.go
@@ -15,7 +15,7 @@
 	now := time.Unix(1000, 0)
 	clock := func() time.Time { return now }
 	middle, ingress := New(clock), New(clock)
-	middle.Learn("view", "fetch")
+	middle.Learn("view", "fetch", Calls{Count: 1})
 	middle.Report("fetch", "bottom-1", Level{Threshold: 200}, 10)
 	middle.Report("fetch", "bottom-2", Level{Threshold: 300}, 10)
 	assert.Equal(t, middle.Below("view").Threshold, uint16(300))
@@ -47,13 +47,40 @@
 	assert.Assert(t, levels.Threshold("view") == shed.None, "a raised threshold holds at once")
 }
 
-func TestRepetitionsAreToldUpTheChain(t *testing.T) {
+// TestTheSizeOfATreeIsToldUpTheChain has a request make two calls, each of which
+// makes four: ten calls in all.
+func TestTheSizeOfATreeIsToldUpTheChain(t *testing.T) {
 	now := time.Unix(1000, 0)
-	levels := New(func() time.Time { return now })
-	levels.Learn("view", "fetch")
-	levels.Report("fetch", "bottom-1", Level{Threshold: shed.None, Repeats: 12}, 10)
-	levels.Report("fetch", "bottom-2", Level{Threshold: shed.None, Repeats: 3}, 10)
-	assert.Equal(t, levels.Below("view").Repeats, 12, "the highest part counts")
+	clock := func() time.Time { return now }
+	middle, top := New(clock), New(clock)
+	for made := range 4 {
+		middle.Learn("card", "price", Calls{Count: made + 1})
+	}
+	middle.Learn("card", "price", Calls{Count: 1})
+	assert.Equal(t, middle.Expected("card", "price"), 4)
+	assert.Equal(t, middle.Below("card").Calls, 4)
+	top.Learn("booking", "card", Calls{Count: 2})
+	top.Report("card", "middle", middle.Below("card"), 10)
+	assert.Equal(t, top.Calls("card"), 4)
+	assert.Equal(t, top.Below("booking").Calls, 10)
+	assert.Equal(t, top.Below("unknown").Calls, 0)
+}
+
+// TestScarceRepetitionsAreToldUpTheChain has one of two homes lack repetitions for
+// the calls that a route's requests make.
+func TestScarceRepetitionsAreToldUpTheChain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	clock := func() time.Time { return now }
+	middle, top := New(clock), New(clock)
+	middle.Learn("card", "price", Calls{Count: 4, Scarce: true})
+	top.Report("card", "middle-1", middle.Below("card"), 10)
+	top.Report("card", "middle-2", Level{Threshold: shed.None}, 10)
+	assert.Assert(t, top.Scarce("card"), "one home is enough")
+	top.Learn("view", "card", Calls{Count: 1})
+	assert.Assert(t, top.Below("view").Scarce)
 	now = now.Add(expiry)
-	assert.Equal(t, levels.Below("view").Repeats, 0)
+	assert.Assert(t, !top.Scarce("card"))
+	assert.Assert(t, !top.Below("view").Scarce)
+	middle.Learn("card", "price", Calls{Count: 1})
+	assert.Assert(t, !middle.Below("card").Scarce, "the newest look counts")
 }
--- a/internal/sidecar/gauges.go
+++ b/internal/sidecar/gauges.go
@@ -47,11 +47,11 @@
 	return 0
 }
 
-// retryBudgetLeft is a full reserve before the first request.
+// retryBudgetLeft is nothing before the first request.
 func (n *Node) retryBudgetLeft() float64 {
 	left, known := n.forwarder.RetryBudgetLeft()
 	if !known {
-		return retryReserve
+		return 0
 	}
 	return left
 }
--- a/internal/sidecar/metrics_test.go
+++ b/internal/sidecar/metrics_test.go
@@ -64,7 +64,7 @@
 		`lugspur_calls_total{outcome="refused",reason="waited"} 1`,
 		`lugspur_call_queue_seconds_bucket{outcome="refused",le="0.25"} 1`,
 		`lugspur_call_target_seconds_count{outcome="answered"} 1`,
-		`lugspur_retry_budget_left 1`,
+		`lugspur_retry_budget_left 0`,
 		`lugspur_store_reachable 1`,
 	} {
 		assert.Assert(t, strings.Contains(text, line+"\n"), "%s in\n%s", line, text)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -18,6 +18,7 @@
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/pressure"
 	"github.com/lugspur/lugspur/internal/registry"
+	"github.com/lugspur/lugspur/internal/retrybudget"
 	"github.com/lugspur/lugspur/internal/routepolicy"
 	"github.com/lugspur/lugspur/internal/routetable"
 	"github.com/lugspur/lugspur/internal/store/reachability"
@@ -40,16 +41,15 @@
 	peerUserTimeout = time.Second
 	peerIdleTimeout = 30 * time.Second
 	peerMaxIdle     = 32
-	// nodeRetryShare is the part of the retry budget's ratio that one service's
-	// requests may use, and repeatCeilingShare the part of it up to which the
-	// arrivals at a service may be repetitions, those made by repeated runs
-	// included. The rest is left for what is repeated before homes have told.
-	nodeRetryShare     = 0.6
-	repeatCeilingShare = 0.5
-	// retryReserve and its rate bound a node's repetitions without traffic.
-	retryReserve          = 1.0
-	retryReservePerSecond = 0.05
-	percent               = 100
+	// earnedRetryShare is the part of the retry budget's ratio that requests pay for
+	// at once, and savedRetryShare the part that may be saved up for later. The rest
+	// covers repetitions that were paid for in one span and arrive in the next: some
+	// hundred milliseconds in ten seconds.
+	earnedRetryShare = 0.9
+	savedRetryShare  = 0.05
+	// maxRetryReserve is the number of repetitions that a node saves up without
+	// traffic, as one is the least that is of use.
+	maxRetryReserve = 1.0
 )
 
 // Node is a node beside a target.
@@ -128,19 +128,21 @@
 
 func (n *Node) newForwarder() *forward.Forwarder {
 	return forward.New(forward.Config{
-		Node:                  n.settings.Name,
-		Zone:                  n.settings.Zone,
-		Service:               n.settings.Service,
-		Address:               n.settings.advertised(),
-		Headers:               platform.Headers(),
-		DefaultTimeout:        defaultTimeout,
-		RetryShare:            n.settings.Retries.BudgetRatio * nodeRetryShare,
-		RepeatCeiling:         int(n.settings.Retries.BudgetRatio * repeatCeilingShare * percent),
-		RetryReserve:          retryReserve,
-		RetryReservePerSecond: retryReservePerSecond,
-		WaitShare:             n.settings.Queue.ObjectiveShare,
-		InnerWaitShare:        n.settings.Queue.InnerObjectiveShare,
-		ParentOf:              platform.ParentOf,
+		Node:           n.settings.Name,
+		Zone:           n.settings.Zone,
+		Service:        n.settings.Service,
+		Address:        n.settings.advertised(),
+		Headers:        platform.Headers(),
+		DefaultTimeout: defaultTimeout,
+		Retries: retrybudget.AllowanceConfig{
+			EarnedShare: n.settings.Retries.BudgetRatio * earnedRetryShare,
+			SavedShare:  n.settings.Retries.BudgetRatio * savedRetryShare,
+			Reserve:     n.retryReserve,
+			Window:      n.settings.Retries.window(),
+		},
+		WaitShare:      n.settings.Queue.ObjectiveShare,
+		InnerWaitShare: n.settings.Queue.InnerObjectiveShare,
+		ParentOf:       platform.ParentOf,
 	}, forward.Parts{
 		Routes:    n.routes,
 		Directory: n.directory,
@@ -154,6 +156,13 @@
 	})
 }
 
+// retryReserve returns the node's part of the repetitions that all nodes together
+// may make beyond the ratio.
+func (n *Node) retryReserve() float64 {
+	nodes := max(len(n.directory.Addresses()), 1)
+	return min(n.settings.Retries.Slack/float64(nodes), maxRetryReserve)
+}
+
 // maxConnections returns the bound on connections of the target's service.
 func (n *Node) maxConnections() int {
 	table := n.routes.Current()
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -65,6 +65,15 @@
 	// BudgetRatio is the part of a service's requests that all nodes together may
 	// repeat.
 	BudgetRatio float64 `toml:"budget-ratio"`
+	// WindowSeconds is the span over which that holds.
+	WindowSeconds float64 `toml:"window-seconds"`
+	// Slack is the number of repetitions that all nodes together may make beyond
+	// that in one span.
+	Slack float64 `toml:"slack"`
+}
+
+func (s *RetrySettings) window() time.Duration {
+	return time.Duration(s.WindowSeconds * float64(time.Second))
 }
 
 // QueueSettings bound the queue in front of the target.
@@ -83,6 +92,8 @@
 const (
 	DefaultGraceSeconds   = 6.0
 	DefaultBudgetRatio    = 0.2
+	DefaultRetryWindow    = 10.0
+	DefaultRetrySlack     = 50.0
 	DefaultQueueLength    = 256
 	DefaultObjectiveShare = 0.2
 	DefaultInnerShare     = 0.6
@@ -106,7 +117,7 @@
 func Parse(content []byte) (Settings, error) {
 	settings := Settings{
 		Stop:    StopSettings{GraceSeconds: DefaultGraceSeconds},
-		Retries: RetrySettings{BudgetRatio: DefaultBudgetRatio},
+		Retries: RetrySettings{BudgetRatio: DefaultBudgetRatio, WindowSeconds: DefaultRetryWindow, Slack: DefaultRetrySlack},
 		Queue: QueueSettings{MaxLength: DefaultQueueLength, ObjectiveShare: DefaultObjectiveShare,
 			InnerObjectiveShare: DefaultInnerShare, SlotShare: DefaultSlotShare},
 	}
@@ -132,6 +143,8 @@
 		optionalAddress("listen.metrics", s.Listen.Metrics),
 		between("stop.grace-seconds", s.Stop.GraceSeconds, 0.5, 600),
 		between("retries.budget-ratio", s.Retries.BudgetRatio, 0, 1),
+		between("retries.window-seconds", s.Retries.WindowSeconds, 0.1, 3600),
+		between("retries.slack", s.Retries.Slack, 0, 1e6),
 		between("queue.max-length", float64(s.Queue.MaxLength), 1, 1<<16),
 		between("queue.objective-share", s.Queue.ObjectiveShare, 0.001, 1),
 		between("queue.inner-objective-share", s.Queue.InnerObjectiveShare, 0.001, 10),
--- a/internal/sidecar/settings_test.go
+++ b/internal/sidecar/settings_test.go
@@ -15,7 +15,7 @@
 var fields = map[string]string{
 	"node": "sidecar-a-1", "zone": "a", "service": "s", "app-addr": "10.0.0.1:8301", "platform.address": "10.0.0.2:8309",
 	"listen.outbound": "10.0.0.1:8304", "listen.inbound": "10.0.0.1:8300", "listen.ready": "10.0.0.1:8302",
-	"listen.control": "10.0.0.1:8306", "ip": "10.0.0.1", "bounds.grace-s": "6", "bounds.retry-budget-ratio": "0.2",
+	"listen.control": "10.0.0.1:8306", "ip": "10.0.0.1", "bounds.grace-s": "6", "bounds.retry-budget-ratio": "0.2", "bounds.budget-window-s": "10", "bounds.budget-slack": "57",
 }
 
 var gap = regexp.MustCompile(`\{\{([a-z.-]+)(\|json)?\}\}`)
