Serve the calls first whose requests have most behind them; requests without calls are no longer behind all others

Ruled out: more patience of roots (they are held too long already); a level of their own (starves trees instead). Change: calls tell how many of their kind their request has behind it; inside a level most goes first, then the rank.

--- a/internal/forward/receive.go
+++ b/internal/forward/receive.go
@@ -83,6 +83,7 @@
 		Route:     q.route.Name,
 		Rank:      q.rank.Key(),
 		Inner:     q.inner,
+		Done:      max(q.callNumber-1, 0),
 		Repeat:    parent.Repeat,
 		MaxWait:   f.maxWait(q),
 	}
--- a/internal/guard/queue.go
+++ b/internal/guard/queue.go
@@ -15,7 +15,8 @@
 	rank := criticality.RankOf(call.Rank)
 	i.shedding.Observe(rank)
 	permit, err := i.scheduler.Acquire(ctx, scheduler.Request{
-		Rank:     criticality.Rank{Level: queueLevel(rank, call.Inner), Cohort: rank.Cohort},
+		Rank:     rank,
+		Done:     call.Done,
 		Deadline: deadline,
 		ID:       call.RequestID,
 		MaxWait:  call.MaxWait,
@@ -30,16 +31,6 @@
 	return permit, nil
 }
 
-// queueLevel returns the level in which a call queues. Among the less important
-// ones a call whose request already runs goes ahead, as refusing it wastes what
-// was done.
-func queueLevel(rank criticality.Rank, inner bool) criticality.Level {
-	if !inner && rank.Level >= criticality.SheddablePlus {
-		return criticality.Sheddable
-	}
-	return rank.Level
-}
-
 var schedulerReasons = map[scheduler.Reason]peering.Reason{
 	scheduler.QueueFull:  peering.QueueFull,
 	scheduler.Evicted:    peering.Evicted,
--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -45,6 +45,9 @@
 	Inner bool `cbor:"13,keyasint,omitempty"`
 	// Repeat tells that the request, or one that led to it, went to a target before.
 	Repeat bool `cbor:"14,keyasint,omitempty"`
+	// Done is the number of calls like this one that the request which makes it has
+	// behind it.
+	Done int `cbor:"17,keyasint,omitempty"`
 	// From is the address of the node that calls, and Digests say how far its
 	// copies of the store reach.
 	From    string           `cbor:"15,keyasint,omitempty"`
--- a/internal/scheduler/config.go
+++ b/internal/scheduler/config.go
@@ -30,9 +30,10 @@
 	Interval time.Duration
 	// ServiceQuantile is the quantile of recent latencies taken as the expected service time, between 0 and 1.
 	ServiceQuantile float64
-	// ByRank serves the calls of one level by their whole rank instead of by turns
-	// of callers, so that of requests with many calls each some get all of theirs
-	// and others none, and not all of them some.
+	// ByRank serves the calls of one level by what their requests have behind them
+	// and then by their whole rank, instead of by turns of callers, so that of
+	// requests with many calls each some get all of theirs and others none, and not
+	// all of them some.
 	ByRank bool
 	// FirstInFirstOut serves calls by arrival alone and evicts none. It is the
 	// baseline to measure the priority queue against; late calls are still dropped.
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -172,18 +172,27 @@
 	return c.newest
 }
 
-// mostImportant returns the waiter with the lowest rank key, the oldest among
-// equals. Its cost is one step per waiter.
+// mostImportant returns the waiter whose request has most calls behind it, of these
+// the one with the lowest rank key, the oldest among equals. Its cost is one step
+// per waiter.
 func (l *levelQueue) mostImportant() *waiter {
 	best := l.oldest
 	for w := l.oldest.newer; w != nil; w = w.newer {
-		if w.request.Rank.MoreImportantThan(best.request.Rank) {
+		if w.request.goesBefore(best.request) {
 			best = w
 		}
 	}
 	return best
 }
 
+// goesBefore reports whether the request goes before another of its level.
+func (r *Request) goesBefore(other Request) bool {
+	if r.Done != other.Done {
+		return r.Done > other.Done
+	}
+	return r.Rank.MoreImportantThan(other.Rank)
+}
+
 func (l *levelQueue) remove(w *waiter) {
 	if w.older == nil {
 		l.oldest = w.newer
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -263,6 +263,29 @@
 	})
 }
 
+// TestByRankServesWhatIsAlmostDoneFirst has calls of requests wait that have made
+// none, one and three calls before: inside a level the work that was done decides,
+// and what has none behind it goes by its rank, wherever it was made.
+func TestByRankServesWhatIsAlmostDoneFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1, scheduler.Config{ByRank: true, MaxWait: time.Minute})
+		done := func(l criticality.Level, cohort uint8, calls int) scheduler.Request {
+			request := ranked(l, cohort)
+			request.Done = calls
+			return request
+		}
+		calls := []*call{
+			b.start("busy", ranked(criticality.Critical, 0)),
+			b.start("first of a tree", done(criticality.SheddablePlus, 50, 0)),
+			b.start("alone", done(criticality.SheddablePlus, 9, 0)),
+			b.start("second", done(criticality.SheddablePlus, 100, 1)),
+			b.start("fourth", done(criticality.SheddablePlus, 120, 3)),
+			b.start("more important", done(criticality.CriticalPlus, 127, 0)),
+		}
+		assert.DeepEqual(t, b.drain(calls...), []string{"more important", "fourth", "second", "alone", "first of a tree"})
+	})
+}
+
 func TestAWaitOfTheCallsOwn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, 1, scheduler.Config{MaxWait: time.Minute})
