--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -388,6 +388,18 @@
 	assert.Equal(t, f.levels.Below("parent").Threshold, shed.None, "the reply's own threshold is the newest")
 }
 
+// TestALeavingHomesThresholdIsForgotten has a home that told that it has room say
+// that its target leaves: the full one's threshold must hold.
+func TestALeavingHomesThresholdIsForgotten(t *testing.T) {
+	f := newFixture(t, refusing(peering.TargetLeaving))
+	leaving := f.forwarder.directory.Homes("s")[0].Address
+	f.levels.Report("once", leaving, pressure.Level{Threshold: shed.None}, 10)
+	f.levels.Report("once", "full", pressure.Level{Threshold: 300}, 10)
+	assert.Assert(t, f.levels.Threshold("once") == shed.None)
+	f.do("POST", "/once/x", "a", "")
+	assert.Equal(t, f.levels.Threshold("once"), uint16(300))
+}
+
 func TestAStoppingNodeAsksCallersToClose(t *testing.T) {
 	f := newFixture(t, answered)
 	f.forwarder.Stop()
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -243,10 +243,13 @@
 func (f *Forwarder) heed(q *request, home *registry.Home, state *homeState, reply *peering.Reply) {
 	f.trust(state)
 	state.report(q.route.Name, reply.Load, f.homes.commonOf(q.route.Name), f.now())
-	if reply.Load.Limit > 0 {
-		f.levels.Report(q.route.Name, home.Address, pressure.Level{Threshold: reply.Load.Threshold, Calls: reply.Load.Calls, Scarce: reply.Load.Scarce}, reply.Load.Limit)
-	}
 	if reply.Outcome == peering.Refused && reply.Reason.Final() {
+		// One that takes nothing is no room for others.
 		state.depart(home, f.now())
+		f.levels.Remove(home.Address)
+		return
+	}
+	if reply.Load.Limit > 0 {
+		f.levels.Report(q.route.Name, home.Address, pressure.Level{Threshold: reply.Load.Threshold, Calls: reply.Load.Calls, Scarce: reply.Load.Scarce}, reply.Load.Limit)
 	}
 }
--- a/internal/pressure/pressure.go
+++ b/internal/pressure/pressure.go
@@ -138,6 +138,19 @@
 	}, now)
 }
 
+// Remove forgets the thresholds that a home told for any route, because it takes
+// no more calls. Its last ones would count as room.
+func (l *Levels) Remove(home string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for key := range l.reports {
+		if key.home == home {
+			delete(l.reports, key)
+			l.table.Remove(key.route, home)
+		}
+	}
+}
+
 // note keeps what was told of a route's calls.
 func (l *Levels) note(route string, level Level, now time.Time) {
 	known, found := l.told[route]
--- a/internal/pressure/pressure_test.go
+++ b/internal/pressure/pressure_test.go
@@ -35,6 +35,20 @@
 	assert.Assert(t, levels.Threshold("view") == shed.None)
 }
 
+// TestAHomeThatTakesNothingIsNoRoom has one of two homes leave that told before that
+// it has room: the other one's threshold holds.
+func TestAHomeThatTakesNothingIsNoRoom(t *testing.T) {
+	now := time.Unix(1000, 0)
+	levels := New(func() time.Time { return now })
+	levels.Report("view", "full", Level{Threshold: 200}, 10)
+	levels.Report("view", "leaving", Level{Threshold: shed.None}, 10)
+	assert.Assert(t, levels.Threshold("view") == shed.None)
+	levels.Remove("leaving")
+	assert.Equal(t, levels.Threshold("view"), uint16(200))
+	levels.Report("view", "leaving", Level{Threshold: shed.None}, 10)
+	assert.Assert(t, levels.Threshold("view") == shed.None, "it is back")
+}
+
 func TestARepeatedReportKeepsTheThreshold(t *testing.T) {
 	now := time.Unix(1000, 0)
 	levels := New(func() time.Time { return now })
