Keep large answers in their zone while there is time

Change: how much cheaper it must be grows with the usual size of the route's answers, up to 12, while calls usually take less than 0.4 of their objective; else it is 2 as before.

--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -17,8 +17,14 @@
 	crowding    = 2.0
 	filling     = 0.5
 	// remoteFactor is how much cheaper a home in another zone must be to be
-	// preferred to one in the node's own.
-	remoteFactor = 2.0
+	// preferred to one in the node's own. It grows by one with each bytesPerFactor of
+	// the usual answer, up to maxRemoteFactor, as these bytes cross between zones,
+	// while calls usually take no more than the part ampleTime of their objective:
+	// then nobody notices the time that it costs.
+	remoteFactor    = 2.0
+	maxRemoteFactor = 12.0
+	bytesPerFactor  = 500.0
+	ampleTime       = 0.4
 	// failureFactor is how much dearer a home is whose calls all fail, and
 	// onceFailureFactor that for requests that can't be repeated.
 	failureFactor     = 12.0
@@ -47,7 +53,7 @@
 func (f *Forwarder) candidates(q *request, now time.Time) []candidate {
 	homes := f.directory.Homes(q.service)
 	candidates := make([]candidate, 0, len(homes))
-	common := f.homes.commonOf(q.route.Name)
+	common := f.homes.usualOf(q.route.Name).latency
 	for _, home := range homes {
 		if contains(q.excluded, home) || contains(q.rejected, home) {
 			continue
@@ -75,7 +81,7 @@
 	candidates := f.candidates(q, now)
 	common := commonLatency(candidates)
 	if common > 0 {
-		f.homes.setCommon(q.route.Name, common)
+		f.homes.setLatency(q.route.Name, common)
 	}
 	errors := commonErrors(candidates)
 	for _, c := range candidates {
@@ -116,11 +122,21 @@
 		cost *= stoppingFactor
 	}
 	if c.home.Zone != f.config.Zone {
-		cost *= remoteFactor
+		cost *= f.remoteFactorOf(q.route)
 	}
 	return cost * (1 + jitter*rand.Float64())
 }
 
+// remoteFactorOf returns how much cheaper a home in another zone must be for calls
+// of the route.
+func (f *Forwarder) remoteFactorOf(route *routetable.Route) float64 {
+	usual := f.homes.usualOf(route.Name)
+	if usual.latency > time.Duration(ampleTime*float64(route.Objective)) {
+		return remoteFactor
+	}
+	return min(remoteFactor+usual.bytes/bytesPerFactor, maxRemoteFactor)
+}
+
 // expectedLatency returns how long a call at the home is likely to take. For a
 // request that must not run twice it is the worst of what is known; others can
 // go elsewhere, and load is spread better without the noise of few calls.
--- a/internal/forward/choose_test.go
+++ b/internal/forward/choose_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lugspur/lugspur/internal/peering"
+	"github.com/lugspur/lugspur/internal/routetable"
 	"github.com/lugspur/lugspur/internal/shed"
 )
 
@@ -153,3 +154,22 @@
 	good.do("GET", "/read/x", "running.1", "")
 	assert.Equal(t, len(good.forwarder.local.(*fakeHome).callsFailed), 0)
 }
+
+// TestLargeAnswersStayInTheirZone has answers of two sizes and looks at how much
+// cheaper a home in another zone must be.
+func TestLargeAnswersStayInTheirZone(t *testing.T) {
+	f := newFixture(t, answered)
+	route := &routetable.Route{Name: "read", Objective: time.Second}
+	assert.Equal(t, f.forwarder.remoteFactorOf(route), remoteFactor, "nothing is known")
+	for range 200 {
+		f.forwarder.homes.noteAnswer("read", 6000)
+	}
+	assert.Equal(t, f.forwarder.remoteFactorOf(route), maxRemoteFactor)
+	f.forwarder.homes.setLatency("read", 500*time.Millisecond)
+	assert.Equal(t, f.forwarder.remoteFactorOf(route), remoteFactor, "time is short")
+	for range 200 {
+		f.forwarder.homes.noteAnswer("small", 100)
+	}
+	small := f.forwarder.remoteFactorOf(&routetable.Route{Name: "small", Objective: time.Second})
+	assert.Assert(t, small > remoteFactor && small < remoteFactor+0.3, "%f", small)
+}
--- a/internal/forward/home.go
+++ b/internal/forward/home.go
@@ -192,25 +192,47 @@
 type homeTable struct {
 	mutex  sync.Mutex
 	states map[string]*homeState
-	// common holds the latencies of routes that stand for all homes.
-	common map[string]time.Duration
+	// usual holds what stands for all homes, by route.
+	usual map[string]usualCall
 }
 
-// setCommon notes the common latency of a route.
-func (t *homeTable) setCommon(route string, latency time.Duration) {
+// usualCall is how calls of one route usually go.
+type usualCall struct {
+	// latency is the common latency at all homes, zero if it is not known.
+	latency time.Duration
+	// bytes is the average size of an answer's body.
+	bytes float64
+}
+
+// bytesWeight is the part of the average size that one answer makes up.
+const bytesWeight = 1.0 / 32
+
+// setLatency notes the common latency of a route.
+func (t *homeTable) setLatency(route string, latency time.Duration) {
+	t.change(route, func(usual *usualCall) { usual.latency = latency })
+}
+
+// noteAnswer notes the size of an answer, in bytes.
+func (t *homeTable) noteAnswer(route string, bytes int) {
+	t.change(route, func(usual *usualCall) { usual.bytes += (float64(bytes) - usual.bytes) * bytesWeight })
+}
+
+func (t *homeTable) change(route string, apply func(*usualCall)) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if t.common == nil || len(t.common) >= maxLatencies {
-		t.common = make(map[string]time.Duration)
+	if t.usual == nil || len(t.usual) >= maxLatencies {
+		t.usual = make(map[string]usualCall)
 	}
-	t.common[route] = latency
+	usual := t.usual[route]
+	apply(&usual)
+	t.usual[route] = usual
 }
 
-// commonOf returns the common latency of a route, zero if it is not known.
-func (t *homeTable) commonOf(route string) time.Duration {
+// usualOf returns how calls of a route usually go.
+func (t *homeTable) usualOf(route string) usualCall {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.common[route]
+	return t.usual[route]
 }
 
 func (t *homeTable) state(address string) *homeState {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -242,13 +242,16 @@
 // heed takes what a reply tells of the home.
 func (f *Forwarder) heed(q *request, home *registry.Home, state *homeState, reply *peering.Reply) {
 	f.trust(state)
-	state.report(q.route.Name, reply.Load, f.homes.commonOf(q.route.Name), f.now())
+	state.report(q.route.Name, reply.Load, f.homes.usualOf(q.route.Name).latency, f.now())
 	if reply.Outcome == peering.Refused && reply.Reason.Final() {
 		// One that takes nothing is no room for others.
 		state.depart(home, f.now())
 		f.levels.Remove(home.Address)
 		return
 	}
+	if reply.Outcome == peering.Answered {
+		f.homes.noteAnswer(q.route.Name, len(reply.Body))
+	}
 	if reply.Load.Limit > 0 {
 		f.levels.Report(q.route.Name, home.Address, pressure.Level{Threshold: reply.Load.Threshold, Calls: reply.Load.Calls, Scarce: reply.Load.Scarce}, reply.Load.Limit)
 	}
--- a/internal/forward/simulation_test.go
+++ b/internal/forward/simulation_test.go
@@ -110,7 +110,7 @@
 		ended.done()
 		load := peering.Load{Limit: 36, Latency: ended.took, Threshold: shed.None}
 		f := s.forwarder
-		f.homes.state(ended.home.Address).report(s.route.Name, load, f.homes.commonOf(s.route.Name), s.now)
+		f.homes.state(ended.home.Address).report(s.route.Name, load, f.homes.usualOf(s.route.Name).latency, s.now)
 	}
 	s.now = to
 }
