Serve on while the store is away; take no request that may not end before the node does

Cause: a node that restarts while the store is silent holds its target back until the store tells what was acknowledged (up to 5 s), so that a rolling restart took a service's homes away. A stopping node also took requests to the last moment of its grace time and cut them. Ruled out: adopting the target without the store (nothing proves that no process in between acknowledged a departure and was killed; a heartbeat to an address of this process's own would prove it, but the form of heartbeat-url is not told: listed as a question). Change: while the store is away a stopping node stays to the end of its grace time and admits calls that are sure to end by then (ten times the usual time). Requests that may not end are refused at once, with when to come back.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -107,6 +107,9 @@
 	homes    homeTable
 	splitter routetable.Splitter
 	stopping atomic.Bool
+	// ending is the moment by which all requests must have ended, nil if there is
+	// none.
+	ending   atomic.Pointer[time.Time]
 	inFlight atomic.Int64
 	// made is when the forwarder was made, and arrived how much later the last
 	// request came. Both are told by the steady clock.
@@ -141,6 +144,9 @@
 // Stop makes every answer ask its caller to close the connection.
 func (f *Forwarder) Stop() { f.stopping.Store(true) }
 
+// EndBy refuses later requests that may not have ended by the moment.
+func (f *Forwarder) EndBy(moment time.Time) { f.ending.Store(&moment) }
+
 // Heard notes a sign of life of a peer: one that is passed over is asked at once
 // whether calls reach it.
 func (f *Forwarder) Heard(address string) {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -404,6 +404,21 @@
 	assert.Equal(t, f.levels.Threshold("once"), uint16(300))
 }
 
+// TestBeforeItsEndANodeTakesWhatIsSureToEnd has a node end soon. Requests that may
+// take longer are told at once that they have not run.
+func TestBeforeItsEndANodeTakesWhatIsSureToEnd(t *testing.T) {
+	f := newFixture(t, answered)
+	f.forwarder.EndBy(time.Now().Add(testTimeout / 2))
+	answer := f.do("POST", "/once/x", "a", "")
+	assert.Equal(t, answer.Code, http.StatusServiceUnavailable, "nothing is known of the route")
+	assert.Assert(t, answer.Header().Get("Retry-After") != "")
+	f.forwarder.homes.setLatency("once", time.Millisecond)
+	assert.Equal(t, f.do("POST", "/once/x", "a", "").Code, 200)
+	f.forwarder.homes.setLatency("once", testTimeout/4)
+	assert.Equal(t, f.do("POST", "/once/x", "a", "").Code, http.StatusServiceUnavailable)
+	assert.Equal(t, f.calls(), 1)
+}
+
 func TestAStoppingNodeAsksCallersToClose(t *testing.T) {
 	f := newFixture(t, answered)
 	f.forwarder.Stop()
--- a/internal/forward/receive.go
+++ b/internal/forward/receive.go
@@ -57,6 +57,9 @@
 		return q, f.problem(problem.BadRequest, problem.ExecutedNo, "receive", "no request id")
 	}
 	q.deadline = started.Add(f.timeoutOf(q.route, r.Header))
+	if !f.endsInTime(q) {
+		return q, f.problem(problem.NotReady, problem.ExecutedNo, "receive", "the node is about to end").WithRetryDelay(notReadyDelay)
+	}
 	parent := f.parentOf(q)
 	q.rank = parent.Rank
 	q.policyCall = f.policyCallOf(q, r)
@@ -91,6 +94,27 @@
 	return q, nil
 }
 
+const (
+	// sureFactor is how many times the usual time a request is surely answered in,
+	// and leastSure the least such time.
+	sureFactor = 10
+	leastSure  = 600 * time.Millisecond
+)
+
+// endsInTime reports whether the request has surely ended before the node's end.
+// Where the usual time is not known, all of the time that it has counts.
+func (f *Forwarder) endsInTime(q *request) bool {
+	ending := f.ending.Load()
+	if ending == nil {
+		return true
+	}
+	needed := q.deadline.Sub(q.arrived)
+	if usual := f.homes.usualOf(q.route.Name).latency; usual > 0 {
+		needed = min(max(sureFactor*usual, leastSure), needed)
+	}
+	return !q.arrived.Add(needed).After(*ending)
+}
+
 // headerBytes returns the size of a request's header fields, in bytes.
 func headerBytes(r *http.Request) int64 {
 	const separators = 4
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -59,6 +59,8 @@
 
 	stopping atomic.Bool
 	closed   atomic.Bool
+	// ending is the moment by which all calls must have ended, nil if there is none.
+	ending   atomic.Pointer[time.Time]
 	inFlight atomic.Int64
 	current  atomic.Pointer[incarnation]
 	running  runningTable
@@ -145,6 +147,27 @@
 // admitted, as this may be the last home of the service.
 func (g *Guard) Stop() { g.stopping.Store(true) }
 
+// EndBy refuses later calls that may not have ended by the moment. Calls in flight
+// go on.
+func (g *Guard) EndBy(moment time.Time) { g.ending.Store(&moment) }
+
+const (
+	// sureFactor is how many times the usual time a call is surely done in, and
+	// leastSure the least such time: a few times the longest work of quick calls.
+	sureFactor = 10
+	leastSure  = 600 * time.Millisecond
+)
+
+// endsInTime reports whether a call of the route that begins now has surely ended
+// before the guard's end.
+func (g *Guard) endsInTime(i *incarnation, route string, now time.Time) bool {
+	ending := g.ending.Load()
+	if ending == nil {
+		return true
+	}
+	return !now.Add(max(sureFactor*i.record.latency(route, now), leastSure)).After(*ending)
+}
+
 // Close refuses all later calls; calls in flight go on.
 func (g *Guard) Close() { g.closed.Store(true) }
 
@@ -219,6 +242,8 @@
 		return refused(peering.NoTarget), callTimes{}
 	case i.leaving.Load():
 		return refused(peering.TargetLeaving), callTimes{}
+	case !g.endsInTime(i, call.Route, started):
+		return refused(peering.Stopping), callTimes{}
 	case i.reach.paused(started):
 		return refused(peering.NoTarget), callTimes{}
 	}
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -240,6 +240,28 @@
 	assert.Equal(t, g.Run(context.Background(), call("b")).Reason, peering.Stopping)
 }
 
+// TestBeforeItsEndAGuardAdmitsWhatIsSureToEnd has the guard know that calls of one
+// route take long, and an end that only quick calls are sure to meet.
+func TestBeforeItsEndAGuardAdmitsWhatIsSureToEnd(t *testing.T) {
+	address := rawTarget(t, func(connection net.Conn, request *http.Request) {
+		fmt.Fprintf(connection, good, request.Header.Get("X-Id"))
+	})
+	g := guardOf(address)
+	for range 10 {
+		g.current.Load().record.ended("slow", &peering.Reply{Outcome: peering.Answered}, time.Second, time.Now())
+	}
+	run := func(route string) peering.Reason {
+		c := call("a")
+		c.Route = route
+		return g.Run(context.Background(), c).Reason
+	}
+	g.EndBy(time.Now().Add(5 * time.Second))
+	assert.Equal(t, run("quick"), peering.Reason(""))
+	assert.Equal(t, run("slow"), peering.Stopping)
+	g.EndBy(time.Now().Add(leastSure / 2))
+	assert.Equal(t, run("quick"), peering.Stopping)
+}
+
 func TestRunningRequestsAreKnownByTheirIDs(t *testing.T) {
 	release := make(chan struct{})
 	address := rawTarget(t, func(connection net.Conn, request *http.Request) {
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -25,8 +25,8 @@
 // stop ends the node without cutting a request: it tells peers to prefer other
 // homes and callers to close their connections, serves what still comes, refuses
 // calls to its target after a while, and ends once nothing is in flight or the
-// grace time is over. Its record stays
-// in the store until its lease ends: peers are told by the first refusal, and
+// grace time is over. While the store is away it serves on as long as it can. Its
+// record stays in the store until its lease ends: peers are told by the first refusal, and
 // one that starts again at the address writes a new one, so that a removal would
 // only wake every node once more.
 func (n *Node) stop() {
@@ -35,17 +35,31 @@
 	n.stopping.Store(true)
 	n.guard.Stop()
 	n.forwarder.Stop()
-	for time.Since(started) < n.settings.grace()-stopMargin && !n.idle(started) {
+	end := started.Add(n.settings.grace() - stopMargin)
+	for time.Now().Before(end) && !n.idle(started) {
 		if time.Since(started) >= min(admitFor, n.settings.grace()/2) {
-			n.guard.Close()
+			n.endAdmission(end)
 		}
 		time.Sleep(stopPoll)
 	}
-	n.shutDown(started.Add(n.settings.grace() - stopMargin))
+	n.shutDown(end)
 	n.calls.record()
 	n.log.Record(eventlog.Event{Kind: eventlog.ProcessStopped, Count: n.inFlight()})
 }
 
+// endAdmission refuses requests that may not end in time, and further calls to the
+// target. While the store is away it still admits those calls that are sure to end
+// in time: the process that comes next can't serve the target before the store
+// tells it what was acknowledged.
+func (n *Node) endAdmission(end time.Time) {
+	n.forwarder.EndBy(end)
+	if n.gate.Reachable() {
+		n.guard.Close()
+		return
+	}
+	n.guard.EndBy(end)
+}
+
 // shutDown closes listeners and idle connections and waits for requests that came
 // at the last moment, so that none is read and left without an answer.
 func (n *Node) shutDown(deadline time.Time) {
@@ -60,8 +74,8 @@
 
 func (n *Node) inFlight() int { return int(n.forwarder.InFlight() + n.guard.InFlight()) }
 
-// idle reports whether the node may end: its stop was noticed, and nothing came
-// for a while or is in flight.
+// idle reports whether the node may end: its stop was noticed, the store is there
+// for the process that comes next, and nothing came for a while or is in flight.
 func (n *Node) idle(stopStarted time.Time) bool {
-	return time.Since(stopStarted) >= announce && n.inFlight() == 0 && n.forwarder.QuietFor() >= quiet
+	return n.gate.Reachable() && time.Since(stopStarted) >= announce && n.inFlight() == 0 && n.forwarder.QuietFor() >= quiet
 }
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -8,8 +9,34 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/lugspur/lugspur/internal/store"
 )
 
+// TestANodeServesOnWhileTheStoreIsAway has a node stop whose store does not answer:
+// it does not end early, and ends admission only for calls that may take too long.
+func TestANodeServesOnWhileTheStoreIsAway(t *testing.T) {
+	settings := Settings{Name: "n", Zone: "z", Service: "s", Target: "127.0.0.1:1", Store: "127.0.0.1:1", Retries: RetrySettings{WindowSeconds: 10}}
+	n, err := New(settings, io.Discard)
+	assert.NilError(t, err)
+	longAgo := time.Now().Add(-time.Hour)
+	assert.Assert(t, n.forwarder.QuietFor() < time.Hour)
+	time.Sleep(quiet)
+	assert.Assert(t, n.idle(longAgo), "the store is there")
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err = n.gate.Wrap(awayStore{}).Get(ctx, "key")
+	assert.Assert(t, err != nil)
+	assert.Assert(t, !n.idle(longAgo))
+}
+
+// awayStore is a store that does not answer.
+type awayStore struct{ store.Store }
+
+func (awayStore) Get(context.Context, string) (store.Entry, error) {
+	return store.Entry{}, store.ErrUnavailable
+}
+
 // TestARequestAtTheLastMomentIsAnswered has the node end while a request that has
 // just come is worked on.
 func TestARequestAtTheLastMomentIsAnswered(t *testing.T) {
