Let homes that stop while the store is away not all end as it comes back

Change: a node that serves on ends once the store is back and another home serves; of homes that all stop, the one with the least address stays.

--- a/internal/forward/choose_test.go
+++ b/internal/forward/choose_test.go
@@ -173,3 +173,27 @@
 	small := f.forwarder.remoteFactorOf(&routetable.Route{Name: "small", Objective: time.Second})
 	assert.Assert(t, small > remoteFactor && small < remoteFactor+0.3, "%f", small)
 }
+
+// TestHomesThatStopDontRelyOnEachOther looks at whether others serve the node's own
+// service, which all homes of the fixture have.
+func TestHomesThatStopDontRelyOnEachOther(t *testing.T) {
+	f := newFixture(t, answered, answered)
+	f.forwarder.config.Service = "s"
+	homes := f.forwarder.directory.Homes("s")
+	first, last := homes[0].Address, homes[1].Address
+	if last < first {
+		first, last = last, first
+	}
+	others := func(own string) bool {
+		f.forwarder.config.Address = own
+		return f.forwarder.OthersServe()
+	}
+	assert.Assert(t, others(first) && others(last))
+	for _, address := range []string{first, last} {
+		f.forwarder.homes.state(address).report("read", peering.Load{Limit: 10, Stopping: true}, 0, time.Now())
+	}
+	assert.Assert(t, !others(first), "only one that is about to stop itself is left")
+	assert.Assert(t, others(last), "the one with the least address stays")
+	f.forwarder.homes.state(first).suspect(time.Now())
+	assert.Assert(t, !others(last))
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -144,6 +144,23 @@
 // Stop makes every answer ask its caller to close the connection.
 func (f *Forwarder) Stop() { f.stopping.Store(true) }
 
+// OthersServe reports whether the service of the target beside the node would be
+// served without it. Of homes that are all about to stop the one with the least
+// address counts, so that they don't rely on each other.
+func (f *Forwarder) OthersServe() bool {
+	now := f.now()
+	for _, home := range f.directory.Homes(f.config.Service) {
+		if home.Address == f.config.Address {
+			continue
+		}
+		state := f.homes.state(home.Address)
+		if state.usable(home, now) && (!state.isStopping(now) || home.Address < f.config.Address) {
+			return true
+		}
+	}
+	return false
+}
+
 // EndBy refuses later requests that may not have ended by the moment.
 func (f *Forwarder) EndBy(moment time.Time) { f.ending.Store(&moment) }
 
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -36,9 +36,14 @@
 	n.guard.Stop()
 	n.forwarder.Stop()
 	end := started.Add(n.settings.grace() - stopMargin)
-	for time.Now().Before(end) && !n.idle(started) {
-		if time.Since(started) >= min(admitFor, n.settings.grace()/2) {
-			n.endAdmission(end)
+	admission := started.Add(min(admitFor, n.settings.grace()/2))
+	for time.Now().Before(admission) {
+		time.Sleep(stopPoll)
+	}
+	servesOn := n.endAdmission(end)
+	for time.Now().Before(end) && (servesOn || !n.idle(started)) {
+		if servesOn && n.gate.Reachable() && n.forwarder.OthersServe() {
+			servesOn = n.endAdmission(end)
 		}
 		time.Sleep(stopPoll)
 	}
@@ -49,15 +54,17 @@
 
 // endAdmission refuses requests that may not end in time, and further calls to the
 // target. While the store is away it still admits those calls that are sure to end
-// in time: the process that comes next can't serve the target before the store
-// tells it what was acknowledged.
-func (n *Node) endAdmission(end time.Time) {
+// in time, and reports that the node is to serve on until its end: the process that
+// comes next can't serve the target before the store tells it what was
+// acknowledged.
+func (n *Node) endAdmission(end time.Time) (servesOn bool) {
 	n.forwarder.EndBy(end)
 	if n.gate.Reachable() {
 		n.guard.Close()
-		return
+		return false
 	}
 	n.guard.EndBy(end)
+	return true
 }
 
 // shutDown closes listeners and idle connections and waits for requests that came
@@ -74,8 +81,8 @@
 
 func (n *Node) inFlight() int { return int(n.forwarder.InFlight() + n.guard.InFlight()) }
 
-// idle reports whether the node may end: its stop was noticed, the store is there
-// for the process that comes next, and nothing came for a while or is in flight.
+// idle reports whether the node may end: its stop was noticed, and nothing came
+// for a while or is in flight.
 func (n *Node) idle(stopStarted time.Time) bool {
-	return n.gate.Reachable() && time.Since(stopStarted) >= announce && n.inFlight() == 0 && n.forwarder.QuietFor() >= quiet
+	return time.Since(stopStarted) >= announce && n.inFlight() == 0 && n.forwarder.QuietFor() >= quiet
 }
