Keep whole requests in the log under load; test that a full part's requests are not moved

Change: the hash of a request's id picks which requests are kept, alike on all nodes; failures and refused calls of admitted requests have a bound of their own; what is left out is told by kind; explain says so of a request without lines. Tests at ten times the bound.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -1,7 +1,11 @@
 // Package eventlog writes one JSON line for each decision that touches a
 // request or changes what the process believes. Recording an event never
-// blocks: events wait in a bounded buffer, the least telling kinds are left out
-// first when it fills, and what was left out is counted.
+// blocks: events wait in a bounded buffer, and what is left out is counted.
+//
+// Under load the log keeps whole requests instead of events at random. Which ones
+// follows from the hash of a request's id alone, so that all nodes keep the same:
+// one that keeps fewer keeps a part of what the others keep. Failures are thinned
+// later than refusals, and these later than successes.
 package eventlog
 
 import "time"
@@ -45,10 +49,14 @@
 type class uint8
 
 const (
-	// belief and failure events are left out only when the buffer is full.
+	// belief events tell what the process believes of others and of itself.
 	belief class = iota
+	// failure events tell of requests that failed, and of refused calls of requests
+	// that were admitted.
+	failure
 	refusal
 	success
+	classCount
 )
 
 type kindInfo struct {
@@ -78,13 +86,13 @@
 	AdmissionChanged:      {"admission-changed", belief, "count is the shed threshold as a share of all ranks, in percent; reason is the queueing delay that moved it"},
 	RequestAnswered:       {"request-answered", success, "a target's answer went back to the caller"},
 	RequestRefused:        {"request-refused", refusal, "the request was refused without having run; wait is when to come back"},
-	RequestFailed:         {"request-failed", belief, "the request failed and may have run"},
+	RequestFailed:         {"request-failed", failure, "the request failed and may have run"},
 	RequestRetried:        {"request-retried", refusal, "the request goes to another home; reason is why the one before did not do"},
 	RequestAbandoned:      {"request-abandoned", refusal, "the caller left before the answer"},
 	CallRefused:           {"call-refused", refusal, "the home beside the target refused a call; count is the queue's length"},
-	CallFailed:            {"call-failed", belief, "the exchange with the target brought no usable answer"},
+	CallFailed:            {"call-failed", failure, "the exchange with the target brought no usable answer"},
 	StoreCalls:            {"store-calls", belief, "count calls to the store since the line before; outcome lists them by purpose, call and outcome"},
-	EventsLost:            {"events-lost", belief, "count events were left out of the log since the line before"},
+	EventsLost:            {"events-lost", belief, "count events were left out of the log since the line before; outcome tells how many of each kind"},
 }
 
 // String returns the name that log lines and metrics carry.
--- a/internal/eventlog/log.go
+++ b/internal/eventlog/log.go
@@ -3,7 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
+	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -23,8 +26,11 @@
 	// Buffer is the number of events that may wait for the writer.
 	Buffer int
 	// SuccessPerSecond, RefusalPerSecond and FailurePerSecond bound the lines of
-	// each class.
+	// each class. Changes of belief have the bound of failures for themselves.
 	SuccessPerSecond, RefusalPerSecond, FailurePerSecond int
+	// RootOf returns the id of the request that the one with the given id belongs to;
+	// nil means that each stands for itself.
+	RootOf func(id string) string
 }
 
 // record is an event with the time of the decision.
@@ -36,14 +42,15 @@
 // Log records events. It is safe for concurrent use; a nil *Log records
 // nothing.
 type Log struct {
-	rates   [3]rate
-	events  chan record
-	counts  [kindCount]atomic.Uint64
-	lost    atomic.Uint64
-	written atomic.Uint64
-	entry   *logrus.Entry
-	out     *bufio.Writer
-	now     func() time.Time
+	rootOf   func(id string) string
+	samplers [classCount]sampler
+	events   chan record
+	counts   [kindCount]atomic.Uint64
+	lost     [kindCount]atomic.Uint64
+	written  atomic.Uint64
+	entry    *logrus.Entry
+	out      *bufio.Writer
+	now      func() time.Time
 }
 
 // New returns a log that writes to out, each line with the node's name.
@@ -51,14 +58,19 @@
 	buffered := bufio.NewWriterSize(out, writeBufferBytes)
 	logger := &logrus.Logger{Out: buffered, Formatter: &logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano}, Level: logrus.InfoLevel, Hooks: logrus.LevelHooks{}}
 	l := &Log{
+		rootOf: config.RootOf,
 		events: make(chan record, positiveOr(config.Buffer, DefaultBuffer)),
 		entry:  logger.WithField("node", node),
 		out:    buffered,
 		now:    now,
 	}
-	l.rates[success].perSecond = int64(positiveOr(config.SuccessPerSecond, DefaultSuccessPerSecond))
-	l.rates[refusal].perSecond = int64(positiveOr(config.RefusalPerSecond, DefaultRefusalPerSecond))
-	l.rates[belief].perSecond = int64(positiveOr(config.FailurePerSecond, DefaultFailurePerSecond))
+	if l.rootOf == nil {
+		l.rootOf = func(id string) string { return id }
+	}
+	l.samplers[success].perSecond = positiveOr(config.SuccessPerSecond, DefaultSuccessPerSecond)
+	l.samplers[refusal].perSecond = positiveOr(config.RefusalPerSecond, DefaultRefusalPerSecond)
+	l.samplers[failure].perSecond = positiveOr(config.FailurePerSecond, DefaultFailurePerSecond)
+	l.samplers[belief].perSecond = positiveOr(config.FailurePerSecond, DefaultFailurePerSecond)
 	return l
 }
 
@@ -79,15 +91,27 @@
 	}
 	l.counts[event.Kind].Add(1)
 	now := l.now()
-	if !l.rates[kinds[event.Kind].class].allow(now.Unix()) {
-		l.lost.Add(1)
+	root := l.rootOf(event.Request)
+	if !l.samplers[event.classUnder(root)].allow(now.Unix(), root) {
+		l.lost[event.Kind].Add(1)
 		return
 	}
 	select {
 	case l.events <- record{at: now, event: event}:
 	default:
-		l.lost.Add(1)
+		l.lost[event.Kind].Add(1)
+	}
+}
+
+// classUnder returns the class of an event that touches a request which belongs to
+// the given one.
+func (e *Event) classUnder(root string) class {
+	answeredFailure := e.Kind == RequestAnswered && e.Status >= http.StatusInternalServerError
+	refusedWithin := (e.Kind == RequestRefused || e.Kind == CallRefused) && e.Request != root
+	if answeredFailure || refusedWithin {
+		return failure
 	}
+	return kinds[e.Kind].class
 }
 
 // Counts calls visit with the number of events of each kind.
@@ -98,7 +122,13 @@
 }
 
 // Lost returns the number of events that were not written.
-func (l *Log) Lost() uint64 { return l.lost.Load() }
+func (l *Log) Lost() uint64 {
+	total := uint64(0)
+	for kind := range l.lost {
+		total += l.lost[kind].Load()
+	}
+	return total
+}
 
 // Run writes events until the context ends, and then those that wait.
 func (l *Log) Run(ctx context.Context) {
@@ -133,23 +163,36 @@
 	}
 }
 
-// toldLoss is the number of lost events told last, and when.
+// toldLoss is the number of lost events of each kind told last, and when.
 type toldLoss struct {
-	lost uint64
+	lost [kindCount]uint64
 	at   time.Time
 }
 
 // tellLossEvery bounds the lines that tell of lost events.
 const tellLossEvery = time.Second
 
-// tellLost writes how many events were lost since the count told before.
+// tellLost writes how many events were lost since those told before.
 func (l *Log) tellLost(told toldLoss) toldLoss {
-	lost, now := l.lost.Load(), l.now()
-	if lost == told.lost || now.Sub(told.at) < tellLossEvery {
+	now := l.now()
+	if now.Sub(told.at) < tellLossEvery {
 		return told
 	}
-	l.write(record{at: now, event: Event{Kind: EventsLost, Count: int(lost - told.lost)}})
-	return toldLoss{lost: lost, at: now}
+	next := toldLoss{at: now}
+	total := 0
+	var parts []string
+	for kind := range kindCount {
+		next.lost[kind] = l.lost[kind].Load()
+		if more := next.lost[kind] - told.lost[kind]; more > 0 {
+			total += int(more)
+			parts = append(parts, fmt.Sprintf("%s %d", kind, more))
+		}
+	}
+	if total == 0 {
+		return told
+	}
+	l.write(record{at: now, event: Event{Kind: EventsLost, Count: total, Outcome: strings.Join(parts, ", ")}})
+	return next
 }
 
 func (l *Log) write(r record) {
@@ -192,28 +235,3 @@
 	span("duration_ms", e.Duration)
 	return fields
 }
-
-// rate allows a number of events in each second of the clock.
-type rate struct {
-	perSecond int64
-	// window holds the second in the upper part and the count in the lower.
-	window atomic.Int64
-}
-
-const countBits = 20
-
-func (r *rate) allow(second int64) bool {
-	for {
-		old := r.window.Load()
-		next := second<<countBits | 1
-		if old>>countBits == second {
-			if old&(1<<countBits-1) >= r.perSecond {
-				return false
-			}
-			next = old + 1
-		}
-		if r.window.CompareAndSwap(old, next) {
-			return true
-		}
-	}
-}
--- a/internal/eventlog/log_test.go
+++ b/internal/eventlog/log_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"os"
 	"strings"
@@ -68,6 +69,67 @@
 	assert.Equal(t, log.Lost(), uint64(9))
 }
 
+// TestWholeRequestsAreKeptUnderLoad records ten times as many events as the bound on
+// two nodes, each request's own one and one of a call that it made. After the first
+// seconds both nodes keep the same requests, and of a kept one every event.
+func TestWholeRequestsAreKeptUnderLoad(t *testing.T) {
+	const perSecond, seconds, settled = 40, 20, 5
+	rootOf := func(id string) string {
+		root, _, _ := strings.Cut(id, ".")
+		return root
+	}
+	at := time.Unix(1000, 0)
+	kept := make([]map[string]int, 2)
+	logs := make([]*Log, 2)
+	for node := range logs {
+		kept[node] = make(map[string]int)
+		logs[node] = New(Config{Buffer: 1 << 12, FailurePerSecond: perSecond, RootOf: rootOf}, "node", io.Discard, func() time.Time { return at })
+	}
+	lines := 0
+	for second := range seconds {
+		for i := range 5 * perSecond {
+			root := fmt.Sprintf("%d-%d", second, i)
+			for _, log := range logs {
+				log.Record(Event{Kind: RequestFailed, Request: root})
+				log.Record(Event{Kind: CallRefused, Request: root + ".call"})
+			}
+		}
+		for node, log := range logs {
+			for len(log.events) > 0 {
+				event := (<-log.events).event
+				lines++
+				if second >= settled {
+					kept[node][rootOf(event.Request)]++
+				}
+			}
+		}
+		at = at.Add(time.Second)
+	}
+	assert.Assert(t, lines <= 2*perSecond*seconds, "%d lines", lines)
+	assert.Assert(t, len(kept[0]) > perSecond/fewShare, "%d requests are kept", len(kept[0]))
+	assert.DeepEqual(t, kept[0], kept[1])
+	for request, events := range kept[0] {
+		assert.Equal(t, events, 2, "the events of %s", request)
+	}
+	assert.Equal(t, logs[0].Lost()+uint64(lines/2), uint64(10*perSecond*seconds))
+}
+
+// TestWhatIsLeftOutIsToldByKind has more refusals than the bound.
+func TestWhatIsLeftOutIsToldByKind(t *testing.T) {
+	var out bytes.Buffer
+	at := time.Unix(1000, 0)
+	log := New(Config{RefusalPerSecond: 1}, "node-1", &out, func() time.Time { return at })
+	for range 4 {
+		log.Record(Event{Kind: RequestRefused, Request: "a"})
+	}
+	log.tellLost(toldLoss{})
+	assert.NilError(t, log.out.Flush())
+	var line map[string]any
+	assert.NilError(t, json.Unmarshal(out.Bytes(), &line))
+	assert.Equal(t, line["count"], 3.0)
+	assert.Equal(t, line["outcome"], "request-refused 3")
+}
+
 func TestThePageListsEveryKind(t *testing.T) {
 	page, err := os.ReadFile("../../docs/LOGS.md")
 	assert.NilError(t, err)
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -13,6 +13,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/lugspur/lugspur/internal/eventlog"
 )
 
 // line is what explain reads of a log line.
@@ -42,6 +44,8 @@
 	request string
 	own     []line
 	beliefs []line
+	// leftOut is the number of events that the logs read left out.
+	leftOut int
 }
 
 // ErrNotFound means that no line tells of the request.
@@ -50,6 +54,9 @@
 // NewStory returns an empty story of the request.
 func NewStory(request string) *Story { return &Story{request: request} }
 
+// leftOutMessage is that of lines which count events that were left out.
+var leftOutMessage = eventlog.EventsLost.String()
+
 // maxLine bounds a line that is read, in bytes.
 const maxLine = 1 << 20
 
@@ -73,6 +80,9 @@
 }
 
 func (s *Story) take(l line) {
+	if l.Message == leftOutMessage {
+		s.leftOut += l.Count
+	}
 	switch {
 	case l.Request == s.request || strings.HasPrefix(l.Request, s.request+"."):
 		s.own = append(s.own, l)
@@ -88,7 +98,8 @@
 // Print writes the story in order of time.
 func (s *Story) Print(out io.Writer) error {
 	if len(s.own) == 0 {
-		return fmt.Errorf("request %s: %w", s.request, ErrNotFound)
+		return fmt.Errorf("request %s: %w (these logs left out %d events; under load they keep the requests that the hash of their ids picks)",
+			s.request, ErrNotFound, s.leftOut)
 	}
 	byTime := func(a, b line) int { return cmp.Compare(a.Time.UnixNano(), b.Time.UnixNano()) }
 	slices.SortStableFunc(s.own, byTime)
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -419,6 +419,32 @@
 	assert.Equal(t, f.calls(), 1)
 }
 
+// TestWhatDoesNotFitIntoAPartIsNotMoved has one part of a route's weighted services
+// refuse everything: its share of the requests is refused, and the other part gets
+// no more than its own.
+func TestWhatDoesNotFitIntoAPartIsNotMoved(t *testing.T) {
+	const requests, weightOff = 300, 0.1
+	f := newFixture(t, answered, refusing(peering.QueueFull))
+	full := f.forwarder.directory.Homes("s")[1]
+	record, err := cbor.Marshal(registry.Record{Instance: "i-full", Service: "full", Zone: "z", Address: full.Address, Slots: 10, State: registry.Ready})
+	assert.NilError(t, err)
+	f.forwarder.directory.Change([]store.Entry{{Key: "homes/" + full.Address, Value: record, Revision: 100}}, "store")
+	f.forwarder.routes.Offer(&routetable.Configuration{Version: 5, Routes: []routetable.Route{{Name: "split", Host: "a.example", Prefix: "/split/", Kind: routetable.Once,
+		Timeout: testTimeout, Objective: time.Second, Services: []routetable.WeightedService{{Name: "s", Weight: 70}, {Name: "full", Weight: 30}}}}})
+	answered, refused := 0, 0
+	for i := range requests {
+		switch f.do("POST", "/split/x", strconv.Itoa(i), "").Code {
+		case http.StatusOK:
+			answered++
+		case http.StatusServiceUnavailable:
+			refused++
+		}
+	}
+	assert.Equal(t, answered+refused, requests)
+	share := float64(answered) / requests
+	assert.Assert(t, share > 0.7-weightOff && share < 0.7+weightOff, "%.2f", share)
+}
+
 func TestAStoppingNodeAsksCallersToClose(t *testing.T) {
 	f := newFixture(t, answered)
 	f.forwarder.Stop()
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -86,7 +86,7 @@
 		return nil, oops.In("sidecar").With("step", "compile policies").Wrapf(err, "compile policies")
 	}
 	n := &Node{policies: routepolicy.NewHolder(policies), sources: settings.Policies, settings: settings, routes: &routetable.Holder{}, started: time.Now()}
-	n.log = eventlog.New(eventlog.Config{}, settings.Name, output, time.Now)
+	n.log = eventlog.New(eventlog.Config{RootOf: platform.RootOf}, settings.Name, output, time.Now)
 	n.metrics = newMetrics(n.log)
 	n.provisionStore()
 	n.feed = configfeed.New(platform.ConfigurationKey, platform.Configuration, n.routes, n.log, time.Now)
