Use other zones once the own one is full; tell repetitions scarce only where they are

Large answers (bookings 5 KB) were held in their zone by a factor of 12 while a third of the nodes was cut off and the homes left in the zone were full; and a home that had just started told that repetitions are scarce until it had earned four, so that with nodes restarting all the time no call with calls of its own was repeated anywhere. Change: the factor holds only while a home of the own zone has room and does well, and for the first offer; repetitions count as ample from half of what can be saved up.

--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -25,6 +25,10 @@
 	maxRemoteFactor = 12.0
 	bytesPerFactor  = 500.0
 	ampleTime       = 0.4
+	// roomy is the occupancy under which a home has room for more calls, and
+	// fewFailures the part of failed calls under which it does well.
+	roomy       = 0.85
+	fewFailures = 0.1
 	// failureFactor is how much dearer a home is whose calls all fail, and
 	// onceFailureFactor that for requests that can't be repeated.
 	failureFactor     = 12.0
@@ -84,11 +88,15 @@
 		f.homes.setLatency(q.route.Name, common)
 	}
 	errors := commonErrors(candidates)
+	remote := remoteFactor
+	if len(q.excluded) == 0 && f.roomInZone(candidates, now) {
+		remote = f.remoteFactorOf(q.route)
+	}
 	for _, c := range candidates {
 		excess := max(c.standing.errors-errors, 0)
 		c.standing.failures += excess * (1 - c.standing.failures)
 		latency := expectedLatency(c.standing, common, q.route.Kind)
-		cost := f.cost(q, c, latency, q.deadline.Sub(now))
+		cost := f.cost(q, c, latency, q.deadline.Sub(now), remote)
 		switch {
 		case c.state.usable(c.home, now):
 			if cost < least {
@@ -105,8 +113,9 @@
 }
 
 // cost returns what a call at the home is expected to cost, in seconds of
-// latency. The part of calls that fail weighs many times as much.
-func (f *Forwarder) cost(q *request, c candidate, latency, remaining time.Duration) float64 {
+// latency. The part of calls that fail weighs many times as much, and a home in
+// another zone remote times as much.
+func (f *Forwarder) cost(q *request, c candidate, latency, remaining time.Duration, remote float64) float64 {
 	s := c.standing
 	cost := latency.Seconds() * (1 + filling*min(s.occupancy, comfortable))
 	if s.occupancy > comfortable {
@@ -122,11 +131,23 @@
 		cost *= stoppingFactor
 	}
 	if c.home.Zone != f.config.Zone {
-		cost *= f.remoteFactorOf(q.route)
+		cost *= remote
 	}
 	return cost * (1 + jitter*rand.Float64())
 }
 
+// roomInZone reports whether a home in the node's own zone has room and does well.
+// Where none does, calls are not held back from other zones.
+func (f *Forwarder) roomInZone(candidates []candidate, now time.Time) bool {
+	for _, c := range candidates {
+		s := c.standing
+		if c.home.Zone == f.config.Zone && s.occupancy < roomy && s.failures < fewFailures && !s.stopping && c.state.usable(c.home, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // remoteFactorOf returns how much cheaper a home in another zone must be for calls
 // of the route.
 func (f *Forwarder) remoteFactorOf(route *routetable.Route) float64 {
--- a/internal/forward/choose_test.go
+++ b/internal/forward/choose_test.go
@@ -197,3 +197,21 @@
 	f.forwarder.homes.state(first).suspect(time.Now())
 	assert.Assert(t, !others(last))
 }
+
+// TestOtherZonesAreUsedOnceTheOwnIsFull looks for room in the node's own zone.
+func TestOtherZonesAreUsedOnceTheOwnIsFull(t *testing.T) {
+	f := newFixture(t, answered)
+	home := f.forwarder.directory.Homes("s")[0]
+	state := f.forwarder.homes.state(home.Address)
+	room := func(zone string, standing standing) bool {
+		f.forwarder.config.Zone = zone
+		return f.forwarder.roomInZone([]candidate{{home: home, state: state, standing: standing}}, time.Now())
+	}
+	assert.Assert(t, room(home.Zone, standing{occupancy: 0.5}))
+	assert.Assert(t, !room("elsewhere", standing{occupancy: 0.5}))
+	assert.Assert(t, !room(home.Zone, standing{occupancy: 0.9}))
+	assert.Assert(t, !room(home.Zone, standing{failures: 0.5}))
+	assert.Assert(t, !room(home.Zone, standing{stopping: true}))
+	state.suspect(time.Now())
+	assert.Assert(t, !room(home.Zone, standing{}))
+}
--- a/internal/retrybudget/allowance.go
+++ b/internal/retrybudget/allowance.go
@@ -86,13 +86,13 @@
 	return a.balance
 }
 
-// Ample reports whether so many repetitions can be paid for and at least half of
-// what can be saved up is left.
+// Ample reports whether at least half of what can be saved up is left, and so many
+// repetitions can be paid for as far as so many can be saved up at all.
 func (a *Allowance) Ample(repetitions int) bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.turn()
-	return a.balance >= max(float64(repetitions), a.most()/2)-balanceSlack
+	return a.balance >= max(min(float64(repetitions), a.most()), a.most()/2)-balanceSlack
 }
 
 // most returns how many repetitions may be saved up.
