One place decides what may begin before a process ends

Cause: the same rule and its figures stood in guard and in forward. Ruled out: nothing. Change: package ending; no change of behaviour, the tests of both users stay. Conclusion: shorter, one copy.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -14,6 +14,7 @@
 
 	"github.com/lugspur/lugspur/internal/callheader"
 	"github.com/lugspur/lugspur/internal/criticality"
+	"github.com/lugspur/lugspur/internal/ending"
 	"github.com/lugspur/lugspur/internal/eventlog"
 	"github.com/lugspur/lugspur/internal/guard"
 	"github.com/lugspur/lugspur/internal/peering"
@@ -107,9 +108,8 @@
 	homes    homeTable
 	splitter routetable.Splitter
 	stopping atomic.Bool
-	// ending is the moment by which all requests must have ended, nil if there is
-	// none.
-	ending   atomic.Pointer[time.Time]
+	// end is the moment by which all requests must have ended.
+	end      ending.Moment
 	inFlight atomic.Int64
 	// made is when the forwarder was made, and arrived how much later the last
 	// request came. Both are told by the steady clock.
@@ -162,7 +162,7 @@
 }
 
 // EndBy refuses later requests that may not have ended by the moment.
-func (f *Forwarder) EndBy(moment time.Time) { f.ending.Store(&moment) }
+func (f *Forwarder) EndBy(moment time.Time) { f.end.Set(moment) }
 
 // Heard notes a sign of life of a peer: one that is passed over is asked at once
 // whether calls reach it.
--- a/internal/forward/receive.go
+++ b/internal/forward/receive.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/lugspur/lugspur/internal/callheader"
+	"github.com/lugspur/lugspur/internal/ending"
 	"github.com/lugspur/lugspur/internal/guard"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/pressure"
@@ -94,25 +95,14 @@
 	return q, nil
 }
 
-const (
-	// sureFactor is how many times the usual time a request is surely answered in,
-	// and leastSure the least such time.
-	sureFactor = 10
-	leastSure  = 600 * time.Millisecond
-)
-
 // endsInTime reports whether the request has surely ended before the node's end.
 // Where the usual time is not known, all of the time that it has counts.
 func (f *Forwarder) endsInTime(q *request) bool {
-	ending := f.ending.Load()
-	if ending == nil {
-		return true
-	}
 	needed := q.deadline.Sub(q.arrived)
 	if usual := f.homes.usualOf(q.route.Name).latency; usual > 0 {
-		needed = min(max(sureFactor*usual, leastSure), needed)
+		needed = min(ending.SureTime(usual), needed)
 	}
-	return !q.arrived.Add(needed).After(*ending)
+	return f.end.Leaves(needed, q.arrived)
 }
 
 // headerBytes returns the size of a request's header fields, in bytes.
--- a/internal/forward/simulation_test.go
+++ b/internal/forward/simulation_test.go
@@ -23,7 +23,7 @@
 	forwarder *Forwarder
 	route     *routetable.Route
 	now       time.Time
-	ends      ending
+	ends      callQueue
 	homes     map[string]*simulatedHome
 	random    *rand.Rand
 }
@@ -42,18 +42,18 @@
 	done func()
 }
 
-// ending holds calls by when they end.
-type ending []call
+// callQueue holds calls by when they end.
+type callQueue []call
 
-func (e ending) Len() int           { return len(e) }
-func (e ending) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
-func (e ending) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e callQueue) Len() int           { return len(e) }
+func (e callQueue) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e callQueue) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
 
 // Push implements heap.Interface.
-func (e *ending) Push(x any) { *e = append(*e, x.(call)) }
+func (e *callQueue) Push(x any) { *e = append(*e, x.(call)) }
 
 // Pop implements heap.Interface.
-func (e *ending) Pop() any {
+func (e *callQueue) Pop() any {
 	last := (*e)[len(*e)-1]
 	*e = (*e)[:len(*e)-1]
 	return last
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/lugspur/lugspur/internal/callheader"
+	"github.com/lugspur/lugspur/internal/ending"
 	"github.com/lugspur/lugspur/internal/eventlog"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/pressure"
@@ -59,8 +60,8 @@
 
 	stopping atomic.Bool
 	closed   atomic.Bool
-	// ending is the moment by which all calls must have ended, nil if there is none.
-	ending   atomic.Pointer[time.Time]
+	// end is the moment by which all calls must have ended.
+	end      ending.Moment
 	inFlight atomic.Int64
 	current  atomic.Pointer[incarnation]
 	running  runningTable
@@ -149,23 +150,12 @@
 
 // EndBy refuses later calls that may not have ended by the moment. Calls in flight
 // go on.
-func (g *Guard) EndBy(moment time.Time) { g.ending.Store(&moment) }
-
-const (
-	// sureFactor is how many times the usual time a call is surely done in, and
-	// leastSure the least such time: a few times the longest work of quick calls.
-	sureFactor = 10
-	leastSure  = 600 * time.Millisecond
-)
+func (g *Guard) EndBy(moment time.Time) { g.end.Set(moment) }
 
 // endsInTime reports whether a call of the route that begins now has surely ended
 // before the guard's end.
 func (g *Guard) endsInTime(i *incarnation, route string, now time.Time) bool {
-	ending := g.ending.Load()
-	if ending == nil {
-		return true
-	}
-	return !now.Add(max(sureFactor*i.record.latency(route, now), leastSure)).After(*ending)
+	return g.end.Leaves(ending.SureTime(i.record.latency(route, now)), now)
 }
 
 // Close refuses all later calls; calls in flight go on.
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/lugspur/lugspur/internal/callheader"
+	"github.com/lugspur/lugspur/internal/ending"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/pressure"
 	"github.com/lugspur/lugspur/internal/registry"
@@ -258,7 +259,7 @@
 	g.EndBy(time.Now().Add(5 * time.Second))
 	assert.Equal(t, run("quick"), peering.Reason(""))
 	assert.Equal(t, run("slow"), peering.Stopping)
-	g.EndBy(time.Now().Add(leastSure / 2))
+	g.EndBy(time.Now().Add(ending.SureTime(0) / 2))
 	assert.Equal(t, run("quick"), peering.Stopping)
 }
 
