--- a/internal/configuration/spreader_test.go
+++ b/internal/configuration/spreader_test.go
@@ -89,6 +89,8 @@
 	c.awaitAll("floor", func(n *testNode) bool { return n.spreader.Replica().Floor() >= last.Revision })
 	c.takeStoreDown()
 	lists := c.backing.lists.Load()
+	// On a busy machine peers may take longer than the usual grace to send so much.
+	c.startupGrace = time.Minute
 	fresh := c.add("z1", c.nodes[1].self.PeerAddress)
 	eventually(t, "ready", fresh.spreader.Ready)
 	assert.Equal(t, len(fresh.spreader.Replica().List(resource.KindService)), 700)
