--- a/internal/forward/budget_simulation_test.go
+++ b/internal/forward/budget_simulation_test.go
@@ -58,6 +58,7 @@
 	nextID            int
 	completed         int
 	arrived           map[string]bool
+	observer          *sendingObserver
 }
 
 // parentHome knows the one request that the simulation has a target work on.
@@ -77,7 +78,7 @@
 func newBudgetSimulation(t *testing.T, nodes int, seed uint64) *budgetSimulation {
 	t.Helper()
 	s := &budgetSimulation{t: t, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, uint64(nodes))),
-		requests: make(map[string][]time.Time), repeats: make(map[string][]time.Time), arrived: make(map[string]bool)}
+		requests: make(map[string][]time.Time), repeats: make(map[string][]time.Time), arrived: make(map[string]bool), observer: &sendingObserver{}}
 	s.directory = registry.NewDirectory("homes/", "", nil, func() time.Time { return s.now })
 	for i := range 6 {
 		address, service := fmt.Sprint("target-", i), []string{"price", "card"}[i%2]
@@ -99,7 +100,7 @@
 		Retries: retrybudget.AllowanceConfig{EarnedShare: 0.9 * budgetRatio, SavedShare: 0.05 * budgetRatio, Reserve: reserve, Window: budgetWindow},
 	}, Parts{
 		Routes: &routetable.Holder{}, Policies: policiesOf(s.t, routepolicy.Sources{}), Directory: s.directory, Local: &parentHome{}, Levels: pressure.New(now),
-		Peers: s, Observer: observer{}, Now: now,
+		Peers: s, Observer: s.observer, Now: now,
 	})
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -90,6 +90,9 @@
 type Observer interface {
 	// Finished sees a request that ended. Refusals and failures have a reason.
 	Finished(route string, status int, reason string, duration time.Duration)
+	// Counted sees what the retry budget of a service counted. The cause of what is
+	// sent for the first time is empty.
+	Counted(service string, kind BudgetEvent, cause peering.Reason)
 }
 
 // Forwarder serves requests. It is safe for concurrent use.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -97,6 +97,8 @@
 
 func (observer) Finished(string, int, string, time.Duration) {}
 
+func (observer) Counted(string, BudgetEvent, peering.Reason) {}
+
 // fixture is a forwarder with peers behind real sockets.
 type fixture struct {
 	forwarder *Forwarder
--- a/internal/forward/repeat.go
+++ b/internal/forward/repeat.go
@@ -2,10 +2,29 @@
 
 import (
 	"github.com/lugspur/lugspur/internal/criticality"
+	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/problem"
 	"github.com/lugspur/lugspur/internal/retrybudget"
 )
 
+// BudgetEvent is something that the retry budget of a service counts.
+type BudgetEvent uint8
+
+// What retry budgets count.
+const (
+	// FirstSent is a request that is sent to the service for the first time.
+	FirstSent BudgetEvent = iota
+	// RepetitionSent is an arrival at a target beyond the first of its request.
+	RepetitionSent
+	// RepetitionUnpaid is a repetition that was not made for want of budget.
+	RepetitionUnpaid
+)
+
+var budgetEventNames = [...]string{"first", "repeated", "unpaid"}
+
+// String returns the name that metrics write.
+func (e BudgetEvent) String() string { return budgetEventNames[e] }
+
 // levelUrgency is how urgent a repetition is that completes a request, by the
 // request's level. The levels lie close together, so that what is almost done goes
 // before what is more important and has hardly begun.
@@ -20,6 +39,14 @@
 // of a request that was repeated.
 func (q *request) repeats() bool { return q.call.Repeat || q.arrivals > 0 }
 
+// repetitionCause returns why the next offer is a repetition.
+func (q *request) repetitionCause() peering.Reason {
+	if q.arrivals == 0 {
+		return peering.ParentRepeated
+	}
+	return q.lastReason
+}
+
 // urgency returns how urgent it is to repeat the request, between 0 and 1. It is
 // greater the less is left to do after it, because a request with many calls is
 // worth nothing until the last of them is done.
@@ -41,6 +68,38 @@
 	return urgency
 }
 
+// payForRepetition takes the next offer out of the retry budget if it is a
+// repetition. It returns the answer to the request if that can't be paid for.
+func (f *Forwarder) payForRepetition(q *request) *problem.Problem {
+	if !q.repeats() {
+		return nil
+	}
+	if !f.budget(q.service).Spend(f.urgency(q)) {
+		f.observer.Counted(q.service, RepetitionUnpaid, q.repetitionCause())
+		return f.unpaid(q)
+	}
+	if q.arrivals > 0 {
+		f.noteRetry(q)
+	}
+	return nil
+}
+
+// countArrival notes whether the last offer reached a target. A repetition that did
+// not is paid back.
+func (f *Forwarder) countArrival(q *request, reply *peering.Reply) {
+	reached := reply.Reached()
+	if q.repeats() {
+		if reached {
+			f.observer.Counted(q.service, RepetitionSent, q.repetitionCause())
+		} else {
+			f.budget(q.service).Return()
+		}
+	}
+	if reached {
+		q.arrivals++
+	}
+}
+
 // unpaid returns the answer to a request whose repetition can't be paid for.
 func (f *Forwarder) unpaid(q *request) *problem.Problem {
 	const detail = "no retry budget left"
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -27,6 +27,7 @@
 func (f *Forwarder) run(ctx context.Context, q *request) (*peering.Reply, *problem.Problem) {
 	if !q.call.Repeat {
 		f.budget(q.service).Request()
+		f.observer.Counted(q.service, FirstSent, "")
 	}
 	reply, failure := f.tryHomes(ctx, q)
 	if failure != nil && q.errorAnswer != nil {
@@ -45,23 +46,13 @@
 		if f.hopeless(q, next) {
 			return nil, f.refusal(q, problem.Overloaded, "run", "no home is likely to answer in time", hopelessDelay)
 		}
-		repeats := q.repeats()
-		if repeats && !f.budget(q.service).Spend(f.urgency(q)) {
-			return nil, f.unpaid(q)
-		}
-		if q.arrivals > 0 {
-			f.noteRetry(q)
+		if failure := f.payForRepetition(q); failure != nil {
+			return nil, failure
 		}
 		q.lastHome = home.Address
 		q.offers++
 		reply := f.offer(ctx, q, home)
-		reached := reply.Reached()
-		if repeats && !reached {
-			f.budget(q.service).Return()
-		}
-		if reached {
-			q.arrivals++
-		}
+		f.countArrival(q, reply)
 		if reply.Outcome == peering.Answered {
 			q.attempts++
 			if !f.worthRepeating(q, reply) {
--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -155,6 +155,9 @@
 	// TargetFailed: the target answered that it failed, by no fault of another. No
 	// reply has this reason; requests that go on after such an answer do.
 	TargetFailed Reason = "target-failed"
+	// ParentRepeated: the request that made the call had run before, so that its
+	// calls repeat earlier ones. No reply has this reason.
+	ParentRepeated Reason = "parent-repeated"
 	// Misdirected: another target answers at the address.
 	Misdirected Reason = "misdirected"
 	// Unconnected: no connection to the target or to the home came about.
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -1,15 +1,19 @@
 package sidecar
 
 import (
+	"cmp"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
 
 	"github.com/lugspur/lugspur/internal/eventlog"
+	"github.com/lugspur/lugspur/internal/forward"
 	"github.com/lugspur/lugspur/internal/peering"
 )
 
@@ -31,6 +35,7 @@
 	requests *prometheus.CounterVec
 	duration *prometheus.HistogramVec
 	calls    *prometheus.CounterVec
+	sent     *prometheus.CounterVec
 	waited   *prometheus.HistogramVec
 	ran      *prometheus.HistogramVec
 
@@ -57,6 +62,11 @@
 			Name:      "calls_total",
 			Help:      "Calls to the target beside the node, by outcome and reason.",
 		}, []string{"outcome", "reason"}),
+		sent: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace,
+			Name:      "retry_budget_events_total",
+			Help:      "Requests sent from here by service: first, repeated or unpaid (no budget left), and why they were to be repeated.",
+		}, []string{"service", "kind", "cause"}),
 		waited: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace,
 			Name:      "call_queue_seconds",
@@ -71,7 +81,7 @@
 		}, []string{"outcome"}),
 		routes: make(map[string]bool),
 	}
-	m.registry.MustRegister(m.requests, m.duration, m.calls, m.waited, m.ran, &eventCollector{log: log})
+	m.registry.MustRegister(m.requests, m.duration, m.calls, m.sent, m.waited, m.ran, &eventCollector{log: log})
 	return m
 }
 
@@ -82,6 +92,11 @@
 	m.duration.WithLabelValues(route, strconv.FormatBool(reason == "")).Observe(duration.Seconds())
 }
 
+// Counted counts what the retry budget of a service counted.
+func (m *metrics) Counted(service string, kind forward.BudgetEvent, cause peering.Reason) {
+	m.sent.WithLabelValues(service, kind.String(), string(cause)).Inc()
+}
+
 // Ended counts a call to the target that ended.
 func (m *metrics) Ended(outcome peering.Outcome, reason peering.Reason, waited, ran time.Duration) {
 	name := outcome.String()
@@ -111,10 +126,48 @@
 
 func (m *metrics) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{DisableCompression: true}))
+	mux.HandleFunc("GET /metrics", m.serve)
 	return mux
 }
 
+// decisive are the metrics that tell why requests fail. They come first on the page.
+var decisive = []string{
+	namespace + "_retry_budget_events_total", namespace + "_retry_budget_left",
+	namespace + "_requests_total", namespace + "_calls_total",
+}
+
+// serve writes the page: first what is decisive, then the other metrics, then
+// histograms, which take up most of it. A collector that keeps no more than the
+// first kilobytes of a page then keeps what tells why requests fail.
+func (m *metrics) serve(w http.ResponseWriter, r *http.Request) {
+	families, err := m.registry.Gather()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	slices.SortStableFunc(families, func(a, b *dto.MetricFamily) int { return cmp.Compare(placeOf(a), placeOf(b)) })
+	format := expfmt.Negotiate(r.Header)
+	w.Header().Set("Content-Type", string(format))
+	encoder := expfmt.NewEncoder(w, format)
+	for _, family := range families {
+		if encoder.Encode(family) != nil {
+			// The collector is gone.
+			return
+		}
+	}
+}
+
+// placeOf returns where on the page a metric stands.
+func placeOf(family *dto.MetricFamily) int {
+	if place := slices.Index(decisive, family.GetName()); place >= 0 {
+		return place
+	}
+	if family.GetType() == dto.MetricType_HISTOGRAM {
+		return len(decisive) + 1
+	}
+	return len(decisive)
+}
+
 // eventCollector tells the counts of events by their kinds.
 type eventCollector struct {
 	log *eventlog.Log
--- a/internal/sidecar/metrics_test.go
+++ b/internal/sidecar/metrics_test.go
@@ -6,12 +6,14 @@
 	"os"
 	"regexp"
 	"sort"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lugspur/lugspur/internal/forward"
 	"github.com/lugspur/lugspur/internal/peering"
 )
 
@@ -38,6 +40,7 @@
 	n := newTestNode(t)
 	n.metrics.Finished("r", 200, "", time.Second)
 	n.metrics.Ended(peering.Answered, "", time.Millisecond, time.Second)
+	n.metrics.Counted("s", forward.FirstSent, "")
 	n.calls.Called(purposeRecords, "list", "done")
 	var served []string
 	for _, match := range metricLine.FindAllStringSubmatch(scrape(n), -1) {
@@ -52,6 +55,7 @@
 		}
 	}
 	sort.Strings(documented)
+	sort.Strings(served)
 	assert.DeepEqual(t, documented, served)
 }
 
@@ -101,3 +105,32 @@
 	}
 	assert.Equal(t, strings.Count(scrape(n), "lugspur_requests_total{"), maxRoutes+1)
 }
+
+// TestThePageBeginsWithWhatTellsWhyRequestsFail has a node that serves many routes.
+// A collection of pages ended after their first 4 KB, in the first histograms; the
+// retry budget stood behind them and could not be read.
+func TestThePageBeginsWithWhatTellsWhyRequestsFail(t *testing.T) {
+	const collected = 4 << 10
+	n := newTestNode(t)
+	for i := range 8 {
+		route := "route-" + strconv.Itoa(i)
+		n.metrics.Finished(route, 200, "", time.Second)
+		n.metrics.Finished(route, 503, "overloaded", time.Second)
+	}
+	n.metrics.Ended(peering.Answered, "", time.Millisecond, time.Second)
+	for _, service := range []string{"a", "b", "c", "d"} {
+		n.metrics.Counted(service, forward.FirstSent, "")
+		n.metrics.Counted(service, forward.RepetitionSent, peering.TargetFull)
+		n.metrics.Counted(service, forward.RepetitionUnpaid, peering.TargetFull)
+	}
+	begin := scrape(n)[:collected]
+	for _, line := range []string{
+		`lugspur_retry_budget_events_total{cause="target-full",kind="repeated",service="d"} 1`,
+		`lugspur_retry_budget_events_total{cause="",kind="first",service="a"} 1`,
+		"lugspur_retry_budget_left 0",
+		`lugspur_requests_total{reason="overloaded",route="route-7",status="503"} 1`,
+		`lugspur_calls_total{outcome="answered",reason=""} 1`,
+	} {
+		assert.Assert(t, strings.Contains(begin, line+"\n"), line)
+	}
+}
