Calls whose connection goes silent are resumed over a new one, from the one run

Cause: open connections between nodes may carry nothing any more while new ones work. Calls that waited on them, and the next call on each idle one, heard nothing for a second (bytes not acknowledged) or until their deadline; a command then ended with 502 or 504, as it may have run; pings went over silent idle connections too, so that homes were suspected that were well. Change: interim answers every 200 ms; after 500 ms without any the same offer goes to the same process over a new connection, marked as resumption; the home answers out of the one run. Records name the process; another one does not run a resumption; a first message that comes after its resumption joins it. The old connection stays open until the reply is there and is then reset. Pings use new connections; connections to peers and to the target are probed each second.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -40,6 +40,7 @@
 	RequestAbandoned
 	CallRefused
 	CallFailed
+	CallResumed
 	StoreCalls
 	EventsLost
 	kindCount
@@ -91,6 +92,7 @@
 	RequestAbandoned:      {"request-abandoned", refusal, "the caller left before the answer"},
 	CallRefused:           {"call-refused", refusal, "the home beside the target refused a call; count is the queue's length"},
 	CallFailed:            {"call-failed", failure, "the exchange with the target brought no usable answer"},
+	CallResumed:           {"call-resumed", failure, "the connection to the home at peer went silent; the call goes on over a new one"},
 	StoreCalls:            {"store-calls", belief, "count calls to the store since the line before; outcome lists them by purpose, call and outcome"},
 	EventsLost:            {"events-lost", belief, "count events were left out of the log since the line before; outcome tells how many of each kind"},
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -117,6 +117,8 @@
 	testRetryRatio             = 0.1
 	testRequestsForARepetition = 20
 	testRetryWindow            = 10 * time.Second
+	// testProcess is the process of all homes.
+	testProcess = 7
 )
 
 func newFixture(t *testing.T, answers ...func(context.Context, *peering.Call) *peering.Reply) *fixture {
@@ -124,7 +126,7 @@
 	fixture := &fixture{levels: pressure.New(time.Now)}
 	for _, answer := range answers {
 		home := &fakeHome{answer: answer}
-		server := httptest.NewServer(peering.Handler(home, replica.NewSpread(replica.SpreadConfig{Now: time.Now}), testCodec, 1<<20))
+		server := httptest.NewServer(peering.Handler(home, replica.NewSpread(replica.SpreadConfig{Now: time.Now}), testCodec, 1<<20, testProcess))
 		t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 		fixture.homes = append(fixture.homes, home)
 		fixture.addresses = append(fixture.addresses, strings.TrimPrefix(server.URL, "http://"))
@@ -464,7 +466,7 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", address)
 	assert.NilError(t, err)
-	server := &http.Server{Handler: peering.Handler(&fakeHome{answer: answered}, replica.NewSpread(replica.SpreadConfig{Now: time.Now}), testCodec, 1<<20)}
+	server := &http.Server{Handler: peering.Handler(&fakeHome{answer: answered}, replica.NewSpread(replica.SpreadConfig{Now: time.Now}), testCodec, 1<<20, testProcess)}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -177,6 +177,8 @@
 	call := *q.call
 	call.Header = q.call.Header.Clone()
 	call.Repeat = q.repeats()
+	call.Offer = q.offers - 1
+	call.Process = home.Process
 	call.Remaining = q.deadline.Sub(f.now())
 	if call.Remaining <= 0 {
 		return &peering.Reply{Outcome: peering.Refused, Reason: peering.DeadlinePassed}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -107,6 +107,14 @@
 	g.current.Store(g.newIncarnation(target))
 }
 
+// Bounds by which a connection to the target that went silent is told, also while a
+// call waits on it. The target runs on the same machine, where nothing is lost on the
+// way; only its own answers tell how long a call takes.
+const (
+	targetUserTimeout = time.Second
+	targetKeepAlive   = time.Second
+)
+
 // leave refuses what waits and all later calls; calls in flight go on.
 func (i *incarnation) leave() {
 	i.leaving.Store(true)
@@ -126,6 +134,8 @@
 			MaxConnections:    g.config.MaxConnections(),
 			MaxBuffered:       g.config.MaxBuffered,
 			AcceptUndelimited: true,
+			UserTimeout:       targetUserTimeout,
+			KeepAlive:         targetKeepAlive,
 		}),
 	}
 }
--- a/internal/peering/client.go
+++ b/internal/peering/client.go
@@ -24,6 +24,9 @@
 	// UserTimeout bounds the time for which a peer's machine may stay silent
 	// about bytes that were sent to it.
 	UserTimeout time.Duration
+	// KeepAlive is how long a connection may carry nothing before the peer's machine is
+	// asked whether it still knows it.
+	KeepAlive time.Duration
 	// IdleTimeout is how long idle connections are kept.
 	IdleTimeout time.Duration
 	// MaxIdle bounds the idle connections to each peer.
@@ -32,6 +35,9 @@
 	From string
 	// Codec is that of all nodes.
 	Codec *Codec
+	// OnResume sees calls whose connection went silent, after the time from their first
+	// message on; it may be nil.
+	OnResume func(call *Call, address string, after time.Duration)
 }
 
 // Client exchanges messages with peers. It is safe for concurrent use.
@@ -66,14 +72,15 @@
 func (e *Error) Unwrap() error { return e.cause }
 
 // Call passes the call on to the home at the address. The context bounds the
-// exchange, and its end withdraws the call. The error is an *Error.
+// exchange, and its end withdraws the call. If the connection goes silent the call is
+// resumed over a new one. The error is an *Error.
 func (c *Client) Call(ctx context.Context, address string, call *Call) (*Reply, error) {
 	asked := time.Now()
 	call.From = c.config.From
 	if c.spread != nil {
 		call.Digests = c.spread.Digests()
 	}
-	answer, err := c.exchange(ctx, address, http.MethodPost, callPath, c.config.Codec.encodeCall(call))
+	answer, err := c.callResuming(ctx, address, call)
 	if err != nil {
 		return nil, err
 	}
@@ -87,9 +94,50 @@
 	return reply, nil
 }
 
+// callResuming sends the call, and sends it again as a resumption as long as
+// connections go silent. Each time it waits twice as long: a home that is frozen is
+// silent as well. A home whose process is not known can't tell a resumption from a
+// call that an earlier process ran, so that there silence has no bound.
+func (c *Client) callResuming(ctx context.Context, address string, call *Call) (*transport.Answer, error) {
+	began := time.Now()
+	remaining := call.Remaining
+	exchange := &transport.Call{Method: http.MethodPost, Host: peerHost, RequestURI: callPath}
+	if call.Process != 0 {
+		exchange.Silence = silence
+	}
+	for {
+		exchange.Body = c.config.Codec.encodeCall(call)
+		answer, err := c.exchange(ctx, address, exchange)
+		var failure *transport.Failure
+		if !errors.As(err, &failure) || failure.Unanswered == nil {
+			return answer, sentBefore(err, call)
+		}
+		// The home would take its end for the caller's, so that it stays open until then.
+		defer func() { _ = failure.Unanswered.Close() }()
+		c.Forget(address)
+		call.Resumed = true
+		if c.config.OnResume != nil {
+			c.config.OnResume(call, address, time.Since(began))
+		}
+		call.Remaining = remaining - time.Since(began)
+		exchange.Fresh = true
+		exchange.Silence *= 2
+	}
+}
+
+// sentBefore returns the error of a call. One that resumed an earlier message was
+// sent, even if the last message was not.
+func sentBefore(err error, call *Call) error {
+	var failure *Error
+	if call.Resumed && errors.As(err, &failure) {
+		failure.Sent = true
+	}
+	return err
+}
+
 // Query asks the peer for what the node's copies of the store lack.
 func (c *Client) Query(ctx context.Context, address string, query *replica.Query) (*replica.Answer, error) {
-	answered, err := c.exchange(ctx, address, http.MethodPost, queryPath, encode(query))
+	answered, err := c.exchange(ctx, address, &transport.Call{Method: http.MethodPost, Host: peerHost, RequestURI: queryPath, Body: encode(query)})
 	if err != nil {
 		return nil, err
 	}
@@ -105,9 +153,10 @@
 	return &Error{Sent: true, cause: fmt.Errorf("read reply from %s: %w", address, err)}
 }
 
-// Ping asks the peer whether it is there.
+// Ping asks the peer whether it is there, over a new connection: that an old one is
+// silent says nothing of the peer.
 func (c *Client) Ping(ctx context.Context, address string) error {
-	_, err := c.exchange(ctx, address, http.MethodGet, pingPath, nil)
+	_, err := c.exchange(ctx, address, &transport.Call{Method: http.MethodGet, Host: peerHost, RequestURI: pingPath, Fresh: true})
 	return err
 }
 
@@ -115,8 +164,8 @@
 // names, and the address would be sent with each message.
 const peerHost = "p"
 
-func (c *Client) exchange(ctx context.Context, address, method, path string, body []byte) (*transport.Answer, error) {
-	answer, err := c.pool(address).Exchange(ctx, &transport.Call{Method: method, Host: peerHost, RequestURI: path, Body: body})
+func (c *Client) exchange(ctx context.Context, address string, call *transport.Call) (*transport.Answer, error) {
+	answer, err := c.pool(address).Exchange(ctx, call)
 	if err != nil {
 		var failure *transport.Failure
 		sent := !errors.As(err, &failure) || failure.Sent
@@ -153,6 +202,7 @@
 			MaxIdle:     c.config.MaxIdle,
 			DialTimeout: c.config.DialTimeout,
 			UserTimeout: c.config.UserTimeout,
+			KeepAlive:   c.config.KeepAlive,
 			IdleTimeout: c.config.IdleTimeout,
 			MaxBuffered: c.config.MaxBuffered,
 		})
--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -49,6 +49,14 @@
 	// Done is the number of calls like this one that the request which makes it has
 	// behind it.
 	Done int
+	// Offer numbers the offers of a request by the node that it entered.
+	Offer int
+	// Process is the home's process as the caller knows it, zero if it does not.
+	Process uint32
+	// Resumed tells that the same offer was sent to Process before, over a connection
+	// that went silent. That process answers out of the one run, and another does not
+	// run the call.
+	Resumed bool
 	// From is the address of the node that calls, and Digests say how far its
 	// copies of the store reach.
 	From    string
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -34,6 +34,8 @@
 const (
 	testBound  = 1 << 16
 	ownAddress = "10.0.0.9:8300"
+	// testProcess is the process of the home.
+	testProcess = 7
 )
 
 func digestsOf(through store.Revision) []replica.Digest {
@@ -82,7 +84,7 @@
 func startPeer(t *testing.T) *peer {
 	t.Helper()
 	p := &peer{home: &echoHome{left: make(chan struct{})}, caller: newFakeSpread(3), spreads: newFakeSpread(5)}
-	server := httptest.NewServer(Handler(p.home, p.spreads, testCodec, testBound))
+	server := httptest.NewServer(Handler(p.home, p.spreads, testCodec, testBound, testProcess))
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 	p.client = NewClient(ClientConfig{MaxBuffered: testBound, DialTimeout: time.Second, UserTimeout: time.Second, IdleTimeout: time.Minute, MaxIdle: 4, From: ownAddress, Codec: testCodec})
 	p.client.SetSpread(p.caller)
@@ -184,7 +186,7 @@
 	source := memory.New(time.Now)
 	_, err := source.CompareAndSwap(t.Context(), "k", 0, []byte("document"), 0)
 	assert.NilError(t, err)
-	server := httptest.NewServer(Handler(&echoHome{}, replica.NewSpread(replica.SpreadConfig{Address: "peer", Now: time.Now}, copyOf(t, source)), testCodec, testBound))
+	server := httptest.NewServer(Handler(&echoHome{}, replica.NewSpread(replica.SpreadConfig{Address: "peer", Now: time.Now}, copyOf(t, source)), testCodec, testBound, testProcess))
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 	address := strings.TrimPrefix(server.URL, "http://")
 
--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -18,42 +19,96 @@
 	Run(ctx context.Context, call *Call) *Reply
 }
 
-// Handler serves the exchanges of peers.
-func Handler(home Home, spread Spread, codec *Codec, maxBytes int64) http.Handler {
+// server serves the exchanges of peers.
+type server struct {
+	home      Home
+	spread    Spread
+	codec     *Codec
+	maxBytes  int64
+	process   uint32
+	exchanges *exchangeTable
+}
+
+// Handler serves the exchanges of peers. The process tells this process from others
+// at the address; it is not zero.
+func Handler(home Home, spread Spread, codec *Codec, maxBytes int64, process uint32) http.Handler {
+	s := &server{home: home, spread: spread, codec: codec, maxBytes: maxBytes, process: process, exchanges: newExchangeTable(time.Now)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pingPath, func(http.ResponseWriter, *http.Request) {})
-	mux.HandleFunc("POST "+callPath, func(w http.ResponseWriter, r *http.Request) {
-		content, err := readAll(r, maxBytes)
-		if err != nil {
-			w.WriteHeader(http.StatusBadRequest)
-			return
-		}
-		call, err := codec.decodeCall(content)
-		if err != nil {
-			w.WriteHeader(http.StatusBadRequest)
-			return
-		}
-		spread.HeardCall(call.From, call.Digests)
-		reply := home.Run(r.Context(), call)
-		reply.Digests = spread.Digests()
-		write(w, codec.encodeReply(reply))
-	})
-	mux.HandleFunc("POST "+queryPath, func(w http.ResponseWriter, r *http.Request) {
-		content, err := readAll(r, maxBytes)
-		if err != nil {
-			w.WriteHeader(http.StatusBadRequest)
-			return
-		}
-		var query replica.Query
-		if err := cbor.Unmarshal(content, &query); err != nil {
-			w.WriteHeader(http.StatusBadRequest)
-			return
-		}
-		write(w, encode(spread.Answer(&query)))
-	})
+	mux.HandleFunc("POST "+callPath, s.serveCall)
+	mux.HandleFunc("POST "+queryPath, s.serveQuery)
 	return mux
 }
 
+func (s *server) serveCall(w http.ResponseWriter, r *http.Request) {
+	content, err := readAll(r, s.maxBytes)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	call, err := s.codec.decodeCall(content)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.spread.HeardCall(call.From, call.Digests)
+	interim := startInterim(w)
+	reply, answered := s.answer(r.Context(), call)
+	interim.stop()
+	if answered {
+		write(w, reply)
+	}
+}
+
+// answer returns the encoded reply to a call, false if its caller left before.
+func (s *server) answer(ctx context.Context, call *Call) (reply []byte, answered bool) {
+	if call.Resumed && call.Process != s.process {
+		// The process that has the call may have run it.
+		return s.encode(&Reply{Outcome: Failed, Reason: Broken}), true
+	}
+	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	exchange, runs := s.exchanges.open(call, cancel)
+	if !runs {
+		cancel()
+	}
+	// Whoever waits for the reply withdraws the call by leaving.
+	defer context.AfterFunc(ctx, exchange.cancel)()
+	if runs {
+		defer cancel()
+		reply = s.encode(s.home.Run(runCtx, call))
+		s.exchanges.finish(exchange, reply)
+		return reply, true
+	}
+	select {
+	case <-exchange.done:
+	case <-ctx.Done():
+		return nil, false
+	}
+	if reply = s.exchanges.reply(exchange); reply == nil {
+		return s.encode(&Reply{Outcome: Failed, Reason: Broken}), true
+	}
+	return reply, true
+}
+
+func (s *server) encode(reply *Reply) []byte {
+	reply.Digests = s.spread.Digests()
+	return s.codec.encodeReply(reply)
+}
+
+func (s *server) serveQuery(w http.ResponseWriter, r *http.Request) {
+	content, err := readAll(r, s.maxBytes)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	var query replica.Query
+	if err := cbor.Unmarshal(content, &query); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	write(w, encode(s.spread.Answer(&query)))
+}
+
 func readAll(r *http.Request, maxBytes int64) ([]byte, error) {
 	if r.ContentLength > maxBytes {
 		return nil, http.ErrContentLength
--- a/internal/peering/wire.go
+++ b/internal/peering/wire.go
@@ -49,23 +49,26 @@
 
 // wireCall is a Call as it is sent. Times are in milliseconds.
 type wireCall struct {
-	Service   string       `cbor:"1,keyasint"`
-	RequestID wireID       `cbor:"2,keyasint"`
-	Method    string       `cbor:"3,keyasint,omitempty"`
-	URI       string       `cbor:"4,keyasint"`
-	Host      string       `cbor:"5,keyasint"`
-	Header    []string     `cbor:"6,keyasint,omitempty"`
-	Body      []byte       `cbor:"7,keyasint,omitempty"`
-	Remaining int64        `cbor:"8,keyasint"`
-	Caller    string       `cbor:"9,keyasint"`
-	Route     string       `cbor:"10,keyasint"`
-	Rank      uint16       `cbor:"11,keyasint,omitempty"`
-	MaxWait   int64        `cbor:"12,keyasint,omitempty"`
-	Inner     bool         `cbor:"13,keyasint,omitempty"`
-	Repeat    bool         `cbor:"14,keyasint,omitempty"`
-	Done      int          `cbor:"17,keyasint,omitempty"`
-	From      wireAddress  `cbor:"15,keyasint,omitempty"`
-	Digests   []wireDigest `cbor:"16,keyasint,omitempty"`
+	Service   string   `cbor:"1,keyasint"`
+	RequestID wireID   `cbor:"2,keyasint"`
+	Method    string   `cbor:"3,keyasint,omitempty"`
+	URI       string   `cbor:"4,keyasint"`
+	Host      string   `cbor:"5,keyasint"`
+	Header    []string `cbor:"6,keyasint,omitempty"`
+	Body      []byte   `cbor:"7,keyasint,omitempty"`
+	Remaining int64    `cbor:"8,keyasint"`
+	Caller    string   `cbor:"9,keyasint"`
+	Route     string   `cbor:"10,keyasint"`
+	Rank      uint16   `cbor:"11,keyasint,omitempty"`
+	MaxWait   int64    `cbor:"12,keyasint,omitempty"`
+	Inner     bool     `cbor:"13,keyasint,omitempty"`
+	Repeat    bool     `cbor:"14,keyasint,omitempty"`
+	Done      int      `cbor:"17,keyasint,omitempty"`
+	Offer     int      `cbor:"18,keyasint,omitempty"`
+	// Resumes is the process that a resumed call was sent to before, zero for others.
+	Resumes uint32       `cbor:"19,keyasint,omitempty"`
+	From    wireAddress  `cbor:"15,keyasint,omitempty"`
+	Digests []wireDigest `cbor:"16,keyasint,omitempty"`
 }
 
 // wireReply is a Reply as it is sent. Times are in milliseconds.
@@ -111,10 +114,17 @@
 		Service: call.Service, RequestID: wireID(call.RequestID), Method: methodCode(call.Method), URI: call.URI, Host: call.Host,
 		Header: c.shortHeader(call.Header), Body: call.Body, Remaining: call.Remaining.Milliseconds(), Caller: call.Caller, Route: call.Route,
 		Rank: call.Rank, MaxWait: call.MaxWait.Milliseconds(), Inner: call.Inner, Repeat: call.Repeat, Done: call.Done,
-		From: wireAddress(call.From), Digests: shortDigests(call.Digests),
+		Offer: call.Offer, Resumes: resumedProcess(call), From: wireAddress(call.From), Digests: shortDigests(call.Digests),
 	})
 }
 
+func resumedProcess(call *Call) uint32 {
+	if !call.Resumed {
+		return 0
+	}
+	return call.Process
+}
+
 func (c *Codec) decodeCall(content []byte) (*Call, error) {
 	var w wireCall
 	if err := cbor.Unmarshal(content, &w); err != nil {
@@ -127,7 +137,7 @@
 	return &Call{
 		Service: w.Service, RequestID: string(w.RequestID), Method: methodOf(w.Method), URI: w.URI, Host: w.Host, Header: header, Body: w.Body,
 		Remaining: millis(w.Remaining), Caller: w.Caller, Route: w.Route, Rank: w.Rank, MaxWait: millis(w.MaxWait), Inner: w.Inner,
-		Repeat: w.Repeat, Done: w.Done, From: string(w.From), Digests: longDigests(w.Digests),
+		Repeat: w.Repeat, Done: w.Done, Offer: w.Offer, Process: w.Resumes, Resumed: w.Resumes != 0, From: string(w.From), Digests: longDigests(w.Digests),
 	}, nil
 }
 
--- a/internal/registry/record.go
+++ b/internal/registry/record.go
@@ -72,6 +72,8 @@
 	Address string `cbor:"4,keyasint"`
 	Slots   int    `cbor:"5,keyasint"`
 	State   State  `cbor:"6,keyasint"`
+	// Process tells the node's process from earlier ones.
+	Process uint32 `cbor:"7,keyasint,omitempty"`
 }
 
 // Departure is the durable note that a target leaves.
--- a/internal/registry/registrar.go
+++ b/internal/registry/registrar.go
@@ -15,7 +15,9 @@
 // RegistrarConfig describes the node and where its records lie.
 type RegistrarConfig struct {
 	// Zone and Address are the node's, as peers see it.
-	Zone, Address    string
+	Zone, Address string
+	// Process tells this process from earlier ones at the address.
+	Process          uint32
 	HomesPrefix      string
 	DeparturesPrefix string
 	// OnTarget is told each new state of the target, in order.
@@ -221,6 +223,7 @@
 			Address:  r.config.Address,
 			Slots:    target.Slots,
 			State:    min(target.State, Draining),
+			Process:  r.config.Process,
 		})
 	}
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -39,6 +40,7 @@
 	// Bounds of the exchanges with peers.
 	peerDialTimeout = 400 * time.Millisecond
 	peerUserTimeout = time.Second
+	peerKeepAlive   = time.Second
 	peerIdleTimeout = 30 * time.Second
 	peerMaxIdle     = 32
 	// presentRetryShare is the part of the retry budget that is due to the requests of
@@ -57,10 +59,12 @@
 
 // Node is a node beside a target.
 type Node struct {
-	settings  Settings
-	log       *eventlog.Log
-	metrics   *metrics
-	started   time.Time
+	settings Settings
+	log      *eventlog.Log
+	metrics  *metrics
+	started  time.Time
+	// process tells this process from earlier ones at the address; it is not zero.
+	process   uint32
 	store     *platform.Store
 	calls     *storeCalls
 	gate      *reachability.Gate
@@ -88,7 +92,8 @@
 	if err != nil {
 		return nil, oops.In("sidecar").With("step", "compile policies").Wrapf(err, "compile policies")
 	}
-	n := &Node{policies: routepolicy.NewHolder(policies), sources: settings.Policies, settings: settings, routes: &routetable.Holder{}, started: time.Now()}
+	n := &Node{policies: routepolicy.NewHolder(policies), sources: settings.Policies, settings: settings, routes: &routetable.Holder{},
+		started: time.Now(), process: max(rand.Uint32(), 1)}
 	n.log = eventlog.New(eventlog.Config{RootOf: platform.RootOf}, settings.Name, output, time.Now)
 	n.metrics = newMetrics(n.log)
 	n.provisionStore()
@@ -110,6 +115,7 @@
 	n.registrar = registry.NewRegistrar(registry.RegistrarConfig{
 		Zone:             settings.Zone,
 		Address:          settings.advertised(),
+		Process:          n.process,
 		HomesPrefix:      platform.HomesPrefix,
 		DeparturesPrefix: platform.DeparturesPrefix,
 		OnTarget:         n.guard.SetTarget,
@@ -121,10 +127,12 @@
 		MaxBuffered: maxMessageBytes,
 		DialTimeout: peerDialTimeout,
 		UserTimeout: peerUserTimeout,
+		KeepAlive:   peerKeepAlive,
 		IdleTimeout: peerIdleTimeout,
 		MaxIdle:     peerMaxIdle,
 		From:        settings.advertised(),
 		Codec:       n.codec,
+		OnResume:    n.noteResumed,
 	})
 	n.peers.SetSpread(n.copies.spread)
 	n.forwarder = n.newForwarder()
@@ -163,6 +171,10 @@
 	})
 }
 
+func (n *Node) noteResumed(call *peering.Call, address string, after time.Duration) {
+	n.log.Record(eventlog.Event{Kind: eventlog.CallResumed, Request: call.RequestID, Route: call.Route, Service: call.Service, Peer: address, Duration: after})
+}
+
 // retryReserve returns the node's part of the repetitions that all nodes together
 // may make beyond the ratio.
 func (n *Node) retryReserve() float64 {
@@ -226,7 +238,7 @@
 		handler http.Handler
 	}{
 		{n.settings.Listen.Calls, n.forwarder},
-		{n.settings.Listen.Peers, peering.Handler(n.guard, n.copies.spread, n.codec, maxMessageBytes)},
+		{n.settings.Listen.Peers, peering.Handler(n.guard, n.copies.spread, n.codec, maxMessageBytes, n.process)},
 		{n.settings.Listen.Ready, platform.ReadyHandler(n.ready)},
 		{n.settings.Listen.Heartbeats, platform.HeartbeatHandler(n.registrar)},
 		{n.settings.Listen.Metrics, n.metrics.handler()},
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -72,11 +72,18 @@
 const maxInterim = 8
 
 // readHeader reads the status and the header of the answer to a call of the
-// method. The answer's body must be read before the next exchange.
-func (c *connection) readHeader(method string, maxBytes int64) (*http.Response, error) {
-	c.headerLeft = maxBytes
+// method. The answer's body must be read before the next exchange. If the silence is
+// not zero, it bounds the time between interim answers instead of their number.
+func (c *connection) readHeader(method string, maxBytes int64, silence time.Duration) (*http.Response, error) {
 	request := &http.Request{Method: method}
-	for range maxInterim {
+	c.headerLeft = maxBytes
+	for interim := 0; interim < maxInterim || silence > 0; interim++ {
+		if silence > 0 {
+			c.headerLeft = maxBytes
+		}
+		if err := c.boundRead(silence); err != nil {
+			return nil, err
+		}
 		response, err := http.ReadResponse(c.reader, request)
 		switch {
 		case err != nil:
@@ -85,12 +92,28 @@
 			return nil, errUpgrade
 		case response.StatusCode >= http.StatusOK:
 			c.headerLeft = -1
-			return response, nil
+			return response, c.unboundRead(silence)
 		}
 	}
 	return nil, errTooManyInterim
 }
 
+// boundRead has reads fail after the silence, if it is not zero.
+func (c *connection) boundRead(silence time.Duration) error {
+	if silence <= 0 {
+		return nil
+	}
+	return c.socket.SetReadDeadline(time.Now().Add(silence))
+}
+
+// unboundRead takes back the bound of boundRead.
+func (c *connection) unboundRead(silence time.Duration) error {
+	if silence <= 0 {
+		return nil
+	}
+	return c.socket.SetReadDeadline(time.Time{})
+}
+
 // alive reports whether an idle connection is still open: nothing may have
 // arrived on it, neither an end nor bytes that nobody asked for.
 func (c *connection) alive() bool {
--- a/internal/transport/idle.go
+++ b/internal/transport/idle.go
@@ -14,6 +14,9 @@
 // given up, so that a call does not cross its end.
 const keepAliveMargin = 500 * time.Millisecond
 
+// keepAliveProbes is how many unanswered probes end a connection.
+const keepAliveProbes = 2
+
 // keepAliveOf returns the idle time that an answer's Keep-Alive header tells,
 // zero if it tells none.
 func keepAliveOf(header http.Header) time.Duration {
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -26,6 +28,9 @@
 func NewPool(config Config) *Pool {
 	config = config.withDefaults()
 	p := &Pool{config: config, dialer: net.Dialer{Timeout: config.DialTimeout, Control: SocketControl(config.UserTimeout)}}
+	if config.KeepAlive > 0 {
+		p.dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: config.KeepAlive, Interval: config.KeepAlive, Count: keepAliveProbes}
+	}
 	if config.MaxConnections > 0 {
 		p.room = make(chan struct{}, config.MaxConnections)
 	}
@@ -49,11 +54,15 @@
 }
 
 // acquire returns the connection that was used last, or a new one.
-func (p *Pool) acquire(ctx context.Context) (c *connection, reused bool, err error) {
+func (p *Pool) acquire(ctx context.Context, fresh bool) (c *connection, reused bool, err error) {
 	if err := p.takeRoom(ctx); err != nil {
 		return nil, false, err
 	}
 	for c := p.takeIdle(); c != nil; c = p.takeIdle() {
+		if fresh {
+			_ = c.socket.Close()
+			break
+		}
 		if time.Since(c.idleSince) < c.idleLimit(p.config.IdleTimeout) && c.alive() {
 			return c, true, nil
 		}
@@ -98,6 +107,28 @@
 	}
 }
 
+// detach takes a connection out of the pool that is still open. Closing what it
+// returns drops bytes that were not delivered yet.
+func (p *Pool) detach(c *connection) io.Closer {
+	c.unwatch()
+	p.giveRoom()
+	return &resetter{c.socket}
+}
+
+// resetter closes a connection with a reset.
+type resetter struct{ socket net.Conn }
+
+// Close resets the connection.
+func (r *resetter) Close() error {
+	if tcp, ok := r.socket.(*net.TCPConn); ok {
+		// Without it what is still to be delivered would be.
+		if err := tcp.SetLinger(0); err != nil {
+			return errors.Join(err, r.socket.Close())
+		}
+	}
+	return r.socket.Close()
+}
+
 // release gives a connection back after a complete exchange.
 func (p *Pool) release(c *connection, response *http.Response) {
 	c.keepAlive = keepAliveOf(response.Header)
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -12,12 +12,15 @@
 package transport
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/samber/oops"
@@ -47,6 +50,14 @@
 	// UserTimeout bounds the time for which sent bytes may stay unacknowledged by
 	// the other side's machine; zero leaves it to the system.
 	UserTimeout time.Duration
+	// KeepAlive is how long a connection may carry nothing before the other side's
+	// machine is asked, and asked again, whether it still knows the connection; zero
+	// leaves it to the system. It is in whole seconds.
+	KeepAlive time.Duration
+	// Silence bounds the time for which nothing comes, not even an interim answer, while
+	// an answer is awaited; zero for no bound. It is for other sides that send interim
+	// answers in time.
+	Silence time.Duration
 }
 
 // Defaults of a Config.
@@ -93,6 +104,10 @@
 	// means that each does. One that does not, such as a surplus answer to an
 	// earlier call, is passed over, and the next one is awaited.
 	Belongs func(http.Header) bool
+	// Fresh has the call go over a new connection.
+	Fresh bool
+	// Silence replaces that of the configuration for this call, zero for no change.
+	Silence time.Duration
 }
 
 // Answer is a target's answer. When Rest is nil the body is complete.
@@ -121,6 +136,9 @@
 	Sent bool
 	// Incomplete tells that an answer began and did not end.
 	Incomplete bool
+	// Unanswered is the connection if the other side was silent for too long. It is
+	// still open, so that a call which is under way there goes on, and must be closed.
+	Unanswered io.Closer
 	cause      error
 }
 
@@ -142,7 +160,7 @@
 func (p *Pool) Exchange(ctx context.Context, call *Call) (*Answer, error) {
 	message := encode(p.config.Address, call)
 	defer message.free()
-	connection, failure := p.send(ctx, message.Bytes())
+	connection, failure := p.send(ctx, message.Bytes(), call.Fresh)
 	if failure != nil {
 		return nil, failure
 	}
@@ -155,9 +173,9 @@
 
 // send writes the message to a connection. A reused connection that takes no
 // byte of it is replaced by a new one.
-func (p *Pool) send(ctx context.Context, message []byte) (*connection, *Failure) {
+func (p *Pool) send(ctx context.Context, message []byte, fresh bool) (*connection, *Failure) {
 	for {
-		c, reused, err := p.acquire(ctx)
+		c, reused, err := p.acquire(ctx, fresh)
 		if err != nil {
 			return nil, p.failure("connect", false, false, err)
 		}
@@ -179,7 +197,13 @@
 // receive reads the answer to a call that was sent.
 func (p *Pool) receive(ctx context.Context, c *connection, call *Call) (*Answer, *Failure) {
 	method := call.Method
-	response, err := p.awaitOwn(c, call)
+	silence := cmp.Or(call.Silence, p.config.Silence)
+	response, err := p.awaitOwn(c, call, silence)
+	if ctx.Err() == nil && silence > 0 && wentSilent(err) {
+		failure := p.failure("await answer", true, false, err)
+		failure.Unanswered = p.detach(c)
+		return nil, failure
+	}
 	if err != nil {
 		p.discard(c)
 		return nil, p.failure("await answer", true, false, contextError(ctx, err))
@@ -210,6 +234,12 @@
 	return answer, nil
 }
 
+// wentSilent reports whether an exchange failed because nothing came for the allowed
+// silence, or because the other machine left bytes or probes unanswered.
+func wentSilent(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT)
+}
+
 // maxForeign bounds the answers that are passed over for one call.
 const maxForeign = 4
 
@@ -217,9 +247,9 @@
 
 // awaitOwn reads the header of the call's own answer and passes over answers
 // that belong to other calls.
-func (p *Pool) awaitOwn(c *connection, call *Call) (*http.Response, error) {
+func (p *Pool) awaitOwn(c *connection, call *Call, silence time.Duration) (*http.Response, error) {
 	for range maxForeign {
-		response, err := c.readHeader(call.Method, p.config.MaxHeaderBytes)
+		response, err := c.readHeader(call.Method, p.config.MaxHeaderBytes, silence)
 		if err != nil {
 			return nil, err
 		}
