--- a/internal/peering/resume_test.go
+++ b/internal/peering/resume_test.go
@@ -131,7 +131,12 @@
 	return f
 }
 
+// callBound ends calls that would never be answered.
+const callBound = 10 * silence
+
 func (f *resumeFixture) call(ctx context.Context, id string, process uint32) (*Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callBound)
+	defer cancel()
 	return f.client.Call(ctx, f.proxy.listener.Addr().String(), &Call{Service: "s", RequestID: id, Method: "POST", URI: "/x", Remaining: 5 * time.Second, Process: process})
 }
 
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -146,7 +146,7 @@
 		return
 	}
 	slices.SortStableFunc(families, func(a, b *dto.MetricFamily) int { return cmp.Compare(placeOf(a), placeOf(b)) })
-	format := expfmt.Negotiate(r.Header)
+	format := expfmt.NegotiateAccept(r.Header, expfmt.DefaultAcceptedFormats()...)
 	w.Header().Set("Content-Type", string(format))
 	encoder := expfmt.NewEncoder(w, format)
 	for _, family := range families {
