A target that was taken for replaced may return

Cause: a heartbeat that a cut held up may come after its sender crashed and a successor registered at the same address. A node process that started meanwhile doesn't know the sender, takes it for the newer target, and counted the successor as departed for good: a target that is well gets no request any more. Ruled out: order by sequence numbers (they tell the order within one life alone); taking a target only with its second heartbeat (delays every start by a heartbeat). Change: a replaced target is taken back if it sends heartbeats for a second while the present one sends none. Late ones of a crashed target come together and change nothing; those that said they leave stay departed. Test: TestALateHeartbeatDoesNotEndItsSuccessor, fails before with i-1 for i-2.

--- a/internal/registry/registrar.go
+++ b/internal/registry/registrar.go
@@ -48,7 +48,11 @@
 	mutex  sync.Mutex
 	target Target
 	// departed holds the targets that are known to leave or to have left.
-	departed  map[string]bool
+	departed map[string]bool
+	// replaced holds the targets whose successor sent heartbeats, and returning the one
+	// of them that does so again.
+	replaced  map[string]bool
+	returning returningTarget
 	recovered bool
 }
 
@@ -58,7 +62,7 @@
 
 // NewRegistrar returns a registrar that knows no target yet.
 func NewRegistrar(config RegistrarConfig, stores Stores, log *eventlog.Log, now func() time.Time) *Registrar {
-	r := &Registrar{config: config, log: log, now: now, departed: make(map[string]bool)}
+	r := &Registrar{config: config, log: log, now: now, departed: make(map[string]bool), replaced: make(map[string]bool)}
 	r.publisher = newPublisher(stores.Record, config.HomesPrefix+config.Address, log, now)
 	r.departing.store = stores.Departure
 	return r
@@ -160,6 +164,29 @@
 	return r.makeDurable(ctx, beat.ID)
 }
 
+// returningTarget is a replaced target that sends heartbeats again.
+type returningTarget struct {
+	id    string
+	since time.Time
+}
+
+// returnAfter is for how long a replaced target must send heartbeats, while its
+// successor sends none, to be taken back. Heartbeats of a crashed target that a cut
+// held up come together and earlier than that; a target that lives sends one in each
+// second or two.
+const returnAfter = time.Second
+
+// returns reports whether a replaced target is there after all: what was taken for
+// its successor was a late heartbeat of its predecessor.
+func (r *Registrar) returns(id string) bool {
+	now := r.now()
+	if r.returning.id != id {
+		r.returning = returningTarget{id: id, since: now}
+		return false
+	}
+	return now.Sub(r.returning.since) >= returnAfter
+}
+
 // take applies a heartbeat to the state. A late one of a target that left or
 // was replaced changes nothing.
 func (r *Registrar) take(beat Heartbeat) {
@@ -167,11 +194,17 @@
 		return
 	}
 	if beat.ID != r.target.ID {
+		if r.replaced[beat.ID] && !r.returns(beat.ID) {
+			r.departed[beat.ID] = beat.Draining
+			return
+		}
 		if r.target.ID != "" {
-			r.departed[r.target.ID] = true
+			r.replaced[r.target.ID] = true
 		}
+		delete(r.replaced, beat.ID)
 		r.target = Target{ID: beat.ID, Service: beat.Service, State: Ready}
 	}
+	r.returning = returningTarget{}
 	if beat.Draining {
 		r.depart(beat.ID, Draining)
 		return
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -247,6 +247,38 @@
 	assert.Equal(t, r.Target().ID, "i-2")
 }
 
+// TestALateHeartbeatDoesNotEndItsSuccessor has a heartbeat arrive that a cut held up
+// since before its target crashed. A process that started meanwhile knows only the
+// successor at the same address and takes the late heartbeat for a newer target's.
+// What users saw was a target that was well and got no request for the rest of its
+// life, as it counted as replaced for good.
+func TestALateHeartbeatDoesNotEndItsSuccessor(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := NewRegistrar(RegistrarConfig{HomesPrefix: homesPrefix, FirstStart: true}, Stores{}, nil, func() time.Time { return now })
+	r.recoverFrom(nil)
+	beat := func(id string, sequence uint64) {
+		t.Helper()
+		assert.NilError(t, r.Heartbeat(context.Background(), ready(id, sequence)))
+	}
+	beat("i-2", 1)
+	beat("i-1", 6)
+	for sequence := uint64(2); sequence < 4; sequence++ {
+		now = now.Add(1500 * time.Millisecond)
+		beat("i-2", sequence)
+	}
+	assert.Equal(t, r.Target().ID, "i-2", "it lives")
+	assert.Equal(t, r.Target().State, Ready)
+	for sequence := uint64(7); sequence < 10; sequence++ {
+		now = now.Add(200 * time.Millisecond)
+		beat("i-1", sequence)
+	}
+	assert.Equal(t, r.Target().ID, "i-2", "heartbeats that come together are old ones")
+	beat("i-2", 4)
+	now = now.Add(returnAfter)
+	beat("i-1", 10)
+	assert.Equal(t, r.Target().ID, "i-2")
+}
+
 func startDirectory(t *testing.T, source store.Store) *Directory {
 	t.Helper()
 	d := NewDirectory(homesPrefix, homeAddress, nil, time.Now)
