A resumption that comes late doesn't run an ended call again

Cause, found in reading the change before: a home forgot an exchange a second after its end. A second resumption of a request that must not run twice, sent once the connection of the first went silent too, would have found nothing and run it again. Ruled out: the age of the call in the message (what a cut holds up arrives older than it says). Change: exchanges of requests that must not run twice are remembered for 15 s after their end, as resumed ones are: longer than requests last. Their replies still go after 1 s; what is left is that the call may have run. The message says whether a request may run twice.

--- a/internal/forward/receive.go
+++ b/internal/forward/receive.go
@@ -90,6 +90,7 @@
 		Caller:    f.config.Service,
 		Route:     q.route.Name,
 		Rank:      q.rank.Key(),
+		Once:      q.route.Kind != routetable.Repeatable,
 		Inner:     q.inner,
 		Done:      max(q.callNumber-1, 0),
 		Repeat:    parent.Repeat,
--- a/internal/peering/exchanges.go
+++ b/internal/peering/exchanges.go
@@ -20,9 +20,10 @@
 	content []byte
 	// cancel ends the run.
 	cancel context.CancelFunc
-	// resumed tells that a resumption came, so that the first message may yet.
-	resumed bool
-	ended   time.Time
+	// once tells that the request must not run twice, and resumed that a resumption
+	// came, so that the first message may yet.
+	once, resumed bool
+	ended         time.Time
 }
 
 const (
@@ -30,9 +31,12 @@
 	// connection went silent before it came: the resumption comes once silence is over.
 	// With 2 s nodes held a seventh more memory over a day with much traffic.
 	replyKept = 2 * silence
-	// resumedKept is how long it is remembered that an offer was resumed: its first
-	// message may arrive once a cut is over, and must not run again.
-	resumedKept = 60 * time.Second
+	// messageLifetime is how long an offer is remembered of which another message may
+	// arrive and must not run: one that was resumed, whose first message a cut may hold
+	// up, and one that must not run twice, which may be resumed until its caller's
+	// deadline. It is longer than requests last; after that callers reset their
+	// connections, and what a cut holds up is lost.
+	messageLifetime = 15 * time.Second
 	// purgePeriod is the time between two searches for exchanges that may go.
 	purgePeriod = 250 * time.Millisecond
 	// maxKeptBytes bounds the replies that are kept. Beyond it new ones are not: their
@@ -72,7 +76,7 @@
 	if known != nil {
 		t.keptBytes -= len(known.content)
 	}
-	e = &exchange{key: key, done: make(chan struct{}), cancel: cancel, resumed: call.Resumed}
+	e = &exchange{key: key, done: make(chan struct{}), cancel: cancel, once: call.Once, resumed: call.Resumed}
 	t.exchanges[key] = e
 	return e, true
 }
@@ -112,7 +116,7 @@
 			t.keptBytes -= len(e.content)
 			e.content = nil
 		}
-		if age >= resumedKept || (age >= replyKept && !e.resumed) {
+		if age >= messageLifetime || (age >= replyKept && !e.resumed && !e.once) {
 			delete(t.exchanges, key)
 		}
 	}
--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -42,6 +42,8 @@
 	// MaxWait is how long the call may wait for room at the target; zero leaves
 	// it to the home.
 	MaxWait time.Duration
+	// Once tells that the request must not run twice.
+	Once bool
 	// Inner tells that a running request made the call.
 	Inner bool
 	// Repeat tells that the request, or one that led to it, went to a target before.
--- a/internal/peering/wire.go
+++ b/internal/peering/wire.go
@@ -65,6 +65,7 @@
 	Repeat    bool     `cbor:"14,keyasint,omitempty"`
 	Done      int      `cbor:"17,keyasint,omitempty"`
 	Offer     int      `cbor:"18,keyasint,omitempty"`
+	Once      bool     `cbor:"20,keyasint,omitempty"`
 	// Resumes is the process that a resumed call was sent to before, zero for others.
 	Resumes uint32       `cbor:"19,keyasint,omitempty"`
 	From    wireAddress  `cbor:"15,keyasint,omitempty"`
@@ -114,7 +115,7 @@
 		Service: call.Service, RequestID: wireID(call.RequestID), Method: methodCode(call.Method), URI: call.URI, Host: call.Host,
 		Header: c.shortHeader(call.Header), Body: call.Body, Remaining: call.Remaining.Milliseconds(), Caller: call.Caller, Route: call.Route,
 		Rank: call.Rank, MaxWait: call.MaxWait.Milliseconds(), Inner: call.Inner, Repeat: call.Repeat, Done: call.Done,
-		Offer: call.Offer, Resumes: resumedProcess(call), From: wireAddress(call.From), Digests: shortDigests(call.Digests),
+		Offer: call.Offer, Once: call.Once, Resumes: resumedProcess(call), From: wireAddress(call.From), Digests: shortDigests(call.Digests),
 	})
 }
 
@@ -137,7 +138,7 @@
 	return &Call{
 		Service: w.Service, RequestID: string(w.RequestID), Method: methodOf(w.Method), URI: w.URI, Host: w.Host, Header: header, Body: w.Body,
 		Remaining: millis(w.Remaining), Caller: w.Caller, Route: w.Route, Rank: w.Rank, MaxWait: millis(w.MaxWait), Inner: w.Inner,
-		Repeat: w.Repeat, Done: w.Done, Offer: w.Offer, Process: w.Resumes, Resumed: w.Resumes != 0, From: string(w.From), Digests: longDigests(w.Digests),
+		Repeat: w.Repeat, Done: w.Done, Offer: w.Offer, Once: w.Once, Process: w.Resumes, Resumed: w.Resumes != 0, From: string(w.From), Digests: longDigests(w.Digests),
 	}, nil
 }
 
