A test of complete answers no longer depends on how fast they come

It runs no code of the product. Traced: the same test of the untouched code fails in 1 of 4 runs beside 24 busy processes.

--- a/lab/load/emulator_test.go
+++ b/lab/load/emulator_test.go
@@ -34,11 +34,18 @@
 	}
 }
 
+// patience is by how much callers wait longer than the examples say: answers must be
+// complete, and how fast they come on a busy machine is not what the test is about.
+const patience = 20
+
 func TestExampleMeshesAnswerTheirLoad(t *testing.T) {
 	for _, name := range []string{"naidu", "ppba"} {
 		t.Run(name, func(t *testing.T) {
 			loaded, err := mesh.Load("../../examples/" + name + "/mesh.toml")
 			assert.NilError(t, err)
+			for i := range loaded.Kinds {
+				loaded.Kinds[i].DeadlineMs *= patience
+			}
 			targets, err := emulator.Start(emulator.Config{Mesh: loaded, Seed: 1, WarmStart: true})
 			assert.NilError(t, err)
 			defer func() { assert.NilError(t, targets.Close()) }()
