Fingerprints of calls that broke off, and a line for each target that ended

Cause: log lines carry the id of a try, and nothing that two tries of one request have in common; a target's end looks like a broken connection. Change: package fingerprint; call-failed of a broken exchange carries it; target-ended when another target takes the place of one that had not said that it leaves. No decision reads either. Calm calls are not hashed. Measured: 0.5 us a request without a body, 0.9 us more a kilobyte. Conclusion: a request that comes again can be told by its fingerprint.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -24,6 +24,7 @@
 	ConfigurationTaken
 	ConfigurationRejected
 	TargetChanged
+	TargetEnded
 	HeartbeatRefused
 	HomeChanged
 	HomeSuspected
@@ -76,6 +77,7 @@
 	ConfigurationTaken:    {"configuration-taken", belief, "version is in force from now on; previous was before; peer is where it came from"},
 	ConfigurationRejected: {"configuration-rejected", belief, "a configuration from peer was not taken; reason says why"},
 	TargetChanged:         {"target-changed", belief, "the target beside the node is now in state outcome, or takes connections no longer (unreachable) or again (reachable); version is its heartbeat's sequence number"},
+	TargetEnded:           {"target-ended", belief, "the target ended without having said that it leaves; count is the calls that broke off at it"},
 	HeartbeatRefused:      {"heartbeat-refused", belief, "a heartbeat got no acknowledgement; reason says why"},
 	HomeChanged:           {"home-changed", belief, "the record of the home at peer is now outcome; version is the record's revision, reason who told it"},
 	HomeSuspected:         {"home-suspected", belief, "the home at peer is passed over; reason says why"},
@@ -91,7 +93,7 @@
 	RequestRetried:        {"request-retried", refusal, "the request goes to another home; reason is why the one before did not do"},
 	RequestAbandoned:      {"request-abandoned", refusal, "the caller left before the answer"},
 	CallRefused:           {"call-refused", refusal, "the home beside the target refused a call; count is the queue's length"},
-	CallFailed:            {"call-failed", failure, "the exchange with the target brought no usable answer"},
+	CallFailed:            {"call-failed", failure, "the exchange with the target brought no usable answer; fingerprint is that of a call that broke off"},
 	CallResumed:           {"call-resumed", failure, "the connection to the home at peer went silent; the call goes on over a new one"},
 	StoreCalls:            {"store-calls", belief, "count calls to the store since the line before; outcome lists them by purpose, call and outcome"},
 	EventsLost:            {"events-lost", belief, "count events were left out of the log since the line before; outcome tells how many of each kind"},
@@ -109,6 +111,8 @@
 	// Route, Service and Target name what was decided about; Peer is the other
 	// side.
 	Route, Service, Target, Peer string
+	// Fingerprint tells what the request asks for, the same in each try.
+	Fingerprint string
 	// Reason is the input that decided, Outcome the result.
 	Reason, Outcome string
 	Status          int
--- a/internal/eventlog/log.go
+++ b/internal/eventlog/log.go
@@ -223,6 +223,7 @@
 	text("service", e.Service)
 	text("target", e.Target)
 	text("peer", e.Peer)
+	text("fingerprint", e.Fingerprint)
 	text("reason", e.Reason)
 	text("outcome", e.Outcome)
 	number("status", uint64(e.Status))
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -19,23 +19,24 @@
 
 // line is what explain reads of a log line.
 type line struct {
-	Time       time.Time `json:"time"`
-	Node       string    `json:"node"`
-	Message    string    `json:"msg"`
-	Request    string    `json:"request"`
-	Route      string    `json:"route"`
-	Service    string    `json:"service"`
-	Target     string    `json:"target"`
-	Peer       string    `json:"peer"`
-	Reason     string    `json:"reason"`
-	Outcome    string    `json:"outcome"`
-	Status     int       `json:"status"`
-	Attempt    int       `json:"attempt"`
-	Count      int       `json:"count"`
-	Version    uint64    `json:"version"`
-	WaitMillis int64     `json:"wait_ms"`
-	Duration   int64     `json:"duration_ms"`
-	AgeMillis  int64     `json:"age_ms"`
+	Time        time.Time `json:"time"`
+	Node        string    `json:"node"`
+	Message     string    `json:"msg"`
+	Request     string    `json:"request"`
+	Route       string    `json:"route"`
+	Service     string    `json:"service"`
+	Target      string    `json:"target"`
+	Peer        string    `json:"peer"`
+	Fingerprint string    `json:"fingerprint"`
+	Reason      string    `json:"reason"`
+	Outcome     string    `json:"outcome"`
+	Status      int       `json:"status"`
+	Attempt     int       `json:"attempt"`
+	Count       int       `json:"count"`
+	Version     uint64    `json:"version"`
+	WaitMillis  int64     `json:"wait_ms"`
+	Duration    int64     `json:"duration_ms"`
+	AgeMillis   int64     `json:"age_ms"`
 }
 
 // Story gathers the lines that concern a request: its own, those of the calls
@@ -145,6 +146,7 @@
 	add("age_ms", l.AgeMillis, l.AgeMillis != 0)
 	add("duration_ms", l.Duration, l.Duration != 0)
 	add("outcome", l.Outcome, l.Outcome != "")
+	add("fingerprint", l.Fingerprint, l.Fingerprint != "")
 	add("reason", fmt.Sprintf("%q", l.Reason), l.Reason != "")
 	return text.String()
 }
--- /dev/null
+++ b/internal/fingerprint/fingerprint_test.go
@@ -0,0 +1,49 @@
+package fingerprint
+
+import (
+	"strconv"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestEachPartOfTheContentCounts(t *testing.T) {
+	base := Content{Method: "GET", Host: "a.example", URI: "/read/x?page=1", Body: []byte("body")}
+	assert.Equal(t, Of(base), Of(Content{Method: "GET", Host: "a.example", URI: "/read/x?page=1", Body: []byte("body")}))
+	others := map[string]Content{
+		"method":                 {Method: "PUT", Host: base.Host, URI: base.URI, Body: base.Body},
+		"host":                   {Method: base.Method, Host: "b.example", URI: base.URI, Body: base.Body},
+		"query":                  {Method: base.Method, Host: base.Host, URI: "/read/x?page=2", Body: base.Body},
+		"body":                   {Method: base.Method, Host: base.Host, URI: base.URI, Body: []byte("Body")},
+		"no body":                {Method: base.Method, Host: base.Host, URI: base.URI},
+		"part moved to the next": {Method: "GETa", Host: ".example", URI: base.URI, Body: base.Body},
+		"part moved to the body": {Method: base.Method, Host: base.Host, URI: "/read/x?page=", Body: []byte("1body")},
+	}
+	for name, other := range others {
+		assert.Assert(t, Of(base) != Of(other), name)
+	}
+}
+
+func TestTheWrittenFormIsReadBack(t *testing.T) {
+	written := Of(Content{Method: "GET", URI: "/"})
+	read, err := Parse(written.String())
+	assert.NilError(t, err)
+	assert.Equal(t, read, written)
+	for _, faulty := range []string{"", "zz", "0011", written.String() + "00"} {
+		_, err := Parse(faulty)
+		assert.Assert(t, err != nil, faulty)
+	}
+}
+
+// BenchmarkOf takes 0.5 microseconds for a request without a body and 0.9 microseconds
+// more for each kilobyte of body (three runs, one processor of eight).
+func BenchmarkOf(b *testing.B) {
+	for _, size := range []int{0, 1 << 10, 64 << 10} {
+		b.Run("body="+strconv.Itoa(size), func(b *testing.B) {
+			content := Content{Method: "GET", Host: "a.example", URI: "/read/815292?page=38&sort=new", Body: make([]byte, size)}
+			for b.Loop() {
+				Of(content)
+			}
+		})
+	}
+}
--- a/internal/guard/exchange.go
+++ b/internal/guard/exchange.go
@@ -33,8 +33,11 @@
 		permit.Release(limit.Sample{Outcome: limit.Failure})
 		reply := g.failureOf(ctx, call, err)
 		i.record.ended(call.Route, reply, duration, ended)
-		if reply.Reason == peering.Unconnected {
+		switch reply.Reason {
+		case peering.Unconnected:
 			g.noteReach(i, false)
+		case peering.Broken:
+			i.broken.Add(1)
 		}
 		return reply
 	}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -78,6 +78,8 @@
 	reach     reach
 	shedding  *shed.Controller
 	leaving   atomic.Bool
+	// broken counts the calls whose exchange broke off.
+	broken atomic.Int64
 }
 
 // New returns a guard that knows no target yet and refuses all calls.
@@ -101,12 +103,22 @@
 		return
 	}
 	if old != nil {
+		g.replaced(old)
 		old.leave()
 		old.pool.Close()
 	}
 	g.current.Store(g.newIncarnation(target))
 }
 
+// replaced notes that another target took the place of one that had not said that it
+// leaves: it ended.
+func (g *Guard) replaced(old *incarnation) {
+	if old.leaving.Load() {
+		return
+	}
+	g.log.Record(eventlog.Event{Kind: eventlog.TargetEnded, Service: old.target.Service, Target: old.target.ID, Count: int(old.broken.Load())})
+}
+
 // Bounds by which a connection to the target that went silent is told, also while a
 // call waits on it. The target runs on the same machine, where nothing is lost on the
 // way; only its own answers tell how long a call takes.
@@ -221,8 +233,12 @@
 	if reply.Outcome == peering.Failed {
 		kind = eventlog.CallFailed
 	}
-	g.log.Record(eventlog.Event{Kind: kind, Request: call.RequestID, Route: call.Route, Service: call.Service, Reason: string(reply.Reason),
-		Count: reply.Load.Queued, Wait: reply.RetryAfter, Duration: g.now().Sub(started)})
+	event := eventlog.Event{Kind: kind, Request: call.RequestID, Route: call.Route, Service: call.Service, Reason: string(reply.Reason),
+		Count: reply.Load.Queued, Wait: reply.RetryAfter, Duration: g.now().Sub(started)}
+	if reply.Reason == peering.Broken {
+		event.Fingerprint = call.Fingerprint().String()
+	}
+	g.log.Record(event)
 }
 
 func refused(reason peering.Reason) *peering.Reply {
--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/lugspur/lugspur/internal/fingerprint"
 	"github.com/lugspur/lugspur/internal/replica"
 )
 
@@ -65,6 +66,11 @@
 	Digests []replica.Digest
 }
 
+// Fingerprint returns the fingerprint of what the call asks for.
+func (c *Call) Fingerprint() fingerprint.Fingerprint {
+	return fingerprint.Of(fingerprint.Content{Method: c.Method, Host: c.Host, URI: c.URI, Body: c.Body})
+}
+
 // Spread is what nodes tell each other of their copies of the store beside calls.
 type Spread interface {
 	// Digests says how far the node's copies reach.
