A failing test: one request ends its targets again and again

Ruled out: repetitions by nodes as the cause (requests that must not run twice end as many targets), targets overrun as they come back (they end with one request open).

--- a/lab/platformstub/target.go
+++ b/lab/platformstub/target.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,15 +23,22 @@
 	ID, Service, Address, Control, Zone string
 	// Work is how long each request takes.
 	Work time.Duration
+	// EndsUnder begins the paths of requests that end the target at the end of their
+	// work; empty means that none does.
+	EndsUnder string
+	// OnEnd is called once the target has ended under a request; it may be nil.
+	OnEnd func()
 
 	sequence atomic.Uint64
 	draining atomic.Bool
 	silent   atomic.Bool
+	ended    sync.Once
 	mutex    sync.Mutex
 	faults   TargetFaults
 	arrivals uint64
 	runs     []Run
 	server   *http.Server
+	stop     context.CancelFunc
 }
 
 // Run is a request that a target began to work on.
@@ -66,6 +74,7 @@
 	if err != nil {
 		return err
 	}
+	ctx, t.stop = context.WithCancel(ctx)
 	t.server = &http.Server{Handler: http.HandlerFunc(t.serve)}
 	go func() { _ = t.server.Serve(listener) }()
 	go t.beat(ctx)
@@ -73,6 +82,9 @@
 	return nil
 }
 
+// Close closes the target's listener and connections.
+func (t *Target) Close() { _ = t.server.Close() }
+
 // SetFaults puts faults in force.
 func (t *Target) SetFaults(faults TargetFaults) {
 	t.mutex.Lock()
@@ -111,6 +123,10 @@
 	case <-r.Context().Done():
 		return
 	}
+	if t.EndsUnder != "" && strings.HasPrefix(r.URL.Path, t.EndsUnder) {
+		t.end()
+		panic(http.ErrAbortHandler)
+	}
 	if hits(faults.LoseEvery, count) {
 		panic(http.ErrAbortHandler)
 	}
@@ -124,6 +140,16 @@
 	_, _ = io.WriteString(w, answer)
 }
 
+// end ends the target as a crash does: its listener and all connections close, and it
+// says nothing more.
+func (t *Target) end() {
+	t.stop()
+	_ = t.server.Close()
+	if t.OnEnd != nil {
+		t.ended.Do(t.OnEnd)
+	}
+}
+
 func (t *Target) note(r *http.Request, id string) {
 	run := Run{ID: id, Path: r.URL.Path, Caller: r.Header.Get("Lugspur-Caller-Service"), Method: r.Method, Remaining: -1, At: time.Now()}
 	if millis, err := strconv.Atoi(r.Header.Get("Lugspur-Deadline-Ms")); err == nil {
