--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -25,6 +25,11 @@
 	ConfigurationRejected
 	TargetChanged
 	TargetEnded
+	RequestQuarantined
+	QuarantineTrial
+	QuarantineLifted
+	QuarantineRefused
+	RecordRejected
 	HeartbeatRefused
 	HomeChanged
 	HomeSuspected
@@ -77,7 +82,12 @@
 	ConfigurationTaken:    {"configuration-taken", belief, "version is in force from now on; previous was before; peer is where it came from"},
 	ConfigurationRejected: {"configuration-rejected", belief, "a configuration from peer was not taken; reason says why"},
 	TargetChanged:         {"target-changed", belief, "the target beside the node is now in state outcome, or takes connections no longer (unreachable) or again (reachable); version is its heartbeat's sequence number"},
-	TargetEnded:           {"target-ended", belief, "the target ended without having said that it leaves; count is the calls that broke off at it"},
+	TargetEnded:           {"target-ended", belief, "the target ended without having said that it leaves; count is the calls that broke off at it, reason how that shows"},
+	RequestQuarantined:    {"request-quarantined", belief, "requests with the fingerprint are refused from now on, as count targets in a row crashed under them; reason says who told, wait when a trial run is due"},
+	QuarantineTrial:       {"quarantine-trial", belief, "this node makes a trial run of the quarantined request, the count-th of all nodes"},
+	QuarantineLifted:      {"quarantine-lifted", belief, "requests with the fingerprint are no longer refused; reason says why"},
+	QuarantineRefused:     {"quarantine-refused", refusal, "the request was refused because count targets in a row crashed under its fingerprint; wait is when to come back, peer the home that said so if it was not known here"},
+	RecordRejected:        {"record-rejected", belief, "the entry of the store that peer names could not be read; reason says why"},
 	HeartbeatRefused:      {"heartbeat-refused", belief, "a heartbeat got no acknowledgement; reason says why"},
 	HomeChanged:           {"home-changed", belief, "the record of the home at peer is now outcome; version is the record's revision, reason who told it"},
 	HomeSuspected:         {"home-suspected", belief, "the home at peer is passed over; reason says why"},
--- a/internal/fingerprint/fingerprint.go
+++ b/internal/fingerprint/fingerprint.go
@@ -48,6 +48,9 @@
 // String returns the fingerprint in hexadecimal digits, as logs and operators write it.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
+// IsZero reports whether the fingerprint is that of no request.
+func (f Fingerprint) IsZero() bool { return f == Fingerprint{} }
+
 // Parse reads the form that String writes.
 func Parse(text string) (Fingerprint, error) {
 	decoded, err := hex.DecodeString(text)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -16,11 +16,13 @@
 	"github.com/lugspur/lugspur/internal/criticality"
 	"github.com/lugspur/lugspur/internal/ending"
 	"github.com/lugspur/lugspur/internal/eventlog"
+	"github.com/lugspur/lugspur/internal/fingerprint"
 	"github.com/lugspur/lugspur/internal/guard"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/policy"
 	"github.com/lugspur/lugspur/internal/pressure"
 	"github.com/lugspur/lugspur/internal/problem"
+	"github.com/lugspur/lugspur/internal/quarantine"
 	"github.com/lugspur/lugspur/internal/registry"
 	"github.com/lugspur/lugspur/internal/retrybudget"
 	"github.com/lugspur/lugspur/internal/routepolicy"
@@ -56,6 +58,8 @@
 	Local LocalHome
 	// Policies are those of the kinds of routes.
 	Policies *routepolicy.Holder
+	// Quarantine knows requests that crash targets.
+	Quarantine Quarantine
 	// Levels hold the shed thresholds of routes.
 	Levels   *pressure.Levels
 	Peers    Peers
@@ -64,6 +68,16 @@
 	Now      func() time.Time
 }
 
+// Quarantine knows requests that crash targets. It is safe for concurrent use.
+type Quarantine interface {
+	// Empty reports whether there are no suspects.
+	Empty() bool
+	// Standing returns what is known of a request.
+	Standing(print fingerprint.Fingerprint) quarantine.Standing
+	// Answered notes that a target answered a request.
+	Answered(call quarantine.OpenCall)
+}
+
 // LocalHome runs calls at the target beside the node and knows what runs there.
 type LocalHome interface {
 	peering.Home
@@ -106,6 +120,7 @@
 	local     LocalHome
 	policies  *routepolicy.Holder
 	levels    *pressure.Levels
+	suspects  Quarantine
 	peers     Peers
 	observer  Observer
 	log       *eventlog.Log
@@ -135,6 +150,7 @@
 		local:     parts.Local,
 		policies:  parts.Policies,
 		levels:    parts.Levels,
+		suspects:  parts.Quarantine,
 		peers:     parts.Peers,
 		observer:  parts.Observer,
 		log:       parts.Log,
@@ -239,6 +255,8 @@
 	parent, parentRoute string
 	callNumber          int
 	wanted              context.Context
+	// print is the request's fingerprint, worked out only while there are suspects.
+	print fingerprint.Fingerprint
 	// retryAfter is the shortest wait that a home proposed.
 	retryAfter time.Duration
 	// lastHome is the home that the request was offered to last, and lastReason
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -21,6 +21,7 @@
 	"github.com/lugspur/lugspur/internal/guard"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/pressure"
+	"github.com/lugspur/lugspur/internal/quarantine"
 	"github.com/lugspur/lugspur/internal/registry"
 	"github.com/lugspur/lugspur/internal/replica"
 	"github.com/lugspur/lugspur/internal/retrybudget"
@@ -118,6 +119,7 @@
 	// addresses are those of the homes, in their order.
 	addresses []string
 	levels    *pressure.Levels
+	suspects  *quarantine.Quarantine
 }
 
 var testCodec = peering.NewCodec("X-Signature")
@@ -135,10 +137,10 @@
 
 func newFixture(t *testing.T, answers ...func(context.Context, *peering.Call) *peering.Reply) *fixture {
 	t.Helper()
-	fixture := &fixture{levels: pressure.New(time.Now)}
+	fixture := &fixture{levels: pressure.New(time.Now), suspects: quarantine.New(quarantine.Config{Now: time.Now})}
 	for _, answer := range answers {
 		home := &fakeHome{answer: answer}
-		server := httptest.NewServer(peering.Handler(home, replica.NewSpread(replica.SpreadConfig{Now: time.Now}), testCodec, 1<<20, testProcess))
+		server := httptest.NewServer(peering.Handler(home, replica.NewSpread(replica.SpreadConfig{Now: time.Now}), nil, testCodec, 1<<20, testProcess))
 		t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 		fixture.homes = append(fixture.homes, home)
 		fixture.addresses = append(fixture.addresses, strings.TrimPrefix(server.URL, "http://"))
@@ -166,8 +168,9 @@
 		},
 	}, Parts{
 		Routes: routes, Policies: policiesOf(t, routepolicy.Sources{}), Directory: directoryOf(t, addresses), Local: &fakeHome{answer: answered}, Levels: fixture.levels,
-		Peers:    peering.NewClient(peering.ClientConfig{MaxBuffered: 1 << 20, DialTimeout: time.Second, UserTimeout: time.Second, MaxIdle: 4, IdleTimeout: time.Minute, Codec: testCodec}),
-		Observer: observer{}, Now: time.Now,
+		Quarantine: fixture.suspects,
+		Peers:      peering.NewClient(peering.ClientConfig{MaxBuffered: 1 << 20, DialTimeout: time.Second, UserTimeout: time.Second, MaxIdle: 4, IdleTimeout: time.Minute, Codec: testCodec}),
+		Observer:   observer{}, Now: time.Now,
 	})
 	for range testRequestsForARepetition {
 		forwarder.budget("s").Request()
@@ -516,7 +519,7 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", address)
 	assert.NilError(t, err)
-	server := &http.Server{Handler: peering.Handler(&fakeHome{answer: answered}, replica.NewSpread(replica.SpreadConfig{Now: time.Now}), testCodec, 1<<20, testProcess)}
+	server := &http.Server{Handler: peering.Handler(&fakeHome{answer: answered}, replica.NewSpread(replica.SpreadConfig{Now: time.Now}), nil, testCodec, 1<<20, testProcess)}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 }
--- a/internal/forward/receive.go
+++ b/internal/forward/receive.go
@@ -96,7 +96,7 @@
 		Repeat:    parent.Repeat,
 		MaxWait:   f.maxWait(q),
 	}
-	return q, nil
+	return q, f.screen(q)
 }
 
 // endsInTime reports whether the request has surely ended before the node's end.
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -55,6 +55,7 @@
 		f.countArrival(q, reply)
 		if reply.Outcome == peering.Answered {
 			q.attempts++
+			f.noteAnswered(q)
 			if !f.worthRepeating(q, reply) {
 				return reply, nil
 			}
@@ -64,13 +65,21 @@
 			continue
 		}
 		q.lastReason = reply.Reason
+		q.noteCrash(reply)
+		if reply.Reason == peering.Quarantined {
+			if reply.Outcome == peering.Failed {
+				// It was withdrawn from the target.
+				q.attempts++
+			}
+			return nil, f.quarantined(q, reply.RetryAfter)
+		}
 		if ctx.Err() != nil {
 			return nil, f.timedOut(q, reply)
 		}
 		q.exclude(home, reply)
 		if reply.Outcome == peering.Refused {
 			q.noteWait(reply.RetryAfter)
-			if q.offers > f.retries(q) {
+			if q.offers > f.retries(q) || (q.suspected() && reply.Reason == peering.Waited) {
 				break
 			}
 			continue
@@ -87,6 +96,9 @@
 // left, homes whose targets turned it away are chosen again: these may reject
 // requests at random.
 func (f *Forwarder) chooseAgain(q *request) choice {
+	if q.suspected() {
+		return f.choosePlace(q)
+	}
 	next := f.choose(q)
 	if next.home != nil || len(q.rejected) == 0 {
 		return next
@@ -139,6 +151,9 @@
 		detail = "may have run and must not run twice"
 	case q.attempts >= max(q.route.Attempts, 1), q.attempts > f.retries(q):
 		detail = "no attempts left"
+	case q.isolated():
+		// The next target may well crash, too.
+		detail = "targets crashed under the request"
 	case f.levels.Scarce(q.route.Name):
 		detail = "no retry budget left for the calls of the request"
 	default:
--- a/internal/guard/exchange.go
+++ b/internal/guard/exchange.go
@@ -16,14 +16,20 @@
 )
 
 // exchange sends an admitted call and judges the answer.
-func (g *Guard) exchange(ctx context.Context, i *incarnation, permit *scheduler.Permit, call *peering.Call, deadline time.Time) *peering.Reply {
+func (g *Guard) exchange(ctx context.Context, i *incarnation, permit *scheduler.Permit, call *peering.Call, screened *screening, deadline time.Time) *peering.Reply {
 	started := g.now()
 	remaining := deadline.Sub(started).Milliseconds()
 	if remaining <= 0 {
 		permit.Cancel()
 		return refused(peering.Late)
 	}
-	done := g.running.begin(call)
+	if reply := g.screenLast(screened, call); reply != nil {
+		permit.Cancel()
+		return reply
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	done := g.running.begin(call, cancel)
 	i.record.began(call.Route, started)
 	answer, err := i.pool.Exchange(ctx, g.message(i, call, remaining))
 	ended := g.now()
@@ -32,19 +38,27 @@
 	if err != nil {
 		permit.Release(limit.Sample{Outcome: limit.Failure})
 		reply := g.failureOf(ctx, call, err)
+		if reply.Reason == peering.Broken {
+			open := screened.openCall(call)
+			if g.brokeOff(ctx, i, open) {
+				reply.Reason = peering.TargetCrashed
+				reply.Crashes = open.Crashes
+			}
+		}
 		i.record.ended(call.Route, reply, duration, ended)
-		switch reply.Reason {
-		case peering.Unconnected:
+		if reply.Reason == peering.Unconnected {
 			g.noteReach(i, false)
-		case peering.Broken:
-			i.broken.Add(1)
 		}
 		return reply
 	}
 	defer answer.Close()
+	i.crash.noteAnswer(ended)
 	g.noteReach(i, true)
 	reply := g.judge(answer)
 	reply.OwnFailure = failedItself(reply) && !callFailed
+	if reply.Outcome == peering.Answered && !g.config.Quarantine.Empty() {
+		g.config.Quarantine.Answered(screened.openCall(call))
+	}
 	permit.Release(limit.Sample{Outcome: outcomeOf(reply), Latency: duration})
 	i.record.ended(call.Route, reply, duration, ended)
 	if reply.Reason == peering.Misdirected {
@@ -99,6 +113,8 @@
 	sent := !errors.As(err, &failure) || failure.Sent
 	reason := peering.Broken
 	switch {
+	case errors.Is(context.Cause(ctx), errQuarantined):
+		reason = peering.Quarantined
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		reason = peering.DeadlinePassed
 	case ctx.Err() != nil:
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -14,8 +14,10 @@
 	"github.com/lugspur/lugspur/internal/callheader"
 	"github.com/lugspur/lugspur/internal/ending"
 	"github.com/lugspur/lugspur/internal/eventlog"
+	"github.com/lugspur/lugspur/internal/fingerprint"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/pressure"
+	"github.com/lugspur/lugspur/internal/quarantine"
 	"github.com/lugspur/lugspur/internal/registry"
 	"github.com/lugspur/lugspur/internal/scheduler"
 	"github.com/lugspur/lugspur/internal/shed"
@@ -41,10 +43,26 @@
 	MaxConnections func() int
 	// Below returns what is known of the calls that requests of the route make.
 	Below func(route string) pressure.Level
+	// Quarantine knows requests that crash targets.
+	Quarantine Quarantine
 	// Observer sees what becomes of calls; it may be nil.
 	Observer Observer
 }
 
+// Quarantine knows requests that crash targets. It is safe for concurrent use.
+type Quarantine interface {
+	// Empty reports whether there are no suspects.
+	Empty() bool
+	// Standing returns what is known of a request.
+	Standing(print fingerprint.Fingerprint) quarantine.Standing
+	// Crashed takes the end of the target, with the calls that broke off.
+	Crashed(instance string, open []quarantine.OpenCall)
+	// Answered notes that the target answered a request.
+	Answered(call quarantine.OpenCall)
+	// ClaimTrial reports whether a quarantined request whose trial is due may run here.
+	ClaimTrial(ctx context.Context, call quarantine.OpenCall) bool
+}
+
 // Observer sees what becomes of calls, for metrics.
 type Observer interface {
 	// Ended sees a call that ended, with its time in the queue and at the target.
@@ -65,6 +83,7 @@
 	inFlight atomic.Int64
 	current  atomic.Pointer[incarnation]
 	running  runningTable
+	turns    turns
 	mutex    sync.Mutex
 }
 
@@ -77,9 +96,8 @@
 	record    trackRecord
 	reach     reach
 	shedding  *shed.Controller
+	crash     crashWatch
 	leaving   atomic.Bool
-	// broken counts the calls whose exchange broke off.
-	broken atomic.Int64
 }
 
 // New returns a guard that knows no target yet and refuses all calls.
@@ -110,15 +128,6 @@
 	g.current.Store(g.newIncarnation(target))
 }
 
-// replaced notes that another target took the place of one that had not said that it
-// leaves: it ended.
-func (g *Guard) replaced(old *incarnation) {
-	if old.leaving.Load() {
-		return
-	}
-	g.log.Record(eventlog.Event{Kind: eventlog.TargetEnded, Service: old.target.Service, Target: old.target.ID, Count: int(old.broken.Load())})
-}
-
 // Bounds by which a connection to the target that went silent is told, also while a
 // call waits on it. The target runs on the same machine, where nothing is lost on the
 // way; only its own answers tell how long a call takes.
@@ -235,7 +244,7 @@
 	}
 	event := eventlog.Event{Kind: kind, Request: call.RequestID, Route: call.Route, Service: call.Service, Reason: string(reply.Reason),
 		Count: reply.Load.Queued, Wait: reply.RetryAfter, Duration: g.now().Sub(started)}
-	if reply.Reason == peering.Broken {
+	if reply.Reason == peering.Broken || reply.Reason == peering.TargetCrashed || reply.Reason == peering.Quarantined {
 		event.Fingerprint = call.Fingerprint().String()
 	}
 	g.log.Record(event)
@@ -266,13 +275,18 @@
 	deadline := started.Add(call.Remaining)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	screened, reply := g.screen(ctx, call)
+	if reply != nil {
+		return reply, callTimes{waited: g.now().Sub(started)}
+	}
+	defer screened.done()
 	permit, reply := g.acquire(ctx, i, call, deadline)
 	admitted := g.now()
 	times := callTimes{waited: admitted.Sub(started)}
 	if reply != nil {
 		return reply, times
 	}
-	reply = g.exchange(ctx, i, permit, call, deadline)
+	reply = g.exchange(ctx, i, permit, call, &screened, deadline)
 	times.ran = g.now().Sub(admitted)
 	return reply, times
 }
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -19,6 +19,7 @@
 	"github.com/lugspur/lugspur/internal/ending"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/pressure"
+	"github.com/lugspur/lugspur/internal/quarantine"
 	"github.com/lugspur/lugspur/internal/registry"
 	"github.com/lugspur/lugspur/internal/shed"
 )
@@ -64,6 +65,7 @@
 		MaxBuffered:    1 << 20,
 		MaxConnections: func() int { return 100 },
 		Below:          func(string) pressure.Level { return pressure.Level{Threshold: shed.None} },
+		Quarantine:     quarantine.New(quarantine.Config{Now: time.Now}),
 	}, nil, time.Now)
 	g.SetTarget(target(registry.Ready, 2))
 	return g
--- a/internal/guard/reach.go
+++ b/internal/guard/reach.go
@@ -44,6 +44,14 @@
 	return r.unconnected == unconnectedBound
 }
 
+// crashed has the target count as unreachable at once.
+func (r *reach) crashed(now time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.unconnected = max(r.unconnected, unconnectedBound)
+	r.pausedUntil = now.Add(unreachablePause)
+}
+
 // connected notes a call that reached the target. It reports whether the target
 // counted as unreachable before.
 func (r *reach) connected() bool {
--- a/internal/guard/record.go
+++ b/internal/guard/record.go
@@ -85,7 +85,7 @@
 	}
 	failed := false
 	switch {
-	case reply.Reason == peering.Broken, reply.Reason == peering.Spoilt, reply.Reason == peering.TargetFull:
+	case reply.Reason == peering.Broken, reply.Reason == peering.TargetCrashed, reply.Reason == peering.Spoilt, reply.Reason == peering.TargetFull:
 		failed = true
 	case reply.Outcome == peering.Failed:
 		known := r.latencies[route]
--- a/internal/guard/running.go
+++ b/internal/guard/running.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
 	"github.com/lugspur/lugspur/internal/criticality"
 	"github.com/lugspur/lugspur/internal/eventlog"
+	"github.com/lugspur/lugspur/internal/fingerprint"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/shed"
 )
@@ -30,6 +32,9 @@
 	callFailed bool
 	// abandon ends Wanted.
 	abandon context.CancelFunc
+	// call is the request as it was sent to the target, and withdraw ends the exchange.
+	call     *peering.Call
+	withdraw context.CancelCauseFunc
 }
 
 // abandonedGeneration is the least time for which an abandoned request is
@@ -71,11 +76,13 @@
 
 // begin notes a request at the target. The returned function ends it, with or without
 // an answer, and reports whether a call that the request made had failed.
-func (t *runningTable) begin(call *peering.Call) func(answered bool, now time.Time) (callFailed bool) {
+func (t *runningTable) begin(call *peering.Call, withdraw context.CancelCauseFunc) func(answered bool, now time.Time) (callFailed bool) {
 	wanted, abandon := context.WithCancel(context.Background())
 	request := &runningRequest{
-		Running: Running{Route: call.Route, Rank: criticality.RankOf(call.Rank), Repeat: call.Repeat, Wanted: wanted},
-		abandon: abandon,
+		Running:  Running{Route: call.Route, Rank: criticality.RankOf(call.Rank), Repeat: call.Repeat, Wanted: wanted},
+		abandon:  abandon,
+		call:     call,
+		withdraw: withdraw,
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -98,6 +105,21 @@
 	}
 }
 
+// errQuarantined ends the exchanges of requests that are quarantined meanwhile.
+var errQuarantined = errors.New(string(peering.Quarantined))
+
+// Withdraw ends the exchanges with the target of a request that is quarantined from now
+// on: a target that drops it in time does not crash.
+func (g *Guard) Withdraw(print fingerprint.Fingerprint) {
+	g.running.mutex.Lock()
+	defer g.running.mutex.Unlock()
+	for _, request := range g.running.requests {
+		if request.call.Fingerprint() == print {
+			request.withdraw(errQuarantined)
+		}
+	}
+}
+
 // Running returns a request that the target works on.
 func (g *Guard) Running(id string) (Running, bool) {
 	g.running.mutex.Lock()
--- a/internal/peering/client.go
+++ b/internal/peering/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/lugspur/lugspur/internal/quarantine"
 	"github.com/lugspur/lugspur/internal/replica"
 	"github.com/lugspur/lugspur/internal/transport"
 )
@@ -148,6 +149,12 @@
 	return &answer, nil
 }
 
+// Notify tells the peer of requests that crash targets.
+func (c *Client) Notify(ctx context.Context, address string, notice *quarantine.Notice) error {
+	_, err := c.exchange(ctx, address, &transport.Call{Method: http.MethodPost, Host: peerHost, RequestURI: noticePath, Body: encode(notice)})
+	return err
+}
+
 // unreadable is the error of a reply that came and could not be read.
 func unreadable(address string, err error) *Error {
 	return &Error{Sent: true, cause: fmt.Errorf("read reply from %s: %w", address, err)}
--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/lugspur/lugspur/internal/fingerprint"
+	"github.com/lugspur/lugspur/internal/quarantine"
 	"github.com/lugspur/lugspur/internal/replica"
 )
 
@@ -20,6 +21,8 @@
 	callPath  = "/2/c"
 	pingPath  = "/2/p"
 	queryPath = "/2/r"
+	// noticePath takes notices of crashed targets.
+	noticePath = "/2/q"
 )
 
 // Call is a request on its way to a home.
@@ -54,6 +57,9 @@
 	Done int
 	// Offer numbers the offers of a request by the node that it entered.
 	Offer int
+	// Crashes is the number of targets in a row that crashed under the request, as far as
+	// the node that it entered knows.
+	Crashes int
 	// Process is the home's process as the caller knows it, zero if it does not.
 	Process uint32
 	// Resumed tells that the same offer was sent to Process before, over a connection
@@ -83,6 +89,11 @@
 	Answer(query *replica.Query) *replica.Answer
 }
 
+// Notices takes what peers tell of requests that crash targets.
+type Notices interface {
+	Heard(notice *quarantine.Notice)
+}
+
 // Outcome is what became of a call.
 type Outcome uint8
 
@@ -143,6 +154,9 @@
 	// RetryAfter is when the home expects room again.
 	RetryAfter time.Duration
 	Load       Load
+	// Crashes is the number of targets in a row that crashed under the request, with the
+	// one that did so now.
+	Crashes int
 	// OwnFailure tells that the answer says that the target failed, and that no call
 	// that the request made had failed before.
 	OwnFailure bool
@@ -180,6 +194,10 @@
 	Unconnected Reason = "unconnected"
 	// Broken: the exchange with the target or the home broke off.
 	Broken Reason = "broken"
+	// TargetCrashed: the target ended while it ran the call.
+	TargetCrashed Reason = "target-crashed"
+	// Quarantined: the request crashed too many targets.
+	Quarantined Reason = "quarantined"
 	// Spoilt: the target's answer was not one that may be passed on.
 	Spoilt Reason = "spoilt"
 	// DeadlinePassed: the deadline came before the answer.
--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/lugspur/lugspur/internal/quarantine"
 	"github.com/lugspur/lugspur/internal/replica"
 )
 
@@ -23,20 +24,24 @@
 type server struct {
 	home      Home
 	spread    Spread
+	notices   Notices
 	codec     *Codec
 	maxBytes  int64
 	process   uint32
 	exchanges *exchangeTable
 }
 
-// Handler serves the exchanges of peers. The process tells this process from others
+// Handler serves the exchanges of peers. The notices may be nil. The process tells this process from others
 // at the address; it is not zero.
-func Handler(home Home, spread Spread, codec *Codec, maxBytes int64, process uint32) http.Handler {
-	s := &server{home: home, spread: spread, codec: codec, maxBytes: maxBytes, process: process, exchanges: newExchangeTable(time.Now)}
+func Handler(home Home, spread Spread, notices Notices, codec *Codec, maxBytes int64, process uint32) http.Handler {
+	s := &server{home: home, spread: spread, notices: notices, codec: codec, maxBytes: maxBytes, process: process, exchanges: newExchangeTable(time.Now)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pingPath, func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("POST "+callPath, s.serveCall)
 	mux.HandleFunc("POST "+queryPath, s.serveQuery)
+	if notices != nil {
+		mux.HandleFunc("POST "+noticePath, s.serveNotice)
+	}
 	return mux
 }
 
@@ -109,6 +114,21 @@
 	write(w, encode(s.spread.Answer(&query)))
 }
 
+func (s *server) serveNotice(w http.ResponseWriter, r *http.Request) {
+	content, err := readAll(r, s.maxBytes)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	var notice quarantine.Notice
+	if err := cbor.Unmarshal(content, &notice); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.notices.Heard(&notice)
+	write(w, nil)
+}
+
 func readAll(r *http.Request, maxBytes int64) ([]byte, error) {
 	if r.ContentLength > maxBytes {
 		return nil, http.ErrContentLength
--- a/internal/peering/wire.go
+++ b/internal/peering/wire.go
@@ -66,6 +66,7 @@
 	Done      int      `cbor:"17,keyasint,omitempty"`
 	Offer     int      `cbor:"18,keyasint,omitempty"`
 	Once      bool     `cbor:"20,keyasint,omitempty"`
+	Crashes   int      `cbor:"21,keyasint,omitempty"`
 	// Resumes is the process that a resumed call was sent to before, zero for others.
 	Resumes uint32       `cbor:"19,keyasint,omitempty"`
 	From    wireAddress  `cbor:"15,keyasint,omitempty"`
@@ -83,6 +84,7 @@
 	OwnFailure bool         `cbor:"8,keyasint,omitempty"`
 	Load       wireLoad     `cbor:"7,keyasint"`
 	Digests    []wireDigest `cbor:"9,keyasint,omitempty"`
+	Crashes    int          `cbor:"10,keyasint,omitempty"`
 }
 
 // wireLoad is a Load as it is sent. The latency is in hundredths of a millisecond.
@@ -115,7 +117,7 @@
 		Service: call.Service, RequestID: wireID(call.RequestID), Method: methodCode(call.Method), URI: call.URI, Host: call.Host,
 		Header: c.shortHeader(call.Header), Body: call.Body, Remaining: call.Remaining.Milliseconds(), Caller: call.Caller, Route: call.Route,
 		Rank: call.Rank, MaxWait: call.MaxWait.Milliseconds(), Inner: call.Inner, Repeat: call.Repeat, Done: call.Done,
-		Offer: call.Offer, Once: call.Once, Resumes: resumedProcess(call), From: wireAddress(call.From), Digests: shortDigests(call.Digests),
+		Offer: call.Offer, Once: call.Once, Crashes: call.Crashes, Resumes: resumedProcess(call), From: wireAddress(call.From), Digests: shortDigests(call.Digests),
 	})
 }
 
@@ -138,7 +140,7 @@
 	return &Call{
 		Service: w.Service, RequestID: string(w.RequestID), Method: methodOf(w.Method), URI: w.URI, Host: w.Host, Header: header, Body: w.Body,
 		Remaining: millis(w.Remaining), Caller: w.Caller, Route: w.Route, Rank: w.Rank, MaxWait: millis(w.MaxWait), Inner: w.Inner,
-		Repeat: w.Repeat, Done: w.Done, Offer: w.Offer, Once: w.Once, Process: w.Resumes, Resumed: w.Resumes != 0, From: string(w.From), Digests: longDigests(w.Digests),
+		Repeat: w.Repeat, Done: w.Done, Offer: w.Offer, Once: w.Once, Crashes: w.Crashes, Process: w.Resumes, Resumed: w.Resumes != 0, From: string(w.From), Digests: longDigests(w.Digests),
 	}, nil
 }
 
@@ -146,7 +148,7 @@
 	load := &reply.Load
 	return encode(&wireReply{
 		Outcome: reply.Outcome, Reason: reply.Reason, Status: reply.Status, Header: c.shortHeader(reply.Header), Body: reply.Body,
-		RetryAfter: reply.RetryAfter.Milliseconds(), OwnFailure: reply.OwnFailure, Digests: shortDigests(reply.Digests),
+		RetryAfter: reply.RetryAfter.Milliseconds(), Crashes: reply.Crashes, OwnFailure: reply.OwnFailure, Digests: shortDigests(reply.Digests),
 		Load: wireLoad{
 			InFlight: load.InFlight, Queued: load.Queued, Limit: load.Limit, Latency: int64(load.Latency / latencyUnit),
 			Shed: shed.None - min(load.Threshold, shed.None), Failures: load.Failures, Stopping: load.Stopping, Errors: load.Errors,
@@ -167,7 +169,7 @@
 	load := &w.Load
 	return &Reply{
 		Outcome: w.Outcome, Reason: w.Reason, Status: w.Status, Header: header, Body: w.Body, RetryAfter: millis(w.RetryAfter),
-		OwnFailure: w.OwnFailure, Digests: longDigests(w.Digests),
+		Crashes: w.Crashes, OwnFailure: w.OwnFailure, Digests: longDigests(w.Digests),
 		Load: Load{
 			InFlight: load.InFlight, Queued: load.Queued, Limit: load.Limit, Latency: time.Duration(load.Latency) * latencyUnit,
 			Threshold: shed.None - min(load.Shed, shed.None), Failures: load.Failures, Stopping: load.Stopping, Errors: load.Errors,
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -52,6 +52,7 @@
 	ClaimsUnavailable Reason = "claims-unavailable"
 	CallerGone        Reason = "caller-gone"
 	RetriesSpent      Reason = "retries-spent"
+	Quarantined       Reason = "quarantined"
 	Internal          Reason = "internal"
 )
 
@@ -74,6 +75,7 @@
 	ClaimsUnavailable: http.StatusServiceUnavailable,
 	CallerGone:        499,
 	RetriesSpent:      http.StatusServiceUnavailable,
+	Quarantined:       http.StatusServiceUnavailable,
 	Internal:          http.StatusInternalServerError,
 }
 
--- /dev/null
+++ b/internal/quarantine/keeper.go
@@ -0,0 +1,241 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/lugspur/lugspur/internal/eventlog"
+	"github.com/lugspur/lugspur/internal/fingerprint"
+	"github.com/lugspur/lugspur/internal/store"
+	"github.com/lugspur/lugspur/internal/store/leased"
+)
+
+// Record is a verdict as it lies in the store, under the request's fingerprint.
+type Record struct {
+	// Service and Route are those of the call that broke off last.
+	Service string `cbor:"1,keyasint"`
+	Route   string `cbor:"2,keyasint"`
+	// Trials is the number of trial runs so far.
+	Trials int `cbor:"3,keyasint,omitempty"`
+	// Lifted tells that the verdict has ended. A record that is only missing says
+	// nothing: leases also run out while the store is away.
+	Lifted bool `cbor:"4,keyasint,omitempty"`
+}
+
+// DecodeRecord reads the value of a record.
+func DecodeRecord(value []byte) (Record, error) {
+	var record Record
+	err := cbor.Unmarshal(value, &record)
+	return record, err
+}
+
+// Encode returns the value of a record.
+func (r Record) Encode() []byte {
+	content, err := cbor.Marshal(r)
+	if err != nil {
+		// Records hold only strings and numbers, which always have a form.
+		panic(err)
+	}
+	return content
+}
+
+const (
+	// RecordTTL is how long a record is kept, the longest that the store allows.
+	RecordTTL = 10 * time.Minute
+	// writeTimeout bounds one call to the store, and writePause is the time between two
+	// tries of a write.
+	writeTimeout = 400 * time.Millisecond
+	writePause   = 200 * time.Millisecond
+	// trialTimeout bounds the transaction of a trial, which a request waits for.
+	trialTimeout = 100 * time.Millisecond
+	// expirePeriod is the time between two looks for what is no longer remembered.
+	expirePeriod = 10 * time.Second
+)
+
+// keeper keeps verdicts in the store.
+type keeper struct {
+	store  store.Store
+	prefix string
+	writer *leased.Writer
+	log    *eventlog.Log
+	wake   chan struct{}
+
+	mutex sync.Mutex
+	// wanted are records to be written, and own those that this node wrote and that are
+	// written again if they disappear.
+	wanted map[fingerprint.Fingerprint]Record
+	own    map[fingerprint.Fingerprint]Record
+	// revisions are those of the records as the node's copy of the store holds them.
+	revisions map[fingerprint.Fingerprint]store.Revision
+}
+
+func newKeeper(target store.Store, prefix string, log *eventlog.Log, now func() time.Time) *keeper {
+	return &keeper{
+		store:     target,
+		prefix:    prefix,
+		writer:    leased.NewWriter(target, RecordTTL, now),
+		log:       log,
+		wake:      make(chan struct{}, 1),
+		wanted:    make(map[fingerprint.Fingerprint]Record),
+		own:       make(map[fingerprint.Fingerprint]Record),
+		revisions: make(map[fingerprint.Fingerprint]store.Revision),
+	}
+}
+
+// want has a record written as soon as the store takes it.
+func (k *keeper) want(print fingerprint.Fingerprint, record Record) {
+	k.mutex.Lock()
+	k.wanted[print] = record
+	k.own[print] = record
+	k.mutex.Unlock()
+	k.signal()
+}
+
+func (k *keeper) signal() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run writes records until the context ends.
+func (k *keeper) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-k.wake:
+		}
+		for !k.writeWanted(ctx) && ctx.Err() == nil {
+			pause(ctx, writePause)
+		}
+	}
+}
+
+// writeWanted tries each wanted record once and reports whether none is left.
+func (k *keeper) writeWanted(ctx context.Context) bool {
+	k.mutex.Lock()
+	todo := make(map[fingerprint.Fingerprint]Record, len(k.wanted))
+	for print, record := range k.wanted {
+		todo[print] = record
+	}
+	k.mutex.Unlock()
+	done := true
+	for print, record := range todo {
+		if err := k.put(ctx, print, record); err != nil {
+			done = false
+			continue
+		}
+		k.mutex.Lock()
+		if k.wanted[print] == record {
+			delete(k.wanted, print)
+		}
+		k.mutex.Unlock()
+	}
+	return done
+}
+
+// put writes a record unless one lies there that says as much. A verdict that ended goes
+// before one that holds.
+func (k *keeper) put(ctx context.Context, print fingerprint.Fingerprint, record Record) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	key := k.prefix + print.String()
+	entry, err := k.store.Get(ctx, key)
+	switch {
+	case errors.Is(err, store.ErrNotFound):
+		entry = store.Entry{}
+	case err != nil:
+		return err
+	default:
+		there, err := DecodeRecord(entry.Value)
+		if err == nil && there.Lifted == record.Lifted && there.Trials >= record.Trials {
+			return nil
+		}
+	}
+	_, err = k.writer.CompareAndSwap(ctx, key, entry.Revision, record.Encode())
+	return err
+}
+
+// claimTrial notes one more trial in the store. It reports whether this node is the one
+// to make it.
+func (k *keeper) claimTrial(ctx context.Context, print fingerprint.Fingerprint, record Record) bool {
+	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
+	defer cancel()
+	k.mutex.Lock()
+	revision := k.revisions[print]
+	k.mutex.Unlock()
+	_, err := k.writer.CompareAndSwap(ctx, k.prefix+print.String(), revision, record.Encode())
+	if err != nil {
+		// Another node makes it, or the store is away: then nobody does.
+		return false
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.own[print] = record
+	return true
+}
+
+// recordChange is a change of a record in the store.
+type recordChange struct {
+	print  fingerprint.Fingerprint
+	record Record
+}
+
+// change takes changes of the store and returns those that tell a verdict. A record of
+// this node's that disappeared is written again.
+func (k *keeper) change(entries []store.Entry, holds func(fingerprint.Fingerprint) bool) []recordChange {
+	var changes []recordChange
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	for _, entry := range entries {
+		name, found := strings.CutPrefix(entry.Key, k.prefix)
+		if !found {
+			continue
+		}
+		print, err := fingerprint.Parse(name)
+		if err != nil {
+			k.reject(entry, err)
+			continue
+		}
+		if entry.Deleted {
+			k.removed(print, holds(print))
+			continue
+		}
+		k.revisions[print] = entry.Revision
+		record, err := DecodeRecord(entry.Value)
+		if err != nil {
+			k.reject(entry, err)
+			continue
+		}
+		if record.Lifted {
+			delete(k.own, print)
+		}
+		changes = append(changes, recordChange{print: print, record: record})
+	}
+	return changes
+}
+
+func (k *keeper) reject(entry store.Entry, err error) {
+	k.log.Record(eventlog.Event{Kind: eventlog.RecordRejected, Peer: entry.Key, Reason: err.Error(), Version: uint64(entry.Revision)})
+}
+
+// removed takes that a record disappeared, as its lease ran out.
+func (k *keeper) removed(print fingerprint.Fingerprint, holds bool) {
+	delete(k.revisions, print)
+	record, own := k.own[print]
+	if !own {
+		return
+	}
+	if !holds {
+		delete(k.own, print)
+		return
+	}
+	k.wanted[print] = record
+	k.signal()
+}
--- /dev/null
+++ b/internal/quarantine/quarantine.go
@@ -0,0 +1,170 @@
+package quarantine
+
+import (
+	"context"
+	"time"
+
+	"github.com/lugspur/lugspur/internal/eventlog"
+	"github.com/lugspur/lugspur/internal/fingerprint"
+	"github.com/lugspur/lugspur/internal/store"
+)
+
+// Config describes the node and where verdicts lie.
+type Config struct {
+	Spread SpreadConfig
+	// Store takes verdicts under Prefix.
+	Store  store.Store
+	Prefix string
+	// OnVerdict is told of requests that are refused from now on; it may be nil.
+	OnVerdict func(print fingerprint.Fingerprint)
+	Log       *eventlog.Log
+	Now       func() time.Time
+}
+
+// Quarantine is what one node knows of requests that crash targets, and how it tells
+// others. It is safe for concurrent use.
+type Quarantine struct {
+	table  *Table
+	spread *Spread
+	keeper *keeper
+	log    *eventlog.Log
+	// onVerdict may be nil.
+	onVerdict func(print fingerprint.Fingerprint)
+}
+
+// New returns a quarantine that knows no suspects. Nothing is sent before Run.
+func New(config Config) *Quarantine {
+	return &Quarantine{
+		table:  NewTable(config.Now),
+		spread: NewSpread(config.Spread),
+		keeper: newKeeper(config.Store, config.Prefix, config.Log, config.Now),
+		log:    config.Log,
+
+		onVerdict: config.OnVerdict,
+	}
+}
+
+// Run tells peers and the store until the context ends.
+func (q *Quarantine) Run(ctx context.Context) {
+	go q.spread.Run(ctx)
+	go q.keeper.run(ctx)
+	ticker := time.NewTicker(expirePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			q.table.Expire()
+		}
+	}
+}
+
+// Empty reports whether there are no suspects, so that no request needs a look.
+func (q *Quarantine) Empty() bool { return q.table.Empty() }
+
+// Standing returns what is known of a request.
+func (q *Quarantine) Standing(print fingerprint.Fingerprint) Standing { return q.table.Standing(print) }
+
+// Quarantined returns the number of requests that are refused.
+func (q *Quarantine) Quarantined() int { return q.table.Quarantined() }
+
+// Unplaced returns the number of verdicts that were not taken because there were too
+// many.
+func (q *Quarantine) Unplaced() uint64 { return q.table.Unplaced() }
+
+// OpenCall is a call that broke off as the target beside the node crashed.
+type OpenCall struct {
+	Fingerprint    fingerprint.Fingerprint
+	Service, Route string
+	// Crashes counts the targets in a row that crashed under the request, with this one.
+	Crashes int
+}
+
+// Crashed takes the end of the target beside the node, with the calls that broke off.
+func (q *Quarantine) Crashed(instance string, open []OpenCall) {
+	crash := Crash{Instance: instance}
+	details := make(map[fingerprint.Fingerprint]Record, len(open))
+	for _, call := range open {
+		crash.Suspects = append(crash.Suspects, Suspicion{Fingerprint: call.Fingerprint, Crashes: call.Crashes})
+		details[call.Fingerprint] = Record{Service: call.Service, Route: call.Route}
+	}
+	convicted := q.table.Crashed(crash)
+	q.spread.TellCrash(crash)
+	for _, print := range convicted {
+		q.noteQuarantined(print, "target "+instance+" beside the node crashed")
+		q.keeper.want(print, details[print])
+	}
+}
+
+// Answered notes that a target answered the request.
+func (q *Quarantine) Answered(call OpenCall) {
+	ended := q.table.Standing(call.Fingerprint).Quarantined
+	cleared, worthTelling := q.table.Answered(call.Fingerprint)
+	if !worthTelling {
+		return
+	}
+	q.spread.TellCleared(cleared)
+	if ended {
+		q.noteLifted(call.Fingerprint, "a target answered it")
+		q.keeper.want(call.Fingerprint, Record{Service: call.Service, Route: call.Route, Lifted: true})
+	}
+}
+
+// ClaimTrial reports whether the node may let a quarantined request run whose trial is
+// due. Of all nodes one gets the trial, and none while the store is away.
+func (q *Quarantine) ClaimTrial(ctx context.Context, call OpenCall) bool {
+	trials := q.table.trials(call.Fingerprint) + 1
+	if !q.keeper.claimTrial(ctx, call.Fingerprint, Record{Service: call.Service, Route: call.Route, Trials: trials}) {
+		return false
+	}
+	q.table.Convict(call.Fingerprint, trials)
+	q.log.Record(eventlog.Event{Kind: eventlog.QuarantineTrial, Fingerprint: call.Fingerprint.String(), Service: call.Service, Route: call.Route, Count: trials})
+	return true
+}
+
+// Heard takes the notice of a peer.
+func (q *Quarantine) Heard(notice *Notice) {
+	for _, crash := range notice.Crashes {
+		for _, print := range q.table.Crashed(crash) {
+			q.noteQuarantined(print, "a peer told that target "+crash.Instance+" crashed")
+		}
+	}
+	for _, cleared := range notice.Clearings {
+		if q.table.Cleared(cleared) {
+			q.noteLifted(cleared.Fingerprint, "a peer told that a target answered it")
+		}
+	}
+}
+
+// Change takes changes of the store.
+func (q *Quarantine) Change(entries []store.Entry) {
+	holds := func(print fingerprint.Fingerprint) bool { return q.table.Standing(print).Quarantined }
+	for _, change := range q.keeper.change(entries, holds) {
+		switch {
+		case change.record.Lifted:
+			if q.table.Lift(change.print) {
+				q.noteLifted(change.print, "the store holds that it ended")
+			}
+		default:
+			known := holds(change.print)
+			q.table.Convict(change.print, change.record.Trials)
+			if !known {
+				q.noteQuarantined(change.print, "the store holds the verdict")
+			}
+		}
+	}
+}
+
+// noteQuarantined logs a verdict and has calls that are under way withdrawn.
+func (q *Quarantine) noteQuarantined(print fingerprint.Fingerprint, reason string) {
+	if q.onVerdict != nil {
+		q.onVerdict(print)
+	}
+	standing := q.table.Standing(print)
+	q.log.Record(eventlog.Event{Kind: eventlog.RequestQuarantined, Fingerprint: print.String(), Count: standing.Crashes, Wait: standing.RetryAfter, Reason: reason})
+}
+
+func (q *Quarantine) noteLifted(print fingerprint.Fingerprint, reason string) {
+	q.log.Record(eventlog.Event{Kind: eventlog.QuarantineLifted, Fingerprint: print.String(), Reason: reason})
+}
--- a/internal/registry/registrar.go
+++ b/internal/registry/registrar.go
@@ -10,6 +10,7 @@
 
 	"github.com/lugspur/lugspur/internal/eventlog"
 	"github.com/lugspur/lugspur/internal/store"
+	"github.com/lugspur/lugspur/internal/store/leased"
 )
 
 // RegistrarConfig describes the node and where its records lie.
@@ -43,7 +44,7 @@
 	log       *eventlog.Log
 	now       func() time.Time
 	publisher *publisher
-	departing departureLease
+	departing departureWriter
 
 	mutex  sync.Mutex
 	target Target
@@ -64,7 +65,7 @@
 func NewRegistrar(config RegistrarConfig, stores Stores, log *eventlog.Log, now func() time.Time) *Registrar {
 	r := &Registrar{config: config, log: log, now: now, departed: make(map[string]bool), replaced: make(map[string]bool)}
 	r.publisher = newPublisher(stores.Record, config.HomesPrefix+config.Address, log, now)
-	r.departing.store = stores.Departure
+	r.departing.writer = leased.NewWriter(stores.Departure, departureTTL, now)
 	return r
 }
 
@@ -276,12 +277,11 @@
 	return err
 }
 
-// departureLease writes departures under one long lease of the process.
-type departureLease struct {
-	store store.Store
+// departureWriter writes departures under a long lease.
+type departureWriter struct {
+	writer *leased.Writer
 
 	mutex   sync.Mutex
-	lease   store.LeaseID
 	written map[string]bool
 }
 
@@ -295,7 +295,7 @@
 )
 
 // write writes the departure until it is known to be there or the context ends.
-func (d *departureLease) write(ctx context.Context, key string, value []byte) error {
+func (d *departureWriter) write(ctx context.Context, key string, value []byte) error {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if d.written[key] {
@@ -316,23 +316,13 @@
 	return errors.Join(ctx.Err(), failure)
 }
 
-func (d *departureLease) try(ctx context.Context, key string, value []byte) error {
+func (d *departureWriter) try(ctx context.Context, key string, value []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	if d.lease == 0 {
-		lease, err := d.store.GrantLease(ctx, departureTTL)
-		if err != nil {
-			return err
-		}
-		d.lease = lease
-	}
-	_, err := d.store.CompareAndSwap(ctx, key, 0, value, d.lease)
-	switch {
-	case err == nil || errors.Is(err, store.ErrConflict):
+	_, err := d.writer.CompareAndSwap(ctx, key, 0, value)
+	if errors.Is(err, store.ErrConflict) {
 		// Nobody writes anything else under the key.
 		return nil
-	case errors.Is(err, store.ErrLeaseLost):
-		d.lease = 0
 	}
 	return err
 }
--- a/internal/sidecar/copies.go
+++ b/internal/sidecar/copies.go
@@ -21,6 +21,7 @@
 	purposeRecords       store.Purpose = "records"
 	purposeOwnRecord     store.Purpose = "own-record"
 	purposeDeparture     store.Purpose = "departure"
+	purposeQuarantine    store.Purpose = "quarantine"
 )
 
 const (
@@ -99,6 +100,7 @@
 func (n *Node) recordsChanged(entries []store.Entry, source string) {
 	n.directory.Change(entries, source)
 	n.registrar.Change(entries)
+	n.suspects.Change(entries)
 }
 
 func (n *Node) askPeer(ctx context.Context, address string, query *replica.Query) (*replica.Answer, error) {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -14,10 +14,12 @@
 
 	"github.com/lugspur/lugspur/internal/configfeed"
 	"github.com/lugspur/lugspur/internal/eventlog"
+	"github.com/lugspur/lugspur/internal/fingerprint"
 	"github.com/lugspur/lugspur/internal/forward"
 	"github.com/lugspur/lugspur/internal/guard"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/pressure"
+	"github.com/lugspur/lugspur/internal/quarantine"
 	"github.com/lugspur/lugspur/internal/registry"
 	"github.com/lugspur/lugspur/internal/retrybudget"
 	"github.com/lugspur/lugspur/internal/routepolicy"
@@ -80,6 +82,7 @@
 	// sources are the policies in force as written, owned by Reload.
 	sources   routepolicy.Sources
 	levels    *pressure.Levels
+	suspects  *quarantine.Quarantine
 	forwarder *forward.Forwarder
 	servers   []*http.Server
 	stopping  atomic.Bool
@@ -101,6 +104,7 @@
 	n.directory = registry.NewDirectory(platform.HomesPrefix, settings.advertised(), n.log, time.Now)
 	n.provisionCopies()
 	n.levels = pressure.New(time.Now)
+	n.suspects = n.newQuarantine()
 	n.guard = guard.New(guard.Config{
 		Service:        settings.Service,
 		Address:        settings.Target,
@@ -110,6 +114,7 @@
 		MaxBuffered:    maxMessageBytes,
 		MaxConnections: n.maxConnections,
 		Below:          n.levels.Below,
+		Quarantine:     n.suspects,
 		Observer:       n.metrics,
 	}, n.log, time.Now)
 	n.registrar = registry.NewRegistrar(registry.RegistrarConfig{
@@ -140,6 +145,23 @@
 	return n, nil
 }
 
+func (n *Node) newQuarantine() *quarantine.Quarantine {
+	return quarantine.New(quarantine.Config{
+		Spread: quarantine.SpreadConfig{
+			Address: n.settings.advertised(),
+			Peers:   n.directory.Addresses,
+			Send: func(ctx context.Context, address string, notice *quarantine.Notice) error {
+				return n.peers.Notify(ctx, address, notice)
+			},
+		},
+		Store:     n.gate.Wrap(n.store.For(purposeQuarantine)),
+		Prefix:    platform.QuarantinePrefix,
+		OnVerdict: func(print fingerprint.Fingerprint) { n.guard.Withdraw(print) },
+		Log:       n.log,
+		Now:       time.Now,
+	})
+}
+
 func (n *Node) newForwarder() *forward.Forwarder {
 	return forward.New(forward.Config{
 		Node:           n.settings.Name,
@@ -164,10 +186,13 @@
 		Local:     n.guard,
 		Policies:  n.policies,
 		Levels:    n.levels,
-		Peers:     n.peers,
-		Observer:  n.metrics,
-		Log:       n.log,
-		Now:       time.Now,
+
+		Quarantine: n.suspects,
+
+		Peers:    n.peers,
+		Observer: n.metrics,
+		Log:      n.log,
+		Now:      time.Now,
 	})
 }
 
@@ -227,7 +252,7 @@
 func (n *Node) tasks() []func(context.Context) {
 	return []func(context.Context){
 		n.copies.keepConfiguration.Run, n.copies.keepRecords.Run, n.copies.spread.Run,
-		n.directory.Run, n.registrar.Run, n.guard.Watch, n.forwarder.Run, n.calls.run,
+		n.directory.Run, n.registrar.Run, n.guard.Watch, n.forwarder.Run, n.calls.run, n.suspects.Run,
 	}
 }
 
@@ -238,7 +263,7 @@
 		handler http.Handler
 	}{
 		{n.settings.Listen.Calls, n.forwarder},
-		{n.settings.Listen.Peers, peering.Handler(n.guard, n.copies.spread, n.codec, maxMessageBytes, n.process)},
+		{n.settings.Listen.Peers, peering.Handler(n.guard, n.copies.spread, n.suspects, n.codec, maxMessageBytes, n.process)},
 		{n.settings.Listen.Ready, platform.ReadyHandler(n.ready)},
 		{n.settings.Listen.Heartbeats, platform.HeartbeatHandler(n.registrar)},
 		{n.settings.Listen.Metrics, n.metrics.handler()},
--- /dev/null
+++ b/internal/sidecar/quarantine.go
@@ -0,0 +1,37 @@
+package sidecar
+
+import (
+	"context"
+
+	"github.com/samber/oops"
+
+	"github.com/lugspur/lugspur/internal/fingerprint"
+	"github.com/lugspur/lugspur/internal/quarantine"
+	"github.com/lugspur/lugspur/internal/store"
+	"github.com/lugspur/lugspur/platform"
+)
+
+// purposeOperator is that of calls by the command line.
+const purposeOperator store.Purpose = "operator"
+
+// ListQuarantined returns the requests that are quarantined by the store at the address.
+func ListQuarantined(ctx context.Context, address string) ([]quarantine.Listed, error) {
+	listed, err := quarantine.List(ctx, operatorStore(address), platform.QuarantinePrefix)
+	if err != nil {
+		return nil, oops.In("sidecar").With("step", "list quarantined requests").With("peer", address).Wrap(err)
+	}
+	return listed, nil
+}
+
+// LiftQuarantine ends the verdict on a request.
+func LiftQuarantine(ctx context.Context, address string, print fingerprint.Fingerprint) error {
+	err := quarantine.Lift(ctx, operatorStore(address), platform.QuarantinePrefix, print)
+	if err != nil {
+		return oops.In("sidecar").With("step", "lift quarantine").With("peer", address).Wrap(err)
+	}
+	return nil
+}
+
+func operatorStore(address string) store.Store {
+	return platform.NewStore(address, recordsWait, nil).For(purposeOperator)
+}
--- a/internal/sidecarcommand/command.go
+++ b/internal/sidecarcommand/command.go
@@ -36,7 +36,7 @@
 	commander.Output = streams.Output
 	commander.Error = streams.Errors
 	for _, verb := range []subcommands.Command{
-		&run{streams: streams}, &check{streams: streams}, &explainVerb{streams: streams}, &versionVerb{streams: streams}, commander.HelpCommand(),
+		&run{streams: streams}, &check{streams: streams}, &explainVerb{streams: streams}, &quarantineVerb{streams: streams}, &versionVerb{streams: streams}, commander.HelpCommand(),
 	} {
 		commander.Register(verb, "")
 	}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -107,6 +107,20 @@
 	}
 }
 
+// Probe finds out whether the target takes connections. One that it opens is kept for a
+// later exchange.
+func (p *Pool) Probe(ctx context.Context) error {
+	c, _, err := p.acquire(ctx, false)
+	if err != nil {
+		return err
+	}
+	if !p.keep(c) {
+		_ = c.socket.Close()
+	}
+	p.giveRoom()
+	return nil
+}
+
 // detach takes a connection out of the pool that is still open. Closing what it
 // returns drops bytes that were not delivered yet.
 func (p *Pool) detach(c *connection) io.Closer {
--- a/lab/platformstub/target.go
+++ b/lab/platformstub/target.go
@@ -23,9 +23,6 @@
 	ID, Service, Address, Control, Zone string
 	// Work is how long each request takes.
 	Work time.Duration
-	// EndsUnder begins the paths of requests that end the target at the end of their
-	// work; empty means that none does.
-	EndsUnder string
 	// OnEnd is called once the target has ended under a request; it may be nil.
 	OnEnd func()
 
@@ -64,6 +61,9 @@
 	// RejectEvery answers each so many-th request with "not executed"; zero
 	// rejects none.
 	RejectEvery uint64
+	// EndsUnder begins the paths of requests that end the target at the end of their
+	// work; empty means that none does.
+	EndsUnder string
 }
 
 const targetSlots = 16
@@ -123,7 +123,7 @@
 	case <-r.Context().Done():
 		return
 	}
-	if t.EndsUnder != "" && strings.HasPrefix(r.URL.Path, t.EndsUnder) {
+	if faults.EndsUnder != "" && strings.HasPrefix(r.URL.Path, faults.EndsUnder) {
 		t.end()
 		panic(http.ErrAbortHandler)
 	}
--- a/test/query_of_death_test.go
+++ b/test/query_of_death_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os/exec"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -64,7 +66,8 @@
 // replaceTarget starts a target beside the node, and another one once it has ended.
 func (d *deadlyCase) replaceTarget(n *platformNode, path, id string) {
 	next := &platformstub.Target{ID: id, Service: "one", Address: n.target.Address, Control: n.target.Control, Zone: n.target.Zone,
-		Work: n.target.Work, EndsUnder: path}
+		Work: n.target.Work}
+	next.SetFaults(platformstub.TargetFaults{EndsUnder: path})
 	next.OnEnd = func() {
 		d.mutex.Lock()
 		d.ended = append(d.ended, time.Now())
@@ -200,7 +203,71 @@
 			d.sendDeadly(path, deadlyFor)
 			served := others.end()
 			d.checkStopped(path)
+			t.Logf("%d targets ended, %.3f of the other requests were served", len(d.ends()), served)
 			assert.Check(t, served >= 0.95, "%.3f of the other requests were served", served)
 		})
 	}
 }
+
+// TestAVerdictOutlastsEveryProcess quarantines a request, kills all nodes at once and
+// starts them again: no target pays for learning it once more. Then an operator lifts the
+// verdict, as the targets were mended.
+func TestAVerdictOutlastsEveryProcess(t *testing.T) {
+	const path = "/read/" + deadlyPath
+	d := startDeadlyCase(t, path, "west", "west", "east")
+	d.sendDeadly(path, 3*time.Second)
+	status, _ := d.send(d.nodes[0], path)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	eventually(t, 10*time.Second, "the store holds the verdict", func() bool { return len(d.quarantined()) == 1 })
+	for _, n := range d.nodes {
+		assert.NilError(t, n.process.Process.Kill())
+		<-n.ended
+		d.start(n)
+	}
+	for _, n := range d.nodes {
+		d.awaitReady(n)
+		d.awaitServed(n, "/read/warm")
+	}
+	ended := len(d.ends())
+	for _, n := range d.nodes {
+		status, _ := d.send(n, path)
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+	}
+	assert.Equal(t, len(d.ends()), ended)
+	d.mend()
+	output := d.operate("-lift", d.quarantined()[0])
+	assert.Assert(t, strings.Contains(output, "run again"), output)
+	for _, n := range d.nodes {
+		d.awaitServed(n, path)
+	}
+	assert.Equal(t, len(d.quarantined()), 0)
+}
+
+// mend has no request end a target any more.
+func (d *deadlyCase) mend() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, target := range d.targets {
+		target.SetFaults(platformstub.TargetFaults{})
+	}
+}
+
+// operate runs the operators' verb and returns what it prints.
+func (d *deadlyCase) operate(arguments ...string) string {
+	d.t.Helper()
+	output, err := exec.Command(program("lugspur-sidecar"), append([]string{"quarantine", "-store", d.address}, arguments...)...).CombinedOutput()
+	assert.NilError(d.t, err, "%s", output)
+	return string(output)
+}
+
+// quarantined returns the fingerprints that the operators' verb lists.
+func (d *deadlyCase) quarantined() []string {
+	d.t.Helper()
+	var prints []string
+	for line := range strings.Lines(d.operate()) {
+		if fields := strings.Fields(line); len(fields) == 4 && fields[1] == "one" {
+			prints = append(prints, fields[0])
+		}
+	}
+	return prints
+}
