Clocks that go on while a machine is suspended

Cause: time.Now, timers and contexts run on a clock that stands still while the machine is suspended. Whatever is dated by it looks younger after a resume: the node's copies of the store and its configuration, its lease's renewal, the deadlines of requests in flight, idle connections, windows of the retry budget, verdicts. Ruled out: reading the clock since boot each time (a system call for each of some twenty readings a request); the time of day (it jumps). Change: package clock, the one source of time of all parts of the node. It reads the clock since boot only where the time of day parts from the steady clock. Deadlines of requests end their contexts after a resume, the lease is looked at, a log line tells. Times told to targets and peers were already worked out right before a send; now by this clock. Conclusion: what is left is the receiver's side: a message that lay in a socket's buffer while its reader was suspended looks as if it had just been sent. Also: a target that refused a connection for want of room and answers later no longer counts as crashed; claims of trials don't wait for other writes to the store.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -18,6 +18,7 @@
 	ProcessStarted Kind = iota
 	ProcessStopping
 	ProcessStopped
+	MachineResumed
 	SettingsReloaded
 	DependencyLost
 	DependencyRegained
@@ -76,6 +77,7 @@
 	ProcessStarted:        {"process-started", belief, "the process serves; version is its build"},
 	ProcessStopping:       {"process-stopping", belief, "a planned stop began"},
 	ProcessStopped:        {"process-stopped", belief, "the process ends; count is the requests still in flight"},
+	MachineResumed:        {"machine-resumed", belief, "the machine was suspended; age is for how long in all since the process started"},
 	SettingsReloaded:      {"settings-reloaded", belief, "the settings were read again; reason says what became of them"},
 	DependencyLost:        {"dependency-lost", belief, "peer stopped answering; reason is its first error"},
 	DependencyRegained:    {"dependency-regained", belief, "peer answers again; age is how long it did not"},
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/lugspur/lugspur/internal/callheader"
+	"github.com/lugspur/lugspur/internal/clock"
 	"github.com/lugspur/lugspur/internal/criticality"
 	"github.com/lugspur/lugspur/internal/ending"
 	"github.com/lugspur/lugspur/internal/eventlog"
@@ -279,7 +280,7 @@
 		f.refuse(w, q, failure)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	ctx, cancel := clock.WithTimeout(r.Context(), q.deadline.Sub(f.now()))
 	defer cancel()
 	if q.inner {
 		defer context.AfterFunc(q.wanted, cancel)()
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -523,3 +524,18 @@
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 }
+
+// TestNothingIsSentAfterASuspensionThatPassedTheDeadline has the machine be suspended while
+// the first home refuses: the request's time is over, though no timer has run out.
+func TestNothingIsSentAfterASuspensionThatPassedTheDeadline(t *testing.T) {
+	var suspended atomic.Int64
+	refuse := func(ctx context.Context, call *peering.Call) *peering.Reply {
+		suspended.Store(int64(2 * testTimeout))
+		return refusing(peering.QueueFull)(ctx, call)
+	}
+	f := newFixture(t, refuse, refuse)
+	f.forwarder.now = func() time.Time { return time.Now().Add(time.Duration(suspended.Load())) }
+	answer := f.do("GET", "/read/x", "a", "")
+	assert.Equal(t, f.calls(), 1, "the second home must not get it")
+	assert.Equal(t, answer.Code, http.StatusServiceUnavailable, "it has not run")
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/lugspur/lugspur/internal/clock"
 	"github.com/lugspur/lugspur/internal/eventlog"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/pressure"
@@ -234,7 +235,7 @@
 		outcome, reason = peering.Refused, peering.Unconnected
 	}
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case clock.Expired(ctx):
 		reason = peering.DeadlinePassed
 	case ctx.Err() != nil:
 		reason = peering.CallerLeft
--- a/internal/guard/crash.go
+++ b/internal/guard/crash.go
@@ -46,11 +46,13 @@
 	crashed  bool
 }
 
-// noteAnswer notes a sign of life.
+// noteAnswer notes a sign of life. One that was taken for crashed, as it refused a
+// connection for want of room, was not.
 func (w *crashWatch) noteAnswer(now time.Time) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.answered = now
+	w.crashed = false
 }
 
 // add notes a call that broke off.
--- a/internal/guard/exchange.go
+++ b/internal/guard/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lugspur/lugspur/internal/callheader"
+	"github.com/lugspur/lugspur/internal/clock"
 	"github.com/lugspur/lugspur/internal/eventlog"
 	"github.com/lugspur/lugspur/internal/limit"
 	"github.com/lugspur/lugspur/internal/peering"
@@ -115,7 +116,7 @@
 	switch {
 	case errors.Is(context.Cause(ctx), errQuarantined):
 		reason = peering.Quarantined
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case clock.Expired(ctx):
 		reason = peering.DeadlinePassed
 	case ctx.Err() != nil:
 		reason = peering.CallerLeft
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/lugspur/lugspur/internal/callheader"
+	"github.com/lugspur/lugspur/internal/clock"
 	"github.com/lugspur/lugspur/internal/ending"
 	"github.com/lugspur/lugspur/internal/eventlog"
 	"github.com/lugspur/lugspur/internal/fingerprint"
@@ -273,7 +274,7 @@
 		return refused(peering.NoTarget), callTimes{}
 	}
 	deadline := started.Add(call.Remaining)
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	ctx, cancel := clock.WithTimeout(ctx, call.Remaining)
 	defer cancel()
 	screened, reply := g.screen(ctx, call)
 	if reply != nil {
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -342,3 +342,27 @@
 	}
 	assert.Assert(t, len(s.recent)+len(s.earlier) <= 2*maxAbandoned)
 }
+
+// TestNothingIsSentAfterASuspensionThatPassedTheDeadline has the machine be suspended while
+// a call waits for room: the target must not get it once its time is over.
+func TestNothingIsSentAfterASuspensionThatPassedTheDeadline(t *testing.T) {
+	crashing := startCrashingTarget(t)
+	g := guardOf(crashing.address())
+	var suspended atomic.Int64
+	g.now = func() time.Time { return time.Now().Add(time.Duration(suspended.Load())) }
+	g.SetTarget(target(registry.Draining, 1))
+	next := target(registry.Ready, 1)
+	next.ID = "i-2"
+	g.SetTarget(next)
+	first := runAll(g, callTo("a", "/a"))
+	crashing.awaitArrivals(t, 1)
+	second := runAll(g, callTo("b", "/b"))
+	awaitLoad(t, g, func(load peering.Load) bool { return load.Queued == 1 })
+	suspended.Store(int64(time.Minute))
+	crashing.answer <- struct{}{}
+	assert.Equal(t, (<-first).Outcome, peering.Answered)
+	reply := <-second
+	assert.Equal(t, reply.Outcome, peering.Refused)
+	assert.Equal(t, reply.Reason, peering.Late)
+	assert.Equal(t, crashing.arrived.Load(), int32(1))
+}
--- a/internal/peering/client.go
+++ b/internal/peering/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/lugspur/lugspur/internal/clock"
 	"github.com/lugspur/lugspur/internal/quarantine"
 	"github.com/lugspur/lugspur/internal/replica"
 	"github.com/lugspur/lugspur/internal/transport"
@@ -76,7 +77,7 @@
 // exchange, and its end withdraws the call. If the connection goes silent the call is
 // resumed over a new one. The error is an *Error.
 func (c *Client) Call(ctx context.Context, address string, call *Call) (*Reply, error) {
-	asked := time.Now()
+	asked := clock.Now()
 	call.From = c.config.From
 	if c.spread != nil {
 		call.Digests = c.spread.Digests()
@@ -100,7 +101,7 @@
 // silent as well. A home whose process is not known can't tell a resumption from a
 // call that an earlier process ran, so that there silence has no bound.
 func (c *Client) callResuming(ctx context.Context, address string, call *Call) (*transport.Answer, error) {
-	began := time.Now()
+	began := clock.Now()
 	remaining := call.Remaining
 	exchange := &transport.Call{Method: http.MethodPost, Host: peerHost, RequestURI: callPath}
 	if call.Process != 0 {
@@ -118,9 +119,9 @@
 		c.Forget(address)
 		call.Resumed = true
 		if c.config.OnResume != nil {
-			c.config.OnResume(call, address, time.Since(began))
+			c.config.OnResume(call, address, clock.Since(began))
 		}
-		call.Remaining = remaining - time.Since(began)
+		call.Remaining = remaining - clock.Since(began)
 		exchange.Fresh = true
 		exchange.Silence *= 2
 	}
--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -5,10 +5,10 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/lugspur/lugspur/internal/clock"
 	"github.com/lugspur/lugspur/internal/quarantine"
 	"github.com/lugspur/lugspur/internal/replica"
 )
@@ -34,7 +34,7 @@
 // Handler serves the exchanges of peers. The notices may be nil. The process tells this process from others
 // at the address; it is not zero.
 func Handler(home Home, spread Spread, notices Notices, codec *Codec, maxBytes int64, process uint32) http.Handler {
-	s := &server{home: home, spread: spread, notices: notices, codec: codec, maxBytes: maxBytes, process: process, exchanges: newExchangeTable(time.Now)}
+	s := &server{home: home, spread: spread, notices: notices, codec: codec, maxBytes: maxBytes, process: process, exchanges: newExchangeTable(clock.Now)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pingPath, func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("POST "+callPath, s.serveCall)
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -62,6 +62,8 @@
 	store  store.Store
 	prefix string
 	writer *leased.Writer
+	// claims writes claims of trials, so that these don't wait for other writes.
+	claims *leased.Writer
 	log    *eventlog.Log
 	wake   chan struct{}
 
@@ -79,6 +81,7 @@
 		store:     target,
 		prefix:    prefix,
 		writer:    leased.NewWriter(target, RecordTTL, now),
+		claims:    leased.NewWriter(target, RecordTTL, now),
 		log:       log,
 		wake:      make(chan struct{}, 1),
 		wanted:    make(map[fingerprint.Fingerprint]Record),
@@ -170,7 +173,7 @@
 	k.mutex.Lock()
 	revision := k.revisions[print]
 	k.mutex.Unlock()
-	_, err := k.writer.CompareAndSwap(ctx, k.prefix+print.String(), revision, record.Encode())
+	_, err := k.claims.CompareAndSwap(ctx, k.prefix+print.String(), revision, record.Encode())
 	if err != nil {
 		// Another node makes it, or the store is away: then nobody does.
 		return false
--- a/internal/registry/publisher.go
+++ b/internal/registry/publisher.go
@@ -119,7 +119,7 @@
 		} else {
 			delay = minPublishPause
 			if p.lease != 0 {
-				wait = time.Until(p.renewAt)
+				wait = p.renewAt.Sub(p.now())
 			}
 		}
 		timer := time.NewTimer(wait)
--- a/internal/registry/registrar.go
+++ b/internal/registry/registrar.go
@@ -86,6 +86,10 @@
 	}
 }
 
+// Resumed has the node's lease looked at, as the machine was suspended: the timer for its
+// renewal stood still meanwhile.
+func (r *Registrar) Resumed() { r.publisher.signal() }
+
 // recover learns which targets said that they leave, and which one was beside
 // the node last. Until then no target is told as ready.
 func (r *Registrar) recover(ctx context.Context) {
--- a/internal/replica/copy_test.go
+++ b/internal/replica/copy_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lugspur/lugspur/internal/clock"
 	"github.com/lugspur/lugspur/internal/store"
 )
 
@@ -130,3 +131,21 @@
 	c.heard(Digest{Through: 3, Age: 0}, now.Add(time.Hour))
 	assert.Assert(t, c.proved.Before(now), "a peer that holds something else proves nothing")
 }
+
+// TestACopyIsAsOldAsItIsAfterASuspension has the machine be suspended for 5 s, which its
+// steady clock doesn't count: the copy is stale at once.
+func TestACopyIsAsOldAsItIsAfterASuspension(t *testing.T) {
+	var suspended time.Duration
+	machine := clock.New(clock.Source{
+		Read:      func() clock.Reading { return clock.Reading{Wall: time.Unix(0, 0).Add(suspended)} },
+		SinceBoot: func() (time.Duration, error) { return suspended, nil },
+	})
+	held := NewCopy(time.Second, func([]store.Entry, string) {}, machine.Now)
+	held.takeSnapshot(store.Snapshot{Revision: 1}, machine.Now())
+	keeper := &Keeper{Copy: held, Place: func() (int, bool) { return watchers, true }, Now: machine.Now}
+	assert.Assert(t, keeper.wait() > 0)
+	suspended = 5 * time.Second
+	age, known := held.Age()
+	assert.Assert(t, known && age == suspended, "%s", age)
+	assert.Assert(t, keeper.wait() <= 0, "the store is asked now")
+}
--- a/internal/scheduler/wait.go
+++ b/internal/scheduler/wait.go
@@ -76,7 +76,7 @@
 	if err == nil {
 		permit.Cancel()
 	}
-	return nil, s.contextError(ctx.Err())
+	return nil, s.contextError(context.Cause(ctx))
 }
 
 func (o outcome) unwrap() (*Permit, error) {
--- a/internal/sidecar/copies.go
+++ b/internal/sidecar/copies.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/lugspur/lugspur/internal/clock"
 	"github.com/lugspur/lugspur/internal/eventlog"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/registry"
@@ -62,7 +63,7 @@
 	n.calls = newStoreCalls(n.log)
 	n.metrics.registry.MustRegister(n.calls)
 	n.store = platform.NewStore(n.settings.Store, recordsWait, n.calls)
-	n.gate = reachability.NewGate(n.probePause, gateLog{n.log}, time.Now)
+	n.gate = reachability.NewGate(n.probePause, gateLog{n.log}, clock.Now)
 }
 
 // probePause bounds the pauses between probes of a store that doesn't answer.
@@ -76,24 +77,24 @@
 // provisionCopies makes the copies of the configuration and of the records.
 func (n *Node) provisionCopies() {
 	c := &n.copies
-	c.configuration = replica.NewCopy(configurationStale, n.feed.Change, time.Now)
-	c.records = replica.NewCopy(recordsStale, n.recordsChanged, time.Now)
+	c.configuration = replica.NewCopy(configurationStale, n.feed.Change, clock.Now)
+	c.records = replica.NewCopy(recordsStale, n.recordsChanged, clock.Now)
 	configurationFirst, recordsFirst := configurationDelay, time.Duration(0)
 	if n.settings.FirstStart {
 		recordsFirst = firstStartDelay + rand.N(firstStartSpread)
 		configurationFirst = recordsFirst
 	}
 	c.keepConfiguration = &replica.Keeper{Copy: c.configuration, Store: n.gate.Wrap(n.store.For(purposeConfiguration).Waiting(configurationWait)), Prefix: platform.ConfigurationKey,
-		Place: n.directory.Place, Gather: configurationGather, FirstDelay: configurationFirst, Now: time.Now}
+		Place: n.directory.Place, Gather: configurationGather, FirstDelay: configurationFirst, Now: clock.Now}
 	c.keepRecords = &replica.Keeper{Copy: c.records, Store: n.gate.Wrap(n.store.For(purposeRecords)), Prefix: platform.RecordsPrefix,
-		Place: n.directory.Place, Gather: recordsGather, FirstDelay: recordsFirst, Now: time.Now}
+		Place: n.directory.Place, Gather: recordsGather, FirstDelay: recordsFirst, Now: clock.Now}
 	c.spread = replica.NewSpread(replica.SpreadConfig{
 		Address:   n.settings.advertised(),
 		Peers:     n.directory.Addresses,
 		Ask:       n.askPeer,
 		Heard:     func(peer string) { n.forwarder.Heard(peer) },
 		Confirmed: n.gate.Hint,
-		Now:       time.Now,
+		Now:       clock.Now,
 	}, c.configuration, c.records)
 }
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/lugspur/lugspur/internal/clock"
 	"github.com/lugspur/lugspur/internal/configfeed"
 	"github.com/lugspur/lugspur/internal/eventlog"
 	"github.com/lugspur/lugspur/internal/fingerprint"
@@ -96,14 +97,14 @@
 		return nil, oops.In("sidecar").With("step", "compile policies").Wrapf(err, "compile policies")
 	}
 	n := &Node{policies: routepolicy.NewHolder(policies), sources: settings.Policies, settings: settings, routes: &routetable.Holder{},
-		started: time.Now(), process: max(rand.Uint32(), 1)}
+		started: clock.Now(), process: max(rand.Uint32(), 1)}
 	n.log = eventlog.New(eventlog.Config{RootOf: platform.RootOf}, settings.Name, output, time.Now)
 	n.metrics = newMetrics(n.log)
 	n.provisionStore()
-	n.feed = configfeed.New(platform.ConfigurationKey, platform.Configuration, n.routes, n.log, time.Now)
-	n.directory = registry.NewDirectory(platform.HomesPrefix, settings.advertised(), n.log, time.Now)
+	n.feed = configfeed.New(platform.ConfigurationKey, platform.Configuration, n.routes, n.log, clock.Now)
+	n.directory = registry.NewDirectory(platform.HomesPrefix, settings.advertised(), n.log, clock.Now)
 	n.provisionCopies()
-	n.levels = pressure.New(time.Now)
+	n.levels = pressure.New(clock.Now)
 	n.suspects = n.newQuarantine()
 	n.guard = guard.New(guard.Config{
 		Service:        settings.Service,
@@ -116,7 +117,7 @@
 		Below:          n.levels.Below,
 		Quarantine:     n.suspects,
 		Observer:       n.metrics,
-	}, n.log, time.Now)
+	}, n.log, clock.Now)
 	n.registrar = registry.NewRegistrar(registry.RegistrarConfig{
 		Zone:             settings.Zone,
 		Address:          settings.advertised(),
@@ -126,7 +127,7 @@
 		OnTarget:         n.guard.SetTarget,
 		Records:          n.recall,
 		FirstStart:       settings.FirstStart,
-	}, n.registrarStores(), n.log, time.Now)
+	}, n.registrarStores(), n.log, clock.Now)
 	n.codec = peering.NewCodec(platform.Headers().Signature)
 	n.peers = peering.NewClient(peering.ClientConfig{
 		MaxBuffered: maxMessageBytes,
@@ -142,9 +143,16 @@
 	n.peers.SetSpread(n.copies.spread)
 	n.forwarder = n.newForwarder()
 	n.provisionGauges()
+	clock.System.OnResume(n.resumed)
 	return n, nil
 }
 
+// resumed notes that the machine was suspended.
+func (n *Node) resumed() {
+	n.log.Record(eventlog.Event{Kind: eventlog.MachineResumed, Age: clock.System.Suspended()})
+	n.registrar.Resumed()
+}
+
 func (n *Node) newQuarantine() *quarantine.Quarantine {
 	return quarantine.New(quarantine.Config{
 		Spread: quarantine.SpreadConfig{
@@ -158,7 +166,7 @@
 		Prefix:    platform.QuarantinePrefix,
 		OnVerdict: func(print fingerprint.Fingerprint) { n.guard.Withdraw(print) },
 		Log:       n.log,
-		Now:       time.Now,
+		Now:       clock.Now,
 	})
 }
 
@@ -192,7 +200,7 @@
 		Peers:    n.peers,
 		Observer: n.metrics,
 		Log:      n.log,
-		Now:      time.Now,
+		Now:      clock.Now,
 	})
 }
 
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/lugspur/lugspur/internal/clock"
 	"github.com/lugspur/lugspur/internal/eventlog"
 )
 
@@ -30,18 +31,18 @@
 // one that starts again at the address writes a new one, so that a removal would
 // only wake every node once more.
 func (n *Node) stop() {
-	started := time.Now()
+	started := clock.Now()
 	n.log.Record(eventlog.Event{Kind: eventlog.ProcessStopping})
 	n.stopping.Store(true)
 	n.guard.Stop()
 	n.forwarder.Stop()
 	end := started.Add(n.settings.grace() - stopMargin)
 	admission := started.Add(min(admitFor, n.settings.grace()/2))
-	for time.Now().Before(admission) {
+	for clock.Now().Before(admission) {
 		time.Sleep(stopPoll)
 	}
 	servesOn := n.endAdmission(end)
-	for time.Now().Before(end) && (servesOn || !n.idle(started)) {
+	for clock.Now().Before(end) && (servesOn || !n.idle(started)) {
 		if servesOn && n.gate.Reachable() && n.forwarder.OthersServe() {
 			servesOn = n.endAdmission(end)
 		}
@@ -70,7 +71,7 @@
 // shutDown closes listeners and idle connections and waits for requests that came
 // at the last moment, so that none is read and left without an answer.
 func (n *Node) shutDown(deadline time.Time) {
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	ctx, cancel := clock.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	var closing sync.WaitGroup
 	for _, server := range n.servers {
@@ -84,5 +85,5 @@
 // idle reports whether the node may end: its stop was noticed, and nothing came
 // for a while or is in flight.
 func (n *Node) idle(stopStarted time.Time) bool {
-	return time.Since(stopStarted) >= announce && n.inFlight() == 0 && n.forwarder.QuietFor() >= quiet
+	return clock.Since(stopStarted) >= announce && n.inFlight() == 0 && n.forwarder.QuietFor() >= quiet
 }
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"github.com/lugspur/lugspur/internal/clock"
 	"io"
 	"net"
 	"net/http"
@@ -63,7 +64,7 @@
 			_ = c.socket.Close()
 			break
 		}
-		if time.Since(c.idleSince) < c.idleLimit(p.config.IdleTimeout) && c.alive() {
+		if clock.Since(c.idleSince) < c.idleLimit(p.config.IdleTimeout) && c.alive() {
 			return c, true, nil
 		}
 		_ = c.socket.Close()
@@ -160,7 +161,7 @@
 	if p.closed || len(p.idle) >= p.config.MaxIdle {
 		return false
 	}
-	c.idleSince = time.Now()
+	c.idleSince = clock.Now()
 	p.idle = append(p.idle, c)
 	if p.expiry == nil {
 		p.expiry = time.AfterFunc(p.config.IdleTimeout, p.expire)
@@ -173,7 +174,7 @@
 func (p *Pool) expire() {
 	p.mutex.Lock()
 	oldest := 0
-	for oldest < len(p.idle) && time.Since(p.idle[oldest].idleSince) >= p.config.IdleTimeout {
+	for oldest < len(p.idle) && clock.Since(p.idle[oldest].idleSince) >= p.config.IdleTimeout {
 		oldest++
 	}
 	expired := append([]*connection(nil), p.idle[:oldest]...)
