Names of the quarantine read by a newcomer

Cause: a variable called print hides the language's own function, and choosePlace said nothing of hashing. Change: names alone; hash for a fingerprint, chooseByHash. No behaviour. Ruled out, measured: nothing to measure; tests of the packages pass.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -74,7 +74,7 @@
 	// Empty reports whether there are no suspects.
 	Empty() bool
 	// Standing returns what is known of a request.
-	Standing(print fingerprint.Fingerprint) quarantine.Standing
+	Standing(hash fingerprint.Fingerprint) quarantine.Standing
 	// Answered notes that a target answered a request.
 	Answered(call quarantine.OpenCall)
 }
@@ -256,8 +256,8 @@
 	parent, parentRoute string
 	callNumber          int
 	wanted              context.Context
-	// print is the request's fingerprint, worked out only while there are suspects.
-	print fingerprint.Fingerprint
+	// hash is the request's fingerprint, worked out only while there are suspects.
+	hash fingerprint.Fingerprint
 	// retryAfter is the shortest wait that a home proposed.
 	retryAfter time.Duration
 	// lastHome is the home that the request was offered to last, and lastReason
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -65,22 +65,22 @@
 
 // fingerprint returns the request's fingerprint.
 func (q *request) fingerprint() fingerprint.Fingerprint {
-	if q.print.IsZero() {
-		q.print = q.call.Fingerprint()
+	if q.hash.IsZero() {
+		q.hash = q.call.Fingerprint()
 	}
-	return q.print
+	return q.hash
 }
 
-// choosePlace returns the home at which all nodes have a suspect run, one after the
+// chooseByHash returns the home at which all nodes have a suspect run, one after the
 // other: the first by the hash of the fingerprint and the address. Once it fails the next
 // one is due.
-func (f *Forwarder) choosePlace(q *request) choice {
+func (f *Forwarder) chooseByHash(q *request) choice {
 	now := f.now()
 	var best choice
 	highest := uint64(0)
-	print := q.fingerprint()
+	hash := q.fingerprint()
 	for _, c := range f.candidates(q, now) {
-		place := xxhash.Sum64String(string(print[:]) + c.home.Address)
+		place := xxhash.Sum64String(string(hash[:]) + c.home.Address)
 		if c.state.usable(c.home, now) && (best.home == nil || place > highest) {
 			best, highest = choice{home: c.home, latency: c.standing.latency}, place
 		}
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -23,8 +23,8 @@
 
 // suspect has the node know of so many crashes under the request.
 func (f *fixture) suspect(path string, crashes int) {
-	print := (&peering.Call{Method: http.MethodGet, Host: "a.example", URI: path}).Fingerprint()
-	f.suspects.Crashed("earlier", []quarantine.OpenCall{{Fingerprint: print, Crashes: crashes}})
+	hash := (&peering.Call{Method: http.MethodGet, Host: "a.example", URI: path}).Fingerprint()
+	f.suspects.Crashed("earlier", []quarantine.OpenCall{{Fingerprint: hash, Crashes: crashes}})
 }
 
 func (f *fixture) reasonOf(t *testing.T, body []byte) problem.Reason {
@@ -97,7 +97,7 @@
 	chosen := func(forwarder *Forwarder, path string) string {
 		q := &request{route: forwarder.routes.Current().Match("a.example", path), service: "s", deadline: time.Now().Add(time.Second),
 			call: &peering.Call{Method: http.MethodGet, Host: "a.example", URI: path, Crashes: 1}}
-		return forwarder.choosePlace(q).home.Address
+		return forwarder.chooseByHash(q).home.Address
 	}
 	homes := make(map[string]bool)
 	for i := range 30 {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -98,7 +98,7 @@
 // requests at random.
 func (f *Forwarder) chooseAgain(q *request) choice {
 	if q.suspected() {
-		return f.choosePlace(q)
+		return f.chooseByHash(q)
 	}
 	next := f.choose(q)
 	if next.home != nil || len(q.rejected) == 0 {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -55,7 +55,7 @@
 	// Empty reports whether there are no suspects.
 	Empty() bool
 	// Standing returns what is known of a request.
-	Standing(print fingerprint.Fingerprint) quarantine.Standing
+	Standing(hash fingerprint.Fingerprint) quarantine.Standing
 	// Crashed takes the end of the target, with the calls that broke off.
 	Crashed(instance string, open []quarantine.OpenCall)
 	// Answered notes that the target answered a request.
--- a/internal/guard/isolation.go
+++ b/internal/guard/isolation.go
@@ -10,8 +10,8 @@
 
 // screening is what is known of a call that may go to the target.
 type screening struct {
-	// print is the call's fingerprint, if it was worked out.
-	print fingerprint.Fingerprint
+	// hash is the call's fingerprint, if it was worked out.
+	hash  fingerprint.Fingerprint
 	known bool
 	// standing is that of the request, with what the call itself tells.
 	standing quarantine.Standing
@@ -32,9 +32,9 @@
 // fingerprint returns the call's fingerprint.
 func (s *screening) fingerprint(call *peering.Call) fingerprint.Fingerprint {
 	if !s.known {
-		s.print, s.known = call.Fingerprint(), true
+		s.hash, s.known = call.Fingerprint(), true
 	}
-	return s.print
+	return s.hash
 }
 
 // openCall returns what a report of the target's end says of the call.
@@ -66,7 +66,7 @@
 	if s.standing.Crashes == 0 {
 		return s, nil
 	}
-	endTurn, reply := g.turns.await(ctx, s.print, s.standing.Isolated(), call)
+	endTurn, reply := g.turns.await(ctx, s.hash, s.standing.Isolated(), call)
 	if reply != nil {
 		return s, reply
 	}
@@ -101,7 +101,7 @@
 	case s.standing.Crashes == 0 || s.endTurn != nil:
 		return nil
 	}
-	endTurn, begun := g.turns.try(s.print, s.standing.Isolated())
+	endTurn, begun := g.turns.try(s.hash, s.standing.Isolated())
 	if !begun {
 		return refused(peering.Waited)
 	}
--- a/internal/guard/running.go
+++ b/internal/guard/running.go
@@ -110,11 +110,11 @@
 
 // Withdraw ends the exchanges with the target of a request that is quarantined from now
 // on: a target that drops it in time does not crash.
-func (g *Guard) Withdraw(print fingerprint.Fingerprint) {
+func (g *Guard) Withdraw(hash fingerprint.Fingerprint) {
 	g.running.mutex.Lock()
 	defer g.running.mutex.Unlock()
 	for _, request := range g.running.requests {
-		if request.call.Fingerprint() == print {
+		if request.call.Fingerprint() == hash {
 			request.withdraw(errQuarantined)
 		}
 	}
--- a/internal/guard/turns.go
+++ b/internal/guard/turns.go
@@ -21,24 +21,24 @@
 }
 
 // try begins the turn of a request if none is in its way. The returned function ends it.
-func (t *turns) try(print fingerprint.Fingerprint, alone bool) (done func(), begun bool) {
+func (t *turns) try(hash fingerprint.Fingerprint, alone bool) (done func(), begun bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if t.running[print] || (alone && t.alone) {
+	if t.running[hash] || (alone && t.alone) {
 		return nil, false
 	}
 	if t.running == nil {
 		t.running = make(map[fingerprint.Fingerprint]bool)
 	}
-	t.running[print] = true
+	t.running[hash] = true
 	t.alone = t.alone || alone
-	return func() { t.end(print, alone) }, true
+	return func() { t.end(hash, alone) }, true
 }
 
-func (t *turns) end(print fingerprint.Fingerprint, alone bool) {
+func (t *turns) end(hash fingerprint.Fingerprint, alone bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	delete(t.running, print)
+	delete(t.running, hash)
 	if alone {
 		t.alone = false
 	}
@@ -60,7 +60,7 @@
 
 // await waits for a request's turn, for as long as the call may wait for room. The
 // returned function ends the turn.
-func (t *turns) await(ctx context.Context, print fingerprint.Fingerprint, alone bool, call *peering.Call) (done func(), reply *peering.Reply) {
+func (t *turns) await(ctx context.Context, hash fingerprint.Fingerprint, alone bool, call *peering.Call) (done func(), reply *peering.Reply) {
 	wait := call.MaxWait
 	if wait == 0 {
 		wait = call.Remaining
@@ -69,7 +69,7 @@
 	defer timer.Stop()
 	for {
 		changed := t.change()
-		if done, begun := t.try(print, alone); begun {
+		if done, begun := t.try(hash, alone); begun {
 			return done, nil
 		}
 		select {
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -91,10 +91,10 @@
 }
 
 // want has a record written as soon as the store takes it.
-func (k *keeper) want(print fingerprint.Fingerprint, record Record) {
+func (k *keeper) want(hash fingerprint.Fingerprint, record Record) {
 	k.mutex.Lock()
-	k.wanted[print] = record
-	k.own[print] = record
+	k.wanted[hash] = record
+	k.own[hash] = record
 	k.mutex.Unlock()
 	k.signal()
 }
@@ -124,19 +124,19 @@
 func (k *keeper) writeWanted(ctx context.Context) bool {
 	k.mutex.Lock()
 	todo := make(map[fingerprint.Fingerprint]Record, len(k.wanted))
-	for print, record := range k.wanted {
-		todo[print] = record
+	for hash, record := range k.wanted {
+		todo[hash] = record
 	}
 	k.mutex.Unlock()
 	done := true
-	for print, record := range todo {
-		if err := k.put(ctx, print, record); err != nil {
+	for hash, record := range todo {
+		if err := k.put(ctx, hash, record); err != nil {
 			done = false
 			continue
 		}
 		k.mutex.Lock()
-		if k.wanted[print] == record {
-			delete(k.wanted, print)
+		if k.wanted[hash] == record {
+			delete(k.wanted, hash)
 		}
 		k.mutex.Unlock()
 	}
@@ -145,10 +145,10 @@
 
 // put writes a record unless one lies there that says as much. A verdict that ended goes
 // before one that holds.
-func (k *keeper) put(ctx context.Context, print fingerprint.Fingerprint, record Record) error {
+func (k *keeper) put(ctx context.Context, hash fingerprint.Fingerprint, record Record) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	key := k.prefix + print.String()
+	key := k.prefix + hash.String()
 	entry, err := k.store.Get(ctx, key)
 	switch {
 	case errors.Is(err, store.ErrNotFound):
@@ -167,26 +167,26 @@
 
 // claimTrial notes one more trial in the store. It reports whether this node is the one
 // to make it.
-func (k *keeper) claimTrial(ctx context.Context, print fingerprint.Fingerprint, record Record) bool {
+func (k *keeper) claimTrial(ctx context.Context, hash fingerprint.Fingerprint, record Record) bool {
 	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
 	defer cancel()
 	k.mutex.Lock()
-	revision := k.revisions[print]
+	revision := k.revisions[hash]
 	k.mutex.Unlock()
-	_, err := k.claims.CompareAndSwap(ctx, k.prefix+print.String(), revision, record.Encode())
+	_, err := k.claims.CompareAndSwap(ctx, k.prefix+hash.String(), revision, record.Encode())
 	if err != nil {
 		// Another node makes it, or the store is away: then nobody does.
 		return false
 	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	k.own[print] = record
+	k.own[hash] = record
 	return true
 }
 
 // recordChange is a change of a record in the store.
 type recordChange struct {
-	print  fingerprint.Fingerprint
+	hash   fingerprint.Fingerprint
 	record Record
 }
 
@@ -201,25 +201,25 @@
 		if !found {
 			continue
 		}
-		print, err := fingerprint.Parse(name)
+		hash, err := fingerprint.Parse(name)
 		if err != nil {
 			k.reject(entry, err)
 			continue
 		}
 		if entry.Deleted {
-			k.removed(print, holds(print))
+			k.removed(hash, holds(hash))
 			continue
 		}
-		k.revisions[print] = entry.Revision
+		k.revisions[hash] = entry.Revision
 		record, err := DecodeRecord(entry.Value)
 		if err != nil {
 			k.reject(entry, err)
 			continue
 		}
 		if record.Lifted {
-			delete(k.own, print)
+			delete(k.own, hash)
 		}
-		changes = append(changes, recordChange{print: print, record: record})
+		changes = append(changes, recordChange{hash: hash, record: record})
 	}
 	return changes
 }
@@ -229,16 +229,16 @@
 }
 
 // removed takes that a record disappeared, as its lease ran out.
-func (k *keeper) removed(print fingerprint.Fingerprint, holds bool) {
-	delete(k.revisions, print)
-	record, own := k.own[print]
+func (k *keeper) removed(hash fingerprint.Fingerprint, holds bool) {
+	delete(k.revisions, hash)
+	record, own := k.own[hash]
 	if !own {
 		return
 	}
 	if !holds {
-		delete(k.own, print)
+		delete(k.own, hash)
 		return
 	}
-	k.wanted[print] = record
+	k.wanted[hash] = record
 	k.signal()
 }
--- a/internal/quarantine/operator.go
+++ b/internal/quarantine/operator.go
@@ -23,7 +23,7 @@
 	}
 	var listed []Listed
 	for _, entry := range snapshot.Entries {
-		print, err := fingerprint.Parse(strings.TrimPrefix(entry.Key, prefix))
+		hash, err := fingerprint.Parse(strings.TrimPrefix(entry.Key, prefix))
 		if err != nil {
 			return nil, fmt.Errorf("verdict %s: %w", entry.Key, err)
 		}
@@ -32,7 +32,7 @@
 			return nil, fmt.Errorf("verdict %s: %w", entry.Key, err)
 		}
 		if !record.Lifted {
-			listed = append(listed, Listed{Fingerprint: print, Record: record})
+			listed = append(listed, Listed{Fingerprint: hash, Record: record})
 		}
 	}
 	return listed, nil
@@ -41,20 +41,20 @@
 // Lift writes that a verdict has ended, which all nodes then learn. One that is not there
 // is an error that wraps store.ErrNotFound; one that changes meanwhile wraps
 // store.ErrConflict.
-func Lift(ctx context.Context, held store.Store, prefix string, print fingerprint.Fingerprint) error {
-	key := prefix + print.String()
+func Lift(ctx context.Context, held store.Store, prefix string, hash fingerprint.Fingerprint) error {
+	key := prefix + hash.String()
 	entry, err := held.Get(ctx, key)
 	if err != nil {
-		return fmt.Errorf("read verdict %s: %w", print, err)
+		return fmt.Errorf("read verdict %s: %w", hash, err)
 	}
 	record, err := DecodeRecord(entry.Value)
 	if err != nil {
-		return fmt.Errorf("read verdict %s: %w", print, err)
+		return fmt.Errorf("read verdict %s: %w", hash, err)
 	}
 	record.Lifted = true
 	// It goes with the lease of the verdict.
 	if _, err := held.CompareAndSwap(ctx, key, entry.Revision, record.Encode(), entry.Lease); err != nil {
-		return fmt.Errorf("lift verdict %s: %w", print, err)
+		return fmt.Errorf("lift verdict %s: %w", hash, err)
 	}
 	return nil
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -16,7 +16,7 @@
 	Store  store.Store
 	Prefix string
 	// OnVerdict is told of requests that are refused from now on; it may be nil.
-	OnVerdict func(print fingerprint.Fingerprint)
+	OnVerdict func(hash fingerprint.Fingerprint)
 	Log       *eventlog.Log
 	Now       func() time.Time
 }
@@ -29,7 +29,7 @@
 	keeper *keeper
 	log    *eventlog.Log
 	// onVerdict may be nil.
-	onVerdict func(print fingerprint.Fingerprint)
+	onVerdict func(hash fingerprint.Fingerprint)
 }
 
 // New returns a quarantine that knows no suspects. Nothing is sent before Run.
@@ -64,7 +64,7 @@
 func (q *Quarantine) Empty() bool { return q.table.Empty() }
 
 // Standing returns what is known of a request.
-func (q *Quarantine) Standing(print fingerprint.Fingerprint) Standing { return q.table.Standing(print) }
+func (q *Quarantine) Standing(hash fingerprint.Fingerprint) Standing { return q.table.Standing(hash) }
 
 // Quarantined returns the number of requests that are refused.
 func (q *Quarantine) Quarantined() int { return q.table.Quarantined() }
@@ -91,9 +91,9 @@
 	}
 	convicted := q.table.Crashed(crash)
 	q.spread.TellCrash(crash)
-	for _, print := range convicted {
-		q.noteQuarantined(print, "target "+instance+" beside the node crashed")
-		q.keeper.want(print, details[print])
+	for _, hash := range convicted {
+		q.noteQuarantined(hash, "target "+instance+" beside the node crashed")
+		q.keeper.want(hash, details[hash])
 	}
 }
 
@@ -126,8 +126,8 @@
 // Heard takes the notice of a peer.
 func (q *Quarantine) Heard(notice *Notice) {
 	for _, crash := range notice.Crashes {
-		for _, print := range q.table.Crashed(crash) {
-			q.noteQuarantined(print, "a peer told that target "+crash.Instance+" crashed")
+		for _, hash := range q.table.Crashed(crash) {
+			q.noteQuarantined(hash, "a peer told that target "+crash.Instance+" crashed")
 		}
 	}
 	for _, cleared := range notice.Clearings {
@@ -139,32 +139,32 @@
 
 // Change takes changes of the store.
 func (q *Quarantine) Change(entries []store.Entry) {
-	holds := func(print fingerprint.Fingerprint) bool { return q.table.Standing(print).Quarantined }
+	holds := func(hash fingerprint.Fingerprint) bool { return q.table.Standing(hash).Quarantined }
 	for _, change := range q.keeper.change(entries, holds) {
 		switch {
 		case change.record.Lifted:
-			if q.table.Lift(change.print) {
-				q.noteLifted(change.print, "the store holds that it ended")
+			if q.table.Lift(change.hash) {
+				q.noteLifted(change.hash, "the store holds that it ended")
 			}
 		default:
-			known := holds(change.print)
-			q.table.Convict(change.print, change.record.Trials)
+			known := holds(change.hash)
+			q.table.Convict(change.hash, change.record.Trials)
 			if !known {
-				q.noteQuarantined(change.print, "the store holds the verdict")
+				q.noteQuarantined(change.hash, "the store holds the verdict")
 			}
 		}
 	}
 }
 
 // noteQuarantined logs a verdict and has calls that are under way withdrawn.
-func (q *Quarantine) noteQuarantined(print fingerprint.Fingerprint, reason string) {
+func (q *Quarantine) noteQuarantined(hash fingerprint.Fingerprint, reason string) {
 	if q.onVerdict != nil {
-		q.onVerdict(print)
+		q.onVerdict(hash)
 	}
-	standing := q.table.Standing(print)
-	q.log.Record(eventlog.Event{Kind: eventlog.RequestQuarantined, Fingerprint: print.String(), Count: standing.Crashes, Wait: standing.RetryAfter, Reason: reason})
+	standing := q.table.Standing(hash)
+	q.log.Record(eventlog.Event{Kind: eventlog.RequestQuarantined, Fingerprint: hash.String(), Count: standing.Crashes, Wait: standing.RetryAfter, Reason: reason})
 }
 
-func (q *Quarantine) noteLifted(print fingerprint.Fingerprint, reason string) {
-	q.log.Record(eventlog.Event{Kind: eventlog.QuarantineLifted, Fingerprint: print.String(), Reason: reason})
+func (q *Quarantine) noteLifted(hash fingerprint.Fingerprint, reason string) {
+	q.log.Record(eventlog.Event{Kind: eventlog.QuarantineLifted, Fingerprint: hash.String(), Reason: reason})
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -103,9 +103,9 @@
 }
 
 // crash has a target beside a node crash under the request.
-func (g *group) crash(number int, instance string, print fingerprint.Fingerprint) {
+func (g *group) crash(number int, instance string, hash fingerprint.Fingerprint) {
 	node := g.nodes[number]
-	node.Crashed(instance, []OpenCall{{Fingerprint: print, Service: "s", Route: "r", Crashes: node.Standing(print).Crashes + 1}})
+	node.Crashed(instance, []OpenCall{{Fingerprint: hash, Service: "s", Route: "r", Crashes: node.Standing(hash).Crashes + 1}})
 }
 
 // await waits until the condition holds at all nodes.
@@ -122,20 +122,20 @@
 }
 
 // quarantine has three targets in a row crash under the request.
-func (g *group) quarantine(print fingerprint.Fingerprint) {
+func (g *group) quarantine(hash fingerprint.Fingerprint) {
 	g.t.Helper()
 	for i := range quarantineCrashes {
-		g.crash(i%len(g.nodes), fmt.Sprintf("i-%s-%d", print, i), print)
-		g.await("told of a crash", func(node *Quarantine) bool { return node.Standing(print).Crashes == i+1 })
+		g.crash(i%len(g.nodes), fmt.Sprintf("i-%s-%d", hash, i), hash)
+		g.await("told of a crash", func(node *Quarantine) bool { return node.Standing(hash).Crashes == i+1 })
 	}
-	g.await("quarantined", func(node *Quarantine) bool { return node.Standing(print).Quarantined })
+	g.await("quarantined", func(node *Quarantine) bool { return node.Standing(hash).Quarantined })
 }
 
 // awaitRecord waits until the store holds a record that the condition accepts.
-func (g *group) awaitRecord(print fingerprint.Fingerprint, accept func(Record) bool) {
+func (g *group) awaitRecord(hash fingerprint.Fingerprint, accept func(Record) bool) {
 	g.t.Helper()
 	poll.WaitOn(g.t, func(poll.LogT) poll.Result {
-		entry, err := g.held.Get(g.t.Context(), testPrefix+print.String())
+		entry, err := g.held.Get(g.t.Context(), testPrefix+hash.String())
 		if err != nil {
 			return poll.Continue("%v", err)
 		}
@@ -152,57 +152,57 @@
 
 func TestAVerdictReachesAllNodesAndTheStore(t *testing.T) {
 	g := newGroup(t, 4)
-	print := numbered(1)
-	g.quarantine(print)
-	g.awaitRecord(print, func(record Record) bool { return record == Record{Service: "s", Route: "r"} })
+	hash := numbered(1)
+	g.quarantine(hash)
+	g.awaitRecord(hash, func(record Record) bool { return record == Record{Service: "s", Route: "r"} })
 	late := g.add([]string{"0", "1", "2", "3", "4"}, 4)
 	g.follow(late)
-	assert.Assert(t, late.Standing(print).Quarantined, "a node that starts finds it in the store")
+	assert.Assert(t, late.Standing(hash).Quarantined, "a node that starts finds it in the store")
 	assert.Equal(t, late.Quarantined(), 1)
 }
 
 func TestAVerdictReachesAllNodesWhileTheStoreIsAway(t *testing.T) {
 	g := newGroup(t, 3)
 	g.away.Store(true)
-	print := numbered(1)
-	g.quarantine(print)
+	hash := numbered(1)
+	g.quarantine(hash)
 	g.away.Store(false)
-	g.awaitRecord(print, anyRecord)
+	g.awaitRecord(hash, anyRecord)
 }
 
 // TestALapsedRecordIsWrittenAnew has a record disappear with its lease, as leases also run
 // out while the store is away: the verdict holds, and its node writes it again.
 func TestALapsedRecordIsWrittenAnew(t *testing.T) {
 	g := newGroup(t, 3)
-	print := numbered(1)
-	g.quarantine(print)
-	g.awaitRecord(print, anyRecord)
-	key := testPrefix + print.String()
+	hash := numbered(1)
+	g.quarantine(hash)
+	g.awaitRecord(hash, anyRecord)
+	key := testPrefix + hash.String()
 	entry, err := g.held.Get(t.Context(), key)
 	assert.NilError(t, err)
 	revision, err := g.held.CompareAndDelete(t.Context(), key, entry.Revision)
 	assert.NilError(t, err)
 	for _, node := range g.nodes {
 		node.Change([]store.Entry{{Key: key, Revision: revision, Deleted: true}})
-		assert.Assert(t, node.Standing(print).Quarantined)
+		assert.Assert(t, node.Standing(hash).Quarantined)
 	}
-	g.awaitRecord(print, anyRecord)
+	g.awaitRecord(hash, anyRecord)
 }
 
 func TestOneNodeOfAllMakesATrial(t *testing.T) {
 	g := newGroup(t, 8)
-	print := numbered(1)
-	g.quarantine(print)
-	g.awaitRecord(print, anyRecord)
+	hash := numbered(1)
+	g.quarantine(hash)
+	g.awaitRecord(hash, anyRecord)
 	for _, node := range g.nodes {
 		g.follow(node)
-		assert.Assert(t, !node.Standing(print).TrialDue)
+		assert.Assert(t, !node.Standing(hash).TrialDue)
 	}
 	g.pass(firstTrialPause)
 	g.away.Store(true)
-	call := OpenCall{Fingerprint: print, Service: "s", Route: "r"}
+	call := OpenCall{Fingerprint: hash, Service: "s", Route: "r"}
 	for _, node := range g.nodes {
-		assert.Assert(t, node.Standing(print).TrialDue)
+		assert.Assert(t, node.Standing(hash).TrialDue)
 		assert.Assert(t, !node.ClaimTrial(t.Context(), call), "none while the store is away")
 	}
 	g.away.Store(false)
@@ -219,7 +219,7 @@
 	assert.Equal(t, claimed.Load(), int32(1))
 	for _, node := range g.nodes {
 		g.follow(node)
-		standing := node.Standing(print)
+		standing := node.Standing(hash)
 		assert.Assert(t, standing.Quarantined && !standing.TrialDue)
 		assert.Equal(t, standing.RetryAfter, 2*firstTrialPause, "the next trial comes later")
 	}
@@ -227,48 +227,48 @@
 
 func TestATrialThatIsAnsweredEndsTheVerdict(t *testing.T) {
 	g := newGroup(t, 3)
-	print := numbered(1)
-	g.quarantine(print)
-	g.awaitRecord(print, anyRecord)
+	hash := numbered(1)
+	g.quarantine(hash)
+	g.awaitRecord(hash, anyRecord)
 	g.pass(firstTrialPause)
 	g.follow(g.nodes[2])
-	call := OpenCall{Fingerprint: print, Service: "s", Route: "r"}
+	call := OpenCall{Fingerprint: hash, Service: "s", Route: "r"}
 	assert.Assert(t, g.nodes[2].ClaimTrial(t.Context(), call))
 	g.nodes[2].Answered(call)
-	g.await("cleared", func(node *Quarantine) bool { return !node.Standing(print).Quarantined })
-	g.awaitRecord(print, func(record Record) bool { return record.Lifted })
+	g.await("cleared", func(node *Quarantine) bool { return !node.Standing(hash).Quarantined })
+	g.awaitRecord(hash, func(record Record) bool { return record.Lifted })
 	late := g.add([]string{"0", "1", "2", "3"}, 3)
 	g.follow(late)
-	assert.Assert(t, !late.Standing(print).Quarantined)
+	assert.Assert(t, !late.Standing(hash).Quarantined)
 }
 
 // TestALiftedVerdictEndsEverywhere has an operator write that a verdict has ended.
 func TestALiftedVerdictEndsEverywhere(t *testing.T) {
 	g := newGroup(t, 3)
-	print := numbered(1)
-	g.quarantine(print)
-	g.awaitRecord(print, anyRecord)
-	key := testPrefix + print.String()
+	hash := numbered(1)
+	g.quarantine(hash)
+	g.awaitRecord(hash, anyRecord)
+	key := testPrefix + hash.String()
 	entry, err := g.held.Get(t.Context(), key)
 	assert.NilError(t, err)
 	_, err = g.held.CompareAndSwap(t.Context(), key, entry.Revision, Record{Lifted: true}.Encode(), 0)
 	assert.NilError(t, err)
 	for _, node := range g.nodes {
 		g.follow(node)
-		assert.Assert(t, !node.Standing(print).Quarantined)
+		assert.Assert(t, !node.Standing(hash).Quarantined)
 	}
 }
 
 func TestAnAnswerClearsASuspect(t *testing.T) {
 	g := newGroup(t, 3)
-	print := numbered(1)
-	g.crash(0, "i-1", print)
-	g.crash(0, "i-2", print)
-	g.await("suspected", func(node *Quarantine) bool { return node.Standing(print).Isolated() })
-	g.nodes[1].Answered(OpenCall{Fingerprint: print})
-	g.await("cleared", func(node *Quarantine) bool { return node.Standing(print) == Standing{Cleared: true} })
-	g.nodes[2].Heard(&Notice{Crashes: []Crash{{Instance: "i-2", Suspects: []Suspicion{{Fingerprint: print, Crashes: 2}}}}})
-	assert.Assert(t, !g.nodes[2].Standing(print).Suspected(), "a report that comes late says nothing new")
+	hash := numbered(1)
+	g.crash(0, "i-1", hash)
+	g.crash(0, "i-2", hash)
+	g.await("suspected", func(node *Quarantine) bool { return node.Standing(hash).Isolated() })
+	g.nodes[1].Answered(OpenCall{Fingerprint: hash})
+	g.await("cleared", func(node *Quarantine) bool { return node.Standing(hash) == Standing{Cleared: true} })
+	g.nodes[2].Heard(&Notice{Crashes: []Crash{{Instance: "i-2", Suspects: []Suspicion{{Fingerprint: hash, Crashes: 2}}}}})
+	assert.Assert(t, !g.nodes[2].Standing(hash).Suspected(), "a report that comes late says nothing new")
 }
 
 func TestWhatIsNotARecordIsPassedOver(t *testing.T) {
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -58,7 +58,7 @@
 
 // run is a try of a request.
 type run struct {
-	print   fingerprint.Fingerprint
+	hash    fingerprint.Fingerprint
 	crashes int
 	tries   int
 	// turn tells that it runs alone.
@@ -131,20 +131,20 @@
 }
 
 func numbered(number int) fingerprint.Fingerprint {
-	var print fingerprint.Fingerprint
-	binary.BigEndian.PutUint64(print[:], uint64(number))
-	return print
+	var hash fingerprint.Fingerprint
+	binary.BigEndian.PutUint64(hash[:], uint64(number))
+	return hash
 }
 
 // send has a request enter at a random node.
-func (f *fleet) send(print fingerprint.Fingerprint) {
+func (f *fleet) send(hash fingerprint.Fingerprint) {
 	f.sent++
-	f.offer(f.nodes[f.random.IntN(len(f.nodes))], &run{print: print})
+	f.offer(f.nodes[f.random.IntN(len(f.nodes))], &run{hash: hash})
 }
 
 // offer has a node choose a home for a try.
 func (f *fleet) offer(ingress *simulatedNode, r *run) {
-	standing := ingress.table.Standing(r.print)
+	standing := ingress.table.Standing(r.hash)
 	r.crashes = max(r.crashes, standing.Crashes)
 	if standing.Quarantined {
 		f.refuse(r)
@@ -167,9 +167,9 @@
 		}
 		place := f.random.Uint64()
 		if r.crashes > 0 {
-			hash := fnv.New64a()
-			fmt.Fprintf(hash, "%s %d", r.print, n.number)
-			place = hash.Sum64()
+			placed := fnv.New64a()
+			fmt.Fprintf(placed, "%s %d", r.hash, n.number)
+			place = placed.Sum64()
 		}
 		if best == nil || place > highest {
 			best, highest = n, place
@@ -179,8 +179,8 @@
 }
 
 func (f *fleet) refuse(r *run) {
-	if !f.deadly[r.print] {
-		f.convicted[r.print] = true
+	if !f.deadly[r.hash] {
+		f.convicted[r.hash] = true
 	}
 }
 
@@ -190,20 +190,20 @@
 		f.offer(ingress, r)
 		return
 	}
-	standing := home.table.Standing(r.print)
+	standing := home.table.Standing(r.hash)
 	r.crashes = max(r.crashes, standing.Crashes)
 	switch {
 	case standing.Quarantined:
 		f.refuse(r)
 		return
-	case r.crashes > 0 && (home.turns[r.print] || r.crashes >= isolationCrashes && home.alone):
+	case r.crashes > 0 && (home.turns[r.hash] || r.crashes >= isolationCrashes && home.alone):
 		if r.waiting.IsZero() {
 			r.waiting, r.ingress = f.now, ingress
 		}
 		home.queue = append(home.queue, r)
 		return
 	case r.crashes > 0:
-		r.turn, home.turns[r.print] = true, true
+		r.turn, home.turns[r.hash] = true, true
 		home.alone = home.alone || r.crashes >= isolationCrashes
 	}
 	if !r.waiting.IsZero() {
@@ -211,10 +211,10 @@
 	}
 	home.open[r] = true
 	r.life, r.ingress = home.life, ingress
-	if f.deadly[r.print] {
+	if f.deadly[r.hash] {
 		f.after(f.crashAfter, func() {
 			if home.open[r] {
-				f.ended[r.print]++
+				f.ended[r.hash]++
 				f.crash(home)
 			}
 		})
@@ -230,8 +230,8 @@
 	}
 	delete(home.open, r)
 	f.served++
-	r.ingress.table.Answered(r.print)
-	if cleared, tell := home.table.Answered(r.print); tell {
+	r.ingress.table.Answered(r.hash)
+	if cleared, tell := home.table.Answered(r.hash); tell {
 		f.tell(home, func(peer *simulatedNode) { peer.table.Cleared(cleared) })
 	}
 	f.endTurn(home, r)
@@ -242,7 +242,7 @@
 	if !r.turn {
 		return
 	}
-	delete(home.turns, r.print)
+	delete(home.turns, r.hash)
 	if r.crashes >= isolationCrashes {
 		home.alone = false
 	}
@@ -266,12 +266,12 @@
 	broken := home.open
 	home.open = make(map[*run]bool)
 	for r := range broken {
-		report.Suspects = append(report.Suspects, Suspicion{Fingerprint: r.print, Crashes: r.crashes + 1})
+		report.Suspects = append(report.Suspects, Suspicion{Fingerprint: r.hash, Crashes: r.crashes + 1})
 	}
 	home.table.Crashed(report)
 	f.tell(home, func(peer *simulatedNode) { peer.table.Crashed(report) })
 	for r := range broken {
-		again := &run{print: r.print, crashes: r.crashes + 1, tries: r.tries + 1}
+		again := &run{hash: r.hash, crashes: r.crashes + 1, tries: r.tries + 1}
 		if again.tries < 2 && again.crashes < isolationCrashes {
 			f.after(time.Millisecond, func() { f.offer(home, again) })
 		}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -139,12 +139,12 @@
 func (t *Table) Unplaced() uint64 { return t.unplaced.Load() }
 
 // Standing returns what is known of a request.
-func (t *Table) Standing(print fingerprint.Fingerprint) Standing {
+func (t *Table) Standing(hash fingerprint.Fingerprint) Standing {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	known := t.known[print]
+	known := t.known[hash]
 	if known == nil || t.expired(known) {
-		_, cleared := t.cleared[print]
+		_, cleared := t.cleared[hash]
 		return Standing{Cleared: cleared}
 	}
 	standing := Standing{Crashes: known.crashes}
@@ -216,14 +216,14 @@
 
 // Answered notes that a target answered the request, so that it is no query of death. It
 // returns what others are to be told, false if that is not worth a message.
-func (t *Table) Answered(print fingerprint.Fingerprint) (Clearance, bool) {
+func (t *Table) Answered(hash fingerprint.Fingerprint) (Clearance, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	known := t.known[print]
+	known := t.known[hash]
 	if known == nil {
 		return Clearance{}, false
 	}
-	cleared := Clearance{Fingerprint: print, Instances: slices.Sorted(maps.Keys(known.instances))}
+	cleared := Clearance{Fingerprint: hash, Instances: slices.Sorted(maps.Keys(known.instances))}
 	worthTelling := known.crashes >= isolationCrashes
 	t.clear(cleared)
 	return cleared, worthTelling
@@ -241,14 +241,14 @@
 
 // Lift ends a verdict, as an operator wants it or as a trial run was answered elsewhere.
 // It reports whether there was one.
-func (t *Table) Lift(print fingerprint.Fingerprint) bool {
+func (t *Table) Lift(hash fingerprint.Fingerprint) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	known := t.known[print]
+	known := t.known[hash]
 	if known == nil {
 		return false
 	}
-	t.clear(Clearance{Fingerprint: print, Instances: slices.Collect(maps.Keys(known.instances))})
+	t.clear(Clearance{Fingerprint: hash, Instances: slices.Collect(maps.Keys(known.instances))})
 	return known.verdict != nil
 }
 
@@ -268,14 +268,14 @@
 }
 
 // Convict takes a verdict that the store holds, with the trials that were made so far.
-func (t *Table) Convict(print fingerprint.Fingerprint, trials int) {
+func (t *Table) Convict(hash fingerprint.Fingerprint, trials int) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	known := t.known[print]
+	known := t.known[hash]
 	if known == nil || t.expired(known) {
-		t.forget(print)
+		t.forget(hash)
 		known = &suspect{instances: make(map[string]bool)}
-		t.known[print] = known
+		t.known[hash] = known
 	}
 	known.crashes = max(known.crashes, quarantineCrashes)
 	known.at = t.now()
@@ -290,10 +290,10 @@
 }
 
 // trials returns the number of trial runs that a quarantined request has had.
-func (t *Table) trials(print fingerprint.Fingerprint) int {
+func (t *Table) trials(hash fingerprint.Fingerprint) int {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	known := t.known[print]
+	known := t.known[hash]
 	if known == nil || known.verdict == nil {
 		return 0
 	}
@@ -301,15 +301,15 @@
 }
 
 // forget drops a suspect.
-func (t *Table) forget(print fingerprint.Fingerprint) {
-	known := t.known[print]
+func (t *Table) forget(hash fingerprint.Fingerprint) {
+	known := t.known[hash]
 	if known == nil {
 		return
 	}
 	if known.verdict != nil {
 		t.quarantined--
 	}
-	delete(t.known, print)
+	delete(t.known, hash)
 }
 
 func (t *Table) expired(known *suspect) bool { return t.now().Sub(known.at) >= remembered }
@@ -318,14 +318,14 @@
 func (t *Table) Expire() {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	for print, known := range t.known {
+	for hash, known := range t.known {
 		if t.expired(known) {
-			t.forget(print)
+			t.forget(hash)
 		}
 	}
-	for print, late := range t.cleared {
+	for hash, late := range t.cleared {
 		if t.now().Sub(late.at) >= remembered {
-			delete(t.cleared, print)
+			delete(t.cleared, hash)
 		}
 	}
 	t.size.Store(int64(len(t.known)))
@@ -336,27 +336,27 @@
 	if len(t.known) > maxSuspects {
 		t.dropLeast()
 	}
-	for print := range t.cleared {
+	for hash := range t.cleared {
 		if len(t.cleared) <= maxSuspects {
 			break
 		}
-		delete(t.cleared, print)
+		delete(t.cleared, hash)
 	}
 }
 
 // dropLeast drops the quarter of the suspects with the fewest crashes, the oldest first.
 func (t *Table) dropLeast() {
-	prints := slices.Collect(maps.Keys(t.known))
-	slices.SortFunc(prints, func(a, b fingerprint.Fingerprint) int {
+	hashes := slices.Collect(maps.Keys(t.known))
+	slices.SortFunc(hashes, func(a, b fingerprint.Fingerprint) int {
 		first, second := t.known[a], t.known[b]
 		if first.crashes != second.crashes {
 			return first.crashes - second.crashes
 		}
 		return first.at.Compare(second.at)
 	})
-	for _, print := range prints[:len(prints)/4] {
-		if t.known[print].verdict == nil {
-			t.forget(print)
+	for _, hash := range hashes[:len(hashes)/4] {
+		if t.known[hash].verdict == nil {
+			t.forget(hash)
 		}
 	}
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -164,7 +164,7 @@
 		},
 		Store:     n.gate.Wrap(n.store.For(purposeQuarantine)),
 		Prefix:    platform.QuarantinePrefix,
-		OnVerdict: func(print fingerprint.Fingerprint) { n.guard.Withdraw(print) },
+		OnVerdict: func(hash fingerprint.Fingerprint) { n.guard.Withdraw(hash) },
 		Log:       n.log,
 		Now:       clock.Now,
 	})
@@ -189,18 +189,16 @@
 		InnerWaitShare: n.settings.Queue.InnerObjectiveShare,
 		ParentOf:       platform.ParentOf,
 	}, forward.Parts{
-		Routes:    n.routes,
-		Directory: n.directory,
-		Local:     n.guard,
-		Policies:  n.policies,
-		Levels:    n.levels,
-
+		Routes:     n.routes,
+		Directory:  n.directory,
+		Local:      n.guard,
+		Policies:   n.policies,
+		Levels:     n.levels,
 		Quarantine: n.suspects,
-
-		Peers:    n.peers,
-		Observer: n.metrics,
-		Log:      n.log,
-		Now:      clock.Now,
+		Peers:      n.peers,
+		Observer:   n.metrics,
+		Log:        n.log,
+		Now:        clock.Now,
 	})
 }
 
--- a/internal/sidecar/quarantine.go
+++ b/internal/sidecar/quarantine.go
@@ -24,8 +24,8 @@
 }
 
 // LiftQuarantine ends the verdict on a request.
-func LiftQuarantine(ctx context.Context, address string, print fingerprint.Fingerprint) error {
-	err := quarantine.Lift(ctx, operatorStore(address), platform.QuarantinePrefix, print)
+func LiftQuarantine(ctx context.Context, address string, hash fingerprint.Fingerprint) error {
+	err := quarantine.Lift(ctx, operatorStore(address), platform.QuarantinePrefix, hash)
 	if err != nil {
 		return oops.In("sidecar").With("step", "lift quarantine").With("peer", address).Wrap(err)
 	}
--- a/internal/sidecarcommand/quarantine.go
+++ b/internal/sidecarcommand/quarantine.go
@@ -54,14 +54,14 @@
 	if q.lift == "" {
 		return q.list(ctx)
 	}
-	print, err := fingerprint.Parse(q.lift)
+	hash, err := fingerprint.Parse(q.lift)
 	if err != nil {
 		return q.streams.misused(err.Error())
 	}
-	if err := sidecar.LiftQuarantine(ctx, q.store, print); err != nil {
+	if err := sidecar.LiftQuarantine(ctx, q.store, hash); err != nil {
 		return q.streams.fail(err)
 	}
-	_, _ = fmt.Fprintf(q.streams.Output, "requests with fingerprint %s run again\n", print)
+	_, _ = fmt.Fprintf(q.streams.Output, "requests with fingerprint %s run again\n", hash)
 	return ExitOK
 }
 
