Soak with requests that end their targets

Cause: the soak had no such requests, so that it could not find the incident's fault. Ruled out: a path of its own for such requests alone (harmless ones are all alike in the soak, which shows whether a crash makes them suspects for long). Change: a kind of fault that sends one such request by all nodes for 6 s and more, targets that are back after 1 s, and a promise that is held against the runs of undisturbed machines.

--- a/lab/platformstub/target.go
+++ b/lab/platformstub/target.go
@@ -29,7 +29,8 @@
 	sequence atomic.Uint64
 	draining atomic.Bool
 	silent   atomic.Bool
-	ended    sync.Once
+	ended    atomic.Bool
+	told     sync.Once
 	mutex    sync.Mutex
 	faults   TargetFaults
 	arrivals uint64
@@ -145,11 +146,15 @@
 func (t *Target) end() {
 	t.stop()
 	_ = t.server.Close()
+	t.ended.Store(true)
 	if t.OnEnd != nil {
-		t.ended.Do(t.OnEnd)
+		t.told.Do(t.OnEnd)
 	}
 }
 
+// Ended reports whether the target has ended under a request.
+func (t *Target) Ended() bool { return t.ended.Load() }
+
 func (t *Target) note(r *http.Request, id string) {
 	run := Run{ID: id, Path: r.URL.Path, Caller: r.Header.Get("Lugspur-Caller-Service"), Method: r.Method, Remaining: -1, At: time.Now()}
 	if millis, err := strconv.Atoi(r.Header.Get("Lugspur-Deadline-Ms")); err == nil {
--- a/lab/soak/callers.go
+++ b/lab/soak/callers.go
@@ -123,6 +123,12 @@
 	return request
 }
 
+// deadly returns the next try of a request that ends targets, by the machines in turn.
+func (c *callers) deadly(path string) Request {
+	number := c.requests.Add(1)
+	return Request{ID: fmt.Sprintf("%016x", number), Machine: int(number) % len(c.deployment.machines), Method: http.MethodGet, Deadline: callDeadline, Path: path, Deadly: true}
+}
+
 // send sends a request and notes what came of it. The client can't send it
 // again by itself, as it can't read the body again.
 func (c *callers) send(client *http.Client, request Request) {
--- a/lab/soak/configuration.go
+++ b/lab/soak/configuration.go
@@ -20,11 +20,13 @@
 	objective    = 1
 )
 
-// readPath and oncePath begin the paths of a service's requests, and versionPath
+// readPath and oncePath begin the paths of a service's requests, deadlyPath is that of
+// requests which end the targets that run them, and versionPath begins
 // those that only one version of the configuration allows.
-func readPath(service string) string { return "/read/" + service + "/" }
-func oncePath(service string) string { return "/once/" + service + "/" }
-func versionPath(version int) string { return fmt.Sprintf("/version/%d/", version) }
+func readPath(service string) string   { return "/read/" + service + "/" }
+func deadlyPath(service string) string { return readPath(service) + "deadly" }
+func oncePath(service string) string   { return "/once/" + service + "/" }
+func versionPath(version int) string   { return fmt.Sprintf("/version/%d/", version) }
 
 type documentResource struct {
 	Type     string           `json:"resource-type"`
--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
@@ -60,8 +61,12 @@
 	// incarnation counts the targets that the machine has had.
 	incarnation int
 	current     *platformstub.Target
-	stopTarget  context.CancelFunc
-	targets     []*platformstub.Target
+	// onEnd is called some time after a target ended under a request, and stopped tells
+	// that the deployment is stopping.
+	onEnd      func()
+	stopped    atomic.Bool
+	stopTarget context.CancelFunc
+	targets    []*platformstub.Target
 }
 
 // startDeployment starts everything and waits until all nodes are ready.
@@ -176,7 +181,9 @@
 		Control: m.control,
 		Zone:    m.zone,
 		Work:    targetWork * time.Duration(1+m.number%workSpread),
+		OnEnd:   func() { time.AfterFunc(targetAway, m.onEnd) },
 	}
+	target.SetFaults(platformstub.TargetFaults{EndsUnder: deadlyPath(m.service)})
 	ctx, cancel := context.WithCancel(context.Background())
 	if err := target.Start(ctx); err != nil {
 		cancel()
@@ -217,6 +224,7 @@
 func (d *deployment) stop() error {
 	var failures []error
 	for _, m := range d.machines {
+		m.stopped.Store(true)
 		if m.process != nil {
 			m.process.Resume()
 			m.process.Kill()
--- a/lab/soak/inject.go
+++ b/lab/soak/inject.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 
@@ -25,6 +26,12 @@
 	// faultEvery is how often a target's answer is lost, spoilt or rejected.
 	faultEvery = 8
 	lateWrites = 1500 * time.Millisecond
+	// deadlyPause is the time between two tries of a deadly request, and deadlyTime for how
+	// long it is sent at least: targets that ended are back and would end again.
+	deadlyPause = 150 * time.Millisecond
+	deadlyTime  = 6 * time.Second
+	// targetAway is how long a target that ended under a request stays away.
+	targetAway = time.Second
 )
 
 // injector carries out a schedule. A fault whose machine, or the store, is
@@ -35,12 +42,42 @@
 	machines   []sync.Mutex
 	store      sync.Mutex
 
+	callers      *callers
 	versionMutex sync.Mutex
 	version      int
 }
 
-func newInjector(d *deployment, r *recorder) *injector {
-	return &injector{deployment: d, recorder: r, machines: make([]sync.Mutex, len(d.machines)), version: 1}
+func newInjector(d *deployment, r *recorder, c *callers) *injector {
+	i := &injector{deployment: d, recorder: r, callers: c, machines: make([]sync.Mutex, len(d.machines)), version: 1}
+	for machine := range d.machines {
+		d.machines[machine].onEnd = func() { i.replaceEnded(machine) }
+	}
+	return i
+}
+
+// replaceEnded starts a target in the place of one that ended under a request, unless
+// another fault does so.
+func (i *injector) replaceEnded(machine int) {
+	i.machines[machine].Lock()
+	defer i.machines[machine].Unlock()
+	m := i.deployment.machines[machine]
+	if m.stopped.Load() || !m.current.Ended() {
+		return
+	}
+	m.stopTarget()
+	i.replaceTarget(m)
+}
+
+// sendDeadly sends one request that ends targets by all machines in turn.
+func (i *injector) sendDeadly(ctx context.Context, fault Fault) {
+	var sent sync.WaitGroup
+	defer sent.Wait()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: callDeadline + callPatience}
+	path := deadlyPath(services[fault.Machine%len(services)])
+	for until := time.Now().Add(fault.For + deadlyTime); time.Now().Before(until) && ctx.Err() == nil; sleep(ctx, deadlyPause) {
+		request := i.callers.deadly(path)
+		sent.Go(func() { i.callers.send(client, request) })
+	}
 }
 
 // run carries the schedule out and waits for the ends of all faults.
@@ -65,6 +102,8 @@
 		i.killAll()
 	case Configure:
 		i.configure(ctx)
+	case DeadlyRequest:
+		i.sendDeadly(ctx, fault)
 	default:
 		i.strikeMachine(ctx, fault)
 	}
@@ -234,9 +273,11 @@
 }
 
 func (i *injector) strikeTarget(ctx context.Context, m *machine, fault Fault) {
-	m.current.SetFaults(targetFaults[fault.Kind])
+	faults := targetFaults[fault.Kind]
+	faults.EndsUnder = deadlyPath(m.service)
+	m.current.SetFaults(faults)
 	sleep(ctx, fault.For)
-	m.current.SetFaults(platformstub.TargetFaults{})
+	m.current.SetFaults(platformstub.TargetFaults{EndsUnder: deadlyPath(m.service)})
 }
 
 // linkFault says what a kind does to a link of a machine.
--- a/lab/soak/judge.go
+++ b/lab/soak/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -26,6 +27,10 @@
 	answerSlack = 500 * time.Millisecond
 	// recoveredShare is the part of the requests that are served at the end.
 	recoveredShare = 0.95
+	// provingRuns is the number of targets that must have ended under a request, and
+	// maxLateRuns that of those it may reach contactTime after the last of these.
+	provingRuns = 3
+	maxLateRuns = 3
 )
 
 // Promise names what a run is held against.
@@ -43,6 +48,7 @@
 	OnlyAsked     Promise = "only what was asked runs, where it may"
 	InTime        Promise = "deadlines are kept"
 	Recovers      Promise = "service recovers"
+	FewEnds       Promise = "a request that ends its targets is stopped"
 	Lives         Promise = "no process ends by itself"
 )
 
@@ -89,6 +95,7 @@
 	j.judgeRuns(known)
 	j.judgeDrains()
 	j.judgeRegressions()
+	j.judgeDeadly(known)
 	j.judgeRecovery(recovered)
 	for _, name := range recorder.ownEnds {
 		j.broken(Lives, nil, "%s", name)
@@ -264,7 +271,7 @@
 	served, all := 0, 0
 	for index := range j.recorder.requests {
 		r := &j.recorder.requests[index]
-		if r.Sent.Before(from) || r.Version > 0 {
+		if r.Sent.Before(from) || r.Version > 0 || r.Deadly {
 			continue
 		}
 		all++
@@ -276,3 +283,54 @@
 		j.broken(Recovers, nil, "%d of %d requests were served at the end", served, all)
 	}
 }
+
+// deadlyRun is a run of a request that ends targets.
+type deadlyRun struct {
+	targetRun
+	request *Request
+	machine int
+}
+
+// judgeDeadly checks that requests which end targets reach no more than a few once three
+// have ended and the nodes had time to learn that.
+func (j *judgement) judgeDeadly(known map[string]*Request) {
+	byPath := make(map[string][]deadlyRun)
+	for id, runs := range j.runs {
+		request := known[id]
+		if request == nil || !request.Deadly {
+			continue
+		}
+		for _, run := range runs {
+			byPath[request.Path] = append(byPath[request.Path], deadlyRun{targetRun: run, request: request, machine: j.machineOf(run.target)})
+		}
+	}
+	for path, runs := range byPath {
+		slices.SortFunc(runs, func(a, b deadlyRun) int { return a.At.Compare(b.At) })
+		late := j.lateRuns(runs)
+		if len(late) > maxLateRuns {
+			j.broken(FewEnds, late[0].request, "%d runs of %s later than %s after the third, %d in all", len(late), path, contactTime, len(runs))
+		}
+	}
+}
+
+// lateRuns returns the runs that undisturbed machines made later than contactTime after
+// the third target had ended.
+func (j *judgement) lateRuns(runs []deadlyRun) []deadlyRun {
+	if len(runs) < provingRuns {
+		return nil
+	}
+	third := runs[provingRuns-1]
+	from := third.At.Add(third.target.Work + contactTime)
+	var late []deadlyRun
+	for _, run := range runs[provingRuns:] {
+		if run.At.After(from) && j.undisturbed(run.request.Machine, run.At, run.At, true) && j.undisturbed(run.machine, run.At, run.At, true) {
+			late = append(late, run)
+		}
+	}
+	return late
+}
+
+// machineOf returns the number of the machine that a target is on.
+func (j *judgement) machineOf(target *platformstub.Target) int {
+	return slices.IndexFunc(j.machines, func(m *machine) bool { return slices.Contains(m.targets, target) })
+}
--- a/lab/soak/judge_test.go
+++ b/lab/soak/judge_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -136,6 +137,35 @@
 	assert.Assert(t, !contains(j.promises(), NeverOlder))
 }
 
+// TestADeadlyRequestThatGoesOnIsFound has a request end three targets and reach others
+// later: at once, which nothing can prevent, and once the nodes had time to learn.
+func TestADeadlyRequestThatGoesOnIsFound(t *testing.T) {
+	cases := []struct {
+		name   string
+		later  []float64
+		struck []disturbance
+		broken bool
+	}{
+		{"at once", []float64{10.4, 10.5, 10.6, 11, 12, 13}, nil, false},
+		{"three times later", []float64{14, 15, 16}, nil, false},
+		{"four times later", []float64{14, 15, 16, 17}, nil, true},
+		{"four times later, by machines that were struck", []float64{14, 15, 16, 17}, []disturbance{{machine: 0, from: at(13), to: at(17)}}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			j := newJudged()
+			j.recorder.disturbances = c.struck
+			for number, sent := range append([]float64{10, 10.1, 10.2}, c.later...) {
+				r := j.answered(fmt.Sprint(number), sent)
+				r.Deadly, r.Method, r.Path = true, "GET", deadlyPath("alpha")
+				j.runs[number].Method, j.runs[number].Path = r.Method, r.Path
+			}
+			found := j.promises()
+			assert.Equal(t, contains(found, FewEnds), c.broken, "%v", found)
+		})
+	}
+}
+
 func contains(promises []Promise, wanted Promise) bool {
 	for _, promise := range promises {
 		if promise == wanted {
@@ -156,7 +186,7 @@
 		_, target := targetFaults[kind]
 		_, store := storeFaults[kind]
 		switch kind {
-		case Kill, KillAll, Freeze, Terminate, TargetReplaced, Drain, DrainAndKill, Configure, ConfigureAndKill:
+		case Kill, KillAll, Freeze, Terminate, TargetReplaced, DeadlyRequest, Drain, DrainAndKill, Configure, ConfigureAndKill:
 		default:
 			assert.Assert(t, link || target || store, "nothing carries out %s", kind)
 		}
--- a/lab/soak/record.go
+++ b/lab/soak/record.go
@@ -16,6 +16,8 @@
 	Life   int    `json:"life"`
 	Method string `json:"method"`
 	Path   string `json:"path"`
+	// Deadly tells that the request ends each target which runs it.
+	Deadly bool `json:"deadly,omitempty"`
 	// Version is that of a request which only one version of the configuration
 	// allows, zero for others.
 	Version  int           `json:"version,omitempty"`
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -105,7 +105,7 @@
 		close(ended)
 	}()
 	sleep(ctx, warmTime)
-	newInjector(d, records).run(ctx, schedule)
+	newInjector(d, records, callers).run(ctx, schedule)
 	sleep(ctx, settleTime-recoveryTime)
 	recovered := time.Now()
 	sleep(ctx, recoveryTime)
--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -37,6 +37,8 @@
 	AnswersSpoilt  Kind = "answers-spoilt"
 	TargetRejects  Kind = "target-rejects"
 	TargetReplaced Kind = "target-replaced"
+	// DeadlyRequest sends a request that ends each target which runs it, again and again.
+	DeadlyRequest Kind = "deadly-request"
 	// Drain has a target say that it leaves, DrainAndKill kills the node that
 	// acknowledged it right afterwards.
 	Drain        Kind = "drain"
@@ -50,7 +52,7 @@
 // kinds holds every kind, the frequent ones more than once.
 var kinds = []Kind{
 	Kill, KillAll, Freeze, Freeze, Terminate, Terminate, StoreDown, StoreThrottled, StoreLostWrites, StoreLateWrites, StoreForgets, StoreCut, StoreReset, StoreOneWay,
-	StoreSlow, PeerCut, PeerReset, PeerOneWay, PeerSlow, TargetSlow, TargetReset, AnswersLost, AnswersSpoilt, TargetRejects, TargetReplaced,
+	StoreSlow, PeerCut, PeerReset, PeerOneWay, PeerSlow, TargetSlow, TargetReset, AnswersLost, AnswersSpoilt, TargetRejects, TargetReplaced, DeadlyRequest, DeadlyRequest,
 	Drain, Drain, DrainAndKill, Configure, Configure, Configure, ConfigureAndKill,
 }
 
