--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -9,7 +9,6 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -17,206 +16,16 @@
 	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
-	"github.com/lugspur/lugspur/internal/callheader"
 	"github.com/lugspur/lugspur/internal/criticality"
-	"github.com/lugspur/lugspur/internal/guard"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/pressure"
-	"github.com/lugspur/lugspur/internal/quarantine"
 	"github.com/lugspur/lugspur/internal/registry"
 	"github.com/lugspur/lugspur/internal/replica"
-	"github.com/lugspur/lugspur/internal/retrybudget"
-	"github.com/lugspur/lugspur/internal/routepolicy"
 	"github.com/lugspur/lugspur/internal/routetable"
 	"github.com/lugspur/lugspur/internal/shed"
 	"github.com/lugspur/lugspur/internal/store"
 )
 
-// fakeHome answers calls by a function and counts them.
-type fakeHome struct {
-	mutex sync.Mutex
-	calls []*peering.Call
-	// callsFailed are the requests of which a call failed.
-	callsFailed []string
-	// parentWanted ends when nobody waits for the running request any more.
-	parentWanted context.Context
-	answer       func(ctx context.Context, call *peering.Call) *peering.Reply
-}
-
-func (h *fakeHome) Run(ctx context.Context, call *peering.Call) *peering.Reply {
-	h.mutex.Lock()
-	h.calls = append(h.calls, call)
-	h.mutex.Unlock()
-	return h.answer(ctx, call)
-}
-
-func (h *fakeHome) Running(id string) (guard.Running, bool) {
-	return guard.Running{Route: "parent", Rank: criticality.RankOf(7), Wanted: h.wanted()}, id == "running"
-}
-
-// wanted ends with the test's own context, if it has one.
-func (h *fakeHome) wanted() context.Context {
-	if h.parentWanted == nil {
-		return context.Background()
-	}
-	return h.parentWanted
-}
-
-func (h *fakeHome) Abandoned(id string) bool { return id == "abandoned" }
-
-func (h *fakeHome) CallMade(string, string) int { return 1 }
-
-func (h *fakeHome) CallFailed(id string) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	h.callsFailed = append(h.callsFailed, id)
-}
-
-func (h *fakeHome) count() int {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	return len(h.calls)
-}
-
-func answered(context.Context, *peering.Call) *peering.Reply {
-	return &peering.Reply{Outcome: peering.Answered, Status: 200, Header: http.Header{"X-Signature": {"s"}}, Body: []byte("ok"),
-		Load: peering.Load{Limit: 10, Threshold: shed.None}}
-}
-
-func refusing(reason peering.Reason) func(context.Context, *peering.Call) *peering.Reply {
-	return func(context.Context, *peering.Call) *peering.Reply {
-		return &peering.Reply{Outcome: peering.Refused, Reason: reason, RetryAfter: 300 * time.Millisecond, Load: peering.Load{Limit: 10, Threshold: shed.None}}
-	}
-}
-
-// erring answers with a failure after a call that the target made had failed.
-func erring(ctx context.Context, call *peering.Call) *peering.Reply {
-	reply := answered(ctx, call)
-	reply.Status = http.StatusInternalServerError
-	return reply
-}
-
-// erringItself answers with a failure of the target's own.
-func erringItself(ctx context.Context, call *peering.Call) *peering.Reply {
-	reply := erring(ctx, call)
-	reply.OwnFailure = true
-	return reply
-}
-
-func failing(context.Context, *peering.Call) *peering.Reply {
-	return &peering.Reply{Outcome: peering.Failed, Reason: peering.Broken, Load: peering.Load{Limit: 10, Threshold: shed.None}}
-}
-
-type observer struct{}
-
-func (observer) Finished(string, int, string, time.Duration) {}
-
-func (observer) Counted(string, BudgetEvent, peering.Reason) {}
-
-// fixture is a forwarder with peers behind real sockets.
-type fixture struct {
-	forwarder *Forwarder
-	homes     []*fakeHome
-	// addresses are those of the homes, in their order.
-	addresses []string
-	levels    *pressure.Levels
-	suspects  *quarantine.Quarantine
-}
-
-var testCodec = peering.NewCodec("X-Signature")
-
-const (
-	testTimeout = 2 * time.Second
-	// testRetryRatio is the repetitions that a request allows, half of them at once, so
-	// that this many requests allow one at once.
-	testRetryRatio             = 0.1
-	testRequestsForARepetition = 20
-	testRetryWindow            = 10 * time.Second
-	// testProcess is the process of all homes.
-	testProcess = 7
-)
-
-func newFixture(t *testing.T, answers ...func(context.Context, *peering.Call) *peering.Reply) *fixture {
-	t.Helper()
-	fixture := &fixture{levels: pressure.New(time.Now), suspects: quarantine.New(quarantine.Config{Now: time.Now})}
-	for _, answer := range answers {
-		home := &fakeHome{answer: answer}
-		server := httptest.NewServer(peering.Handler(home, replica.NewSpread(replica.SpreadConfig{Now: time.Now}), nil, testCodec, 1<<20, testProcess))
-		t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
-		fixture.homes = append(fixture.homes, home)
-		fixture.addresses = append(fixture.addresses, strings.TrimPrefix(server.URL, "http://"))
-	}
-	fixture.forwarder = newForwarder(t, fixture, fixture.addresses)
-	return fixture
-}
-
-func newForwarder(t *testing.T, fixture *fixture, addresses []string) *Forwarder {
-	t.Helper()
-	routes := &routetable.Holder{}
-	service := []routetable.WeightedService{{Name: "s", Weight: 1}}
-	routes.Offer(&routetable.Configuration{Version: 4, Limits: routetable.Limits{MaxBodyBytes: 100, MaxHeaderBytes: 1000}, Routes: []routetable.Route{
-		{Name: "read", Host: "a.example", Prefix: "/read/", Kind: routetable.Repeatable, Attempts: 2, Timeout: testTimeout, Objective: time.Second, Priority: 2, Services: service},
-		{Name: "once", Host: "a.example", Prefix: "/once/", Kind: routetable.Once, Attempts: 2, Timeout: testTimeout, Objective: time.Second, Services: service},
-		{Name: "brief", Host: "a.example", Prefix: "/brief/", Kind: routetable.Repeatable, Attempts: 2, Timeout: 200 * time.Millisecond, Objective: time.Second, Services: service},
-	}})
-	forwarder := New(Config{
-		Node: "node", Zone: "z", Service: "caller", Address: "here", DefaultTimeout: time.Second, WaitShare: 0.2, InnerWaitShare: 0.6,
-		Retries: retrybudget.AllowanceConfig{Ratio: testRetryRatio, PresentShare: 0.5, Reserve: func() float64 { return 1 }, Window: testRetryWindow},
-		Headers: callheader.Names{RequestID: "X-Id", DeadlineMillis: "X-Deadline"},
-		ParentOf: func(id string) (string, bool) {
-			parent, _, told := strings.Cut(id, ".")
-			return parent, told
-		},
-	}, Parts{
-		Routes: routes, Policies: policiesOf(t, routepolicy.Sources{}), Directory: directoryOf(t, addresses), Local: &fakeHome{answer: answered}, Levels: fixture.levels,
-		Quarantine: fixture.suspects,
-		Peers:      peering.NewClient(peering.ClientConfig{MaxBuffered: 1 << 20, DialTimeout: time.Second, UserTimeout: time.Second, MaxIdle: 4, IdleTimeout: time.Minute, Codec: testCodec}),
-		Observer:   observer{}, Now: time.Now,
-	})
-	for range testRequestsForARepetition {
-		forwarder.budget("s").Request()
-	}
-	return forwarder
-}
-
-func policiesOf(t *testing.T, sources routepolicy.Sources) *routepolicy.Holder {
-	t.Helper()
-	set, err := routepolicy.Compile(sources)
-	assert.NilError(t, err)
-	return routepolicy.NewHolder(set)
-}
-
-// directoryOf returns a directory in which the addresses are homes of the
-// service in the node's zone.
-func directoryOf(t testing.TB, addresses []string) *registry.Directory {
-	t.Helper()
-	directory := registry.NewDirectory("homes/", "", nil, time.Now)
-	for i, address := range addresses {
-		record, err := cbor.Marshal(registry.Record{Instance: "i-" + strconv.Itoa(i), Service: "s", Zone: "z", Address: address, Slots: 10, State: registry.Ready})
-		assert.NilError(t, err)
-		directory.Change([]store.Entry{{Key: "homes/" + address, Value: record, Revision: store.Revision(i + 1)}}, "store")
-	}
-	return directory
-}
-
-func (f *fixture) do(method, path, id, body string) *httptest.ResponseRecorder {
-	request := httptest.NewRequest(method, "http://a.example"+path, strings.NewReader(body))
-	request.RequestURI = path
-	request.Header.Set("X-Id", id)
-	request.Header.Set("X-Deadline", "5000")
-	answer := httptest.NewRecorder()
-	f.forwarder.ServeHTTP(answer, request)
-	return answer
-}
-
-func (f *fixture) calls() int {
-	total := 0
-	for _, home := range f.homes {
-		total += home.count()
-	}
-	return total
-}
-
 func TestARequestIsAnswered(t *testing.T) {
 	f := newFixture(t, answered)
 	answer := f.do("GET", "/read/x?y=1", "a", "")
--- /dev/null
+++ b/test/platform_fixture_test.go
@@ -0,0 +1,235 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/lugspur/lugspur/internal/store"
+	"github.com/lugspur/lugspur/internal/store/memory"
+	"github.com/lugspur/lugspur/lab/cluster"
+	"github.com/lugspur/lugspur/lab/platformstub"
+)
+
+// platform is a deployment on the platform's stand-in: nodes as processes, each
+// beside a target.
+type platform struct {
+	t        *testing.T
+	held     store.Store
+	stub     *platformstub.Store
+	address  string
+	logs     string
+	nodes    []*platformNode
+	requests atomic.Int64
+}
+
+// platformNode is a node process with the target beside it.
+type platformNode struct {
+	name, settings             string
+	calls, ready, log, metrics string
+	target                     *platformstub.Target
+	process                    *exec.Cmd
+	ended                      chan error
+}
+
+const configurationForm = `{"version":"r%d","resources":[
+ {"resource-type":"routes","metadata":{"name":"read"},"spec":{"host":"a.example","path-prefix":"/read/","route-type":"idempotent","timeout-s":5,"aim-s":2,"priority":1,"service":"one","max-attempts":2}},
+ {"resource-type":"routes","metadata":{"name":"once"},"spec":{"host":"a.example","path-prefix":"/once/","route-type":"non_idempotent","timeout-s":5,"aim-s":2,"priority":0,"service":"one","max-attempts":2}}%s,
+ {"resource-type":"services","metadata":{"name":"one"},"spec":{"health-path":"/health","max-connections":100}},
+ {"resource-type":"limits","metadata":{},"spec":{"max-header-bytes":16384,"max-body-bytes":65536,"header-timeout-s":3,"idle-timeout-s":15}}]}`
+
+const addedRoute = `,
+ {"resource-type":"routes","metadata":{"name":"added"},"spec":{"host":"a.example","path-prefix":"/added/","route-type":"idempotent","timeout-s":5,"aim-s":2,"priority":1,"service":"one","max-attempts":2}}`
+
+// startPlatform starts a stand-in of the store and a node with its target in
+// each of the zones.
+func startPlatform(t *testing.T, zones ...string) *platform {
+	t.Helper()
+	p := &platform{t: t, held: memory.New(time.Now), logs: logDirectory(t)}
+	p.stub = platformstub.NewStore(p.held)
+	server := httptest.NewServer(p.stub.Handler())
+	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	p.address = strings.TrimPrefix(server.URL, "http://")
+	p.configure(0, fmt.Sprintf(configurationForm, 1, ""))
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	for i, zone := range zones {
+		n := p.newNode(i, zone)
+		p.nodes = append(p.nodes, n)
+		p.start(n)
+		assert.NilError(t, n.target.Start(ctx))
+	}
+	for _, n := range p.nodes {
+		p.awaitReady(n)
+		p.awaitHomes(n, len(zones))
+		p.awaitServed(n, "/read/x")
+	}
+	return p
+}
+
+func (p *platform) configure(expected store.Revision, document string) store.Revision {
+	p.t.Helper()
+	revision, err := p.held.CompareAndSwap(context.Background(), "op/config", expected, []byte(document), 0)
+	assert.NilError(p.t, err)
+	return revision
+}
+
+func (p *platform) newNode(i int, zone string) *platformNode {
+	p.t.Helper()
+	addresses := make([]string, 6)
+	for j := range addresses {
+		address, err := cluster.FreeAddress()
+		assert.NilError(p.t, err)
+		addresses[j] = address
+	}
+	name := fmt.Sprintf("node-%d", i)
+	n := &platformNode{
+		name:     name,
+		settings: filepath.Join(p.logs, name+".toml"),
+		log:      filepath.Join(p.logs, name+".log"),
+		calls:    addresses[0],
+		ready:    addresses[1],
+		metrics:  addresses[2],
+		target:   &platformstub.Target{ID: "i-" + name, Service: "one", Address: addresses[3], Control: addresses[4], Zone: zone, Work: 5 * time.Millisecond},
+	}
+	content := fmt.Sprintf("name = %q\nzone = %q\nservice = \"one\"\ntarget = %q\nstore = %q\n[listen]\ncalls = %q\npeers = %q\nready = %q\nheartbeats = %q\nmetrics = %q\n[stop]\ngrace-seconds = 6\n",
+		name, zone, n.target.Address, p.address, n.calls, addresses[5], n.ready, n.target.Control, n.metrics)
+	assert.NilError(p.t, os.WriteFile(n.settings, []byte(content), 0o600))
+	return n
+}
+
+func (p *platform) start(n *platformNode) {
+	p.t.Helper()
+	log, err := os.OpenFile(n.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	assert.NilError(p.t, err)
+	n.process = exec.Command(program("lugspur-sidecar"), "run", "-f", n.settings)
+	n.process.Stdout, n.process.Stderr = log, log
+	assert.NilError(p.t, n.process.Start())
+	n.ended = make(chan error, 1)
+	process, ended := n.process, n.ended
+	go func() {
+		ended <- process.Wait()
+		_ = log.Close()
+	}()
+	p.t.Cleanup(func() { _ = process.Process.Kill() })
+}
+
+func (p *platform) get(address string) (int, string) {
+	response, err := http.Get("http://" + address)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer response.Body.Close()
+	body, _ := io.ReadAll(response.Body)
+	return response.StatusCode, string(body)
+}
+
+func (p *platform) awaitReady(n *platformNode) {
+	p.t.Helper()
+	poll.WaitOn(p.t, func(poll.LogT) poll.Result {
+		if status, _ := p.get(n.ready + "/ready"); status != http.StatusOK {
+			return poll.Continue("%s answers %d", n.name, status)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+func (p *platform) awaitHomes(n *platformNode, count int) {
+	p.t.Helper()
+	poll.WaitOn(p.t, func(poll.LogT) poll.Result {
+		_, text := p.get(n.metrics + "/metrics")
+		if !strings.Contains(text, fmt.Sprintf("lugspur_homes_known %d\n", count)) {
+			return poll.Continue("%s does not know all homes", n.name)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+func (p *platform) awaitServed(n *platformNode, path string) {
+	p.t.Helper()
+	poll.WaitOn(p.t, func(poll.LogT) poll.Result {
+		if status, _ := p.send(n, path); status != http.StatusOK {
+			return poll.Continue("%s answers %d", n.name, status)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(50*time.Millisecond))
+}
+
+// send sends one request by the node and returns the status and the request's
+// id; status 0 is no whole answer. A success must bear a target's signature.
+func (p *platform) send(n *platformNode, path string) (int, string) {
+	id := fmt.Sprintf("request-%d", p.requests.Add(1))
+	method := http.MethodGet
+	if strings.HasPrefix(path, "/once/") {
+		method = http.MethodPost
+	}
+	request, err := http.NewRequest(method, "http://"+n.calls+path, strings.NewReader("body"))
+	assert.NilError(p.t, err)
+	request.Host = "a.example"
+	request.Header.Set("Lugspur-Attempt-Id", id)
+	request.Header.Set("Lugspur-Deadline-Ms", "5000")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, id
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, id
+	}
+	if response.StatusCode == http.StatusOK {
+		assert.Check(p.t, response.Header.Get("Lugspur-Response-Signature") != "", "a success without signature")
+		assert.Check(p.t, strings.HasPrefix(string(body), "one "+method+" "+path), "body %q", body)
+	}
+	return response.StatusCode, id
+}
+
+// steadyLoad sends requests by all given nodes at once until stopped and counts the
+// answers by status.
+type steadyLoad struct {
+	stop     chan struct{}
+	group    sync.WaitGroup
+	mutex    sync.Mutex
+	statuses map[int]int
+}
+
+func (p *platform) startLoad(path string, nodes ...*platformNode) *steadyLoad {
+	l := &steadyLoad{stop: make(chan struct{}), statuses: make(map[int]int)}
+	for _, n := range nodes {
+		l.group.Go(func() {
+			for {
+				select {
+				case <-l.stop:
+					return
+				case <-time.After(5 * time.Millisecond):
+				}
+				status, _ := p.send(n, path)
+				l.mutex.Lock()
+				l.statuses[status]++
+				l.mutex.Unlock()
+			}
+		})
+	}
+	return l
+}
+
+func (l *steadyLoad) end() map[int]int {
+	close(l.stop)
+	l.group.Wait()
+	return l.statuses
+}
+
+func (p *platform) target(i int) *platformstub.Target { return p.nodes[i].target }
