The query of death is stopped without the store as well

Cause: that reports of crashes need no store was shown in one process only. Change: a third case of the test with real processes: the store refuses everything meanwhile.

--- a/test/query_of_death_test.go
+++ b/test/query_of_death_test.go
@@ -195,11 +195,20 @@
 // was open in each of the 20 ends that were logged, of all others none in more than two. Without the mend, 22
 // and 23 targets end here, and 0.24 and 0.30 of the other requests are served.
 func TestARequestThatEndsItsTargetsIsStopped(t *testing.T) {
-	for _, prefix := range []string{"/read/", "/once/"} {
-		t.Run(prefix, func(t *testing.T) {
-			path := prefix + deadlyPath
+	cases := []struct {
+		name, prefix string
+		store        platformstub.Faults
+	}{
+		{"may be repeated", "/read/", platformstub.Faults{}},
+		{"must not run twice", "/once/", platformstub.Faults{}},
+		{"without the store", "/read/", platformstub.Faults{Down: true}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			path := c.prefix + deadlyPath
 			d := startDeadlyCase(t, path, "west", "west", "west", "east", "east")
-			others := d.startHarmless(prefix)
+			d.stub.SetFaults(c.store)
+			others := d.startHarmless(c.prefix)
 			d.sendDeadly(path, deadlyFor)
 			served := others.end()
 			d.checkStopped(path)
