A request that callers send often is not taken for a query of death

Where crashes are found out late (targets behind proxies), both ran side by side at several targets before anybody knew, no target was left to answer the harmless one, and it was refused for a minute. Class: evidence that can't tell two suspects apart was counted in full against both. Change: what a target beside the node answered in the last 10 s is no suspect when that one crashes, once for each answer; two suspects of three crashes at one target convict neither, as they then run one after the other. TestARequestThatWasAnsweredLatelyIsNoSuspect and TestOfTwoSuspectsNoneIsConvicted need the change.

--- a/internal/guard/crash.go
+++ b/internal/guard/crash.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/lugspur/lugspur/internal/eventlog"
+	"github.com/lugspur/lugspur/internal/fingerprint"
 	"github.com/lugspur/lugspur/internal/quarantine"
 )
 
@@ -44,6 +45,8 @@
 	// answered is when a call was answered last.
 	answered time.Time
 	crashed  bool
+	// spared are the requests that broke off and are no suspects of this crash.
+	spared map[fingerprint.Fingerprint]bool
 }
 
 // noteAnswer notes a sign of life. One that was taken for crashed, as it refused a
@@ -52,7 +55,9 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.answered = now
-	w.crashed = false
+	if w.crashed {
+		w.crashed, w.spared = false, nil
+	}
 }
 
 // add notes a call that broke off.
@@ -65,18 +70,49 @@
 	}
 }
 
-// take returns the calls that broke off and were not taken before. The target has
-// crashed.
-func (w *crashWatch) take() []quarantine.OpenCall {
+// take returns the suspects among the calls that broke off and were not taken before. The
+// target has crashed. A request that was answered lately is none.
+func (w *crashWatch) take(answered *answeredSet) []quarantine.OpenCall {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.crashed = true
-	calls := make([]quarantine.OpenCall, len(w.broken))
-	for i, call := range w.broken {
-		calls[i] = call.OpenCall
+	var suspects []quarantine.OpenCall
+	for _, call := range w.broken {
+		if !w.spares(call.Fingerprint, answered) {
+			suspects = append(suspects, call.OpenCall)
+		}
 	}
 	w.broken = nil
-	return calls
+	return suspects
+}
+
+// spares reports whether a request is no suspect of the crash.
+func (w *crashWatch) spares(hash fingerprint.Fingerprint, answered *answeredSet) bool {
+	if w.spared[hash] {
+		return true
+	}
+	if !answered.spend(hash) {
+		return false
+	}
+	if w.spared == nil {
+		w.spared = make(map[fingerprint.Fingerprint]bool)
+	}
+	w.spared[hash] = true
+	return true
+}
+
+// suspects reports whether the target crashed and the request is a suspect of that.
+func (w *crashWatch) suspects(hash fingerprint.Fingerprint) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.crashed && !w.spared[hash]
+}
+
+// brokenCalls returns the number of calls that broke off lately.
+func (w *crashWatch) brokenCalls() int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return len(w.broken)
 }
 
 // join returns the probe that is under way, or begins one, which the caller is to make.
@@ -150,13 +186,14 @@
 // reportCrash tells of the calls that broke off as the target crashed.
 func (g *Guard) reportCrash(i *incarnation, reason string) {
 	first := !i.crash.hasCrashed()
-	open := i.crash.take()
+	broken := i.crash.brokenCalls()
+	suspects := i.crash.take(&g.answered)
 	if first {
 		i.reach.crashed(g.now())
-		g.log.Record(eventlog.Event{Kind: eventlog.TargetEnded, Service: i.target.Service, Target: i.target.ID, Count: len(open), Reason: reason})
+		g.log.Record(eventlog.Event{Kind: eventlog.TargetEnded, Service: i.target.Service, Target: i.target.ID, Count: broken, Reason: reason})
 	}
-	if len(open) > 0 {
-		g.config.Quarantine.Crashed(i.target.ID, open)
+	if len(suspects) > 0 {
+		g.config.Quarantine.Crashed(i.target.ID, suspects)
 	}
 }
 
--- a/internal/guard/crash_test.go
+++ b/internal/guard/crash_test.go
@@ -236,3 +236,58 @@
 	close(target.answer)
 	assert.Equal(t, (<-replies).Outcome, peering.Answered)
 }
+
+// TestARequestThatWasAnsweredLatelyIsNoSuspect tells of a run of real processes in which a
+// request that all callers send alike was refused for a minute, as it was open each time a
+// query of death crashed a target beside the node, and no target was left to answer it.
+// Without the mend the last crash of the first case makes it a suspect.
+func TestARequestThatWasAnsweredLatelyIsNoSuspect(t *testing.T) {
+	cases := []struct {
+		name          string
+		answeredFirst bool
+		crashes       int
+	}{{"answered before", true, 0}, {"never answered", false, 1}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			target := startCrashingTarget(t)
+			g := guardOf(target.address())
+			if c.answeredFirst {
+				first := runAll(g, callTo("0", "/popular"))
+				target.awaitArrivals(t, 1)
+				target.answer <- struct{}{}
+				assert.Equal(t, (<-first).Outcome, peering.Answered)
+			}
+			replies := runAll(g, callTo("a", "/popular"), callTo("b", "/popular"))
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if target.open.Load() < 2 {
+					return poll.Continue("%d open", target.open.Load())
+				}
+				return poll.Success()
+			}, poll.WithDelay(time.Millisecond))
+			target.crash()
+			for range 2 {
+				reply := <-replies
+				assert.Equal(t, reply.Reason, peering.TargetCrashed)
+				assert.Equal(t, reply.Crashes, c.crashes)
+			}
+			assert.Equal(t, standingOf(g, "/popular").Crashes, c.crashes)
+		})
+	}
+}
+
+// TestAnAnswerSparesARequestOnce has targets crash under a request twice that one had
+// answered before: it may crash them from some moment on.
+func TestAnAnswerSparesARequestOnce(t *testing.T) {
+	var answered answeredSet
+	hash := callTo("", "/popular").Fingerprint()
+	now := time.Now()
+	answered.add(hash, now)
+	assert.Assert(t, answered.spend(hash))
+	assert.Assert(t, !answered.spend(hash))
+	answered.add(hash, now)
+	for i := range 2 * maxAnswered {
+		answered.add(callTo("", fmt.Sprint("/", i)).Fingerprint(), now)
+	}
+	assert.Assert(t, !answered.spend(hash), "what is remembered is bounded")
+	assert.Assert(t, len(answered.recent)+len(answered.earlier) <= 2*maxAnswered)
+}
--- a/internal/guard/exchange.go
+++ b/internal/guard/exchange.go
@@ -43,7 +43,9 @@
 			open := screened.openCall(call)
 			if g.brokeOff(ctx, i, open) {
 				reply.Reason = peering.TargetCrashed
-				reply.Crashes = open.Crashes
+				if i.crash.suspects(open.Fingerprint) {
+					reply.Crashes = open.Crashes
+				}
 			}
 		}
 		i.record.ended(call.Route, reply, duration, ended)
@@ -57,8 +59,8 @@
 	g.noteReach(i, true)
 	reply := g.judge(answer)
 	reply.OwnFailure = failedItself(reply) && !callFailed
-	if reply.Outcome == peering.Answered && !g.config.Quarantine.Empty() {
-		g.config.Quarantine.Answered(screened.openCall(call))
+	if reply.Outcome == peering.Answered {
+		g.noteAnswered(screened, call, ended)
 	}
 	permit.Release(limit.Sample{Outcome: outcomeOf(reply), Latency: duration})
 	i.record.ended(call.Route, reply, duration, ended)
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -85,6 +85,7 @@
 	current  atomic.Pointer[incarnation]
 	running  runningTable
 	turns    turns
+	answered answeredSet
 	mutex    sync.Mutex
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -83,10 +83,9 @@
 
 // Crashed takes the end of the target beside the node, with the calls that broke off.
 func (q *Quarantine) Crashed(instance string, open []OpenCall) {
-	crash := Crash{Instance: instance}
+	crash := crashReport(instance, open)
 	details := make(map[fingerprint.Fingerprint]Record, len(open))
 	for _, call := range open {
-		crash.Suspects = append(crash.Suspects, Suspicion{Fingerprint: call.Fingerprint, Crashes: call.Crashes})
 		details[call.Fingerprint] = Record{Service: call.Service, Route: call.Route}
 	}
 	convicted := q.table.Crashed(crash)
@@ -97,6 +96,27 @@
 	}
 }
 
+// crashReport returns the report of a target's end. It convicts only a request that ran
+// beside no other suspect of several crashes: of two one is harmless, and nodes that learn
+// of crashes late let them run together. Both then go on one after the other.
+func crashReport(instance string, open []OpenCall) Crash {
+	convictable := make(map[fingerprint.Fingerprint]bool)
+	for _, call := range open {
+		if call.Crashes >= quarantineCrashes {
+			convictable[call.Fingerprint] = true
+		}
+	}
+	crash := Crash{Instance: instance}
+	for _, call := range open {
+		suspicion := Suspicion{Fingerprint: call.Fingerprint, Crashes: call.Crashes}
+		if len(convictable) > 1 {
+			suspicion.Crashes = min(call.Crashes, isolationCrashes)
+		}
+		crash.Suspects = append(crash.Suspects, suspicion)
+	}
+	return crash
+}
+
 // Answered notes that a target answered the request.
 func (q *Quarantine) Answered(call OpenCall) {
 	ended := q.table.Standing(call.Fingerprint).Quarantined
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -75,3 +75,17 @@
 	assert.Equal(t, trialPause(20), longestTrialPause)
 	assert.Assert(t, longestTrialPause < remembered, "a verdict is not forgotten between two trials")
 }
+
+// TestOfTwoSuspectsNoneIsConvicted has a query of death and a request that all callers send
+// alike be open each time a target crashes, as nodes learned of the crashes late: neither
+// is convicted by that, and the first of them once it ran without the other.
+func TestOfTwoSuspectsNoneIsConvicted(t *testing.T) {
+	guilty, popular := OpenCall{Fingerprint: numbered(1), Crashes: 3}, OpenCall{Fingerprint: numbered(2), Crashes: 3}
+	table := NewTable(time.Now)
+	assert.Equal(t, len(table.Crashed(crashReport("i-1", []OpenCall{guilty, popular, popular}))), 0)
+	assert.Equal(t, table.Standing(numbered(2)).Crashes, isolationCrashes)
+	other := OpenCall{Fingerprint: numbered(3), Crashes: 1}
+	assert.Equal(t, len(table.Crashed(crashReport("i-2", []OpenCall{guilty, guilty, other}))), 1)
+	assert.Assert(t, table.Standing(numbered(1)).Quarantined)
+	assert.Assert(t, !table.Standing(numbered(2)).Quarantined)
+}
