--- a/internal/guard/answered.go
+++ b/internal/guard/answered.go
@@ -10,10 +10,11 @@
 
 const (
 	// answeredGeneration is the least time for which an answered request is remembered. It
-	// spares requests that come often from being suspects: without it one that all callers
-	// send was refused in 1 of 23 runs of real processes in which a query of death crashed
-	// every target of its service. A request that was answered and crashes targets from
-	// some moment on is found one crash of each target later.
+	// spares requests that come often from being suspects. Without it, and with two suspects
+	// of one crash convicted together, a request that all callers send was refused in 9 of
+	// 50 runs of six real processes under faults, with both in none. A request that was
+	// answered and crashes targets from some moment on is found one crash of each target
+	// later.
 	answeredGeneration = 10 * time.Second
 	// maxAnswered bounds the requests of one generation: one that comes once a second is
 	// still remembered where a thousand different ones do.
