API keys of tenants are checked where requests begin

Cause: the configuration holds tenants with API keys; nothing read them.

Ruled out: dating the check by watches. A read for each unknown key: up to 4 a second and node while callers use keys that were taken away.

Change: package apikey decides, at one seam in forward. A copy of the store knows when it was verified: when the latest read of the store began, by any node, whose result it holds. The age travels with the digests that messages between nodes carry anyway and counts from the moment at which the peer was asked, so that pauses can only make it older. One node a second reads (the first in the order of watching whose copy is older than 1 s). A key works while the verification is younger than the bound; a key that was taken away is turned away at once, one that was never known waits for a verification later than the request. Keys are kept as digests. Tenants' priorities go before those of routes.

--- a/internal/callheader/names.go
+++ b/internal/callheader/names.go
@@ -25,12 +25,16 @@
 	NotExecuted string
 	// Load is the target's own report: running, waiting and slots.
 	Load string
+	// APIKey is the key that a caller identifies itself by. Targets never see it.
+	APIKey string
+	// Tenant names the holder of the caller's key to the target.
+	Tenant string
 }
 
-// StripOwn removes the headers of a call that the home beside the target sets, so
-// that they need not be sent there.
+// StripOwn removes the headers of a call that only lugspur itself sets, whatever the
+// caller wrote there. Most of them are set by the home beside the target.
 func (n *Names) StripOwn(header http.Header) {
-	for _, name := range []string{n.RequestID, n.DeadlineMillis, n.Caller, n.ExpectInstance} {
+	for _, name := range []string{n.RequestID, n.DeadlineMillis, n.Caller, n.ExpectInstance, n.Tenant} {
 		delete(header, name)
 	}
 }
--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -37,6 +37,7 @@
 	HomeTrusted
 	LeaseGranted
 	LeaseLost
+	KeyRefused
 	PolicyFailed
 	LimitChanged
 	AdmissionChanged
@@ -96,6 +97,7 @@
 	HomeTrusted:           {"home-trusted", belief, "the home at peer is used again; age is how long it was passed over"},
 	LeaseGranted:          {"lease-granted", belief, "a lease was granted; version is its number"},
 	LeaseLost:             {"lease-lost", belief, "the lease ended without this node's doing; version is its number"},
+	KeyRefused:            {"key-refused", refusal, "the request's API key was turned away, or could not be checked; age is that of the verification of the configuration, version the configuration's, wait when to come back"},
 	PolicyFailed:          {"policy-failed", belief, "the route's policy could not be evaluated; its safe result holds"},
 	LimitChanged:          {"limit-changed", belief, "count is the new concurrency limit of the target"},
 	AdmissionChanged:      {"admission-changed", belief, "count is the shed threshold as a share of all ranks, in percent; reason is the queueing delay that moved it"},
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -16,7 +16,9 @@
 
 // policyCallOf returns what policies see of a request.
 func (f *Forwarder) policyCallOf(q *request, r *http.Request) policy.Call {
+	tenant, tenantPriority := q.tenantOf()
 	return policy.Call{
+		Tenant: tenant, TenantPriority: tenantPriority,
 		Service:     q.route.Services[0].Name,
 		Method:      r.Method,
 		Path:        rawPath(r),
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lugspur/lugspur/internal/apikey"
 	"github.com/lugspur/lugspur/internal/callheader"
 	"github.com/lugspur/lugspur/internal/clock"
 	"github.com/lugspur/lugspur/internal/criticality"
@@ -61,6 +62,8 @@
 	Policies *routepolicy.Holder
 	// Quarantine knows requests that crash targets.
 	Quarantine Quarantine
+	// Keys decides on the API keys of requests.
+	Keys Keys
 	// Levels hold the shed thresholds of routes.
 	Levels   *pressure.Levels
 	Peers    Peers
@@ -79,6 +82,13 @@
 	Answered(call quarantine.OpenCall)
 }
 
+// Keys decides on the API keys of requests. It is safe for concurrent use.
+type Keys interface {
+	// Check decides on a request to a route that is not public, by the values of its key
+	// header. It may wait.
+	Check(ctx context.Context, keys []string, arrived time.Time) apikey.Decision
+}
+
 // LocalHome runs calls at the target beside the node and knows what runs there.
 type LocalHome interface {
 	peering.Home
@@ -122,6 +132,7 @@
 	policies  *routepolicy.Holder
 	levels    *pressure.Levels
 	suspects  Quarantine
+	keys      Keys
 	peers     Peers
 	observer  Observer
 	log       *eventlog.Log
@@ -152,6 +163,7 @@
 		policies:  parts.Policies,
 		levels:    parts.Levels,
 		suspects:  parts.Quarantine,
+		keys:      parts.Keys,
 		peers:     parts.Peers,
 		observer:  parts.Observer,
 		log:       parts.Log,
@@ -229,9 +241,11 @@
 
 // request is one request on its way.
 type request struct {
-	id       string
-	route    *routetable.Route
-	service  string
+	id      string
+	route   *routetable.Route
+	service string
+	// tenant holds the request's API key, nil if it needs none.
+	tenant   *routetable.Tenant
 	call     *peering.Call
 	arrived  time.Time
 	deadline time.Time
--- a/internal/forward/receive.go
+++ b/internal/forward/receive.go
@@ -65,6 +65,9 @@
 	if failure != nil {
 		return q, failure
 	}
+	if failure := f.identify(r, q, table); failure != nil {
+		return q, failure
+	}
 	q.rank = parent.Rank
 	q.policyCall = f.policyCallOf(q, r)
 	if failure := f.admit(q); failure != nil {
@@ -77,6 +80,7 @@
 	callheader.StripConnection(r.Header)
 	r.Header.Del("Content-Length")
 	f.config.Headers.StripOwn(r.Header)
+	f.nameTenant(r.Header, q, table)
 	q.service = f.splitter.Choose(q.route)
 	f.learnCall(q)
 	q.call = &peering.Call{
--- /dev/null
+++ b/internal/forward/tenant_test.go
@@ -0,0 +1,149 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lugspur/lugspur/internal/apikey"
+	"github.com/lugspur/lugspur/internal/criticality"
+	"github.com/lugspur/lugspur/internal/eventlog"
+	"github.com/lugspur/lugspur/internal/peering"
+	"github.com/lugspur/lugspur/internal/routetable"
+)
+
+// fixedKeys decides on every key alike.
+type fixedKeys struct {
+	decision apikey.Decision
+	checked  [][]string
+}
+
+func (k *fixedKeys) Check(_ context.Context, keys []string, _ time.Time) apikey.Decision {
+	k.checked = append(k.checked, keys)
+	return k.decision
+}
+
+const secretKey = "a-secret-key"
+
+var testTenant = routetable.Tenant{Name: "acme", Keys: []routetable.KeyDigest{routetable.DigestKey(secretKey)}, Priority: 1}
+
+// newTenantFixture returns a fixture whose routes need keys, but for /open/.
+func newTenantFixture(t *testing.T, keys *fixedKeys, answers ...func(context.Context, *peering.Call) *peering.Reply) *fixture {
+	t.Helper()
+	fixture := newFixture(t, answers...)
+	service := []routetable.WeightedService{{Name: "s", Weight: 1}}
+	fixture.forwarder.routes.Offer(&routetable.Configuration{Version: 5, Tenants: []routetable.Tenant{testTenant}, Routes: []routetable.Route{
+		{Name: "read", Host: "a.example", Prefix: "/read/", Kind: routetable.Repeatable, Attempts: 2, Timeout: testTimeout, Objective: time.Second, Priority: 2, Services: service},
+		{Name: "open", Host: "a.example", Prefix: "/open/", Kind: routetable.Repeatable, Attempts: 2, Timeout: testTimeout, Objective: time.Second, Public: true, Services: service},
+	}})
+	fixture.forwarder.keys = keys
+	fixture.forwarder.config.Headers.APIKey, fixture.forwarder.config.Headers.Tenant = "X-Key", "X-Tenant"
+	return fixture
+}
+
+// doWith sends a request with a key and a tenant's name that the caller made up.
+func (f *fixture) doWith(path, id string) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(http.MethodGet, "http://a.example"+path, nil)
+	request.RequestURI = path
+	request.Header = http.Header{"X-Id": {id}, "X-Key": {secretKey}, "X-Tenant": {"forged"}, "X-Other": {"kept"}}
+	answer := httptest.NewRecorder()
+	f.forwarder.ServeHTTP(answer, request)
+	return answer
+}
+
+// TestTheTargetSeesTheTenantAndNoKey sends a request with a key on each kind of route, and
+// a call of a running request, all with a tenant's name that is none of the caller's business.
+func TestTheTargetSeesTheTenantAndNoKey(t *testing.T) {
+	keys := &fixedKeys{decision: apikey.Decision{Tenant: &testTenant}}
+	for _, test := range []struct {
+		path, id string
+		tenant   []string
+		checked  int
+	}{{"/read/x", "1", []string{"acme"}, 1}, {"/open/x", "2", nil, 0}, {"/read/x", "running.3", nil, 0}} {
+		keys.checked = nil
+		f := newTenantFixture(t, keys, answered)
+		assert.Equal(t, f.doWith(test.path, test.id).Code, http.StatusOK)
+		header := f.homes[0].calls[0].Header
+		assert.DeepEqual(t, header["X-Tenant"], test.tenant)
+		assert.DeepEqual(t, header["X-Other"], []string{"kept"})
+		assert.Equal(t, len(header["X-Key"]), 0)
+		assert.Equal(t, len(keys.checked), test.checked)
+	}
+}
+
+// TestWithoutTenantsTheKeyIsNotOurs sends a request with a header of the key's name where
+// the configuration has no tenants: it travels on like any other.
+func TestWithoutTenantsTheKeyIsNotOurs(t *testing.T) {
+	f := newFixture(t, answered)
+	f.forwarder.config.Headers.APIKey, f.forwarder.config.Headers.Tenant = "X-Key", "X-Tenant"
+	assert.Equal(t, f.doWith("/read/x", "1").Code, http.StatusOK)
+	header := f.homes[0].calls[0].Header
+	assert.DeepEqual(t, header["X-Key"], []string{secretKey})
+	assert.Equal(t, len(header["X-Tenant"]), 0)
+}
+
+// TestRefusedKeys has keys that are turned away for good, and one that can't be checked.
+func TestRefusedKeys(t *testing.T) {
+	for _, test := range []struct {
+		decision   apikey.Decision
+		status     int
+		retryAfter string
+	}{
+		{apikey.Decision{Outcome: apikey.Missing}, http.StatusUnauthorized, ""},
+		{apikey.Decision{Outcome: apikey.Unknown}, http.StatusUnauthorized, ""},
+		{apikey.Decision{Outcome: apikey.Unproved, RetryAfter: 700 * time.Millisecond}, http.StatusServiceUnavailable, "0.700"},
+	} {
+		f := newTenantFixture(t, &fixedKeys{decision: test.decision}, answered)
+		answer := f.doWith("/read/x", "1")
+		assert.Equal(t, answer.Code, test.status)
+		assert.Equal(t, answer.Header().Get("Retry-After"), test.retryAfter)
+		assert.Equal(t, f.calls(), 0)
+	}
+}
+
+// TestNoKeyIsLogged reads all that is logged and told of requests with a key.
+func TestNoKeyIsLogged(t *testing.T) {
+	var written bytes.Buffer
+	log := eventlog.New(eventlog.Config{RootOf: func(id string) string { return id }}, "node", &written, time.Now)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		log.Run(ctx)
+	}()
+	for _, decision := range []apikey.Decision{{Tenant: &testTenant}, {Outcome: apikey.Unknown}, {Outcome: apikey.Unproved}} {
+		f := newTenantFixture(t, &fixedKeys{decision: decision}, answered)
+		f.forwarder.log = log
+		answer := f.doWith("/read/x", "1")
+		assert.Assert(t, !strings.Contains(answer.Body.String(), secretKey))
+	}
+	cancel()
+	<-ended
+	assert.Assert(t, strings.Contains(written.String(), "key-refused"))
+	assert.Assert(t, !strings.Contains(written.String(), secretKey))
+}
+
+// TestATenantsPriorityGoesBeforeItsRoutes ranks requests of tenants of priorities 0 and 1
+// and of none, each on a route of priority 0 and on one of priority 2.
+func TestATenantsPriorityGoesBeforeItsRoutes(t *testing.T) {
+	f := newFixture(t, answered)
+	rank := func(tenant *routetable.Tenant, priority int) criticality.Level {
+		q := &request{route: &routetable.Route{Priority: priority, Services: []routetable.WeightedService{{Name: "s", Weight: 1}}}, tenant: tenant}
+		q.policyCall = f.forwarder.policyCallOf(q, httptest.NewRequest(http.MethodGet, "/", nil))
+		return f.forwarder.rankOf(q).Level
+	}
+	first := &routetable.Tenant{Name: "first"}
+	assert.Equal(t, rank(first, 0), criticality.CriticalPlus)
+	assert.Equal(t, rank(first, 2), criticality.CriticalPlus)
+	assert.Equal(t, rank(&testTenant, 0), criticality.Critical)
+	assert.Equal(t, rank(&testTenant, 1), criticality.SheddablePlus)
+	assert.Equal(t, rank(&testTenant, 2), criticality.Sheddable)
+	assert.Equal(t, rank(nil, 0), criticality.CriticalPlus)
+	assert.Equal(t, rank(nil, 2), criticality.SheddablePlus)
+}
--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -18,11 +18,11 @@
 // Paths of the exchanges: the version of the messages and what they are. They are
 // short because they are sent with each one.
 const (
-	callPath  = "/2/c"
-	pingPath  = "/2/p"
-	queryPath = "/2/r"
+	callPath  = "/3/c"
+	pingPath  = "/3/p"
+	queryPath = "/3/r"
 	// noticePath takes notices of crashed targets.
-	noticePath = "/2/q"
+	noticePath = "/3/q"
 )
 
 // Call is a request on its way to a home.
--- a/internal/peering/wire.go
+++ b/internal/peering/wire.go
@@ -105,11 +105,13 @@
 // latencyUnit is the unit of latencies in messages.
 const latencyUnit = 10 * time.Microsecond
 
-// wireDigest is a replica.Digest as it is sent, with the age in milliseconds.
+// wireDigest is a replica.Digest as it is sent, with ages in milliseconds.
 type wireDigest struct {
 	_       struct{} `cbor:",toarray"`
 	Through store.Revision
 	Age     int64
+	// Verified is the age of the latest verification.
+	Verified int64
 }
 
 func (c *Codec) encodeCall(call *Call) []byte {
@@ -232,27 +234,33 @@
 func shortDigests(digests []replica.Digest) []wireDigest {
 	short := make([]wireDigest, len(digests))
 	for i, digest := range digests {
-		age := int64(-1)
-		if digest.Age >= 0 {
-			age = (digest.Age + time.Millisecond - 1).Milliseconds()
-		}
-		short[i] = wireDigest{Through: digest.Through, Age: age}
+		short[i] = wireDigest{Through: digest.Through, Age: shortAge(digest.Age), Verified: shortAge(digest.Verified)}
 	}
 	return short
 }
 
+func shortAge(age time.Duration) int64 {
+	if age < 0 {
+		return -1
+	}
+	return (age + time.Millisecond - 1).Milliseconds()
+}
+
 func longDigests(short []wireDigest) []replica.Digest {
 	digests := make([]replica.Digest, len(short))
 	for i, digest := range short {
-		age := time.Duration(-1)
-		if digest.Age >= 0 {
-			age = millis(digest.Age)
-		}
-		digests[i] = replica.Digest{Through: digest.Through, Age: age}
+		digests[i] = replica.Digest{Through: digest.Through, Age: longAge(digest.Age), Verified: longAge(digest.Verified)}
 	}
 	return digests
 }
 
+func longAge(age int64) time.Duration {
+	if age < 0 {
+		return -1
+	}
+	return millis(age)
+}
+
 // wireID is the id of a request. One of lower-case hexadecimal parts with dots
 // between them is written as their bytes, each part after its length.
 type wireID string
--- a/internal/policy/variables.go
+++ b/internal/policy/variables.go
@@ -30,6 +30,11 @@
 	// Priority is that of the call's route, 0 for the most important; 0 where
 	// routes have none.
 	Priority int `expr:"priority" toml:"priority"`
+	// Tenant is the name of the tenant that the call is made for, "" where there is none.
+	Tenant string `expr:"tenant" toml:"tenant"`
+	// TenantPriority is that of the tenant, 0 for the most important and where there is
+	// none.
+	TenantPriority int `expr:"tenant_priority" toml:"tenant_priority"`
 	// Attempts is the most targets that the route lets a call go to, 0 where
 	// routes don't say.
 	Attempts int `expr:"attempts" toml:"attempts"`
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -53,6 +53,8 @@
 	CallerGone        Reason = "caller-gone"
 	RetriesSpent      Reason = "retries-spent"
 	Quarantined       Reason = "quarantined"
+	Unauthenticated   Reason = "unauthenticated"
+	KeyUnproved       Reason = "key-unproved"
 	Internal          Reason = "internal"
 )
 
@@ -76,6 +78,8 @@
 	CallerGone:        499,
 	RetriesSpent:      http.StatusServiceUnavailable,
 	Quarantined:       http.StatusServiceUnavailable,
+	Unauthenticated:   http.StatusUnauthorized,
+	KeyUnproved:       http.StatusServiceUnavailable,
 	Internal:          http.StatusInternalServerError,
 }
 
--- a/internal/replica/copy.go
+++ b/internal/replica/copy.go
@@ -31,6 +31,9 @@
 	// Age is how long ago the copy was known to hold everything that the store
 	// held; negative if that never was.
 	Age time.Duration
+	// Verified is how long ago some node began to read the store, with the result
+	// that the copy holds what the store held then; negative if that never was.
+	Verified time.Duration
 }
 
 // Item is an entry of the store as peers tell it.
@@ -79,7 +82,15 @@
 	confirmed time.Time
 	// proved is a moment before which nothing changed that is not in the copy. It
 	// is at or before confirmed, which a pause of a process may have put too late.
-	proved  time.Time
+	proved time.Time
+	// verified is when the latest read of the store began, by any node, whose result
+	// is in the copy. It rests on no watch: one that waits may hear nothing of changes
+	// in history that the store drops.
+	verified time.Time
+	// published is verified as of the last change that was told.
+	published time.Time
+	// telling tells that changes are in the copy that were not told yet.
+	telling bool
 	waiting []chan struct{}
 }
 
@@ -115,10 +126,29 @@
 }
 
 func (c *Copy) digest() Digest {
-	if c.confirmed.IsZero() {
-		return Digest{Through: c.through, Age: unknownAge}
+	return Digest{Through: c.through, Age: c.since(c.confirmed), Verified: c.since(c.verified)}
+}
+
+// since returns how long ago a moment was, unknownAge for none.
+func (c *Copy) since(moment time.Time) time.Duration {
+	if moment.IsZero() {
+		return unknownAge
 	}
-	return Digest{Through: c.through, Age: c.now().Sub(c.confirmed)}
+	return c.now().Sub(moment)
+}
+
+// VerifiedAt returns the latest moment of which it is certain that the changes told
+// by then were all that the store held; zero if there is none.
+func (c *Copy) VerifiedAt() time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.published
+}
+
+// Await waits until the condition holds. It is told the moment that VerifiedAt returns,
+// whenever the copy changed or was verified, and must not call the copy.
+func (c *Copy) Await(ctx context.Context, settled func(verified time.Time) bool) error {
+	return c.await(ctx, func() bool { return settled(c.published) })
 }
 
 // Entries returns what the copy holds, deleted keys left out.
@@ -182,6 +212,7 @@
 		c.cursor = max(c.cursor, snapshot.Revision)
 		c.filled = true
 		c.confirm(c.now(), asked)
+		c.verify(asked)
 		return changes
 	})
 }
@@ -221,6 +252,7 @@
 			c.through = delta.Through
 			c.cursor = max(c.cursor, c.through)
 			c.confirm(c.now().Add(-delta.Age), asked.Add(-delta.Age-confirmSlack))
+			c.verifyByPeer(delta.Digest, asked)
 		}
 		return changes
 	})
@@ -240,6 +272,8 @@
 		proved = asked.Add(-digest.Age - confirmSlack)
 	}
 	c.confirm(c.now().Add(-digest.Age), proved)
+	c.verifyByPeer(digest, asked)
+	c.publish()
 	c.wake()
 }
 
@@ -250,6 +284,7 @@
 	c.mutex.Lock()
 	changes := take()
 	c.forget()
+	c.telling = len(changes) > 0
 	c.mutex.Unlock()
 	if len(changes) > 0 {
 		c.changed(changes, source)
@@ -257,9 +292,19 @@
 	// Whoever waits for the copy finds the changes told.
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.telling = false
+	c.publish()
 	c.wake()
 }
 
+// publish lets readers rely on the latest verification, unless changes that it covers
+// were not told yet.
+func (c *Copy) publish() {
+	if !c.telling {
+		c.published = c.verified
+	}
+}
+
 func (c *Copy) put(entries []store.Entry) []store.Entry {
 	var changes []store.Entry
 	for _, entry := range entries {
@@ -324,6 +369,22 @@
 	}
 }
 
+// verify notes that the copy holds what the store held at a moment.
+func (c *Copy) verify(moment time.Time) {
+	if moment.After(c.verified) {
+		c.verified = moment
+	}
+}
+
+// verifyByPeer takes the verification that a peer, whose copy holds the same, told after
+// it was asked at the given moment. As the peer told its age later than that, the
+// difference is at or before the moment of the read.
+func (c *Copy) verifyByPeer(digest Digest, asked time.Time) {
+	if digest.Verified >= 0 && !asked.IsZero() {
+		c.verify(asked.Add(-digest.Verified))
+	}
+}
+
 func (c *Copy) wake() {
 	for _, waiting := range c.waiting {
 		close(waiting)
@@ -334,13 +395,21 @@
 // AwaitProved waits until the copy holds everything that the store held at the
 // given moment.
 func (c *Copy) AwaitProved(ctx context.Context, moment time.Time) error {
+	if err := c.await(ctx, func() bool { return c.filled && c.proved.After(moment) }); err != nil {
+		return err
+	}
+	// Changes are told before this returns.
+	c.applying.Lock()
+	defer c.applying.Unlock()
+	return nil
+}
+
+// await waits until the condition, which is looked at under the lock, holds.
+func (c *Copy) await(ctx context.Context, holds func() bool) error {
 	for {
 		c.mutex.Lock()
-		if c.filled && c.proved.After(moment) {
+		if holds() {
 			c.mutex.Unlock()
-			// Changes are told before this returns.
-			c.applying.Lock()
-			defer c.applying.Unlock()
 			return nil
 		}
 		changed := make(chan struct{})
--- a/internal/replica/fleet_test.go
+++ b/internal/replica/fleet_test.go
@@ -43,6 +43,14 @@
 	s.add(store.Entry{Key: key, Value: []byte(value)})
 }
 
+// putUnheard writes what watches that wait don't hear of.
+func (s *fakeStore) putUnheard(key, value string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision++
+	s.history = append(s.history, store.Entry{Key: key, Value: []byte(value), Revision: s.revision})
+}
+
 func (s *fakeStore) remove(key string) { s.add(store.Entry{Key: key, Deleted: true}) }
 
 func (s *fakeStore) add(entry store.Entry) {
@@ -187,6 +195,10 @@
 	store      *fakeStore
 	nodes      []*node
 	firstDelay time.Duration
+	// verifyAfter is that of the nodes' verifiers; without one they have none.
+	verifyAfter time.Duration
+	// delay returns by how much a step of a message or a read is late; it may be nil.
+	delay func() time.Duration
 }
 
 const (
@@ -243,6 +255,12 @@
 	keeper := &Keeper{Copy: p.copy, Store: p.store, Prefix: "k", Now: time.Now, FirstDelay: f.firstDelay, Place: func() (int, bool) { return n.place, true }}
 	go keeper.Run(ctx)
 	go p.spread.Run(ctx)
+	if f.verifyAfter > 0 {
+		late := *keeper
+		late.Store = &lateStore{Store: p.store, late: f.late}
+		verifier := &Verifier{Keeper: &late, After: f.verifyAfter, Needed: func() bool { return true }}
+		go verifier.Run(ctx)
+	}
 	if !n.silent {
 		go f.call(ctx, p)
 	}
@@ -258,11 +276,34 @@
 
 func (f *fleet) ask(_ context.Context, address string, query *Query) (*Answer, error) {
 	time.Sleep(peerLatency)
+	f.late()
 	peer := f.find(address).process.Load()
 	if peer == nil || f.find(query.From).process.Load() == nil {
 		return nil, errDead
 	}
-	return peer.spread.Answer(query), nil
+	answer := peer.spread.Answer(query)
+	f.late()
+	return answer, nil
+}
+
+// late lets a step of a message be late, as it is where a process or a link is paused.
+func (f *fleet) late() {
+	if f.delay != nil {
+		time.Sleep(f.delay())
+	}
+}
+
+// lateStore reads late and answers late.
+type lateStore struct {
+	store.Store
+	late func()
+}
+
+func (s *lateStore) List(ctx context.Context, prefix string) (store.Snapshot, error) {
+	s.late()
+	snapshot, err := s.Store.List(ctx, prefix)
+	s.late()
+	return snapshot, err
 }
 
 // call has a process call others as one under light load does.
@@ -274,10 +315,15 @@
 			continue
 		}
 		asked := time.Now()
+		f.late()
+		digests := p.spread.Digests()
 		time.Sleep(peerLatency)
-		peer.spread.HeardCall(p.address, p.spread.Digests())
+		f.late()
+		peer.spread.HeardCall(p.address, digests)
+		digests = peer.spread.Digests()
+		f.late()
 		time.Sleep(peerLatency)
-		p.spread.HeardReply(peer.address, peer.spread.Digests(), asked)
+		p.spread.HeardReply(peer.address, digests, asked)
 	}
 }
 
@@ -390,10 +436,7 @@
 		f.store.put("a", "1")
 		f.until("a", "1", 5*time.Second)
 		time.Sleep(5 * time.Second)
-		f.store.mutex.Lock()
-		f.store.revision++
-		f.store.history = append(f.store.history, store.Entry{Key: "a", Value: []byte("2"), Revision: f.store.revision})
-		f.store.mutex.Unlock()
+		f.store.putUnheard("a", "2")
 		f.store.drop()
 		t.Logf("known to all after %s", f.until("a", "2", applyBound+staleAfter))
 	})
--- /dev/null
+++ b/internal/replica/verify.go
@@ -0,0 +1,70 @@
+package replica
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// verifyPlaceDelay is by how much later each node than the one before it in the order
+	// of watching verifies a copy itself. A verification takes some messages between nodes
+	// to reach the next one, of which a busy node exchanges hundreds a second.
+	verifyPlaceDelay    = 100 * time.Millisecond
+	maxVerifyPlaceDelay = 1200 * time.Millisecond
+	// verifySpread keeps nodes that share a delay from asking together.
+	verifySpread = 100 * time.Millisecond
+	// verifyTimeout bounds the wait for one read: the store answers within milliseconds,
+	// and another node may have verified the copy meanwhile.
+	verifyTimeout = 400 * time.Millisecond
+)
+
+// Verifier keeps the verification of a copy young: it reads the prefix from the store
+// whenever no node did so for a while. A watch proves nothing of the kind, as one that
+// waits hears nothing of changes in history that the store drops.
+type Verifier struct {
+	Keeper *Keeper
+	// After is the age from which the copy is verified anew.
+	After time.Duration
+	// Needed reports whether anything rests on the verification now.
+	Needed func() bool
+}
+
+// Run verifies the copy until the context ends.
+func (v *Verifier) Run(ctx context.Context) {
+	delay := v.placeDelay()
+	for ctx.Err() == nil {
+		if wait := v.wait(delay); wait > 0 {
+			sleep(ctx, max(wait, minSleep))
+			continue
+		}
+		v.read(ctx)
+		delay = v.placeDelay()
+	}
+}
+
+// wait returns how long no read is due.
+func (v *Verifier) wait(delay time.Duration) time.Duration {
+	if !v.Needed() {
+		return v.After
+	}
+	verified := v.Keeper.Copy.VerifiedAt()
+	return v.After + delay - v.Keeper.Now().Sub(verified)
+}
+
+// placeDelay returns by how much later than the first node this one verifies.
+func (v *Verifier) placeDelay() time.Duration {
+	delay := maxVerifyPlaceDelay
+	if place, known := v.Keeper.Place(); known {
+		delay = min(time.Duration(place)*verifyPlaceDelay, maxVerifyPlaceDelay)
+	}
+	return delay + rand.N(verifySpread)
+}
+
+func (v *Verifier) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
+	defer cancel()
+	if err := v.Keeper.list(ctx); err != nil {
+		sleep(ctx, failurePause/2+rand.N(failurePause))
+	}
+}
--- a/internal/routepolicy/routepolicy.go
+++ b/internal/routepolicy/routepolicy.go
@@ -14,10 +14,12 @@
 	"github.com/lugspur/lugspur/internal/routetable"
 )
 
-// Expressions that stand in for those which an operator leaves out.
+// Expressions that stand in for those which an operator leaves out. By the default rank a
+// tenant's priority goes before that of the route: requests of tenants of priority 0 rank
+// highest, others by the sum.
 const (
 	DefaultAdmit           = `true`
-	DefaultRank            = `call.priority <= 0 ? "critical-plus" : call.priority == 1 ? "critical" : call.priority == 2 ? "sheddable-plus" : "sheddable"`
+	DefaultRank            = `call.tenant != "" && call.tenant_priority <= 0 || call.priority + call.tenant_priority <= 0 ? "critical-plus" : call.priority + call.tenant_priority == 1 ? "critical" : call.priority + call.tenant_priority == 2 ? "sheddable-plus" : "sheddable"`
 	DefaultRepeatableRetry = `outcome.executed == "no" ? 3 : call.attempts - 1`
 	DefaultOnceRetry       = `outcome.executed == "no" ? 3 : 0`
 	DefaultRefuse          = `load.free_in`
--- a/internal/routetable/configuration.go
+++ b/internal/routetable/configuration.go
@@ -4,6 +4,7 @@
 package routetable
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"strings"
 	"time"
@@ -45,6 +46,8 @@
 	Priority int
 	// Services holds at least one service with a positive weight.
 	Services []WeightedService
+	// Public tells that requests need no key.
+	Public bool
 }
 
 // Service describes what targets of a service have in common.
@@ -62,12 +65,36 @@
 	IdleTimeout    time.Duration
 }
 
+// KeyDigest stands for an API key, which is kept nowhere itself.
+type KeyDigest [sha256.Size]byte
+
+// DigestKey returns the digest of an API key.
+func DigestKey(key string) KeyDigest { return sha256.Sum256([]byte(key)) }
+
+// Tenant is a party whose requests carry API keys and share a limit.
+type Tenant struct {
+	Name string
+	// Keys are the digests of its API keys; without any it can't send requests.
+	Keys []KeyDigest
+	// Priority ranks tenants; zero is the most important.
+	Priority int
+	// Rate is the number of requests a second that all nodes together may run for it,
+	// and Burst how many it may run beyond at once. A rate of zero is no limit.
+	Rate, Burst float64
+}
+
+// Limited reports whether the number of the tenant's requests is bounded.
+func (t *Tenant) Limited() bool { return t.Rate > 0 }
+
 // Configuration is a whole routing configuration.
 type Configuration struct {
 	Version  Version
 	Routes   []Route
 	Services []Service
-	Limits   Limits
+	// Tenants may send requests to routes that are not public. Without any, no request
+	// needs a key.
+	Tenants []Tenant
+	Limits  Limits
 }
 
 // Validate reports the first fault of the configuration, nil if it has none.
@@ -80,6 +107,31 @@
 			return fmt.Errorf("route %q: %w", c.Routes[i].Name, err)
 		}
 	}
+	return c.validateTenants()
+}
+
+// validateTenants never names a key: its errors are logged.
+func (c *Configuration) validateTenants() error {
+	names := make(map[string]bool, len(c.Tenants))
+	holders := make(map[KeyDigest]string)
+	for i := range c.Tenants {
+		tenant := &c.Tenants[i]
+		switch {
+		case tenant.Name == "":
+			return fmt.Errorf("a tenant has no name")
+		case names[tenant.Name]:
+			return fmt.Errorf("tenant %q: the name stands twice", tenant.Name)
+		case tenant.Rate < 0 || tenant.Burst < 0:
+			return fmt.Errorf("tenant %q: negative limit", tenant.Name)
+		}
+		names[tenant.Name] = true
+		for _, key := range tenant.Keys {
+			if holder, held := holders[key]; held && holder != tenant.Name {
+				return fmt.Errorf("tenants %q and %q hold the same key", holder, tenant.Name)
+			}
+			holders[key] = tenant.Name
+		}
+	}
 	return nil
 }
 
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -15,6 +15,11 @@
 	services map[string]*Service
 	// routes holds each host's routes, the longest prefix first.
 	routes map[string][]*Route
+	// tenants are found by their names, and holders by their keys.
+	tenants map[string]*Tenant
+	holders map[KeyDigest]*Tenant
+	// withdrawn are keys that an earlier configuration knew and this one doesn't.
+	withdrawn map[KeyDigest]bool
 }
 
 // NewTable indexes a valid configuration. The caller must not change it later.
@@ -24,6 +29,15 @@
 		limits:   configuration.Limits,
 		services: make(map[string]*Service, len(configuration.Services)),
 		routes:   make(map[string][]*Route),
+		tenants:  make(map[string]*Tenant, len(configuration.Tenants)),
+		holders:  make(map[KeyDigest]*Tenant, len(configuration.Tenants)),
+	}
+	for i := range configuration.Tenants {
+		tenant := &configuration.Tenants[i]
+		t.tenants[tenant.Name] = tenant
+		for _, key := range tenant.Keys {
+			t.holders[key] = tenant
+		}
 	}
 	for i := range configuration.Services {
 		service := &configuration.Services[i]
@@ -49,6 +63,44 @@
 // Service returns a service by its name, nil if there is none.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// HasTenants reports whether requests to routes that are not public need a key.
+func (t *Table) HasTenants() bool { return len(t.tenants) > 0 }
+
+// Tenant returns a tenant by its name, nil if there is none.
+func (t *Table) Tenant(name string) *Tenant { return t.tenants[name] }
+
+// Tenants returns all tenants by their names. The result must not be changed.
+func (t *Table) Tenants() map[string]*Tenant { return t.tenants }
+
+// HolderOf returns the tenant that holds an API key, nil if none does.
+func (t *Table) HolderOf(key string) *Tenant { return t.holders[DigestKey(key)] }
+
+// Withdrawn reports whether an API key was held by a tenant before.
+func (t *Table) Withdrawn(key string) bool { return t.withdrawn[DigestKey(key)] }
+
+// maxWithdrawn bounds the keys that are remembered after they were taken away.
+const maxWithdrawn = 4096
+
+// remember takes the keys that the previous table knows and this one does not.
+func (t *Table) remember(previous *Table) {
+	if previous == nil {
+		return
+	}
+	t.withdrawn = make(map[KeyDigest]bool)
+	for key := range previous.holders {
+		t.withdraw(key)
+	}
+	for key := range previous.withdrawn {
+		t.withdraw(key)
+	}
+}
+
+func (t *Table) withdraw(key KeyDigest) {
+	if t.holders[key] == nil && len(t.withdrawn) < maxWithdrawn {
+		t.withdrawn[key] = true
+	}
+}
+
 // Match returns the host's route with the longest prefix of the path, nil if
 // there is none. The host may carry a port.
 func (t *Table) Match(host, path string) *Route {
@@ -93,6 +145,8 @@
 	if configuration.Version <= h.Version() {
 		return false
 	}
-	h.current.Store(NewTable(configuration))
+	table := NewTable(configuration)
+	table.remember(h.current.Load())
+	h.current.Store(table)
 	return true
 }
--- a/internal/sidecar/copies.go
+++ b/internal/sidecar/copies.go
@@ -29,6 +29,10 @@
 	// Changes of the configuration and of records are gathered for so long.
 	configurationGather = 300 * time.Millisecond
 	recordsGather       = 800 * time.Millisecond
+	// verifyAfter is the age from which the configuration is verified anew. With 1 s, and
+	// the way between nodes, keys can be checked for some 3.5 s of a store that is away
+	// where they must not work for more than 5 s after they were taken away.
+	verifyAfter = time.Second
 	// Copies count as current for so long after they were known to be. What the
 	// records tell is also found by calling.
 	configurationStale = 1200 * time.Millisecond
@@ -55,6 +59,7 @@
 type copies struct {
 	configuration, records         *replica.Copy
 	keepConfiguration, keepRecords *replica.Keeper
+	verify                         *replica.Verifier
 	spread                         *replica.Spread
 }
 
@@ -88,6 +93,7 @@
 		Place: n.directory.Place, Gather: configurationGather, FirstDelay: configurationFirst, Now: clock.Now}
 	c.keepRecords = &replica.Keeper{Copy: c.records, Store: n.gate.Wrap(n.store.For(purposeRecords)), Prefix: platform.RecordsPrefix,
 		Place: n.directory.Place, Gather: recordsGather, FirstDelay: recordsFirst, Now: clock.Now}
+	c.verify = &replica.Verifier{Keeper: c.keepConfiguration, After: verifyAfter, Needed: n.hasTenants}
 	c.spread = replica.NewSpread(replica.SpreadConfig{
 		Address:   n.settings.advertised(),
 		Peers:     n.directory.Addresses,
@@ -98,6 +104,12 @@
 	}, c.configuration, c.records)
 }
 
+// hasTenants reports whether requests need keys.
+func (n *Node) hasTenants() bool {
+	table := n.routes.Current()
+	return table != nil && table.HasTenants()
+}
+
 func (n *Node) recordsChanged(entries []store.Entry, source string) {
 	n.directory.Change(entries, source)
 	n.registrar.Change(entries)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/lugspur/lugspur/internal/apikey"
 	"github.com/lugspur/lugspur/internal/clock"
 	"github.com/lugspur/lugspur/internal/configfeed"
 	"github.com/lugspur/lugspur/internal/eventlog"
@@ -195,6 +196,7 @@
 		Policies:   n.policies,
 		Levels:     n.levels,
 		Quarantine: n.suspects,
+		Keys:       apikey.NewChecker(n.routes, n.copies.configuration, n.settings.Tenants.revoke()),
 		Peers:      n.peers,
 		Observer:   n.metrics,
 		Log:        n.log,
@@ -257,7 +259,7 @@
 // tasks are what runs in the background while the node serves.
 func (n *Node) tasks() []func(context.Context) {
 	return []func(context.Context){
-		n.copies.keepConfiguration.Run, n.copies.keepRecords.Run, n.copies.spread.Run,
+		n.copies.keepConfiguration.Run, n.copies.keepRecords.Run, n.copies.spread.Run, n.copies.verify.Run,
 		n.directory.Run, n.registrar.Run, n.guard.Watch, n.forwarder.Run, n.calls.run, n.suspects.Run,
 	}
 }
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -28,11 +28,12 @@
 	Store string `toml:"store"`
 	// FirstStart tells that the whole system starts for the first time, so that
 	// nothing was acknowledged before.
-	FirstStart bool          `toml:"first-start"`
-	Listen     Listen        `toml:"listen"`
-	Stop       StopSettings  `toml:"stop"`
-	Retries    RetrySettings `toml:"retries"`
-	Queue      QueueSettings `toml:"queue"`
+	FirstStart bool           `toml:"first-start"`
+	Listen     Listen         `toml:"listen"`
+	Stop       StopSettings   `toml:"stop"`
+	Retries    RetrySettings  `toml:"retries"`
+	Queue      QueueSettings  `toml:"queue"`
+	Tenants    TenantSettings `toml:"tenants"`
 	// Policies decide on requests, one for each kind of route.
 	Policies routepolicy.Sources `toml:"policies"`
 }
@@ -88,6 +89,22 @@
 	SlotShare float64 `toml:"slot-share"`
 }
 
+// TenantSettings bound what keys and limits of tenants may do.
+type TenantSettings struct {
+	// RevokeSeconds is the time after which an API key that was taken away must not work
+	// at any node; 0 is no bound: a key works as long as the node's configuration holds it.
+	RevokeSeconds float64 `toml:"revoke-seconds"`
+	// WindowSeconds, Overshoot and Slack say what may run for a tenant within a window:
+	// its limit times 1 + Overshoot, and Slack requests more.
+	WindowSeconds float64 `toml:"window-seconds"`
+	Overshoot     float64 `toml:"overshoot"`
+	Slack         float64 `toml:"slack"`
+}
+
+func (s *TenantSettings) revoke() time.Duration {
+	return time.Duration(s.RevokeSeconds * float64(time.Second))
+}
+
 // Defaults of settings.
 const (
 	DefaultGraceSeconds   = 6.0
@@ -98,6 +115,9 @@
 	DefaultObjectiveShare = 0.2
 	DefaultInnerShare     = 0.6
 	DefaultSlotShare      = 0.95
+	DefaultLimitWindow    = 5.0
+	DefaultLimitOvershoot = 0.1
+	DefaultLimitSlack     = 20.0
 )
 
 // Load reads and checks settings. The error names every fault.
@@ -120,6 +140,7 @@
 		Retries: RetrySettings{BudgetRatio: DefaultBudgetRatio, WindowSeconds: DefaultRetryWindow, Slack: DefaultRetrySlack},
 		Queue: QueueSettings{MaxLength: DefaultQueueLength, ObjectiveShare: DefaultObjectiveShare,
 			InnerObjectiveShare: DefaultInnerShare, SlotShare: DefaultSlotShare},
+		Tenants: TenantSettings{WindowSeconds: DefaultLimitWindow, Overshoot: DefaultLimitOvershoot, Slack: DefaultLimitSlack},
 	}
 	if err := toml.Unmarshal(content, &settings); err != nil {
 		return Settings{}, fmt.Errorf("parse: %w", err)
@@ -149,6 +170,10 @@
 		between("queue.objective-share", s.Queue.ObjectiveShare, 0.001, 1),
 		between("queue.inner-objective-share", s.Queue.InnerObjectiveShare, 0.001, 10),
 		between("queue.slot-share", s.Queue.SlotShare, 0.01, 1),
+		between("tenants.revoke-seconds", s.Tenants.RevokeSeconds, 0, 3600),
+		between("tenants.window-seconds", s.Tenants.WindowSeconds, 0.1, 3600),
+		between("tenants.overshoot", s.Tenants.Overshoot, 0, 10),
+		between("tenants.slack", s.Tenants.Slack, 0, 1e6),
 		compiles(s.Policies),
 	)
 }
--- a/internal/sidecar/settings_test.go
+++ b/internal/sidecar/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -16,28 +17,37 @@
 	"node": "sidecar-a-1", "zone": "a", "service": "s", "app-addr": "10.0.0.1:8301", "platform.address": "10.0.0.2:8309",
 	"listen.outbound": "10.0.0.1:8304", "listen.inbound": "10.0.0.1:8300", "listen.ready": "10.0.0.1:8302",
 	"listen.control": "10.0.0.1:8306", "ip": "10.0.0.1", "bounds.grace-s": "6", "bounds.retry-budget-ratio": "0.2", "bounds.budget-window-s": "10", "bounds.budget-slack": "57",
+	"bounds.revoke-s": "5", "bounds.quota-window-s": "6", "bounds.quota-overshoot": "0.2", "bounds.quota-slack": "21",
 }
 
 var gap = regexp.MustCompile(`\{\{([a-z.-]+)(\|json)?\}\}`)
 
-// section is a part of the template that stands only at the system's first start.
-var section = regexp.MustCompile(`(?s)\{\{#bootstrap\}\}(.*?)\{\{/bootstrap\}\}`)
+// sections are the parts of the template that stand only where a field is given: at the
+// system's first start, and where there are bounds on tenants.
+var sections = map[string]*regexp.Regexp{
+	"bootstrap":             regexp.MustCompile(`(?s)\{\{#bootstrap\}\}(.*?)\{\{/bootstrap\}\}`),
+	"bounds.strict-revoke":  regexp.MustCompile(`(?s)\{\{#bounds.strict-revoke\}\}(.*?)\{\{/bounds.strict-revoke\}\}`),
+	"bounds.quota-window-s": regexp.MustCompile(`(?s)\{\{#bounds.quota-window-s\}\}(.*?)\{\{/bounds.quota-window-s\}\}`),
+}
 
 func fill(t *testing.T) string {
 	t.Helper()
-	return fillAt(t, false)
+	return fillWith(t)
 }
 
-func fillAt(t *testing.T, firstStart bool) string {
+// fillWith fills the template in with the given sections.
+func fillWith(t *testing.T, given ...string) string {
 	t.Helper()
 	content, err := os.ReadFile("../../deploy/node.toml.tmpl")
 	assert.NilError(t, err)
 	template := string(content)
-	assert.Assert(t, section.MatchString(template))
-	if firstStart {
-		template = section.ReplaceAllString(template, "$1")
-	} else {
-		template = section.ReplaceAllString(template, "")
+	for name, section := range sections {
+		assert.Assert(t, section.MatchString(template), "the template has no section %s", name)
+		replacement := ""
+		if slices.Contains(given, name) {
+			replacement = "$1"
+		}
+		template = section.ReplaceAllString(template, replacement)
 	}
 	return gap.ReplaceAllStringFunc(template, func(text string) string {
 		parts := gap.FindStringSubmatch(text)
@@ -58,9 +68,11 @@
 	assert.Equal(t, settings.Retries.BudgetRatio, 0.2)
 	assert.Equal(t, settings.Queue.MaxLength, DefaultQueueLength)
 	assert.Assert(t, !settings.FirstStart)
-	settings, err = Parse([]byte(fillAt(t, true)))
+	assert.Equal(t, settings.Tenants, TenantSettings{WindowSeconds: DefaultLimitWindow, Overshoot: DefaultLimitOvershoot, Slack: DefaultLimitSlack})
+	settings, err = Parse([]byte(fillWith(t, "bootstrap", "bounds.strict-revoke", "bounds.quota-window-s")))
 	assert.NilError(t, err)
 	assert.Assert(t, settings.FirstStart)
+	assert.Equal(t, settings.Tenants, TenantSettings{RevokeSeconds: 5, WindowSeconds: 6, Overshoot: 0.2, Slack: 21})
 }
 
 func TestEveryFaultIsNamed(t *testing.T) {
