--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -38,6 +38,8 @@
 	LeaseGranted
 	LeaseLost
 	KeyRefused
+	LimitRefused
+	ShardChanged
 	PolicyFailed
 	LimitChanged
 	AdmissionChanged
@@ -98,6 +100,8 @@
 	LeaseGranted:          {"lease-granted", belief, "a lease was granted; version is its number"},
 	LeaseLost:             {"lease-lost", belief, "the lease ended without this node's doing; version is its number"},
 	KeyRefused:            {"key-refused", refusal, "the request's API key was turned away, or could not be checked; age is that of the verification of the configuration, version the configuration's, wait when to come back"},
+	LimitRefused:          {"limit-refused", refusal, "the tenant that outcome names has no permit for the request, or no holder could be asked (reason); count is how many holders were asked, wait when to come back"},
+	ShardChanged:          {"shard-changed", belief, "this node holds (outcome held) or no longer holds (lost) the shard of tenants' limits that count numbers; reason says why"},
 	PolicyFailed:          {"policy-failed", belief, "the route's policy could not be evaluated; its safe result holds"},
 	LimitChanged:          {"limit-changed", belief, "count is the new concurrency limit of the target"},
 	AdmissionChanged:      {"admission-changed", belief, "count is the shed threshold as a share of all ranks, in percent; reason is the queueing delay that moved it"},
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -18,6 +18,7 @@
 	"github.com/lugspur/lugspur/internal/guard"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/pressure"
+	"github.com/lugspur/lugspur/internal/problem"
 	"github.com/lugspur/lugspur/internal/quarantine"
 	"github.com/lugspur/lugspur/internal/registry"
 	"github.com/lugspur/lugspur/internal/replica"
@@ -107,6 +108,8 @@
 
 func (observer) Finished(string, int, string, time.Duration) {}
 
+func (observer) Identified(string, problem.Reason) {}
+
 func (observer) Counted(string, BudgetEvent, peering.Reason) {}
 
 // fixture is a forwarder with peers behind real sockets.
@@ -137,7 +140,7 @@
 	fixture := &fixture{levels: pressure.New(time.Now), suspects: quarantine.New(quarantine.Config{Now: time.Now})}
 	for _, answer := range answers {
 		home := &fakeHome{answer: answer}
-		server := httptest.NewServer(peering.Handler(home, replica.NewSpread(replica.SpreadConfig{Now: time.Now}), nil, testCodec, 1<<20, testProcess))
+		server := httptest.NewServer(peering.Handler(peering.Services{Home: home, Spread: replica.NewSpread(replica.SpreadConfig{Now: time.Now}), Codec: testCodec, MaxBytes: 1 << 20, Process: testProcess}))
 		t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 		fixture.homes = append(fixture.homes, home)
 		fixture.addresses = append(fixture.addresses, strings.TrimPrefix(server.URL, "http://"))
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -25,6 +25,7 @@
 	"github.com/lugspur/lugspur/internal/pressure"
 	"github.com/lugspur/lugspur/internal/problem"
 	"github.com/lugspur/lugspur/internal/quarantine"
+	"github.com/lugspur/lugspur/internal/ratelimit"
 	"github.com/lugspur/lugspur/internal/registry"
 	"github.com/lugspur/lugspur/internal/retrybudget"
 	"github.com/lugspur/lugspur/internal/routepolicy"
@@ -62,8 +63,9 @@
 	Policies *routepolicy.Holder
 	// Quarantine knows requests that crash targets.
 	Quarantine Quarantine
-	// Keys decides on the API keys of requests.
-	Keys Keys
+	// Keys decides on the API keys of requests, and Limits on the limits of tenants.
+	Keys   Keys
+	Limits Limits
 	// Levels hold the shed thresholds of routes.
 	Levels   *pressure.Levels
 	Peers    Peers
@@ -89,6 +91,14 @@
 	Check(ctx context.Context, keys []string, arrived time.Time) apikey.Decision
 }
 
+// Limits holds tenants to their limits. It is safe for concurrent use.
+type Limits interface {
+	// Admit decides on a request of the tenant. It may wait.
+	Admit(ctx context.Context, tenant *routetable.Tenant) ratelimit.Decision
+	// Return gives back the permit of a request that has not run and will not.
+	Return(tenant *routetable.Tenant, decision ratelimit.Decision)
+}
+
 // LocalHome runs calls at the target beside the node and knows what runs there.
 type LocalHome interface {
 	peering.Home
@@ -118,6 +128,9 @@
 type Observer interface {
 	// Finished sees a request that ended. Refusals and failures have a reason.
 	Finished(route string, status int, reason string, duration time.Duration)
+	// Identified sees what was decided on a request by its API key and its tenant's limit.
+	// The tenant is empty where the key was refused; an admitted request has no reason.
+	Identified(tenant string, reason problem.Reason)
 	// Counted sees what the retry budget of a service counted. The cause of what is
 	// sent for the first time is empty.
 	Counted(service string, kind BudgetEvent, cause peering.Reason)
@@ -133,6 +146,7 @@
 	levels    *pressure.Levels
 	suspects  Quarantine
 	keys      Keys
+	limits    Limits
 	peers     Peers
 	observer  Observer
 	log       *eventlog.Log
@@ -164,6 +178,7 @@
 		levels:    parts.Levels,
 		suspects:  parts.Quarantine,
 		keys:      parts.Keys,
+		limits:    parts.Limits,
 		peers:     parts.Peers,
 		observer:  parts.Observer,
 		log:       parts.Log,
@@ -244,8 +259,10 @@
 	id      string
 	route   *routetable.Route
 	service string
-	// tenant holds the request's API key, nil if it needs none.
+	// tenant holds the request's API key, nil if it needs none, and permit is the decision
+	// by the tenant's limit.
 	tenant   *routetable.Tenant
+	permit   ratelimit.Decision
 	call     *peering.Call
 	arrived  time.Time
 	deadline time.Time
@@ -291,6 +308,7 @@
 	}
 	q, failure := f.receive(w, r, started)
 	if failure != nil {
+		f.returnPermit(q, failure)
 		f.refuse(w, q, failure)
 		return
 	}
@@ -307,6 +325,7 @@
 	case r.Context().Err() != nil:
 		f.abandoned(q)
 	case failure != nil:
+		f.returnPermit(q, failure)
 		f.refuse(w, q, failure)
 	default:
 		f.answer(w, q, reply)
--- a/internal/forward/receive.go
+++ b/internal/forward/receive.go
@@ -73,6 +73,9 @@
 	if failure := f.admit(q); failure != nil {
 		return q, failure
 	}
+	if failure := f.limit(r.Context(), q); failure != nil {
+		return q, failure
+	}
 	body, failure := f.readBody(w, r, table.Limits().MaxBodyBytes)
 	if failure != nil {
 		return q, failure
--- a/internal/forward/tenant.go
+++ b/internal/forward/tenant.go
@@ -1,11 +1,13 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/lugspur/lugspur/internal/apikey"
 	"github.com/lugspur/lugspur/internal/eventlog"
 	"github.com/lugspur/lugspur/internal/problem"
+	"github.com/lugspur/lugspur/internal/ratelimit"
 	"github.com/lugspur/lugspur/internal/routetable"
 )
 
@@ -20,13 +22,48 @@
 	if decision.Outcome == apikey.Allowed {
 		return nil
 	}
-	detail := decision.Outcome.String()
+	detail, reason := decision.Outcome.String(), problem.Unauthenticated
+	if decision.Outcome == apikey.Unproved {
+		reason = problem.KeyUnproved
+	}
+	f.observer.Identified("", reason)
 	f.log.Record(eventlog.Event{Kind: eventlog.KeyRefused, Request: q.id, Route: q.route.Name, Reason: detail, Age: decision.Age,
 		Wait: decision.RetryAfter, Version: uint64(f.routes.Version())})
-	if decision.Outcome == apikey.Unproved {
-		return f.problem(problem.KeyUnproved, problem.ExecutedNo, "identify", detail).WithRetryDelay(decision.RetryAfter)
+	refusal := f.problem(reason, problem.ExecutedNo, "identify", detail)
+	if decision.RetryAfter > 0 {
+		refusal = refusal.WithRetryDelay(decision.RetryAfter)
+	}
+	return refusal
+}
+
+// limit holds the request's tenant to its limit. A request beyond it touches no queue, no
+// target, no retry budget and no shed threshold of others.
+func (f *Forwarder) limit(ctx context.Context, q *request) *problem.Problem {
+	if q.tenant == nil {
+		return nil
+	}
+	if q.tenant.Limited() {
+		q.permit = f.limits.Admit(ctx, q.tenant)
+	}
+	reason, detail := problem.LimitReached, "the tenant's limit is reached"
+	switch q.permit.Outcome {
+	case ratelimit.Admitted:
+		f.observer.Identified(q.tenant.Name, "")
+		return nil
+	case ratelimit.Unavailable:
+		reason, detail = problem.LimitUnknown, "the tenant's limit can't be checked"
+	}
+	f.observer.Identified(q.tenant.Name, reason)
+	f.log.Record(eventlog.Event{Kind: eventlog.LimitRefused, Request: q.id, Route: q.route.Name, Outcome: q.tenant.Name, Reason: detail,
+		Count: q.permit.Asked, Wait: q.permit.RetryAfter, Version: uint64(f.routes.Version())})
+	return f.problem(reason, problem.ExecutedNo, "limit", detail).WithRetryDelay(q.permit.RetryAfter)
+}
+
+// returnPermit gives back the permit of a request that has certainly not run.
+func (f *Forwarder) returnPermit(q *request, failure *problem.Problem) {
+	if q.tenant != nil && q.permit.Outcome == ratelimit.Admitted && failure.Executed == problem.ExecutedNo {
+		f.limits.Return(q.tenant, q.permit)
 	}
-	return f.problem(problem.Unauthenticated, problem.ExecutedNo, "identify", detail)
 }
 
 // nameTenant replaces the caller's key by the name of the tenant that holds it. Where
--- a/internal/forward/tenant_test.go
+++ b/internal/forward/tenant_test.go
@@ -15,6 +15,7 @@
 	"github.com/lugspur/lugspur/internal/criticality"
 	"github.com/lugspur/lugspur/internal/eventlog"
 	"github.com/lugspur/lugspur/internal/peering"
+	"github.com/lugspur/lugspur/internal/ratelimit"
 	"github.com/lugspur/lugspur/internal/routetable"
 )
 
@@ -147,3 +148,67 @@
 	assert.Equal(t, rank(nil, 0), criticality.CriticalPlus)
 	assert.Equal(t, rank(nil, 2), criticality.SheddablePlus)
 }
+
+// fixedLimits decides on every request alike and counts permits that are given back.
+type fixedLimits struct {
+	decision           ratelimit.Decision
+	admitted, returned int
+}
+
+func (l *fixedLimits) Admit(context.Context, *routetable.Tenant) ratelimit.Decision {
+	l.admitted++
+	return l.decision
+}
+
+func (l *fixedLimits) Return(*routetable.Tenant, ratelimit.Decision) { l.returned++ }
+
+// newLimitFixture returns a fixture whose requests are of a tenant with a limit.
+func newLimitFixture(t *testing.T, limits *fixedLimits, answers ...func(context.Context, *peering.Call) *peering.Reply) *fixture {
+	t.Helper()
+	limited := testTenant
+	limited.Rate, limited.Burst = 10, 10
+	f := newTenantFixture(t, &fixedKeys{decision: apikey.Decision{Tenant: &limited}}, answers...)
+	f.forwarder.limits = limits
+	return f
+}
+
+// TestARequestBeyondItsLimitTouchesNothing has no permit for a request: no home hears of it,
+// and it adds nothing to the retry budget of its service.
+func TestARequestBeyondItsLimitTouchesNothing(t *testing.T) {
+	for outcome, status := range map[ratelimit.Outcome]int{ratelimit.Reached: http.StatusTooManyRequests, ratelimit.Unavailable: http.StatusServiceUnavailable} {
+		limits := &fixedLimits{decision: ratelimit.Decision{Outcome: outcome, RetryAfter: 400 * time.Millisecond}}
+		f := newLimitFixture(t, limits, answered)
+		before := f.forwarder.budget("s").Balance()
+		answer := f.doWith("/read/x", "1")
+		assert.Equal(t, answer.Code, status)
+		assert.Equal(t, answer.Header().Get("Retry-After"), "0.400")
+		assert.Equal(t, f.calls(), 0)
+		assert.Equal(t, limits.returned, 0)
+		assert.Equal(t, f.forwarder.budget("s").Balance(), before)
+	}
+}
+
+// TestPermitsOfRequestsThatHaveNotRunAreGivenBack has requests be answered, fail and be
+// refused. A second home costs no second permit, and calls of running requests cost none.
+func TestPermitsOfRequestsThatHaveNotRunAreGivenBack(t *testing.T) {
+	for name, test := range map[string]struct {
+		id       string
+		answers  []func(context.Context, *peering.Call) *peering.Reply
+		admitted int
+		returned int
+	}{
+		"answered":                    {"1", []func(context.Context, *peering.Call) *peering.Reply{answered}, 1, 0},
+		"failed":                      {"1", []func(context.Context, *peering.Call) *peering.Reply{failing, failing}, 1, 0},
+		"refused":                     {"1", []func(context.Context, *peering.Call) *peering.Reply{refusing(peering.Waited)}, 1, 1},
+		"refused by one, then run":    {"1", []func(context.Context, *peering.Call) *peering.Reply{refusing(peering.Waited), answered}, 1, 0},
+		"a call of a running request": {"running.2", []func(context.Context, *peering.Call) *peering.Reply{refusing(peering.Waited)}, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			limits := &fixedLimits{}
+			f := newLimitFixture(t, limits, test.answers...)
+			f.doWith("/read/x", test.id)
+			assert.Equal(t, limits.admitted, test.admitted)
+			assert.Equal(t, limits.returned, test.returned)
+		})
+	}
+}
--- a/internal/peering/client.go
+++ b/internal/peering/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/lugspur/lugspur/internal/clock"
 	"github.com/lugspur/lugspur/internal/quarantine"
+	"github.com/lugspur/lugspur/internal/ratelimit"
 	"github.com/lugspur/lugspur/internal/replica"
 	"github.com/lugspur/lugspur/internal/transport"
 )
@@ -150,6 +151,19 @@
 	return &answer, nil
 }
 
+// AskPermits asks the peer for permits of a tenant's limit.
+func (c *Client) AskPermits(ctx context.Context, address string, ask *ratelimit.Ask) (*ratelimit.Grant, error) {
+	answered, err := c.exchange(ctx, address, &transport.Call{Method: http.MethodPost, Host: peerHost, RequestURI: permitPath, Body: encode(ask)})
+	if err != nil {
+		return nil, err
+	}
+	var grant ratelimit.Grant
+	if err := cbor.Unmarshal(answered.Body, &grant); err != nil {
+		return nil, unreadable(address, err)
+	}
+	return &grant, nil
+}
+
 // Notify tells the peer of requests that crash targets.
 func (c *Client) Notify(ctx context.Context, address string, notice *quarantine.Notice) error {
 	_, err := c.exchange(ctx, address, &transport.Call{Method: http.MethodPost, Host: peerHost, RequestURI: noticePath, Body: encode(notice)})
--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -12,6 +12,7 @@
 
 	"github.com/lugspur/lugspur/internal/fingerprint"
 	"github.com/lugspur/lugspur/internal/quarantine"
+	"github.com/lugspur/lugspur/internal/ratelimit"
 	"github.com/lugspur/lugspur/internal/replica"
 )
 
@@ -23,6 +24,8 @@
 	queryPath = "/3/r"
 	// noticePath takes notices of crashed targets.
 	noticePath = "/3/q"
+	// permitPath takes asks for permits of tenants.
+	permitPath = "/3/t"
 )
 
 // Call is a request on its way to a home.
@@ -94,6 +97,11 @@
 	Heard(notice *quarantine.Notice)
 }
 
+// Permits issues permits of tenants' limits.
+type Permits interface {
+	Issue(ask *ratelimit.Ask) *ratelimit.Grant
+}
+
 // Outcome is what became of a call.
 type Outcome uint8
 
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -84,7 +84,7 @@
 func startPeer(t *testing.T) *peer {
 	t.Helper()
 	p := &peer{home: &echoHome{left: make(chan struct{})}, caller: newFakeSpread(3), spreads: newFakeSpread(5)}
-	server := httptest.NewServer(Handler(p.home, p.spreads, nil, testCodec, testBound, testProcess))
+	server := httptest.NewServer(Handler(Services{Home: p.home, Spread: p.spreads, Codec: testCodec, MaxBytes: testBound, Process: testProcess}))
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 	p.client = NewClient(ClientConfig{MaxBuffered: testBound, DialTimeout: time.Second, UserTimeout: time.Second, IdleTimeout: time.Minute, MaxIdle: 4, From: ownAddress, Codec: testCodec})
 	p.client.SetSpread(p.caller)
@@ -186,7 +186,7 @@
 	source := memory.New(time.Now)
 	_, err := source.CompareAndSwap(t.Context(), "k", 0, []byte("document"), 0)
 	assert.NilError(t, err)
-	server := httptest.NewServer(Handler(&echoHome{}, replica.NewSpread(replica.SpreadConfig{Address: "peer", Now: time.Now}, copyOf(t, source)), nil, testCodec, testBound, testProcess))
+	server := httptest.NewServer(Handler(Services{Home: &echoHome{}, Spread: replica.NewSpread(replica.SpreadConfig{Address: "peer", Now: time.Now}, copyOf(t, source)), Codec: testCodec, MaxBytes: testBound, Process: testProcess}))
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 	address := strings.TrimPrefix(server.URL, "http://")
 
--- a/internal/peering/resume_test.go
+++ b/internal/peering/resume_test.go
@@ -118,7 +118,7 @@
 func newResumeFixture(t *testing.T, takes time.Duration) *resumeFixture {
 	t.Helper()
 	home := &slowHome{takes: takes, began: make(chan struct{}, 1)}
-	server := httptest.NewServer(Handler(home, newFakeSpread(1), nil, testCodec, testBound, testProcess))
+	server := httptest.NewServer(Handler(Services{Home: home, Spread: newFakeSpread(1), Codec: testCodec, MaxBytes: testBound, Process: testProcess}))
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 	f := &resumeFixture{home: home, proxy: newSilencingProxy(t, strings.TrimPrefix(server.URL, "http://"))}
 	f.client = NewClient(ClientConfig{MaxBuffered: testBound, DialTimeout: time.Second, IdleTimeout: time.Minute, MaxIdle: 4, From: ownAddress, Codec: testCodec,
--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/lugspur/lugspur/internal/clock"
 	"github.com/lugspur/lugspur/internal/quarantine"
+	"github.com/lugspur/lugspur/internal/ratelimit"
 	"github.com/lugspur/lugspur/internal/replica"
 )
 
@@ -20,43 +21,54 @@
 	Run(ctx context.Context, call *Call) *Reply
 }
 
+// Services are what a node serves to its peers.
+type Services struct {
+	Home   Home
+	Spread Spread
+	// Notices and Permits may be nil.
+	Notices Notices
+	Permits Permits
+	Codec   *Codec
+	// MaxBytes bounds a message.
+	MaxBytes int64
+	// Process tells this process from others at the address; it is not zero.
+	Process uint32
+}
+
 // server serves the exchanges of peers.
 type server struct {
-	home      Home
-	spread    Spread
-	notices   Notices
-	codec     *Codec
-	maxBytes  int64
-	process   uint32
+	Services
 	exchanges *exchangeTable
 }
 
-// Handler serves the exchanges of peers. The notices may be nil. The process tells this process from others
-// at the address; it is not zero.
-func Handler(home Home, spread Spread, notices Notices, codec *Codec, maxBytes int64, process uint32) http.Handler {
-	s := &server{home: home, spread: spread, notices: notices, codec: codec, maxBytes: maxBytes, process: process, exchanges: newExchangeTable(clock.Now)}
+// Handler serves the exchanges of peers.
+func Handler(services Services) http.Handler {
+	s := &server{Services: services, exchanges: newExchangeTable(clock.Now)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pingPath, func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("POST "+callPath, s.serveCall)
 	mux.HandleFunc("POST "+queryPath, s.serveQuery)
-	if notices != nil {
+	if s.Notices != nil {
 		mux.HandleFunc("POST "+noticePath, s.serveNotice)
 	}
+	if s.Permits != nil {
+		mux.HandleFunc("POST "+permitPath, s.servePermits)
+	}
 	return mux
 }
 
 func (s *server) serveCall(w http.ResponseWriter, r *http.Request) {
-	content, err := readAll(r, s.maxBytes)
+	content, err := readAll(r, s.MaxBytes)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	call, err := s.codec.decodeCall(content)
+	call, err := s.Codec.decodeCall(content)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	s.spread.HeardCall(call.From, call.Digests)
+	s.Spread.HeardCall(call.From, call.Digests)
 	interim := startInterim(w)
 	reply, answered := s.answer(r.Context(), call)
 	interim.stop()
@@ -67,7 +79,7 @@
 
 // answer returns the encoded reply to a call, false if its caller left before.
 func (s *server) answer(ctx context.Context, call *Call) (reply []byte, answered bool) {
-	if call.Resumed && call.Process != s.process {
+	if call.Resumed && call.Process != s.Process {
 		// The process that has the call may have run it.
 		return s.encode(&Reply{Outcome: Failed, Reason: Broken}), true
 	}
@@ -80,7 +92,7 @@
 	defer context.AfterFunc(ctx, exchange.cancel)()
 	if runs {
 		defer cancel()
-		reply = s.encode(s.home.Run(runCtx, call))
+		reply = s.encode(s.Home.Run(runCtx, call))
 		s.exchanges.finish(exchange, reply)
 		return reply, true
 	}
@@ -96,12 +108,12 @@
 }
 
 func (s *server) encode(reply *Reply) []byte {
-	reply.Digests = s.spread.Digests()
-	return s.codec.encodeReply(reply)
+	reply.Digests = s.Spread.Digests()
+	return s.Codec.encodeReply(reply)
 }
 
 func (s *server) serveQuery(w http.ResponseWriter, r *http.Request) {
-	content, err := readAll(r, s.maxBytes)
+	content, err := readAll(r, s.MaxBytes)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -111,11 +123,11 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	write(w, encode(s.spread.Answer(&query)))
+	write(w, encode(s.Spread.Answer(&query)))
 }
 
 func (s *server) serveNotice(w http.ResponseWriter, r *http.Request) {
-	content, err := readAll(r, s.maxBytes)
+	content, err := readAll(r, s.MaxBytes)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -125,10 +137,24 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	s.notices.Heard(&notice)
+	s.Notices.Heard(&notice)
 	write(w, nil)
 }
 
+func (s *server) servePermits(w http.ResponseWriter, r *http.Request) {
+	content, err := readAll(r, s.MaxBytes)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	var ask ratelimit.Ask
+	if err := cbor.Unmarshal(content, &ask); err != nil || !ask.Valid() {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	write(w, encode(s.Permits.Issue(&ask)))
+}
+
 func readAll(r *http.Request, maxBytes int64) ([]byte, error) {
 	if r.ContentLength > maxBytes {
 		return nil, http.ErrContentLength
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -55,6 +55,8 @@
 	Quarantined       Reason = "quarantined"
 	Unauthenticated   Reason = "unauthenticated"
 	KeyUnproved       Reason = "key-unproved"
+	LimitReached      Reason = "limit-reached"
+	LimitUnknown      Reason = "limit-unknown"
 	Internal          Reason = "internal"
 )
 
@@ -80,6 +82,8 @@
 	Quarantined:       http.StatusServiceUnavailable,
 	Unauthenticated:   http.StatusUnauthorized,
 	KeyUnproved:       http.StatusServiceUnavailable,
+	LimitReached:      http.StatusTooManyRequests,
+	LimitUnknown:      http.StatusServiceUnavailable,
 	Internal:          http.StatusInternalServerError,
 }
 
--- /dev/null
+++ b/internal/ratelimit/keeper.go
@@ -0,0 +1,407 @@
+package ratelimit
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/lugspur/lugspur/internal/eventlog"
+	"github.com/lugspur/lugspur/internal/store"
+)
+
+const (
+	// shardTTL is how long a shard outlasts its holder: for that long a quarter of some
+	// limits is lost when a holder is. Holders bridge a store that is away for up to
+	// shardTTL less renewAfter.
+	shardTTL = 6 * time.Second
+	// renewAfter is the time between two renewals of the lease.
+	renewAfter = 1500 * time.Millisecond
+	// holdMargin is how much earlier than its lease a hold ends, against clocks that run
+	// at slightly different speeds.
+	holdMargin = 100 * time.Millisecond
+	// keeperPeriod is how often a node looks at the shards.
+	keeperPeriod = 100 * time.Millisecond
+	// takeDelay is by how much later each of the nodes that come first takes a shard that
+	// nobody holds, so that one at a time tries: others know of a holder after about a
+	// second. The others follow by lateTakeDelay. A node that holds some waits holdsDelay
+	// longer for each, so that shards spread over nodes.
+	takeDelay     = 800 * time.Millisecond
+	takersFirst   = 3
+	lateTakeDelay = 50 * time.Millisecond
+	holdsDelay    = 100 * time.Millisecond
+	// retryPause is the least time between two tries to take a shard.
+	retryPause = 500 * time.Millisecond
+	// settleDelay is how long a node knows its place before it takes any shard, so that
+	// nodes that start together share them.
+	settleDelay = 500 * time.Millisecond
+	// callTimeout bounds the calls of one look at the store.
+	callTimeout = time.Second
+)
+
+// holding is the value of a shard's key. Without an address the holder gave it up.
+type holding struct {
+	_       struct{} `cbor:",toarray"`
+	Address string
+	// Process tells the holder from earlier processes at the address.
+	Process uint32
+}
+
+// released reports whether the holder gave the shard up.
+func (h *holding) released() bool { return h.Address == "" }
+
+// KeeperConfig describes the node.
+type KeeperConfig struct {
+	// Address is the node's own, and Process tells it from earlier processes there.
+	Address string
+	Process uint32
+	// Started is when the process started: earlier ones issue nothing since then.
+	Started time.Time
+	// Prefix begins the keys of shards.
+	Prefix string
+	Store  store.Store
+	// Place returns the node's place in an order of all nodes; false if it is not known.
+	Place func() (int, bool)
+	// Needed reports whether any tenant has a limit.
+	Needed func() bool
+	Issuer *Issuer
+	Log    *eventlog.Log
+	Now    func() time.Time
+}
+
+// Keeper takes shards that nobody holds, keeps those that the node holds, and knows the
+// holders of all. It is safe for concurrent use.
+type Keeper struct {
+	config KeeperConfig
+
+	mutex  sync.Mutex
+	shards [Shards]record
+	// stopped tells that the node takes no shard any more.
+	stopped bool
+
+	// Owned by Run: the lease of all shards that the node holds, until when it surely
+	// lasts, and when to renew it.
+	lease   store.LeaseID
+	until   time.Time
+	renewAt time.Time
+	// eligible is since when the node may take shards, zero while it may not.
+	eligible time.Time
+}
+
+// record is what the store says of a shard.
+type record struct {
+	holding
+	// revision is that of the key, zero if nobody holds the shard, and lease the one that
+	// the key goes with.
+	revision store.Revision
+	lease    store.LeaseID
+	// seen is the highest revision known, that of a removal included.
+	seen store.Revision
+	// since is when this was first known.
+	since time.Time
+	// retryAt is before when the node does not try to take it.
+	retryAt time.Time
+}
+
+// NewKeeper returns a keeper that knows no holder.
+func NewKeeper(config KeeperConfig) *Keeper { return &Keeper{config: config} }
+
+// Holder returns the address of the node that holds the shard, false if none is known.
+func (k *Keeper) Holder(shard int) (address string, known bool) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	held := &k.shards[shard]
+	return held.Address, held.revision > 0 && !held.released()
+}
+
+// Change takes changes of the store; keys without the prefix are passed over.
+func (k *Keeper) Change(entries []store.Entry) {
+	for _, entry := range entries {
+		if number, ours := k.numberOf(entry.Key); ours {
+			k.note(number, entry)
+		}
+	}
+}
+
+func (k *Keeper) numberOf(key string) (int, bool) {
+	text, found := strings.CutPrefix(key, k.config.Prefix)
+	number, err := strconv.Atoi(text)
+	return number, found && err == nil && number >= 0 && number < Shards
+}
+
+func (k *Keeper) keyOf(number int) string { return k.config.Prefix + strconv.Itoa(number) }
+
+// note takes what the store holds of a shard.
+func (k *Keeper) note(number int, entry store.Entry) {
+	var held holding
+	if !entry.Deleted {
+		if err := cbor.Unmarshal(entry.Value, &held); err != nil {
+			k.config.Log.Record(eventlog.Event{Kind: eventlog.RecordRejected, Peer: entry.Key, Reason: err.Error()})
+			return
+		}
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	known := &k.shards[number]
+	if entry.Revision <= known.seen {
+		return
+	}
+	*known = record{holding: held, seen: entry.Revision, since: k.config.Now()}
+	if !entry.Deleted {
+		known.revision, known.lease = entry.Revision, entry.Lease
+	}
+}
+
+// free notes that nobody holds the shard.
+func (k *Keeper) free(number int) {
+	k.shards[number] = record{seen: k.shards[number].seen, since: k.config.Now()}
+}
+
+// Run takes and keeps shards until the context ends.
+func (k *Keeper) Run(ctx context.Context) {
+	ticker := time.NewTicker(keeperPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			k.look(ctx)
+		}
+	}
+}
+
+// Stop gives up the shards that the node holds, so that others take them at once.
+func (k *Keeper) Stop(ctx context.Context) {
+	k.mutex.Lock()
+	k.stopped = true
+	shards := k.shards
+	k.mutex.Unlock()
+	for number, held := range shards {
+		k.config.Issuer.Release(number)
+		if !k.owns(held) {
+			continue
+		}
+		if _, err := k.config.Store.CompareAndSwap(ctx, k.keyOf(number), held.revision, encode(holding{}), held.lease); err != nil {
+			// Its lease ends by itself.
+			k.changed(number, "lost", err.Error())
+			continue
+		}
+		k.changed(number, "lost", "the node stops")
+	}
+}
+
+// look renews the lease if that is due and takes shards that fall to the node.
+func (k *Keeper) look(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	k.renew(ctx)
+	settled := k.mayTake()
+	for number := range Shards {
+		if k.falls(number, settled) {
+			k.take(ctx, number)
+		}
+	}
+}
+
+// owns reports whether this process holds the shard, as far as the store told.
+func (k *Keeper) owns(held record) bool {
+	return held.revision > 0 && held.Address == k.config.Address && held.Process == k.config.Process
+}
+
+// Held returns how many shards the node holds.
+func (k *Keeper) Held() int {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	count := 0
+	for _, held := range k.shards {
+		if k.owns(held) {
+			count++
+		}
+	}
+	return count
+}
+
+// renew keeps the lease of the shards that the node holds.
+func (k *Keeper) renew(ctx context.Context) {
+	if k.lease == 0 || k.config.Now().Before(k.renewAt) || k.Held() == 0 {
+		return
+	}
+	began := k.config.Now()
+	k.renewAt = began.Add(renewAfter / 4)
+	left, err := k.config.Store.RenewLease(ctx, k.lease)
+	switch {
+	case errors.Is(err, store.ErrLeaseLost):
+		k.lose("the lease ended")
+	case err == nil:
+		k.until, k.renewAt = began.Add(left-holdMargin), began.Add(renewAfter)
+		k.extend()
+	}
+}
+
+// extend has the issuer hold what the lease covers.
+func (k *Keeper) extend() {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.stopped {
+		return
+	}
+	for number, held := range k.shards {
+		if k.owns(held) && held.lease == k.lease {
+			k.config.Issuer.Hold(number, held.since, k.until)
+		}
+	}
+}
+
+// lose notes that the store no longer holds the node's shards for it.
+func (k *Keeper) lose(reason string) {
+	k.lease = 0
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	for number, held := range k.shards {
+		if k.owns(held) {
+			k.config.Issuer.Release(number)
+			k.free(number)
+			k.changed(number, "lost", reason)
+		}
+	}
+}
+
+// mayTake reports whether the node knows its place among others for long enough.
+func (k *Keeper) mayTake() bool {
+	now := k.config.Now()
+	if _, known := k.config.Place(); !known || !k.config.Needed() {
+		k.eligible = time.Time{}
+		return false
+	}
+	if k.eligible.IsZero() {
+		k.eligible = now.Add(settleDelay)
+	}
+	return !now.Before(k.eligible)
+}
+
+// falls reports whether the node is to take the shard: an earlier process at its own address
+// holds it, or nobody does and no other node that comes first has taken it.
+func (k *Keeper) falls(number int, settled bool) bool {
+	place, _ := k.config.Place()
+	holds := k.Held()
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	held := k.shards[number]
+	if k.stopped || k.owns(held) || k.config.Now().Before(held.retryAt) {
+		return false
+	}
+	if held.revision > 0 && !held.released() {
+		return held.Address == k.config.Address
+	}
+	if !settled {
+		return false
+	}
+	delay := delayOf(place, number) + time.Duration(holds)*holdsDelay
+	since := held.since
+	if since.Before(k.eligible) {
+		since = k.eligible
+	}
+	return k.config.Now().Sub(since) >= delay
+}
+
+// delayOf returns how long the node at the place leaves a shard to others.
+func delayOf(place, number int) time.Duration {
+	distance := place - number
+	if distance < 0 {
+		distance += Shards
+	}
+	first, late := min(distance, takersFirst), max(distance-takersFirst, 0)
+	return time.Duration(first)*takeDelay + time.Duration(late)*lateTakeDelay
+}
+
+// take writes the node as the shard's holder, under its lease.
+func (k *Keeper) take(ctx context.Context, number int) {
+	if k.config.Now().After(k.until) {
+		k.lease = 0
+	}
+	if k.lease == 0 && !k.grant(ctx) {
+		return
+	}
+	k.mutex.Lock()
+	before := k.shards[number]
+	k.shards[number].retryAt = k.config.Now().Add(retryPause)
+	k.mutex.Unlock()
+	from := k.idleSince(before)
+	value := encode(holding{Address: k.config.Address, Process: k.config.Process})
+	revision, err := k.config.Store.CompareAndSwap(ctx, k.keyOf(number), before.revision, value, k.lease)
+	switch {
+	case err == nil:
+		k.note(number, store.Entry{Key: k.keyOf(number), Value: value, Revision: revision, Lease: k.lease})
+		k.mutex.Lock()
+		k.shards[number].since = from
+		k.mutex.Unlock()
+		k.extend()
+		k.changed(number, "held", "nobody held it")
+	case errors.Is(err, store.ErrLeaseLost):
+		k.lease = 0
+	case errors.Is(err, store.ErrUnknownOutcome):
+		k.read(ctx, number)
+	case errors.Is(err, store.ErrConflict):
+		// Another node has it: the copy of the store tells soon.
+		k.mutex.Lock()
+		k.shards[number].since = k.config.Now()
+		k.mutex.Unlock()
+	}
+}
+
+// idleSince returns the moment from which on nobody issued permits of a shard that the node
+// takes in place of what the record says. A shard that was free for long may have had a
+// holder meanwhile whose lease ended; one that was not has none that the swap doesn't find.
+func (k *Keeper) idleSince(before record) time.Time {
+	now := k.config.Now()
+	switch {
+	case before.revision > 0 && before.Address == k.config.Address:
+		return k.config.Started
+	case before.seen == 0 || now.Sub(before.since) >= shardTTL:
+		return now
+	}
+	return before.since
+}
+
+func encode(held holding) []byte {
+	value, err := cbor.Marshal(held)
+	if err != nil {
+		// A string and a number always have a form.
+		panic(err)
+	}
+	return value
+}
+
+// grant has the store grant the node's lease.
+func (k *Keeper) grant(ctx context.Context) bool {
+	began := k.config.Now()
+	lease, err := k.config.Store.GrantLease(ctx, shardTTL)
+	if err != nil {
+		return false
+	}
+	k.lease, k.until, k.renewAt = lease, began.Add(shardTTL-holdMargin), began.Add(renewAfter)
+	return true
+}
+
+// read reads who holds a shard.
+func (k *Keeper) read(ctx context.Context, number int) {
+	entry, err := k.config.Store.Get(ctx, k.keyOf(number))
+	switch {
+	case err == nil:
+		k.note(number, entry)
+		k.extend()
+	case errors.Is(err, store.ErrNotFound):
+		k.mutex.Lock()
+		k.free(number)
+		k.mutex.Unlock()
+	}
+}
+
+func (k *Keeper) changed(number int, outcome, reason string) {
+	k.config.Log.Record(eventlog.Event{Kind: eventlog.ShardChanged, Count: number, Outcome: outcome, Reason: reason})
+}
--- /dev/null
+++ b/internal/ratelimit/limiter.go
@@ -0,0 +1,230 @@
+package ratelimit
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/lugspur/lugspur/internal/routetable"
+)
+
+// Outcome is what was decided on a request.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Admitted requests have a permit, or need none.
+	Admitted Outcome = iota
+	// Reached means that the tenant has no permit left for the request.
+	Reached
+	// Unavailable means that no holder of a share could be asked.
+	Unavailable
+)
+
+// Decision is what was decided on a request.
+type Decision struct {
+	Outcome Outcome
+	// RetryAfter is when a permit is likely for a request that was not admitted.
+	RetryAfter time.Duration
+	// Asked is the number of holders that were asked for this request.
+	Asked int
+	// lapses is when the permit lapses, zero if none was needed.
+	lapses time.Time
+}
+
+// Holders tells which node holds each shard.
+type Holders interface {
+	// Holder returns the address of the node that holds the shard, false if none is known.
+	Holder(shard int) (address string, known bool)
+}
+
+// AskFunc asks the node at the address for permits.
+type AskFunc func(ctx context.Context, address string, ask *Ask) (*Grant, error)
+
+const (
+	// askTimeout bounds one ask. Answers take some milliseconds; a holder that is silent
+	// for longer is cut off or stopped, and the request can ask another.
+	askTimeout = 200 * time.Millisecond
+	// suspectedFor is how long a holder that didn't answer is not asked, by any tenant's
+	// requests: each ask of a silent holder holds requests up for askTimeout.
+	suspectedFor = time.Second
+	// unavailableDelay is the least that callers are told to wait where no holder can be
+	// asked, and twice that the most. A holder that was restarted is back in 1 s.
+	unavailableDelay = 500 * time.Millisecond
+)
+
+// Limiter decides at the node where requests begin. It is safe for concurrent use.
+type Limiter struct {
+	holders Holders
+	ask     AskFunc
+	now     func() time.Time
+
+	mutex sync.Mutex
+	pools map[string]*queue
+	// suspected tells until when holders are not asked.
+	suspected map[string]time.Time
+}
+
+// queue is the requests of a tenant that wait for permits.
+type queue struct {
+	pool
+	waiting []*waiter
+	// asking tells that a holder is being asked.
+	asking bool
+}
+
+type waiter struct {
+	// decided receives the decision.
+	decided chan Decision
+	asked   int
+}
+
+// NewLimiter returns a limiter without permits.
+func NewLimiter(holders Holders, ask AskFunc, now func() time.Time) *Limiter {
+	return &Limiter{holders: holders, ask: ask, now: now, pools: make(map[string]*queue), suspected: make(map[string]time.Time)}
+}
+
+// Admit decides on a request of the tenant. It may wait for the answer of a holder.
+func (l *Limiter) Admit(ctx context.Context, tenant *routetable.Tenant) Decision {
+	if !tenant.Limited() {
+		return Decision{}
+	}
+	decision, wait := l.admitNow(tenant.Name)
+	if wait == nil {
+		return decision
+	}
+	select {
+	case decision = <-wait.decided:
+	case <-ctx.Done():
+		// Its permit, if one comes, lapses.
+		decision = Decision{Outcome: Unavailable, RetryAfter: unavailableDelay}
+	}
+	return decision
+}
+
+// Return gives back the permit of a request that has not run and will not.
+func (l *Limiter) Return(tenant *routetable.Tenant, decision Decision) {
+	if decision.lapses.IsZero() {
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if q := l.pools[tenant.Name]; q != nil && decision.lapses.After(l.now()) {
+		q.add(1, decision.lapses)
+	}
+}
+
+// admitNow decides by what the node has and knows. Otherwise the request waits.
+func (l *Limiter) admitNow(tenant string) (Decision, *waiter) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	now := l.now()
+	q := l.pools[tenant]
+	if q == nil {
+		q = &queue{}
+		l.pools[tenant] = q
+	}
+	q.count(now)
+	if lapses, taken := q.take(now); taken {
+		return Decision{lapses: lapses}, nil
+	}
+	if _, open := q.open(now, l.askable(tenant, now)); !open {
+		return q.refusal(now, 0), nil
+	}
+	w := &waiter{decided: make(chan Decision, 1)}
+	q.waiting = append(q.waiting, w)
+	if !q.asking {
+		q.asking = true
+		go l.askFor(tenant, q)
+	}
+	return Decision{}, w
+}
+
+// askable returns which shares have holders that can be asked.
+func (l *Limiter) askable(tenant string, now time.Time) func(share int) bool {
+	return func(share int) bool {
+		address, known := l.holders.Holder(shardOf(tenant, share))
+		return known && !l.suspected[address].After(now)
+	}
+}
+
+// refusal is the decision on a request that finds no share open.
+func (q *queue) refusal(now time.Time, asked int) Decision {
+	at, closed := q.reopens(now)
+	if !closed {
+		return Decision{Outcome: Unavailable, RetryAfter: unavailableDelay + rand.N(unavailableDelay), Asked: asked}
+	}
+	wait := max(at.Sub(now), minAskPause)
+	return Decision{Outcome: Reached, RetryAfter: wait + rand.N(wait), Asked: asked}
+}
+
+// askFor asks one holder after the other until no request of the tenant waits.
+func (l *Limiter) askFor(tenant string, q *queue) {
+	for {
+		l.mutex.Lock()
+		now := l.now()
+		q.serve(now)
+		share, open := q.open(now, l.askable(tenant, now))
+		if !open {
+			q.refuse(now)
+		}
+		if len(q.waiting) == 0 {
+			q.asking = false
+			l.mutex.Unlock()
+			return
+		}
+		ask := &Ask{Share: share, Tenant: tenant, Needed: len(q.waiting), Ahead: q.ahead()}
+		address, _ := l.holders.Holder(shardOf(tenant, share))
+		for _, w := range q.waiting {
+			w.asked++
+		}
+		l.mutex.Unlock()
+		l.askHolder(q, address, ask)
+	}
+}
+
+// askHolder asks the holder of a share and takes what it answers.
+func (l *Limiter) askHolder(q *queue, address string, ask *Ask) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	asked := l.now()
+	grant, err := l.ask(ctx, address, ask)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if err != nil || !grant.Held {
+		l.suspect(address)
+		return
+	}
+	q.granted(ask.Share, grant, ask.Needed, asked, l.now())
+}
+
+// maxSuspected bounds the holders that are remembered as silent.
+const maxSuspected = 64
+
+func (l *Limiter) suspect(address string) {
+	if len(l.suspected) >= maxSuspected {
+		clear(l.suspected)
+	}
+	l.suspected[address] = l.now().Add(suspectedFor)
+}
+
+// serve gives permits to the requests that have waited longest.
+func (q *queue) serve(now time.Time) {
+	for len(q.waiting) > 0 {
+		lapses, taken := q.take(now)
+		if !taken {
+			return
+		}
+		q.waiting[0].decided <- Decision{lapses: lapses, Asked: q.waiting[0].asked}
+		q.waiting = q.waiting[1:]
+	}
+}
+
+// refuse refuses all that wait.
+func (q *queue) refuse(now time.Time) {
+	for _, w := range q.waiting {
+		w.decided <- q.refusal(now, w.asked)
+	}
+	q.waiting = nil
+}
--- a/internal/replica/verify.go
+++ b/internal/replica/verify.go
@@ -8,10 +8,11 @@
 
 const (
 	// verifyPlaceDelay is by how much later each node than the one before it in the order
-	// of watching verifies a copy itself. A verification takes some messages between nodes
-	// to reach the next one, of which a busy node exchanges hundreds a second.
-	verifyPlaceDelay    = 100 * time.Millisecond
-	maxVerifyPlaceDelay = 1200 * time.Millisecond
+	// of watching verifies a copy itself. A verification reaches the next one with messages
+	// of requests, which take some hundred milliseconds: with 100 ms, four nodes of a small
+	// fleet verified each second.
+	verifyPlaceDelay    = 250 * time.Millisecond
+	maxVerifyPlaceDelay = 2 * time.Second
 	// verifySpread keeps nodes that share a delay from asking together.
 	verifySpread = 100 * time.Millisecond
 	// verifyTimeout bounds the wait for one read: the store answers within milliseconds,
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -18,6 +18,8 @@
 	// tenants are found by their names, and holders by their keys.
 	tenants map[string]*Tenant
 	holders map[KeyDigest]*Tenant
+	// limited tells that a tenant has a limit.
+	limited bool
 	// withdrawn are keys that an earlier configuration knew and this one doesn't.
 	withdrawn map[KeyDigest]bool
 }
@@ -35,6 +37,7 @@
 	for i := range configuration.Tenants {
 		tenant := &configuration.Tenants[i]
 		t.tenants[tenant.Name] = tenant
+		t.limited = t.limited || tenant.Limited()
 		for _, key := range tenant.Keys {
 			t.holders[key] = tenant
 		}
@@ -66,12 +69,12 @@
 // HasTenants reports whether requests to routes that are not public need a key.
 func (t *Table) HasTenants() bool { return len(t.tenants) > 0 }
 
+// HasLimits reports whether any tenant has a limit.
+func (t *Table) HasLimits() bool { return t.limited }
+
 // Tenant returns a tenant by its name, nil if there is none.
 func (t *Table) Tenant(name string) *Tenant { return t.tenants[name] }
 
-// Tenants returns all tenants by their names. The result must not be changed.
-func (t *Table) Tenants() map[string]*Tenant { return t.tenants }
-
 // HolderOf returns the tenant that holds an API key, nil if none does.
 func (t *Table) HolderOf(key string) *Tenant { return t.holders[DigestKey(key)] }
 
--- a/internal/sidecar/copies.go
+++ b/internal/sidecar/copies.go
@@ -23,6 +23,7 @@
 	purposeOwnRecord     store.Purpose = "own-record"
 	purposeDeparture     store.Purpose = "departure"
 	purposeQuarantine    store.Purpose = "quarantine"
+	purposeShards        store.Purpose = "shards"
 )
 
 const (
@@ -104,16 +105,11 @@
 	}, c.configuration, c.records)
 }
 
-// hasTenants reports whether requests need keys.
-func (n *Node) hasTenants() bool {
-	table := n.routes.Current()
-	return table != nil && table.HasTenants()
-}
-
 func (n *Node) recordsChanged(entries []store.Entry, source string) {
 	n.directory.Change(entries, source)
 	n.registrar.Change(entries)
 	n.suspects.Change(entries)
+	n.limits.keeper.Change(entries)
 }
 
 func (n *Node) askPeer(ctx context.Context, address string, query *replica.Query) (*replica.Answer, error) {
--- a/internal/sidecar/gauges.go
+++ b/internal/sidecar/gauges.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"github.com/lugspur/lugspur/internal/clock"
 	"github.com/lugspur/lugspur/internal/replica"
 	"github.com/lugspur/lugspur/internal/shed"
 )
@@ -17,6 +18,8 @@
 		{"configuration_copy_age_seconds", "Time since the copy of the configuration was known to be current.", func() float64 { return ageOf(n.copies.configuration) }},
 		{"records_copy_age_seconds", "Time since the copy of the records was known to be current.", func() float64 { return ageOf(n.copies.records) }},
 		{"store_watched", "Whether the node is one of those that watch the store, 1 or 0.", func() float64 { return truth(n.copies.keepRecords.Watches()) }},
+		{"configuration_verified_age_seconds", "Time since a read of the store began by which the configuration is known to be current; API keys rest on it.", func() float64 { return verifiedAgeOf(n.copies.configuration) }},
+		{"limit_shards_held", "Shards of tenants' limits that the node holds.", func() float64 { return float64(n.limits.keeper.Held()) }},
 		{"homes_known", "Homes with a ready target that the node knows.", func() float64 { return float64(n.directory.Count()) }},
 		{"homes_suspected", "Homes that are passed over.", func() float64 { return float64(n.forwarder.Suspected()) }},
 		{"requests_quarantined", "Requests that are refused as targets crash under them.", func() float64 { return float64(n.suspects.Quarantined()) }},
@@ -42,6 +45,15 @@
 	return age.Seconds()
 }
 
+// verifiedAgeOf is negative for a copy that was never verified.
+func verifiedAgeOf(held *replica.Copy) float64 {
+	verified := held.VerifiedAt()
+	if verified.IsZero() {
+		return -1
+	}
+	return clock.Since(verified).Seconds()
+}
+
 func truth(holds bool) float64 {
 	if holds {
 		return 1
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -15,6 +15,7 @@
 	"github.com/lugspur/lugspur/internal/eventlog"
 	"github.com/lugspur/lugspur/internal/forward"
 	"github.com/lugspur/lugspur/internal/peering"
+	"github.com/lugspur/lugspur/internal/problem"
 )
 
 const (
@@ -39,6 +40,8 @@
 	waited   *prometheus.HistogramVec
 	ran      *prometheus.HistogramVec
 
+	tenants *tenantCounter
+
 	mutex  sync.Mutex
 	routes map[string]bool
 }
@@ -79,9 +82,10 @@
 			Help:      "Time that calls spent at the target, by outcome.",
 			Buckets:   buckets,
 		}, []string{"outcome"}),
-		routes: make(map[string]bool),
+		tenants: newTenantCounter(),
+		routes:  make(map[string]bool),
 	}
-	m.registry.MustRegister(m.requests, m.duration, m.calls, m.sent, m.waited, m.ran, &eventCollector{log: log})
+	m.registry.MustRegister(m.tenants.requests, m.requests, m.duration, m.calls, m.sent, m.waited, m.ran, &eventCollector{log: log})
 	return m
 }
 
@@ -92,6 +96,9 @@
 	m.duration.WithLabelValues(route, strconv.FormatBool(reason == "")).Observe(duration.Seconds())
 }
 
+// Identified counts what was decided by the API key and the limit of a tenant.
+func (m *metrics) Identified(tenant string, reason problem.Reason) { m.tenants.count(tenant, reason) }
+
 // Counted counts what the retry budget of a service counted.
 func (m *metrics) Counted(service string, kind forward.BudgetEvent, cause peering.Reason) {
 	m.sent.WithLabelValues(service, kind.String(), string(cause)).Inc()
--- a/internal/sidecar/metrics_test.go
+++ b/internal/sidecar/metrics_test.go
@@ -38,6 +38,7 @@
 // page.
 func TestThePageListsEveryMetric(t *testing.T) {
 	n := newTestNode(t)
+	n.metrics.Identified("tenant", "")
 	n.metrics.Finished("r", 200, "", time.Second)
 	n.metrics.Ended(peering.Answered, "", time.Millisecond, time.Second)
 	n.metrics.Counted("s", forward.FirstSent, "")
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -85,6 +85,7 @@
 	sources   routepolicy.Sources
 	levels    *pressure.Levels
 	suspects  *quarantine.Quarantine
+	limits    limits
 	forwarder *forward.Forwarder
 	servers   []*http.Server
 	stopping  atomic.Bool
@@ -105,6 +106,7 @@
 	n.feed = configfeed.New(platform.ConfigurationKey, platform.Configuration, n.routes, n.log, clock.Now)
 	n.directory = registry.NewDirectory(platform.HomesPrefix, settings.advertised(), n.log, clock.Now)
 	n.provisionCopies()
+	n.provisionLimits()
 	n.levels = pressure.New(clock.Now)
 	n.suspects = n.newQuarantine()
 	n.guard = guard.New(guard.Config{
@@ -197,6 +199,7 @@
 		Levels:     n.levels,
 		Quarantine: n.suspects,
 		Keys:       apikey.NewChecker(n.routes, n.copies.configuration, n.settings.Tenants.revoke()),
+		Limits:     n.limits.limiter,
 		Peers:      n.peers,
 		Observer:   n.metrics,
 		Log:        n.log,
@@ -260,7 +263,7 @@
 func (n *Node) tasks() []func(context.Context) {
 	return []func(context.Context){
 		n.copies.keepConfiguration.Run, n.copies.keepRecords.Run, n.copies.spread.Run, n.copies.verify.Run,
-		n.directory.Run, n.registrar.Run, n.guard.Watch, n.forwarder.Run, n.calls.run, n.suspects.Run,
+		n.directory.Run, n.registrar.Run, n.guard.Watch, n.forwarder.Run, n.calls.run, n.suspects.Run, n.limits.keeper.Run,
 	}
 }
 
@@ -271,7 +274,7 @@
 		handler http.Handler
 	}{
 		{n.settings.Listen.Calls, n.forwarder},
-		{n.settings.Listen.Peers, peering.Handler(n.guard, n.copies.spread, n.suspects, n.codec, maxMessageBytes, n.process)},
+		{n.settings.Listen.Peers, peering.Handler(n.peerServices())},
 		{n.settings.Listen.Ready, platform.ReadyHandler(n.ready)},
 		{n.settings.Listen.Heartbeats, platform.HeartbeatHandler(n.registrar)},
 		{n.settings.Listen.Metrics, n.metrics.handler()},
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -12,6 +12,7 @@
 	"github.com/pelletier/go-toml/v2"
 	"github.com/samber/oops"
 
+	"github.com/lugspur/lugspur/internal/ratelimit"
 	"github.com/lugspur/lugspur/internal/routepolicy"
 )
 
@@ -105,6 +106,11 @@
 	return time.Duration(s.RevokeSeconds * float64(time.Second))
 }
 
+func (s *TenantSettings) bounds() ratelimit.Bounds {
+	window := time.Duration(s.WindowSeconds * float64(time.Second))
+	return ratelimit.Bounds{Window: window, Overshoot: s.Overshoot, Slack: s.Slack}
+}
+
 // Defaults of settings.
 const (
 	DefaultGraceSeconds   = 6.0
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -36,6 +36,7 @@
 	n.stopping.Store(true)
 	n.guard.Stop()
 	n.forwarder.Stop()
+	n.running.Go(n.releaseShards)
 	end := started.Add(n.settings.grace() - stopMargin)
 	admission := started.Add(min(admitFor, n.settings.grace()/2))
 	for clock.Now().Before(admission) {
@@ -53,6 +54,13 @@
 	n.log.Record(eventlog.Event{Kind: eventlog.ProcessStopped, Count: n.inFlight()})
 }
 
+// releaseShards gives up the node's shards of tenants' limits.
+func (n *Node) releaseShards() {
+	ctx, cancel := context.WithTimeout(context.Background(), admitFor)
+	defer cancel()
+	n.limits.keeper.Stop(ctx)
+}
+
 // endAdmission refuses requests that may not end in time, and further calls to the
 // target. While the store is away it still admits those calls that are sure to end
 // in time, and reports that the node is to serve on until its end: the process that
