A resumed call whose caller leaves is always withdrawn

Cause: TestACallerThatLeavesWithdrawsAResumedCall failed once in a run beside busy processes. Traced with prints in a scratch copy (1 of 24 runs beside load, also on the program before): the context of the resumption ended, its exchange returned, and by returning took back the registration that was to withdraw the run, before it had run. The run went on though nobody waited. Change: the exchange withdraws the run itself when its caller has left. Conclusion: mended.

--- a/internal/peering/resume_test.go
+++ b/internal/peering/resume_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"net/http/httptrace"
 	"net/textproto"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -291,3 +292,35 @@
 	assert.Equal(t, table.keptBytes, 0)
 	assert.Equal(t, len(table.exchanges), 1)
 }
+
+// TestEachCallerThatLeavesWithdrawsAResumedCall repeats what one in 24 runs of the test above
+// showed beside busy processes: the caller's connection had ended, and the run went on.
+// Order of events: the end of the context wakes the exchange that waits for the reply
+// before it runs what was registered for its end; the exchange returns, and by returning
+// takes the registration back, which was what withdraws the run.
+func TestEachCallerThatLeavesWithdrawsAResumedCall(t *testing.T) {
+	for range 3000 {
+		home := &slowHome{takes: time.Minute, began: make(chan struct{}, 1)}
+		s := &server{Services: Services{Home: home, Spread: newFakeSpread(1), Codec: testCodec, Process: testProcess}, exchanges: newExchangeTable(time.Now)}
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			s.answer(context.Background(), &Call{From: "a", RequestID: "x", Process: testProcess})
+		}()
+		<-home.began
+		ctx, cancel := context.WithCancel(context.Background())
+		left := make(chan struct{})
+		go func() {
+			defer close(left)
+			s.answer(ctx, &Call{From: "a", RequestID: "x", Process: testProcess, Resumed: true})
+		}()
+		runtime.Gosched()
+		cancel()
+		<-left
+		select {
+		case <-ended:
+		case <-time.After(5 * time.Second):
+			t.Fatal("the run goes on")
+		}
+	}
+}
--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -99,6 +99,8 @@
 	select {
 	case <-exchange.done:
 	case <-ctx.Done():
+		// The registration above may not have run, and ends with this function.
+		exchange.cancel()
 		return nil, false
 	}
 	if reply = s.exchanges.reply(exchange); reply == nil {
