A hold that lapsed begins with what its bucket gained since

Cause: found in reading: where the store is away for longer than a hold lasts and keeps the lease meanwhile, the holder went on with a shard whose buckets counted from the moment at which it had taken it, and so were full, though it had issued until the hold lapsed: up to a burst too much for a tenant that sends more than its limit. Ruled out: other ways to a shard (a restart counts from the process's start, a lost lease from when that was seen). Change: the buckets count from the end of the hold before. Figures: TestAHoldThatLapsedBeginsWithWhatItGainedSince fails without the change (25 permits in place of 5).

--- a/internal/ratelimit/issuer.go
+++ b/internal/ratelimit/issuer.go
@@ -41,6 +41,10 @@
 	defer i.mutex.Unlock()
 	held := i.shards[number]
 	if held == nil || !i.now().Before(held.until) {
+		if held != nil && from.Before(held.until) {
+			// The node itself issued until then.
+			from = held.until
+		}
 		held = &shard{since: from, buckets: make(map[string]*bucket)}
 		i.shards[number] = held
 	}
--- a/internal/ratelimit/limiter_test.go
+++ b/internal/ratelimit/limiter_test.go
@@ -199,3 +199,22 @@
 	h.issuer.Release(shardOf("tenant", 0))
 	assert.Assert(t, !h.issuer.Issue(&Ask{Tenant: "tenant", Needed: 1}).Held)
 }
+
+// TestAHoldThatLapsedBeginsWithWhatItGainedSince has the store be away for longer than a hold
+// lasts, while the tenant takes all that there is, and keep the holder's lease meanwhile:
+// the holder goes on with the shard that it had. Found in reading: the bucket began full, as
+// if nothing had been issued since the node took the shard.
+func TestAHoldThatLapsedBeginsWithWhatItGainedSince(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		issuer := NewIssuer(testBounds, func(string) *routetable.Tenant { return testTenant }, time.Now)
+		taken := time.Now()
+		number := shardOf(testTenant.Name, 0)
+		issuer.Hold(number, taken, taken.Add(6*time.Second))
+		time.Sleep(6*time.Second - time.Millisecond)
+		ask := &Ask{Tenant: testTenant.Name, Needed: 1000}
+		assert.Equal(t, issuer.Issue(ask).Issued, 25)
+		time.Sleep(201 * time.Millisecond)
+		issuer.Hold(number, taken, time.Now().Add(6*time.Second))
+		assert.Equal(t, issuer.Issue(ask).Issued, 5, "a quarter of 100 a second, in 0.2 s")
+	})
+}
