--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -264,7 +264,7 @@
 func (n *Node) tasks() []func(context.Context) {
 	return []func(context.Context){
 		n.copies.keepConfiguration.Run, n.copies.keepRecords.Run, n.copies.spread.Run, n.copies.verify.Run,
-		n.directory.Run, n.registrar.Run, n.guard.Watch, n.forwarder.Run, n.calls.run, n.suspects.Run, n.limits.keeper.Run, n.tuneMemory,
+		n.directory.Run, n.registrar.Run, n.guard.Watch, n.forwarder.Run, n.calls.run, n.suspects.Run, n.limits.keeper.Run,
 	}
 }
 
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -29,13 +29,12 @@
 	Store string `toml:"store"`
 	// FirstStart tells that the whole system starts for the first time, so that
 	// nothing was acknowledged before.
-	FirstStart bool            `toml:"first-start"`
-	Listen     Listen          `toml:"listen"`
-	Process    ProcessSettings `toml:"process"`
-	Stop       StopSettings    `toml:"stop"`
-	Retries    RetrySettings   `toml:"retries"`
-	Queue      QueueSettings   `toml:"queue"`
-	Tenants    TenantSettings  `toml:"tenants"`
+	FirstStart bool           `toml:"first-start"`
+	Listen     Listen         `toml:"listen"`
+	Stop       StopSettings   `toml:"stop"`
+	Retries    RetrySettings  `toml:"retries"`
+	Queue      QueueSettings  `toml:"queue"`
+	Tenants    TenantSettings `toml:"tenants"`
 	// Policies decide on requests, one for each kind of route.
 	Policies routepolicy.Sources `toml:"policies"`
 }
@@ -60,12 +59,6 @@
 	Metrics string `toml:"metrics"`
 }
 
-// ProcessSettings tell what the process may use.
-type ProcessSettings struct {
-	// MemoryMB is the memory that the process may use, in MB; 0 means that it is not known.
-	MemoryMB int `toml:"memory-mb"`
-}
-
 // StopSettings bound a planned stop.
 type StopSettings struct {
 	// GraceSeconds is the time from the signal to stop until the process is killed.
@@ -179,7 +172,6 @@
 		address("listen.heartbeats", s.Listen.Heartbeats),
 		optionalAddress("listen.permits", s.Listen.Permits),
 		optionalAddress("listen.metrics", s.Listen.Metrics),
-		between("process.memory-mb", float64(s.Process.MemoryMB), 0, 1<<20),
 		between("stop.grace-seconds", s.Stop.GraceSeconds, 0.5, 600),
 		between("retries.budget-ratio", s.Retries.BudgetRatio, 0, 1),
 		between("retries.window-seconds", s.Retries.WindowSeconds, 0.1, 3600),
