Sight: the store's epoch, and entries that a copy passes over

Cause: the record of the incident can't tell which of three hypotheses holds: no line says that the store went back, with which revision an entry was read, or that it was read and not taken. Ruled out: counts of refused watches alone; they show that watches are refused, not what became of the lists that followed. Change: the store's answers name its epoch; a tracker logs each rise (store-restored). A list that tells an entry with a lower revision and another value than a copy holds is logged (entry-passed-over). Gauges of the epoch, of its rises and of how far each copy reaches. Nothing decides by them. Before and after: no change of what is decided; tests of the packages pass.

--- a/internal/replica/copy.go
+++ b/internal/replica/copy.go
@@ -9,6 +9,7 @@
 package replica
 
 import (
+	"bytes"
 	"context"
 	"sync"
 	"time"
@@ -66,6 +67,10 @@
 	// staleAfter is the age from which the copy is not taken to be current.
 	staleAfter time.Duration
 
+	// passedOver is told entries of lists that were not taken because the copy holds a
+	// higher revision with another value; it may be nil.
+	passedOver func(told, held store.Entry)
+
 	// applying is held while changes are taken and told.
 	applying sync.Mutex
 
@@ -100,6 +105,11 @@
 	return &Copy{now: now, changed: changed, staleAfter: staleAfter, entries: make(map[string]store.Entry)}
 }
 
+// OnPassedOver has a function be told entries that a list of the store held and that were
+// not taken, as the copy holds a higher revision. It is set before the copy is used and must
+// not call the copy.
+func (c *Copy) OnPassedOver(passedOver func(told, held store.Entry)) { c.passedOver = passedOver }
+
 // Filled reports whether the copy was ever complete.
 func (c *Copy) Filled() bool {
 	c.mutex.Lock()
@@ -183,6 +193,7 @@
 		present := make(map[string]bool, len(snapshot.Entries))
 		for _, entry := range snapshot.Entries {
 			present[entry.Key] = true
+			c.notePassedOver(entry)
 			if entry.Revision <= snapshot.Revision {
 				through = max(through, entry.Revision)
 			}
@@ -203,6 +214,13 @@
 	})
 }
 
+func (c *Copy) notePassedOver(told store.Entry) {
+	held, found := c.entries[told.Key]
+	if c.passedOver != nil && found && told.Revision < held.Revision && !bytes.Equal(told.Value, held.Value) {
+		c.passedOver(told, held)
+	}
+}
+
 // takeEvents takes changes that a watch told. The copy held all earlier ones.
 func (c *Copy) takeEvents(events []store.Entry, progress store.Revision) {
 	c.apply(SourceStore, func() []store.Entry {
--- a/internal/sidecar/copies.go
+++ b/internal/sidecar/copies.go
@@ -12,6 +12,7 @@
 	"github.com/lugspur/lugspur/internal/registry"
 	"github.com/lugspur/lugspur/internal/replica"
 	"github.com/lugspur/lugspur/internal/store"
+	"github.com/lugspur/lugspur/internal/store/epoch"
 	"github.com/lugspur/lugspur/internal/store/reachability"
 	"github.com/lugspur/lugspur/platform"
 )
@@ -68,10 +69,22 @@
 func (n *Node) provisionStore() {
 	n.calls = newStoreCalls(n.log)
 	n.metrics.registry.MustRegister(n.calls)
-	n.store = platform.NewStore(n.settings.Store, recordsWait, n.calls)
+	n.epochs = epoch.NewTracker()
+	n.epochs.OnChange(n.epochChanged)
+	n.store = platform.NewStore(n.settings.Store, recordsWait, n.calls, n.epochs)
 	n.gate = reachability.NewGate(n.probePause, gateLog{n.log}, clock.Now)
 }
 
+// epochChanged notes that the store came back from a copy.
+func (n *Node) epochChanged(change epoch.Change) {
+	n.log.Record(eventlog.Event{Kind: eventlog.StoreRestored, Peer: change.Source, Previous: uint64(change.From), Version: uint64(change.To)})
+}
+
+// passedOver notes that the store told less than a copy holds.
+func (n *Node) passedOver(told, held store.Entry) {
+	n.log.Record(eventlog.Event{Kind: eventlog.EntryPassedOver, Peer: told.Key, Version: uint64(told.Revision), Previous: uint64(held.Revision)})
+}
+
 // probePause bounds the pauses between probes of a store that doesn't answer.
 func (n *Node) probePause() time.Duration {
 	if n.copies.keepRecords.Watches() {
@@ -85,6 +98,8 @@
 	c := &n.copies
 	c.configuration = replica.NewCopy(configurationStale, n.feed.Change, clock.Now)
 	c.records = replica.NewCopy(recordsStale, n.recordsChanged, clock.Now)
+	c.configuration.OnPassedOver(n.passedOver)
+	c.records.OnPassedOver(n.passedOver)
 	configurationFirst, recordsFirst := configurationDelay, time.Duration(0)
 	if n.settings.FirstStart {
 		recordsFirst = firstStartDelay + rand.N(firstStartSpread)
--- a/internal/sidecar/gauges.go
+++ b/internal/sidecar/gauges.go
@@ -15,6 +15,10 @@
 		{"configuration_version", "Version of the configuration in force.", func() float64 { return float64(n.routes.Version()) }},
 		{"configuration_age_seconds", "Time since the configuration came into force here.", func() float64 { return n.feed.Age().Seconds() }},
 		{"store_reachable", "Whether the store answered the last time, 1 or 0.", func() float64 { return truth(n.gate.Reachable()) }},
+		{"store_epoch", "Epoch of the store, which rises each time that it comes back from a copy.", func() float64 { return float64(n.epochs.Current()) }},
+		{"store_restores", "Times that the store came back from a copy since the process started.", func() float64 { return float64(n.epochs.Changes()) }},
+		{"configuration_copy_revision", "Revision up to which the copy of the configuration is complete.", func() float64 { return revisionOf(n.copies.configuration) }},
+		{"records_copy_revision", "Revision up to which the copy of the records is complete.", func() float64 { return revisionOf(n.copies.records) }},
 		{"configuration_copy_age_seconds", "Time since the copy of the configuration was known to be current.", func() float64 { return ageOf(n.copies.configuration) }},
 		{"records_copy_age_seconds", "Time since the copy of the records was known to be current.", func() float64 { return ageOf(n.copies.records) }},
 		{"store_watched", "Whether the node is one of those that watch the store, 1 or 0.", func() float64 { return truth(n.copies.keepRecords.Watches()) }},
@@ -36,6 +40,8 @@
 	}
 }
 
+func revisionOf(held *replica.Copy) float64 { return float64(held.Digest().Through) }
+
 // ageOf is negative for a copy that was never current.
 func ageOf(held *replica.Copy) float64 {
 	age, known := held.Age()
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -26,6 +26,7 @@
 	"github.com/lugspur/lugspur/internal/retrybudget"
 	"github.com/lugspur/lugspur/internal/routepolicy"
 	"github.com/lugspur/lugspur/internal/routetable"
+	"github.com/lugspur/lugspur/internal/store/epoch"
 	"github.com/lugspur/lugspur/internal/store/reachability"
 	"github.com/lugspur/lugspur/internal/version"
 	"github.com/lugspur/lugspur/platform"
@@ -72,6 +73,7 @@
 	store     *platform.Store
 	calls     *storeCalls
 	gate      *reachability.Gate
+	epochs    *epoch.Tracker
 	copies    copies
 	routes    *routetable.Holder
 	feed      *configfeed.Feed
--- a/internal/sidecar/quarantine.go
+++ b/internal/sidecar/quarantine.go
@@ -8,6 +8,7 @@
 	"github.com/lugspur/lugspur/internal/fingerprint"
 	"github.com/lugspur/lugspur/internal/quarantine"
 	"github.com/lugspur/lugspur/internal/store"
+	"github.com/lugspur/lugspur/internal/store/epoch"
 	"github.com/lugspur/lugspur/platform"
 )
 
@@ -33,5 +34,5 @@
 }
 
 func operatorStore(address string) store.Store {
-	return platform.NewStore(address, recordsWait, nil).For(purposeOperator)
+	return platform.NewStore(address, recordsWait, nil, epoch.NewTracker()).For(purposeOperator)
 }
--- /dev/null
+++ b/internal/store/epoch/epoch.go
@@ -0,0 +1,66 @@
+// Package epoch holds which epoch of the store a process knows of. Every answer of the
+// store names its epoch, and peers tell theirs with how far their copies reach.
+package epoch
+
+import (
+	"sync"
+
+	"github.com/lugspur/lugspur/internal/store"
+)
+
+// Change is that the store came back from a copy.
+type Change struct {
+	From, To store.Epoch
+	// Source is who told, the store or a peer.
+	Source string
+}
+
+// Tracker holds the newest epoch that was heard of. It is safe for concurrent use.
+type Tracker struct {
+	mutex     sync.Mutex
+	current   store.Epoch
+	known     bool
+	changes   int
+	listeners []func(Change)
+}
+
+// NewTracker returns a tracker that knows no epoch.
+func NewTracker() *Tracker { return &Tracker{} }
+
+// OnChange has a function be told of each change, in order. Functions are added before
+// the first epoch is observed, must not block, and must not observe epochs.
+func (t *Tracker) OnChange(listener func(Change)) { t.listeners = append(t.listeners, listener) }
+
+// Current returns the newest epoch, zero if none is known.
+func (t *Tracker) Current() store.Epoch {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.current
+}
+
+// Changes returns how often the epoch changed since the process started.
+func (t *Tracker) Changes() int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.changes
+}
+
+// Observe takes an epoch that a source named and returns the newest that is known. The
+// first one that a process hears of is no change.
+func (t *Tracker) Observe(heard store.Epoch, source string) store.Epoch {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.known && heard <= t.current {
+		return t.current
+	}
+	change := Change{From: t.current, To: heard, Source: source}
+	first := !t.known
+	t.current, t.known = heard, true
+	if !first {
+		t.changes++
+		for _, tell := range t.listeners {
+			tell(change)
+		}
+	}
+	return t.current
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -98,3 +98,8 @@
 	// RevokeLease ends a lease and removes its keys.
 	RevokeLease(ctx context.Context, lease LeaseID) error
 }
+
+// Epoch numbers the lives of the store's content. It rises by one each time that the
+// store comes back from a copy of an earlier state: revisions and leases that it gave out
+// since the copy was made are gone, and it gives out the same numbers again.
+type Epoch uint32
