--- a/internal/store/memory/memory.go
+++ b/internal/store/memory/memory.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
@@ -26,6 +27,7 @@
 // Store implements store.Store. It is safe for concurrent use.
 type Store struct {
 	versions *mvcc.Store
+	epoch    atomic.Uint32
 }
 
 var _ store.Store = (*Store)(nil)
@@ -35,6 +37,24 @@
 	return &Store{versions: mvcc.New(mvcc.Config{Now: now})}
 }
 
+// Backup is a copy of what the store held at one moment.
+type Backup = mvcc.Backup
+
+// Backup copies what the store holds now.
+func (s *Store) Backup() *Backup { return s.versions.Backup() }
+
+// Restore has the store come back from a copy, in the next epoch.
+func (s *Store) Restore(backup *Backup) {
+	s.epoch.Add(1)
+	s.versions.Restore(backup)
+}
+
+// Epoch returns the store's epoch, which begins at zero.
+func (s *Store) Epoch() store.Epoch { return store.Epoch(s.epoch.Load()) }
+
+// Newest returns the newest revision.
+func (s *Store) Newest() store.Revision { return s.versions.Revision() }
+
 // Get implements store.Store.
 func (s *Store) Get(ctx context.Context, key string) (store.Entry, error) {
 	if err := alive(ctx, "get"); err != nil {
--- a/lab/platformstub/store.go
+++ b/lab/platformstub/store.go
@@ -33,10 +33,26 @@
 	Forgotten bool
 }
 
+// Held is what a stand-in serves.
+type Held interface {
+	store.Store
+	// Epoch returns how often what is held came back from a copy, and Newest the newest
+	// revision.
+	Epoch() store.Epoch
+	Newest() store.Revision
+}
+
+// epochHeader names the store's epoch in each answer.
+const epochHeader = "Store-Era"
+
 // Store is the stand-in of the metadata store. It serves what lies in another
 // store in the platform's manner.
 type Store struct {
-	held store.Store
+	held Held
+
+	// serving is held by calls that are carried out, but for watches, and by a change of
+	// what is held, so that each answer names the epoch of what it tells.
+	serving sync.RWMutex
 
 	mutex  sync.Mutex
 	faults Faults
@@ -44,7 +60,7 @@
 }
 
 // NewStore returns a stand-in that serves the store.
-func NewStore(held store.Store) *Store { return &Store{held: held, calls: make(map[string]int)} }
+func NewStore(held Held) *Store { return &Store{held: held, calls: make(map[string]int)} }
 
 // SetFaults puts faults in force.
 func (s *Store) SetFaults(faults Faults) {
@@ -60,6 +76,13 @@
 	return s.calls[path]
 }
 
+// Between changes what is held between two calls.
+func (s *Store) Between(change func()) {
+	s.serving.Lock()
+	defer s.serving.Unlock()
+	change()
+}
+
 func (s *Store) count(path string) Faults {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -125,6 +148,11 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		path := "/" + strings.SplitN(r.URL.Path, "/", 3)[1]
 		faults := s.count(path)
+		if path != "/kv-watch" {
+			s.serving.RLock()
+			defer s.serving.RUnlock()
+		}
+		w.Header().Set(epochHeader, strconv.FormatUint(uint64(s.held.Epoch()), 10))
 		switch {
 		case faults.Down:
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -233,6 +261,11 @@
 func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
+	begun := w.Header().Get(epochHeader)
+	if store.Revision(after) > s.held.Newest() {
+		fail(w, store.ErrCompacted)
+		return
+	}
 	wait, _ := strconv.Atoi(query.Get("wait-ms"))
 	ctx, cancel := context.WithTimeout(r.Context(), min(time.Duration(wait)*time.Millisecond, maxWatchWait))
 	defer cancel()
@@ -241,6 +274,10 @@
 		fail(w, err)
 		return
 	}
+	if strconv.FormatUint(uint64(s.held.Epoch()), 10) != begun {
+		// The store was away meanwhile, and its connections with it.
+		panic(http.ErrAbortHandler)
+	}
 	write(w, answer)
 }
 
--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -13,7 +13,6 @@
 
 	"github.com/samber/oops"
 
-	"github.com/lugspur/lugspur/internal/store"
 	"github.com/lugspur/lugspur/internal/store/memory"
 	"github.com/lugspur/lugspur/lab/cluster"
 	"github.com/lugspur/lugspur/lab/faultproxy"
@@ -38,7 +37,7 @@
 // deployment is the store, its proxies and the machines.
 type deployment struct {
 	config   Config
-	held     store.Store
+	held     *memory.Store
 	stub     *platformstub.Store
 	server   *http.Server
 	storeAt  string
--- a/test/platform_fixture_test.go
+++ b/test/platform_fixture_test.go
@@ -28,7 +28,7 @@
 // beside a target.
 type platform struct {
 	t        *testing.T
-	held     store.Store
+	held     *memory.Store
 	stub     *platformstub.Store
 	address  string
 	logs     string
