--- a/internal/claim/manager.go
+++ b/internal/claim/manager.go
@@ -236,7 +236,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = m.config.Store.CompareAndSwap(ctx, RosterKey, expected, body, 0)
+	_, err = m.config.Store.CompareAndSwap(ctx, RosterKey, expected, body, store.NoLease)
 	if errors.Is(err, store.ErrConflict) {
 		return nil // another node was faster
 	}
--- a/internal/configuration/writer.go
+++ b/internal/configuration/writer.go
@@ -136,7 +136,7 @@
 	uncertain := false
 	pause := newBackoff(minWritePause, maxWritePause)
 	for {
-		revision, err := w.store.CompareAndSwap(ctx, key, base.Revision, encoded, 0)
+		revision, err := w.store.CompareAndSwap(ctx, key, base.Revision, encoded, store.NoLease)
 		switch {
 		case err == nil:
 			return w.accept(encoded, revision)
--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -24,6 +24,7 @@
 	DependencyRegained
 	StoreRestored
 	EntryPassedOver
+	RecordRewritten
 	ConfigurationTaken
 	ConfigurationRejected
 	TargetChanged
@@ -88,6 +89,7 @@
 	DependencyRegained:    {"dependency-regained", belief, "peer answers again; age is how long it did not"},
 	StoreRestored:         {"store-restored", belief, "the store came back from a copy of an earlier state; version is its epoch, previous the one before, peer who told"},
 	EntryPassedOver:       {"entry-passed-over", belief, "a list of the store told the entry that peer names with revision version, and the copy goes on with revision previous, which it takes to be newer"},
+	RecordRewritten:       {"record-rewritten", belief, "what the node had written, or knew of target, was lost as the store came back from a copy and is written again; outcome says what became of it"},
 	ConfigurationTaken:    {"configuration-taken", belief, "version is in force from now on; previous was before; peer is where it came from"},
 	ConfigurationRejected: {"configuration-rejected", belief, "a configuration from peer was not taken; reason says why"},
 	TargetChanged:         {"target-changed", belief, "the target beside the node is now in state outcome, or takes connections no longer (unreachable) or again (reachable); version is its heartbeat's sequence number"},
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -68,7 +68,7 @@
 }
 
 func (s *fakeSpread) Answer(query *replica.Query) *replica.Answer {
-	items := []replica.Item{{Key: "k", Value: []byte("document"), Revision: 4, Lease: 6}, {Key: "gone", Revision: 5, Deleted: true}}
+	items := []replica.Item{{Key: "k", Value: []byte("document"), Revision: 4, Lease: store.LeaseID{Number: 6}}, {Key: "gone", Revision: 5, Deleted: true}}
 	return &replica.Answer{Deltas: []replica.Delta{{Digest: query.Digests[0], Whole: true, Items: items}}}
 }
 
@@ -184,16 +184,16 @@
 // document: the reply tells so, and the node fetches it.
 func TestACallBringsWhatTheCallerLacks(t *testing.T) {
 	source := memory.New(time.Now)
-	_, err := source.CompareAndSwap(t.Context(), "k", 0, []byte("document"), 0)
+	_, err := source.CompareAndSwap(t.Context(), "k", 0, []byte("document"), store.NoLease)
 	assert.NilError(t, err)
-	server := httptest.NewServer(Handler(Services{Home: &echoHome{}, Spread: replica.NewSpread(replica.SpreadConfig{Address: "peer", Now: time.Now}, copyOf(t, source)), Codec: testCodec, MaxBytes: testBound, Process: testProcess}))
+	server := httptest.NewServer(Handler(Services{Home: &echoHome{}, Spread: replica.NewSpread(replica.SpreadConfig{Address: "peer", Peers: noPeers, Now: time.Now}, copyOf(t, source)), Codec: testCodec, MaxBytes: testBound, Process: testProcess}))
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 	address := strings.TrimPrefix(server.URL, "http://")
 
 	taken := make(chan string, 1)
 	lacking := replica.NewCopy(time.Second, func(entries []store.Entry, from string) { taken <- string(entries[0].Value) + " from " + from }, time.Now)
 	client := NewClient(ClientConfig{MaxBuffered: testBound, DialTimeout: time.Second, UserTimeout: time.Second, IdleTimeout: time.Minute, MaxIdle: 4, From: ownAddress, Codec: testCodec})
-	client.SetSpread(replica.NewSpread(replica.SpreadConfig{Address: ownAddress, Ask: client.Query, Now: time.Now}, lacking))
+	client.SetSpread(replica.NewSpread(replica.SpreadConfig{Address: ownAddress, Peers: noPeers, Ask: client.Query, Now: time.Now}, lacking))
 	_, err = client.Call(t.Context(), address, &Call{URI: "/x"})
 	assert.NilError(t, err)
 	assert.Equal(t, <-taken, "document from "+address)
@@ -207,3 +207,5 @@
 		assert.Assert(t, !reason.Final(), string(reason))
 	}
 }
+
+func noPeers() []string { return nil }
--- a/internal/peering/wire.go
+++ b/internal/peering/wire.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -71,6 +72,8 @@
 	Resumes uint32       `cbor:"19,keyasint,omitempty"`
 	From    wireAddress  `cbor:"15,keyasint,omitempty"`
 	Digests []wireDigest `cbor:"16,keyasint,omitempty"`
+	Epochs  []uint32     `cbor:"23,keyasint,omitempty"`
+	Newest  []uint64     `cbor:"22,keyasint,omitempty"`
 }
 
 // wireReply is a Reply as it is sent. Times are in milliseconds.
@@ -84,6 +87,8 @@
 	OwnFailure bool         `cbor:"8,keyasint,omitempty"`
 	Load       wireLoad     `cbor:"7,keyasint"`
 	Digests    []wireDigest `cbor:"9,keyasint,omitempty"`
+	Epochs     []uint32     `cbor:"12,keyasint,omitempty"`
+	Newest     []uint64     `cbor:"11,keyasint,omitempty"`
 	Crashes    int          `cbor:"10,keyasint,omitempty"`
 }
 
@@ -107,8 +112,9 @@
 
 // wireDigest is a replica.Digest as it is sent, with ages in milliseconds.
 type wireDigest struct {
-	_       struct{} `cbor:",toarray"`
-	Through store.Revision
+	_ struct{} `cbor:",toarray"`
+	// Through is the number of the revision; its epoch is told for all digests together.
+	Through int64
 	Age     int64
 	// Verified is the age of the latest verification.
 	Verified int64
@@ -119,7 +125,7 @@
 		Service: call.Service, RequestID: wireID(call.RequestID), Method: methodCode(call.Method), URI: call.URI, Host: call.Host,
 		Header: c.shortHeader(call.Header), Body: call.Body, Remaining: call.Remaining.Milliseconds(), Caller: call.Caller, Route: call.Route,
 		Rank: call.Rank, MaxWait: call.MaxWait.Milliseconds(), Inner: call.Inner, Repeat: call.Repeat, Done: call.Done,
-		Offer: call.Offer, Once: call.Once, Crashes: call.Crashes, Resumes: resumedProcess(call), From: wireAddress(call.From), Digests: shortDigests(call.Digests),
+		Offer: call.Offer, Once: call.Once, Crashes: call.Crashes, Resumes: resumedProcess(call), From: wireAddress(call.From), Digests: shortDigests(call.Digests), Epochs: epochsOf(call.Digests), Newest: newestOf(call.Digests),
 	})
 }
 
@@ -142,7 +148,7 @@
 	return &Call{
 		Service: w.Service, RequestID: string(w.RequestID), Method: methodOf(w.Method), URI: w.URI, Host: w.Host, Header: header, Body: w.Body,
 		Remaining: millis(w.Remaining), Caller: w.Caller, Route: w.Route, Rank: w.Rank, MaxWait: millis(w.MaxWait), Inner: w.Inner,
-		Repeat: w.Repeat, Done: w.Done, Offer: w.Offer, Once: w.Once, Crashes: w.Crashes, Process: w.Resumes, Resumed: w.Resumes != 0, From: string(w.From), Digests: longDigests(w.Digests),
+		Repeat: w.Repeat, Done: w.Done, Offer: w.Offer, Once: w.Once, Crashes: w.Crashes, Process: w.Resumes, Resumed: w.Resumes != 0, From: string(w.From), Digests: longDigests(w.Digests, w.Epochs, w.Newest),
 	}, nil
 }
 
@@ -150,7 +156,7 @@
 	load := &reply.Load
 	return encode(&wireReply{
 		Outcome: reply.Outcome, Reason: reply.Reason, Status: reply.Status, Header: c.shortHeader(reply.Header), Body: reply.Body,
-		RetryAfter: reply.RetryAfter.Milliseconds(), Crashes: reply.Crashes, OwnFailure: reply.OwnFailure, Digests: shortDigests(reply.Digests),
+		RetryAfter: reply.RetryAfter.Milliseconds(), Crashes: reply.Crashes, OwnFailure: reply.OwnFailure, Digests: shortDigests(reply.Digests), Epochs: epochsOf(reply.Digests), Newest: newestOf(reply.Digests),
 		Load: wireLoad{
 			InFlight: load.InFlight, Queued: load.Queued, Limit: load.Limit, Latency: int64(load.Latency / latencyUnit),
 			Shed: shed.None - min(load.Threshold, shed.None), Failures: load.Failures, Stopping: load.Stopping, Errors: load.Errors,
@@ -171,7 +177,7 @@
 	load := &w.Load
 	return &Reply{
 		Outcome: w.Outcome, Reason: w.Reason, Status: w.Status, Header: header, Body: w.Body, RetryAfter: millis(w.RetryAfter),
-		Crashes: w.Crashes, OwnFailure: w.OwnFailure, Digests: longDigests(w.Digests),
+		Crashes: w.Crashes, OwnFailure: w.OwnFailure, Digests: longDigests(w.Digests, w.Epochs, w.Newest),
 		Load: Load{
 			InFlight: load.InFlight, Queued: load.Queued, Limit: load.Limit, Latency: time.Duration(load.Latency) * latencyUnit,
 			Threshold: shed.None - min(load.Shed, shed.None), Failures: load.Failures, Stopping: load.Stopping, Errors: load.Errors,
@@ -234,7 +240,7 @@
 func shortDigests(digests []replica.Digest) []wireDigest {
 	short := make([]wireDigest, len(digests))
 	for i, digest := range digests {
-		short[i] = wireDigest{Through: digest.Through, Age: shortAge(digest.Age), Verified: shortAge(digest.Verified)}
+		short[i] = wireDigest{Through: digest.Through.Number(), Age: shortAge(digest.Age), Verified: shortAge(digest.Verified)}
 	}
 	return short
 }
@@ -246,10 +252,50 @@
 	return (age + time.Millisecond - 1).Milliseconds()
 }
 
-func longDigests(short []wireDigest) []replica.Digest {
+// newestOf returns the versions of newest documents, nil where none is told, as is the rule.
+func newestOf(digests []replica.Digest) []uint64 {
+	var newest []uint64
+	for i, digest := range digests {
+		if digest.Newest != 0 {
+			newest = append(newest, make([]uint64, i+1-len(newest))...)
+			newest[i] = digest.Newest
+		}
+	}
+	return newest
+}
+
+// epochsOf returns the epochs of the digests: none where all are of the first, and one where
+// all are of the same.
+func epochsOf(digests []replica.Digest) []uint32 {
+	var epochs []uint32
+	for _, digest := range digests {
+		epochs = append(epochs, uint32(digest.Through.Epoch()))
+	}
+	distinct := slices.Compact(slices.Clone(epochs))
+	if len(distinct) > 1 {
+		return epochs
+	}
+	if len(distinct) == 1 && distinct[0] == 0 {
+		return nil
+	}
+	return distinct
+}
+
+// throughOf returns the revision that a digest tells with the epochs of a message.
+func throughOf(digest wireDigest, epochs []uint32, i int) store.Revision {
+	if len(epochs) == 0 {
+		return store.NewRevision(0, digest.Through)
+	}
+	return store.NewRevision(store.Epoch(epochs[min(i, len(epochs)-1)]), digest.Through)
+}
+
+func longDigests(short []wireDigest, epochs []uint32, newest []uint64) []replica.Digest {
 	digests := make([]replica.Digest, len(short))
 	for i, digest := range short {
-		digests[i] = replica.Digest{Through: digest.Through, Age: longAge(digest.Age), Verified: longAge(digest.Verified)}
+		digests[i] = replica.Digest{Through: throughOf(digest, epochs, i), Age: longAge(digest.Age), Verified: longAge(digest.Verified)}
+		if i < len(newest) {
+			digests[i].Newest = newest[i]
+		}
 	}
 	return digests
 }
--- a/internal/peering/wire_test.go
+++ b/internal/peering/wire_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/lugspur/lugspur/internal/replica"
 	"github.com/lugspur/lugspur/internal/shed"
+	"github.com/lugspur/lugspur/internal/store"
 )
 
 // fullCall and fullReply have a value in every field.
@@ -28,6 +29,23 @@
 		Load: Load{InFlight: 12, Queued: 3, Limit: 19, Latency: 22340 * time.Microsecond, Threshold: 7, Failures: 4, Stopping: true, Errors: 5, Calls: 10, Scarce: true}}
 }
 
+// TestDigestsOfEveryEpochComeBack has copies of one epoch of the store and of several, and a
+// document that the store has lost.
+func TestDigestsOfEveryEpochComeBack(t *testing.T) {
+	for _, digests := range [][]replica.Digest{
+		{{Through: store.NewRevision(3, 1234)}, {Through: store.NewRevision(3, 1250)}},
+		{{Through: store.NewRevision(1, 1234), Newest: 80}, {Through: store.NewRevision(2, 1250)}},
+		{{Through: 1234}, {Through: store.NewRevision(store.MaxEpoch, 1250), Newest: 7}},
+		{{}, {Through: store.NewRevision(1, 5)}},
+	} {
+		call := fullCall()
+		call.Digests = digests
+		decoded, err := testCodec.decodeCall(testCodec.encodeCall(call))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, decoded.Digests, digests)
+	}
+}
+
 func TestMessagesComeBackAsTheyWere(t *testing.T) {
 	call, err := testCodec.decodeCall(testCodec.encodeCall(fullCall()))
 	assert.NilError(t, err)
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -25,6 +25,15 @@
 	// Lifted tells that the verdict has ended. A record that is only missing says
 	// nothing: leases also run out while the store is away.
 	Lifted bool `cbor:"4,keyasint,omitempty"`
+	// Epoch is that of the store in which the record was written. A later epoch that holds
+	// the record got it out of a copy, and may have lost what was written since.
+	Epoch store.Epoch `cbor:"5,keyasint,omitempty"`
+}
+
+// says reports whether the record says as much as another one. A verdict that ended goes
+// before one that holds.
+func (r Record) says(other Record) bool {
+	return r.Lifted == other.Lifted && r.Trials >= other.Trials
 }
 
 // DecodeRecord reads the value of a record.
@@ -72,11 +81,33 @@
 	// written again if they disappear.
 	wanted map[fingerprint.Fingerprint]Record
 	own    map[fingerprint.Fingerprint]Record
-	// revisions are those of the records as the node's copy of the store holds them.
+	// revisions are those of the records as the node's copy of the store holds them, and
+	// records what they said last, in any epoch of the store.
 	revisions map[fingerprint.Fingerprint]store.Revision
+	records   map[fingerprint.Fingerprint]Record
+	// epoch returns the newest epoch of the store that is known, and place the node's own
+	// place in an order of all nodes.
+	epoch func() store.Epoch
+	place func() (int, bool)
 }
 
-func newKeeper(target store.Store, prefix string, log *eventlog.Log, now func() time.Time) *keeper {
+const (
+	// takeOverAfter is how long the node that wrote a record is given to write it again
+	// after a store that came back from a copy had lost it, and takeOverSpacing by how much
+	// later each node than the one before it does so in its place. Others hear of a write
+	// after about a second.
+	takeOverAfter   = 1200 * time.Millisecond
+	takeOverSpacing = 150 * time.Millisecond
+)
+
+func newKeeper(config Config) *keeper {
+	target, prefix, log, now, epoch, place := config.Store, config.Prefix, config.Log, config.Now, config.Epoch, config.Place
+	if epoch == nil {
+		epoch = func() store.Epoch { return 0 }
+	}
+	if place == nil {
+		place = func() (int, bool) { return 0, false }
+	}
 	return &keeper{
 		store:     target,
 		prefix:    prefix,
@@ -87,6 +118,9 @@
 		wanted:    make(map[fingerprint.Fingerprint]Record),
 		own:       make(map[fingerprint.Fingerprint]Record),
 		revisions: make(map[fingerprint.Fingerprint]store.Revision),
+		records:   make(map[fingerprint.Fingerprint]Record),
+		epoch:     epoch,
+		place:     place,
 	}
 }
 
@@ -157,10 +191,11 @@
 		return err
 	default:
 		there, err := DecodeRecord(entry.Value)
-		if err == nil && there.Lifted == record.Lifted && there.Trials >= record.Trials {
+		if err == nil && there.says(record) {
 			return nil
 		}
 	}
+	record.Epoch = k.epoch()
 	_, err = k.writer.CompareAndSwap(ctx, key, entry.Revision, record.Encode())
 	return err
 }
@@ -173,6 +208,7 @@
 	k.mutex.Lock()
 	revision := k.revisions[hash]
 	k.mutex.Unlock()
+	record.Epoch = k.epoch()
 	_, err := k.claims.CompareAndSwap(ctx, k.prefix+hash.String(), revision, record.Encode())
 	if err != nil {
 		// Another node makes it, or the store is away: then nobody does.
@@ -207,7 +243,7 @@
 			continue
 		}
 		if entry.Deleted {
-			k.removed(hash, holds(hash))
+			k.removed(hash, entry.Revision, holds(hash))
 			continue
 		}
 		k.revisions[hash] = entry.Revision
@@ -216,6 +252,13 @@
 			k.reject(entry, err)
 			continue
 		}
+		known, found := k.records[hash]
+		if found && record.Epoch < entry.Revision.Epoch() && !record.says(known) {
+			// The store came back from a copy, which lacks what was written since.
+			k.wantAgain(hash, known)
+			continue
+		}
+		k.records[hash] = record
 		if record.Lifted {
 			delete(k.own, hash)
 		}
@@ -224,13 +267,46 @@
 	return changes
 }
 
+// wantAgain has a record be written again that the store lost, at once if this node wrote it
+// and otherwise unless another one does so before. The lock is held.
+func (k *keeper) wantAgain(hash fingerprint.Fingerprint, lost Record) {
+	if _, own := k.own[hash]; own {
+		k.wanted[hash] = lost
+		k.signal()
+		return
+	}
+	place, known := k.place()
+	if !known {
+		return
+	}
+	time.AfterFunc(takeOverAfter+time.Duration(place)*takeOverSpacing, func() { k.takeOver(hash, lost) })
+}
+
+// takeOver writes a record that is still missing. The write finds out whether it is.
+func (k *keeper) takeOver(hash fingerprint.Fingerprint, lost Record) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.records[hash] != lost {
+		return
+	}
+	k.wanted[hash] = lost
+	k.signal()
+}
+
 func (k *keeper) reject(entry store.Entry, err error) {
-	k.log.Record(eventlog.Event{Kind: eventlog.RecordRejected, Peer: entry.Key, Reason: err.Error(), Version: uint64(entry.Revision)})
+	k.log.Record(eventlog.Event{Kind: eventlog.RecordRejected, Peer: entry.Key, Reason: err.Error(), Version: uint64(entry.Revision.Number())})
 }
 
-// removed takes that a record disappeared, as its lease ran out.
-func (k *keeper) removed(hash fingerprint.Fingerprint, holds bool) {
+// removed takes that a record disappeared, as its lease ran out or the store lost it.
+func (k *keeper) removed(hash fingerprint.Fingerprint, revision store.Revision, holds bool) {
+	before := k.revisions[hash]
 	delete(k.revisions, hash)
+	known, found := k.records[hash]
+	if found && before.Epoch() < revision.Epoch() && (holds || known.Lifted) {
+		k.wantAgain(hash, known)
+		return
+	}
+	delete(k.records, hash)
 	record, own := k.own[hash]
 	if !own {
 		return
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -15,6 +15,10 @@
 	// Store takes verdicts under Prefix.
 	Store  store.Store
 	Prefix string
+	// Epoch returns the newest epoch of the store that is known, nil is the first; Place the
+	// node's own place in an order of all nodes, false if it has none. It may be nil.
+	Epoch func() store.Epoch
+	Place func() (int, bool)
 	// OnVerdict is told of requests that are refused from now on; it may be nil.
 	OnVerdict func(hash fingerprint.Fingerprint)
 	Log       *eventlog.Log
@@ -37,7 +41,7 @@
 	return &Quarantine{
 		table:  NewTable(config.Now),
 		spread: NewSpread(config.Spread),
-		keeper: newKeeper(config.Store, config.Prefix, config.Log, config.Now),
+		keeper: newKeeper(config),
 		log:    config.Log,
 
 		onVerdict: config.OnVerdict,
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -251,7 +251,7 @@
 	key := testPrefix + hash.String()
 	entry, err := g.held.Get(t.Context(), key)
 	assert.NilError(t, err)
-	_, err = g.held.CompareAndSwap(t.Context(), key, entry.Revision, Record{Lifted: true}.Encode(), 0)
+	_, err = g.held.CompareAndSwap(t.Context(), key, entry.Revision, Record{Lifted: true}.Encode(), store.NoLease)
 	assert.NilError(t, err)
 	for _, node := range g.nodes {
 		g.follow(node)
--- a/internal/ratelimit/keeper.go
+++ b/internal/ratelimit/keeper.go
@@ -49,6 +49,9 @@
 	Holder
 	// Process tells the holder from earlier processes at the address.
 	Process uint32
+	// Epoch is that of the store in which the value was written. In a later one it came out
+	// of a copy, and says nothing of who holds the shard.
+	Epoch store.Epoch
 }
 
 // released reports whether the holder gave the shard up.
@@ -63,6 +66,10 @@
 	Datagrams string
 	// Started is when the process started: earlier ones issue nothing since then.
 	Started time.Time
+	// FirstStart tells that there was no process on any machine before.
+	FirstStart bool
+	// Epoch returns the newest epoch of the store that is known; nil is the first.
+	Epoch func() store.Epoch
 	// Prefix begins the keys of shards.
 	Prefix string
 	Store  store.Store
@@ -109,11 +116,23 @@
 	since time.Time
 	// retryAt is before when the node does not try to take it.
 	retryAt time.Time
+	// lost tells that the store, which came back from a copy, does not hold for its holder
+	// what that wrote. The holder may issue until its lease would have ended, and alone may
+	// take the shard again before freeAt.
+	lost   bool
+	freeAt time.Time
 }
 
 // NewKeeper returns a keeper that knows no holder.
 func NewKeeper(config KeeperConfig) *Keeper {
-	return &Keeper{config: config, wake: make(chan struct{}, 1)}
+	if config.Epoch == nil {
+		config.Epoch = func() store.Epoch { return 0 }
+	}
+	k := &Keeper{config: config, wake: make(chan struct{}, 1)}
+	if !config.FirstStart {
+		k.awaitHolders(config.Started)
+	}
+	return k
 }
 
 // Holder returns the node that holds the shard, false if none is known.
@@ -121,7 +140,7 @@
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	held := &k.shards[shard]
-	return held.Holder, held.revision > 0 && !held.released()
+	return held.Holder, (held.revision > 0 || held.lost) && !held.released()
 }
 
 // Change takes changes of the store; keys without the prefix are passed over.
@@ -156,6 +175,9 @@
 	if entry.Revision <= known.seen {
 		return
 	}
+	if k.loses(known, &held, entry) {
+		return
+	}
 	*known = record{holding: held, seen: entry.Revision, since: k.config.Now()}
 	if !entry.Deleted {
 		known.revision, known.lease = entry.Revision, entry.Lease
@@ -166,6 +188,63 @@
 	}
 }
 
+// loses takes what a store that came back from a copy says of a shard, if that is no word of
+// its holder. Who held it before goes on for as long as its lease would have lasted.
+func (k *Keeper) loses(known *record, held *holding, entry store.Entry) bool {
+	restored := !entry.Deleted && held.Epoch < entry.Revision.Epoch()
+	absent := entry.Deleted && entry.Revision.Epoch() > known.seen.Epoch()
+	if !restored && !absent {
+		if entry.Deleted && known.lost {
+			// What the copy held has ended as well.
+			known.revision, known.seen = 0, entry.Revision
+			return true
+		}
+		return false
+	}
+	if !known.lost {
+		known.lost, known.since = true, k.config.Now()
+		known.freeAt = latest(known.freeAt, known.since.Add(shardTTL))
+	}
+	known.seen, known.revision = entry.Revision, 0
+	if restored {
+		known.revision = entry.Revision
+	}
+	k.signal()
+	return true
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// awaitHolders has the node take no shard, but those that it held, before the last lease is
+// over that may have been granted by a moment.
+func (k *Keeper) awaitHolders(moment time.Time) {
+	for number := range k.shards {
+		k.shards[number].freeAt = latest(k.shards[number].freeAt, moment.Add(shardTTL))
+	}
+}
+
+// StoreRestored takes that the store came back from a copy: it may not hold the shards any
+// more that nodes took since the copy was made, and gives out the numbers of their leases
+// again. A shard that nobody is known to hold may have a holder whose word was lost.
+func (k *Keeper) StoreRestored() {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	now := k.config.Now()
+	k.awaitHolders(now)
+	for number := range k.shards {
+		held := &k.shards[number]
+		if held.revision > 0 && !held.lost {
+			held.lost, held.since = true, now
+		}
+	}
+	k.signal()
+}
+
 func (k *Keeper) signal() {
 	select {
 	case k.wake <- struct{}{}:
@@ -175,7 +254,7 @@
 
 // free notes that nobody holds the shard.
 func (k *Keeper) free(number int) {
-	k.shards[number] = record{seen: k.shards[number].seen, since: k.config.Now()}
+	k.shards[number] = record{seen: k.shards[number].seen, since: k.config.Now(), freeAt: k.shards[number].freeAt}
 }
 
 // Run takes and keeps shards until the context ends.
@@ -227,8 +306,11 @@
 }
 
 // owns reports whether this process holds the shard, as far as the store told.
-func (k *Keeper) owns(held record) bool {
-	return held.revision > 0 && held.Address == k.config.Address && held.Process == k.config.Process
+func (k *Keeper) owns(held record) bool { return held.revision > 0 && !held.lost && k.wrote(held) }
+
+// wrote reports whether this process was the last that is known to have held the shard.
+func (k *Keeper) wrote(held record) bool {
+	return held.Address == k.config.Address && held.Process == k.config.Process
 }
 
 // Held returns how many shards the node holds.
@@ -246,7 +328,11 @@
 
 // renew keeps the lease of the shards that the node holds.
 func (k *Keeper) renew(ctx context.Context) {
-	if k.lease == 0 || k.config.Now().Before(k.renewAt) || k.Held() == 0 {
+	if k.lease.Epoch < k.config.Epoch() {
+		// Nothing of an earlier epoch is renewed. What the node holds it may hold until then.
+		k.lease = store.NoLease
+	}
+	if k.lease == store.NoLease || k.config.Now().Before(k.renewAt) || k.Held() == 0 {
 		return
 	}
 	began := k.config.Now()
@@ -277,7 +363,7 @@
 
 // lose notes that the store no longer holds the node's shards for it.
 func (k *Keeper) lose(reason string) {
-	k.lease = 0
+	k.lease = store.NoLease
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	for number, held := range k.shards {
--- a/internal/ratelimit/keeper_test.go
+++ b/internal/ratelimit/keeper_test.go
@@ -64,7 +64,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	k := &testKeeper{store: &refusingStore{Store: f.store}, stop: cancel}
 	k.issuer = NewIssuer(testBounds, func(string) *routetable.Tenant { return testTenant }, time.Now)
-	k.Keeper = NewKeeper(KeeperConfig{Address: fmt.Sprint("node-", place), Process: process, Started: time.Now(), Prefix: "shards/", Store: k.store,
+	k.Keeper = NewKeeper(KeeperConfig{Address: fmt.Sprint("node-", place), Process: process, Started: time.Now(), FirstStart: process == 1, Prefix: "shards/", Store: k.store,
 		Place: func() (int, bool) { return place, true }, Needed: func() bool { return true }, Issuer: k.issuer, Now: time.Now})
 	go k.Run(ctx)
 	go k.follow(ctx)
--- a/internal/ratelimit/take.go
+++ b/internal/ratelimit/take.go
@@ -34,17 +34,17 @@
 	if k.stopped || k.owns(held) || k.config.Now().Before(held.retryAt) {
 		return false
 	}
-	if held.revision > 0 && !held.released() {
+	if held.lost && k.wrote(held) {
+		return true
+	}
+	if held.revision > 0 && !held.lost && !held.released() {
 		return held.Address == k.config.Address
 	}
-	if !settled {
+	if !settled || k.config.Now().Before(held.freeAt) {
 		return false
 	}
 	delay := delayOf(place, number) + time.Duration(holds)*holdsDelay
-	since := held.since
-	if since.Before(k.eligible) {
-		since = k.eligible
-	}
+	since := latest(latest(held.since, k.eligible), held.freeAt)
 	return k.config.Now().Sub(since) >= delay
 }
 
@@ -61,9 +61,9 @@
 // take writes the node as the shard's holder, under its lease.
 func (k *Keeper) take(ctx context.Context, number int) {
 	if k.config.Now().After(k.until) {
-		k.lease = 0
+		k.lease = store.NoLease
 	}
-	if k.lease == 0 && !k.grant(ctx) {
+	if k.lease == store.NoLease && !k.grant(ctx) {
 		return
 	}
 	k.mutex.Lock()
@@ -71,7 +71,7 @@
 	k.shards[number].retryAt = k.config.Now().Add(retryPause)
 	k.mutex.Unlock()
 	from := k.idleSince(before)
-	value := encode(holding{Holder: Holder{Address: k.config.Address, Datagrams: k.config.Datagrams}, Process: k.config.Process})
+	value := encode(holding{Holder: Holder{Address: k.config.Address, Datagrams: k.config.Datagrams}, Process: k.config.Process, Epoch: k.lease.Epoch})
 	revision, err := k.config.Store.CompareAndSwap(ctx, k.keyOf(number), before.revision, value, k.lease)
 	switch {
 	case err == nil:
@@ -82,9 +82,13 @@
 		k.extend()
 		k.changed(number, "held", "nobody held it")
 	case errors.Is(err, store.ErrLeaseLost):
-		k.lease = 0
+		k.lease = store.NoLease
 	case errors.Is(err, store.ErrUnknownOutcome):
 		k.read(ctx, number)
+	case errors.Is(err, store.ErrConflict) && before.lost:
+		// The revision is of an earlier epoch, and the copy of the store may never have held
+		// the key.
+		k.read(ctx, number)
 	case errors.Is(err, store.ErrConflict):
 		// Another node has it: the copy of the store tells soon.
 		k.mutex.Lock()
@@ -99,6 +103,9 @@
 func (k *Keeper) idleSince(before record) time.Time {
 	now := k.config.Now()
 	switch {
+	case before.lost:
+		// The node's own hold went on, or all others are over.
+		return now
 	case before.revision > 0 && before.Address == k.config.Address:
 		return k.config.Started
 	case before.seen == 0 || now.Sub(before.since) >= shardTTL:
@@ -136,7 +143,11 @@
 		k.extend()
 	case errors.Is(err, store.ErrNotFound):
 		k.mutex.Lock()
-		k.free(number)
+		if k.shards[number].lost {
+			k.shards[number].revision = 0
+		} else {
+			k.free(number)
+		}
 		k.mutex.Unlock()
 	}
 }
--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -134,9 +134,29 @@
 		d.log.Record(eventlog.Event{Kind: eventlog.HomeChanged, Peer: entry.Key, Outcome: "unreadable", Reason: err.Error()})
 		return
 	}
+	if known != nil && record.restored(entry.Revision) {
+		d.keep(known, &record, entry.Revision, source)
+		return
+	}
+	if known != nil && known.Instance == record.Instance {
+		// A target that leaves doesn't come back.
+		record.State = max(record.State, known.State)
+	}
 	d.homes[entry.Key] = &Home{Record: record, Revision: entry.Revision}
 	d.log.Record(eventlog.Event{Kind: eventlog.HomeChanged, Peer: record.Address, Service: record.Service, Target: record.Instance,
-		Outcome: record.State.String(), Reason: source, Version: uint64(entry.Revision)})
+		Outcome: record.State.String(), Reason: source, Version: uint64(entry.Revision.Number())})
+}
+
+// keep goes on with what is known of a home although the store, which came back from a copy,
+// tells what was written there before. If that differs, what is known holds until the home
+// had time to write it again, as it does for a record that disappeared.
+func (d *Directory) keep(known *Home, restored *Record, revision store.Revision, source string) {
+	kept := *known
+	kept.Revision = revision
+	d.homes[d.keyOf(known)] = &kept
+	if !known.sameTarget(restored) {
+		d.lapse(&kept, source)
+	}
 }
 
 // lapse notes that a home's record disappeared. The home is replaced, because
@@ -149,7 +169,7 @@
 	lapsed.LapsedAt = d.now()
 	d.homes[d.keyOf(home)] = &lapsed
 	d.log.Record(eventlog.Event{Kind: eventlog.HomeChanged, Peer: home.Address, Service: home.Service, Target: home.Instance,
-		Outcome: "lapsed", Reason: source, Version: uint64(home.Revision)})
+		Outcome: "lapsed", Reason: source, Version: uint64(home.Revision.Number())})
 }
 
 func (d *Directory) keyOf(home *Home) string { return d.prefix + home.Address }
--- a/internal/registry/publisher.go
+++ b/internal/registry/publisher.go
@@ -25,13 +25,22 @@
 // publisher keeps one key at the wanted value, under a lease.
 type publisher struct {
 	store store.Store
+	// epoch returns the newest epoch of the store that is known.
+	epoch func() store.Epoch
 	key   string
 	log   *eventlog.Log
 	now   func() time.Time
 	wake  chan struct{}
 
 	mutex  sync.Mutex
-	wanted []byte
+	wanted *Record
+	// notBefore is before when nothing is written, so that the nodes of a store that came
+	// back from a copy don't all write together.
+	notBefore time.Time
+	// written is the revision of the latest write of this process.
+	written store.Revision
+	// disturbed tells that somebody else wrote under the key.
+	disturbed bool
 	// resumed is what an earlier process wrote, until run takes it.
 	resumed *store.Entry
 	// removed tells that the record was seen to have disappeared.
@@ -46,8 +55,8 @@
 	current bool
 }
 
-func newPublisher(target store.Store, key string, log *eventlog.Log, now func() time.Time) *publisher {
-	return &publisher{store: target, key: key, log: log, now: now, wake: make(chan struct{}, 1)}
+func newPublisher(target store.Store, epoch func() store.Epoch, key string, log *eventlog.Log, now func() time.Time) *publisher {
+	return &publisher{store: target, epoch: epoch, key: key, log: log, now: now, wake: make(chan struct{}, 1)}
 }
 
 // resume takes over a record that an earlier process wrote, with its lease.
@@ -64,11 +73,15 @@
 	entry := p.resumed
 	p.resumed = nil
 	p.mutex.Unlock()
-	if entry == nil || p.lease != 0 {
+	if entry == nil || p.lease != store.NoLease {
 		return
 	}
 	p.revision, p.published = entry.Revision, entry.Value
-	p.lease, p.current = entry.Lease, entry.Lease != 0
+	if record, err := decodeRecord(*entry); err != nil || record.restored(entry.Revision) {
+		// The number of the lease may be that of another one by now.
+		return
+	}
+	p.lease, p.current = entry.Lease, entry.Lease != store.NoLease
 	p.renewAt = p.now()
 }
 
@@ -80,18 +93,46 @@
 	p.signal()
 }
 
-func (p *publisher) takeRemoved() bool {
+// noteTold takes what the store holds under the key. A write of an earlier process, or one of
+// an earlier epoch of the store that was carried out late, is written over.
+func (p *publisher) noteTold(entry store.Entry, record *Record, process uint32) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	removed := p.removed
-	p.removed = false
-	return removed
+	if p.written == 0 || entry.Revision <= p.written || (record.Process == process && !record.restored(entry.Revision)) {
+		return
+	}
+	p.disturbed = true
+	p.signal()
+}
+
+// delay has nothing be written for a while.
+func (p *publisher) delay(pause time.Duration) {
+	p.mutex.Lock()
+	p.notBefore = p.now().Add(pause)
+	p.mutex.Unlock()
+	p.signal()
+}
+
+// takeNotes returns what was noted since the last step.
+func (p *publisher) takeNotes() (removed, disturbed bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	removed, disturbed = p.removed, p.disturbed
+	p.removed, p.disturbed = false, false
+	return removed, disturbed
+}
+
+// delayed returns for how long nothing may be written yet.
+func (p *publisher) delayed() time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.notBefore.Sub(p.now())
 }
 
 // publish asks for the record to be written.
 func (p *publisher) publish(record Record) {
 	p.mutex.Lock()
-	p.wanted = encode(record)
+	p.wanted = &record
 	p.mutex.Unlock()
 	p.signal()
 }
@@ -103,7 +144,7 @@
 	}
 }
 
-func (p *publisher) want() []byte {
+func (p *publisher) want() *Record {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	return p.wanted
@@ -113,12 +154,14 @@
 	delay := minPublishPause
 	for ctx.Err() == nil {
 		wait := leaseTTL
-		if err := p.step(ctx); err != nil {
+		if pause := p.delayed(); pause > 0 {
+			wait = pause
+		} else if err := p.step(ctx); err != nil {
 			wait = delay/2 + rand.N(delay)
 			delay = min(delay*2, maxPublishPause)
 		} else {
 			delay = minPublishPause
-			if p.lease != 0 {
+			if p.lease != store.NoLease {
 				wait = p.renewAt.Sub(p.now())
 			}
 		}
@@ -134,17 +177,24 @@
 
 // step does what is due next: lease, renewal, record.
 func (p *publisher) step(ctx context.Context) error {
-	wanted := p.want()
-	if wanted == nil {
+	record := p.want()
+	if record == nil {
 		return nil
 	}
 	p.takeOver()
-	if p.takeRemoved() {
+	removed, disturbed := p.takeNotes()
+	if removed {
 		p.renewAt = p.now()
 	}
+	if disturbed {
+		p.current = false
+	}
 	if err := p.holdLease(ctx); err != nil {
 		return err
 	}
+	epoched := *record
+	epoched.Epoch = p.lease.Epoch
+	wanted := encode(epoched)
 	if p.current && bytes.Equal(wanted, p.published) {
 		return nil
 	}
@@ -152,7 +202,11 @@
 }
 
 func (p *publisher) holdLease(ctx context.Context) error {
-	if p.lease == 0 {
+	if p.lease != store.NoLease && p.lease.Epoch < p.epoch() {
+		p.log.Record(eventlog.Event{Kind: eventlog.LeaseLost, Version: uint64(p.lease.Number), Reason: "the store came back from a copy"})
+		p.lease, p.current = store.NoLease, false
+	}
+	if p.lease == store.NoLease {
 		lease, err := p.store.GrantLease(ctx, leaseTTL)
 		if err != nil {
 			return err
@@ -160,7 +214,7 @@
 		p.lease = lease
 		p.current = false
 		p.renewAt = p.now().Add(leaseTTL / renewPart)
-		p.log.Record(eventlog.Event{Kind: eventlog.LeaseGranted, Version: uint64(lease)})
+		p.log.Record(eventlog.Event{Kind: eventlog.LeaseGranted, Version: uint64(lease.Number)})
 		return nil
 	}
 	if p.now().Before(p.renewAt) {
@@ -168,8 +222,8 @@
 	}
 	left, err := p.store.RenewLease(ctx, p.lease)
 	if errors.Is(err, store.ErrLeaseLost) {
-		p.log.Record(eventlog.Event{Kind: eventlog.LeaseLost, Version: uint64(p.lease)})
-		p.lease = 0
+		p.log.Record(eventlog.Event{Kind: eventlog.LeaseLost, Version: uint64(p.lease.Number)})
+		p.lease = store.NoLease
 		return p.holdLease(ctx)
 	}
 	if err != nil {
@@ -190,10 +244,10 @@
 	revision, err := p.store.CompareAndSwap(ctx, p.key, p.revision, wanted, p.lease)
 	switch {
 	case err == nil:
-		p.revision, p.published, p.current = revision, wanted, true
+		p.noteWritten(revision, wanted)
 		return nil
 	case errors.Is(err, store.ErrLeaseLost):
-		p.lease = 0
+		p.lease = store.NoLease
 	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrUnknownOutcome):
 		p.current = false
 		if failure := p.refresh(ctx); failure != nil {
@@ -210,11 +264,18 @@
 	}
 	revision, err := p.store.CompareAndSwap(ctx, p.key, p.revision, wanted, p.lease)
 	if err == nil {
-		p.revision, p.published, p.current = revision, wanted, true
+		p.noteWritten(revision, wanted)
 	}
 	return err
 }
 
+func (p *publisher) noteWritten(revision store.Revision, wanted []byte) {
+	p.revision, p.published, p.current = revision, wanted, true
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.written = revision
+}
+
 // refresh reads what lies under the key. Only a value written under the present
 // lease counts as published: an equal one of an earlier lease would go with it.
 func (p *publisher) refresh(ctx context.Context) error {
--- a/internal/registry/record.go
+++ b/internal/registry/record.go
@@ -74,6 +74,17 @@
 	State   State  `cbor:"6,keyasint"`
 	// Process tells the node's process from earlier ones.
 	Process uint32 `cbor:"7,keyasint,omitempty"`
+	// Epoch is that of the store in which the record was written. A later epoch that holds
+	// the record got it out of a copy, and its node may have written others since.
+	Epoch store.Epoch `cbor:"8,keyasint,omitempty"`
+}
+
+// restored reports whether a record that was read at the revision came out of a copy.
+func (r *Record) restored(revision store.Revision) bool { return r.Epoch < revision.Epoch() }
+
+// sameTarget reports whether two records tell the same of a node and the target beside it.
+func (r *Record) sameTarget(other *Record) bool {
+	return r.Instance == other.Instance && r.State == other.State && r.Process == other.Process
 }
 
 // Departure is the durable note that a target leaves.
--- a/internal/registry/registrar.go
+++ b/internal/registry/registrar.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"strings"
 	"sync"
@@ -10,7 +9,6 @@
 
 	"github.com/lugspur/lugspur/internal/eventlog"
 	"github.com/lugspur/lugspur/internal/store"
-	"github.com/lugspur/lugspur/internal/store/leased"
 )
 
 // RegistrarConfig describes the node and where its records lie.
@@ -28,6 +26,11 @@
 	// Records returns the entries under both prefixes as they were at a moment
 	// after the process started, once that is known.
 	Records func(ctx context.Context) ([]store.Entry, error)
+	// Epoch returns the newest epoch of the store that is known; nil is the first.
+	Epoch func() store.Epoch
+	// Place returns the node's own place in an order of all nodes, false if it has none; it
+	// may be nil.
+	Place func() (int, bool)
 }
 
 // Stores are the store, one for each purpose of the registrar's calls.
@@ -44,7 +47,10 @@
 	log       *eventlog.Log
 	now       func() time.Time
 	publisher *publisher
-	departing departureWriter
+	// departing writes departures that targets wait for, and rewriting those that the store
+	// lost, so that no target waits for these.
+	departing, rewriting *departureWriter
+	facts                *departures
 
 	mutex  sync.Mutex
 	target Target
@@ -63,9 +69,17 @@
 
 // NewRegistrar returns a registrar that knows no target yet.
 func NewRegistrar(config RegistrarConfig, stores Stores, log *eventlog.Log, now func() time.Time) *Registrar {
+	if config.Epoch == nil {
+		config.Epoch = func() store.Epoch { return 0 }
+	}
+	if config.Place == nil {
+		config.Place = func() (int, bool) { return 0, false }
+	}
 	r := &Registrar{config: config, log: log, now: now, departed: make(map[string]bool), replaced: make(map[string]bool)}
-	r.publisher = newPublisher(stores.Record, config.HomesPrefix+config.Address, log, now)
-	r.departing.writer = leased.NewWriter(stores.Departure, departureTTL, now)
+	r.publisher = newPublisher(stores.Record, config.Epoch, config.HomesPrefix+config.Address, log, now)
+	r.facts = newDepartures(config.Address, now, r.rewrite)
+	r.departing = newDepartureWriter(stores.Departure, config.Epoch, now)
+	r.rewriting = newDepartureWriter(stores.Departure, config.Epoch, now)
 	return r
 }
 
@@ -77,12 +91,89 @@
 }
 
 // Change takes changes of the store: the node's own record may have disappeared
-// with its lease.
+// with its lease, and departures may have been lost as the store came back from a copy.
 func (r *Registrar) Change(entries []store.Entry) {
 	for _, entry := range entries {
-		if entry.Deleted && entry.Key == r.config.HomesPrefix+r.config.Address {
+		instance, departure := strings.CutPrefix(entry.Key, r.config.DeparturesPrefix)
+		switch {
+		case departure:
+			r.departureChanged(instance, entry)
+		case entry.Key != r.config.HomesPrefix+r.config.Address:
+		case entry.Deleted:
 			r.publisher.noteRemoved()
+		default:
+			if record, err := decodeRecord(entry); err == nil {
+				r.publisher.noteTold(entry, &record, r.config.Process)
+			}
+		}
+	}
+}
+
+// departureChanged takes what the store holds of a departure.
+func (r *Registrar) departureChanged(instance string, entry store.Entry) {
+	if entry.Deleted {
+		if lost, isLost := r.facts.missing(instance, entry.Revision); isLost {
+			r.writeAgain(lost)
 		}
+		return
+	}
+	departure, err := decodeDeparture(entry)
+	if err != nil {
+		r.log.Record(eventlog.Event{Kind: eventlog.RecordRejected, Peer: entry.Key, Reason: err.Error()})
+		return
+	}
+	r.facts.told(departure, entry.Revision)
+	if departure.Address == r.config.Address {
+		r.mutex.Lock()
+		defer r.mutex.Unlock()
+		r.depart(departure.Instance, Draining)
+	}
+}
+
+// writeAgain has a departure that the store lost be written again, at once if its target is
+// beside this node.
+func (r *Registrar) writeAgain(lost Departure) {
+	place, known := r.config.Place()
+	switch {
+	case lost.Address == r.config.Address:
+		go func() { _ = r.rewrite(lost) }()
+	case known:
+		go r.facts.takeOver(context.Background(), lost, place)
+	}
+}
+
+// rewrite writes a departure again that the store lost.
+func (r *Registrar) rewrite(lost Departure) error {
+	ctx, cancel := context.WithTimeout(context.Background(), rewriteTimeout)
+	defer cancel()
+	outcome := "written again"
+	err := r.rewriting.write(ctx, r.keyOf(lost), encode(lost))
+	if err != nil {
+		outcome = err.Error()
+	}
+	r.log.Record(eventlog.Event{Kind: eventlog.RecordRewritten, Target: lost.Instance, Outcome: outcome})
+	return err
+}
+
+const (
+	// rewriteTimeout bounds the time for writing a departure again. The store is there, as
+	// it named its epoch.
+	rewriteTimeout = 10 * time.Second
+	// rewriteSpacing is by how much later each node than the one before it in the order of
+	// nodes writes its record again. Each needs two writing calls: with 2.5 ms the fleet
+	// makes 800 a second, less than stores of large fleets take, and 300 nodes are done
+	// after 0.8 s, before a missing record is taken to be that of a node that is gone.
+	rewriteSpacing = 2500 * time.Microsecond
+)
+
+// StoreRestored takes that the store came back from a copy. What this node wrote since the
+// copy was made is gone, and so is its lease: departures are written again at once, and its
+// record after them.
+func (r *Registrar) StoreRestored() {
+	place, _ := r.config.Place()
+	r.publisher.delay(time.Duration(place) * rewriteSpacing)
+	for _, departure := range r.facts.ownFacts() {
+		go func() { _ = r.rewrite(departure) }()
 	}
 }
 
@@ -117,9 +208,7 @@
 			}
 		case entry.Key == r.config.HomesPrefix+r.config.Address:
 			// Whatever else lies there, a heartbeat will tell.
-			if record, err := decodeRecord(entry); err == nil {
-				last = &record
-			}
+			last = adoptable(entry)
 			r.publisher.resume(entry)
 		}
 	}
@@ -131,6 +220,17 @@
 	r.changed()
 }
 
+// adoptable returns the record that lies under the node's own address if what it says of the
+// target holds. One out of a copy may tell a target that left since, and the next heartbeat
+// tells better.
+func adoptable(entry store.Entry) *Record {
+	record, err := decodeRecord(entry)
+	if err != nil || record.restored(entry.Revision) {
+		return nil
+	}
+	return &record
+}
+
 // adopt takes the target that an earlier process had beside it, unless a
 // heartbeat or a departure says otherwise. Should it be gone, calls find no
 // connection or another instance, and have not run in either case.
@@ -271,71 +371,17 @@
 func (r *Registrar) makeDurable(ctx context.Context, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, ackTimeout)
 	defer cancel()
-	key := r.config.DeparturesPrefix + id
-	value := encode(Departure{Instance: id, Address: r.config.Address})
-	err := r.departing.write(ctx, key, value)
-	if err != nil {
+	departure := Departure{Instance: id, Address: r.config.Address}
+	err := r.departing.write(ctx, r.keyOf(departure), encode(departure))
+	if err == nil {
+		r.facts.note(departure)
+	} else {
 		err = fmt.Errorf("make departure of %s durable: %w", id, err)
 		r.log.Record(eventlog.Event{Kind: eventlog.HeartbeatRefused, Target: id, Reason: err.Error()})
 	}
 	return err
 }
 
-// departureWriter writes departures under a long lease.
-type departureWriter struct {
-	writer *leased.Writer
-
-	mutex   sync.Mutex
-	written map[string]bool
-}
-
-const (
-	// departureTTL is how long a departure is remembered. No target that left
-	// sends heartbeats for so long.
-	departureTTL = 10 * time.Minute
-	// writeTimeout bounds one call, so that a lost answer leaves time for others.
-	writeTimeout = 400 * time.Millisecond
-	writePause   = 30 * time.Millisecond
-)
-
-// write writes the departure until it is known to be there or the context ends.
-func (d *departureWriter) write(ctx context.Context, key string, value []byte) error {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if d.written[key] {
-		return nil
-	}
-	var failure error
-	for ctx.Err() == nil {
-		failure = d.try(ctx, key, value)
-		if failure == nil {
-			if d.written == nil {
-				d.written = make(map[string]bool)
-			}
-			d.written[key] = true
-			return nil
-		}
-		pause(ctx, writePause)
-	}
-	return errors.Join(ctx.Err(), failure)
-}
-
-func (d *departureWriter) try(ctx context.Context, key string, value []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	_, err := d.writer.CompareAndSwap(ctx, key, 0, value)
-	if errors.Is(err, store.ErrConflict) {
-		// Nobody writes anything else under the key.
-		return nil
-	}
-	return err
-}
-
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+func (r *Registrar) keyOf(departure Departure) string {
+	return r.config.DeparturesPrefix + departure.Instance
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -37,7 +37,7 @@
 
 func (f *faultyStore) GrantLease(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
 	if f.down.Load() {
-		return 0, store.ErrUnavailable
+		return store.NoLease, store.ErrUnavailable
 	}
 	return f.Store.GrantLease(ctx, ttl)
 }
@@ -439,7 +439,7 @@
 	ctx := context.Background()
 	held := memory.New(time.Now)
 	key := homesPrefix + homeAddress
-	revision, err := held.CompareAndSwap(ctx, key, 0, encode(Record{Instance: "i-1", Service: "s", Address: homeAddress, State: Ready}), 0)
+	revision, err := held.CompareAndSwap(ctx, key, 0, encode(Record{Instance: "i-1", Service: "s", Address: homeAddress, State: Ready}), store.NoLease)
 	assert.NilError(t, err)
 	d := startDirectory(t, &compactedStore{Store: held, deleted: func() {
 		_, err := held.CompareAndDelete(ctx, key, revision)
--- a/internal/replica/copy.go
+++ b/internal/replica/copy.go
@@ -35,6 +35,9 @@
 	// Verified is how long ago some node began to read the store, with the result
 	// that the copy holds what the store held then; negative if that never was.
 	Verified time.Duration
+	// Newest is the version of the newest document that the sender holds, which the store
+	// may have lost; zero where documents have no versions.
+	Newest uint64
 }
 
 // Item is an entry of the store as peers tell it.
@@ -54,6 +57,8 @@
 	// Whole tells that keys that are not named don't exist.
 	Whole bool
 	Items []Item
+	// Beyond is the newest document where the items don't tell it, nil if there is none.
+	Beyond []byte
 }
 
 // maxDeleted bounds the deleted keys that a copy remembers.
@@ -71,6 +76,8 @@
 	// higher revision with another value; it may be nil.
 	passedOver func(told, held store.Entry)
 
+	documents Documents
+
 	// applying is held while changes are taken and told.
 	applying sync.Mutex
 
@@ -92,6 +99,9 @@
 	// is in the copy. It rests on no watch: one that waits may hear nothing of changes
 	// in history that the store drops.
 	verified time.Time
+	// useless is the highest version of a document that a peer told and that could not be
+	// taken.
+	useless uint64
 	// published is verified as of the last change that was told.
 	published time.Time
 	// telling tells that changes are in the copy that were not told yet.
@@ -102,7 +112,7 @@
 // NewCopy returns an empty copy that counts as current for the given time after it
 // was known to be. The function is told every change, with the source.
 func NewCopy(staleAfter time.Duration, changed func(entries []store.Entry, source string), now func() time.Time) *Copy {
-	return &Copy{now: now, changed: changed, staleAfter: staleAfter, entries: make(map[string]store.Entry)}
+	return &Copy{now: now, changed: changed, staleAfter: staleAfter, documents: noDocuments{}, entries: make(map[string]store.Entry)}
 }
 
 // OnPassedOver has a function be told entries that a list of the store held and that were
@@ -136,7 +146,7 @@
 }
 
 func (c *Copy) digest() Digest {
-	return Digest{Through: c.through, Age: c.since(c.confirmed), Verified: c.since(c.verified)}
+	return Digest{Through: c.through, Age: c.since(c.confirmed), Verified: c.since(c.verified), Newest: c.documents.Version()}
 }
 
 // since returns how long ago a moment was, unknownAge for none.
@@ -164,12 +174,14 @@
 func (c *Copy) Since(other Digest) Delta {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	delta := Delta{Digest: c.digest()}
+	delta := Delta{Digest: c.digest(), Beyond: c.beyond(other)}
 	empty := other.Through == 0 && other.Age < 0
 	if !c.filled || (other.Through >= c.through && !empty) {
 		return delta
 	}
-	delta.Whole = empty || other.Through < c.horizon
+	// What the other copy holds of an earlier epoch may never have been in this one.
+	earlier := other.Through.Epoch() < c.through.Epoch()
+	delta.Whole = empty || earlier || other.Through < c.horizon
 	for _, entry := range c.entries {
 		if (delta.Whole && !entry.Deleted) || (!delta.Whole && entry.Revision > other.Through) {
 			delta.Items = append(delta.Items, Item{Key: entry.Key, Value: entry.Value, Revision: entry.Revision, Lease: entry.Lease, Deleted: entry.Deleted})
@@ -183,12 +195,16 @@
 func (c *Copy) behind(other Digest) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return other.Through > c.through || (!c.filled && other.Age >= 0)
+	return other.Through > c.through || (!c.filled && other.Age >= 0) || c.lacksDocument(other.Newest)
 }
 
 // takeSnapshot takes everything that the store held when it was asked or later.
 func (c *Copy) takeSnapshot(snapshot store.Snapshot, asked time.Time) {
 	c.apply(SourceStore, func() []store.Entry {
+		if snapshot.Revision.Epoch() < c.through.Epoch() {
+			return nil
+		}
+		c.enter(snapshot.Revision.Epoch())
 		through := c.through
 		present := make(map[string]bool, len(snapshot.Entries))
 		for _, entry := range snapshot.Entries {
@@ -224,6 +240,10 @@
 // takeEvents takes changes that a watch told. The copy held all earlier ones.
 func (c *Copy) takeEvents(events []store.Entry, progress store.Revision) {
 	c.apply(SourceStore, func() []store.Entry {
+		if progress.Epoch() != c.through.Epoch() {
+			// A watch that began before the store came back from a copy.
+			return nil
+		}
 		for _, event := range events {
 			c.through = max(c.through, event.Revision)
 		}
@@ -237,10 +257,13 @@
 
 // takeDelta takes what a peer told that was asked at the given moment.
 func (c *Copy) takeDelta(delta Delta, peer string, asked time.Time) {
+	c.takeDocument(delta, peer)
 	c.apply(peer, func() []store.Entry {
-		if delta.Age < 0 || delta.Through < c.through {
+		later := delta.Through.Epoch() > c.through.Epoch()
+		if delta.Age < 0 || delta.Through < c.through || (later && !delta.Whole) {
 			return nil
 		}
+		c.enter(delta.Through.Epoch())
 		entries := make([]store.Entry, 0, len(delta.Items))
 		present := make(map[string]bool, len(delta.Items))
 		for _, item := range delta.Items {
@@ -281,6 +304,22 @@
 	c.wake()
 }
 
+// enter goes on in a later epoch of the store, of which nothing is known to be current
+// yet. What the copy holds of the epoch before has lower revisions than all that the store
+// tells now, so that it is replaced or found to be absent.
+func (c *Copy) enter(epoch store.Epoch) {
+	if epoch <= c.through.Epoch() {
+		return
+	}
+	c.through = store.NewRevision(epoch, epochBegin)
+	c.cursor = c.through
+	c.confirmed, c.proved, c.verified = time.Time{}, time.Time{}, time.Time{}
+}
+
+// epochBegin is the number of a change before all that a store makes after it came back from
+// a copy, as a copy has at least one change.
+const epochBegin = 1
+
 // apply takes changes and tells them.
 func (c *Copy) apply(source string, take func() []store.Entry) {
 	c.applying.Lock()
--- a/internal/replica/spread.go
+++ b/internal/replica/spread.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/lugspur/lugspur/internal/store"
 )
 
 // Query asks a peer for what its copies hold beyond those of the one that asks.
@@ -21,6 +23,9 @@
 type Answer struct {
 	_      struct{} `cbor:",toarray"`
 	Deltas []Delta
+	// Settled tells that the peer knew what others did when it started, so that its answer
+	// is as good as that of the whole fleet.
+	Settled bool
 }
 
 const (
@@ -52,7 +57,11 @@
 	// Confirmed is told that a peer's copies were current at a moment; it may be
 	// nil.
 	Confirmed func(at time.Time)
-	Now       func() time.Time
+	// Epoch is told the epoch of the store that a peer's copies are of; it may be nil.
+	Epoch func(epoch store.Epoch, peer string)
+	// FirstStart tells that there was no process on any machine before.
+	FirstStart bool
+	Now        func() time.Time
 }
 
 // Spread brings the copies of nodes together. It is safe for concurrent use.
@@ -65,6 +74,7 @@
 	made    time.Time
 	heardAt atomic.Int64
 
+	settling *settling
 	fetching atomic.Bool
 	mutex    sync.Mutex
 	// recent is a ring of peers that were heard; some places may be empty.
@@ -75,11 +85,26 @@
 // NewSpread returns a spread of the copies, which all nodes hold in the same
 // order.
 func NewSpread(config SpreadConfig, copies ...*Copy) *Spread {
-	return &Spread{config: config, copies: copies, made: config.Now()}
+	s := &Spread{config: config, copies: copies, made: config.Now(), settling: newSettling()}
+	if config.FirstStart {
+		s.settling.end()
+	}
+	return s
 }
 
-// Digests says how far the node's copies reach.
+// Digests says how far the node's copies reach, for messages that go anyway. They tell the
+// newest document only where the store has lost it: else it is among the copy's entries.
 func (s *Spread) Digests() []Digest {
+	digests := s.wholeDigests()
+	for i, held := range s.copies {
+		if held.documents.Stored() >= digests[i].Newest {
+			digests[i].Newest = 0
+		}
+	}
+	return digests
+}
+
+func (s *Spread) wholeDigests() []Digest {
 	digests := make([]Digest, len(s.copies))
 	for i, held := range s.copies {
 		digests[i] = held.Digest()
@@ -115,6 +140,7 @@
 		held.heard(digests[i], asked)
 	}
 	s.noteConfirmed(digests)
+	s.noteEpochs(digests, peer)
 	if s.behind(digests) {
 		s.fetch(peer)
 	}
@@ -123,7 +149,7 @@
 // Answer answers a peer's query and learns from it that the peer is there and
 // what it has.
 func (s *Spread) Answer(query *Query) *Answer {
-	answer := &Answer{Deltas: make([]Delta, len(s.copies))}
+	answer := &Answer{Deltas: make([]Delta, len(s.copies)), Settled: s.Settled()}
 	for i, held := range s.copies {
 		if i < len(query.Digests) {
 			answer.Deltas[i] = held.Since(query.Digests[i])
@@ -137,13 +163,13 @@
 // any, until the context ends.
 func (s *Spread) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if s.quietFor() > askAfter || s.aged() {
+		if s.quietFor() > askAfter || s.aged() || !s.Settled() {
 			if peer := s.pick(); peer != "" {
 				s.ask(ctx, peer)
 			}
 		}
 		period := askPeriod
-		if !s.filled() {
+		if !s.filled() || !s.Settled() {
 			period = unfilledPeriod
 		}
 		sleep(ctx, period/2+rand.N(period))
@@ -194,6 +220,19 @@
 	}
 }
 
+// noteEpochs tells which epochs of the store a peer's copies are of. A copy that holds
+// nothing is of none.
+func (s *Spread) noteEpochs(digests []Digest, peer string) {
+	if s.config.Epoch == nil {
+		return
+	}
+	for _, digest := range digests {
+		if digest.Through != 0 {
+			s.config.Epoch(digest.Through.Epoch(), peer)
+		}
+	}
+}
+
 // fetch asks a peer that has something newer, unless another one is being asked.
 func (s *Spread) fetch(peer string) {
 	if !s.fetching.CompareAndSwap(false, true) {
@@ -210,7 +249,7 @@
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	asked := s.config.Now()
-	answer, err := s.config.Ask(ctx, peer, &Query{From: s.config.Address, Digests: s.Digests()})
+	answer, err := s.config.Ask(ctx, peer, &Query{From: s.config.Address, Digests: s.wholeDigests()})
 	if err != nil || len(answer.Deltas) != len(s.copies) {
 		return
 	}
@@ -221,6 +260,19 @@
 		digests[i] = answer.Deltas[i].Digest
 	}
 	s.noteConfirmed(digests)
+	s.noteEpochs(digests, peer)
+	s.settling.heard(peer, answer.Settled, s.knownPeers())
+}
+
+// knownPeers returns the number of peers that have a record.
+func (s *Spread) knownPeers() int {
+	known := 0
+	for _, peer := range s.config.Peers() {
+		if peer != s.config.Address {
+			known++
+		}
+	}
+	return max(known, 1)
 }
 
 // pick returns a peer at random, of those that are known or were heard. A node
--- a/internal/sidecar/copies.go
+++ b/internal/sidecar/copies.go
@@ -75,14 +75,16 @@
 	n.gate = reachability.NewGate(n.probePause, gateLog{n.log}, clock.Now)
 }
 
-// epochChanged notes that the store came back from a copy.
+// epochChanged takes that the store came back from a copy.
 func (n *Node) epochChanged(change epoch.Change) {
 	n.log.Record(eventlog.Event{Kind: eventlog.StoreRestored, Peer: change.Source, Previous: uint64(change.From), Version: uint64(change.To)})
+	n.registrar.StoreRestored()
+	n.limits.keeper.StoreRestored()
 }
 
 // passedOver notes that the store told less than a copy holds.
 func (n *Node) passedOver(told, held store.Entry) {
-	n.log.Record(eventlog.Event{Kind: eventlog.EntryPassedOver, Peer: told.Key, Version: uint64(told.Revision), Previous: uint64(held.Revision)})
+	n.log.Record(eventlog.Event{Kind: eventlog.EntryPassedOver, Peer: told.Key, Version: uint64(told.Revision.Number()), Previous: uint64(held.Revision.Number())})
 }
 
 // probePause bounds the pauses between probes of a store that doesn't answer.
@@ -97,6 +99,10 @@
 func (n *Node) provisionCopies() {
 	c := &n.copies
 	c.configuration = replica.NewCopy(configurationStale, n.feed.Change, clock.Now)
+	c.configuration.SetDocuments(n.feed)
+	if !n.settings.FirstStart {
+		n.feed.Hold()
+	}
 	c.records = replica.NewCopy(recordsStale, n.recordsChanged, clock.Now)
 	c.configuration.OnPassedOver(n.passedOver)
 	c.records.OnPassedOver(n.passedOver)
@@ -116,7 +122,10 @@
 		Ask:       n.askPeer,
 		Heard:     func(peer string) { n.forwarder.Heard(peer) },
 		Confirmed: n.gate.Hint,
-		Now:       clock.Now,
+		Epoch:     func(heard store.Epoch, peer string) { n.epochs.Observe(heard, peer) },
+
+		FirstStart: n.settings.FirstStart,
+		Now:        clock.Now,
 	}, c.configuration, c.records)
 }
 
--- a/internal/sidecar/gauges.go
+++ b/internal/sidecar/gauges.go
@@ -40,7 +40,7 @@
 	}
 }
 
-func revisionOf(held *replica.Copy) float64 { return float64(held.Digest().Through) }
+func revisionOf(held *replica.Copy) float64 { return float64(held.Digest().Through.Number()) }
 
 // ageOf is negative for a copy that was never current.
 func ageOf(held *replica.Copy) float64 {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -131,6 +131,8 @@
 		DeparturesPrefix: platform.DeparturesPrefix,
 		OnTarget:         n.guard.SetTarget,
 		Records:          n.recall,
+		Epoch:            n.epochs.Current,
+		Place:            n.directory.Place,
 		FirstStart:       settings.FirstStart,
 	}, n.registrarStores(), n.log, clock.Now)
 	n.codec = peering.NewCodec(platform.Headers().Signature)
@@ -170,6 +172,8 @@
 		},
 		Store:     n.gate.Wrap(n.store.For(purposeQuarantine)),
 		Prefix:    platform.QuarantinePrefix,
+		Epoch:     n.epochs.Current,
+		Place:     n.directory.Place,
 		OnVerdict: func(hash fingerprint.Fingerprint) { n.guard.Withdraw(hash) },
 		Log:       n.log,
 		Now:       clock.Now,
@@ -201,7 +205,7 @@
 		Policies:   n.policies,
 		Levels:     n.levels,
 		Quarantine: n.suspects,
-		Keys:       apikey.NewChecker(n.routes, n.copies.configuration, n.settings.Tenants.revoke()),
+		Keys:       apikey.NewChecker(n.routes, configfeed.NewProof(n.feed, n.copies.configuration), n.settings.Tenants.revoke()),
 		Limits:     n.limits.limiter,
 		Peers:      n.peers,
 		Observer:   n.metrics,
@@ -266,10 +270,16 @@
 func (n *Node) tasks() []func(context.Context) {
 	return []func(context.Context){
 		n.copies.keepConfiguration.Run, n.copies.keepRecords.Run, n.copies.spread.Run, n.copies.verify.Run,
-		n.directory.Run, n.registrar.Run, n.guard.Watch, n.forwarder.Run, n.calls.run, n.suspects.Run, n.limits.keeper.Run,
+		n.settle, n.directory.Run, n.registrar.Run, n.guard.Watch, n.forwarder.Run, n.calls.run, n.suspects.Run, n.limits.keeper.Run,
 	}
 }
 
+// settle puts the store's configuration in force once peers had time to tell a newer one.
+func (n *Node) settle(ctx context.Context) {
+	n.copies.spread.AwaitSettled(ctx)
+	n.feed.Release()
+}
+
 // listen opens all listeners and serves them.
 func (n *Node) listen() error {
 	if err := n.listenForAsks(); err != nil {
--- a/internal/sidecar/tenants.go
+++ b/internal/sidecar/tenants.go
@@ -27,13 +27,17 @@
 		Process:   n.process,
 		Datagrams: n.settings.Listen.Permits,
 		Started:   n.started,
-		Prefix:    platform.ShardsPrefix,
-		Store:     n.gate.Wrap(n.store.For(purposeShards)),
-		Place:     n.directory.Place,
-		Needed:    n.hasLimits,
-		Issuer:    n.limits.issuer,
-		Log:       n.log,
-		Now:       clock.Now,
+
+		FirstStart: n.settings.FirstStart,
+		Epoch:      n.epochs.Current,
+
+		Prefix: platform.ShardsPrefix,
+		Store:  n.gate.Wrap(n.store.For(purposeShards)),
+		Place:  n.directory.Place,
+		Needed: n.hasLimits,
+		Issuer: n.limits.issuer,
+		Log:    n.log,
+		Now:    clock.Now,
 	})
 	n.limits.limiter = ratelimit.NewLimiter(n.limits.keeper, n.askPermits, clock.Now)
 }
--- a/internal/store/epoch/epoch.go
+++ b/internal/store/epoch/epoch.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"github.com/lugspur/lugspur/internal/store"
 )
@@ -17,10 +18,11 @@
 
 // Tracker holds the newest epoch that was heard of. It is safe for concurrent use.
 type Tracker struct {
+	current atomic.Uint32
+	changes atomic.Int64
+
 	mutex     sync.Mutex
-	current   store.Epoch
 	known     bool
-	changes   int
 	listeners []func(Change)
 }
 
@@ -32,35 +34,29 @@
 func (t *Tracker) OnChange(listener func(Change)) { t.listeners = append(t.listeners, listener) }
 
 // Current returns the newest epoch, zero if none is known.
-func (t *Tracker) Current() store.Epoch {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	return t.current
-}
+func (t *Tracker) Current() store.Epoch { return store.Epoch(t.current.Load()) }
 
 // Changes returns how often the epoch changed since the process started.
-func (t *Tracker) Changes() int {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	return t.changes
-}
+func (t *Tracker) Changes() int { return int(t.changes.Load()) }
 
 // Observe takes an epoch that a source named and returns the newest that is known. The
 // first one that a process hears of is no change.
 func (t *Tracker) Observe(heard store.Epoch, source string) store.Epoch {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if t.known && heard <= t.current {
-		return t.current
+	current := t.Current()
+	if t.known && heard <= current {
+		return current
 	}
-	change := Change{From: t.current, To: heard, Source: source}
 	first := !t.known
-	t.current, t.known = heard, true
+	t.current.Store(uint32(heard))
+	t.known = true
 	if !first {
-		t.changes++
+		t.changes.Add(1)
+		change := Change{From: current, To: heard, Source: source}
 		for _, tell := range t.listeners {
 			tell(change)
 		}
 	}
-	return t.current
+	return heard
 }
--- a/internal/store/etcd/answers_test.go
+++ b/internal/store/etcd/answers_test.go
@@ -53,12 +53,12 @@
 	assert.Equal(t, body, `{"key":"Zm9v","range_end":"Zm9w","limit":"500"}`)
 
 	answer = publishedTxn
-	revision, err := client.CompareAndSwap(ctx, "foo", 2, []byte("bar"), 7)
+	revision, err := client.CompareAndSwap(ctx, "foo", 2, []byte("bar"), store.LeaseID{Number: 7})
 	assert.NilError(t, err)
 	assert.Equal(t, revision, store.Revision(3))
 	assert.Equal(t, path, "POST /v3/kv/txn")
 	assert.Equal(t, body, `{"compare":[{"result":"EQUAL","target":"MOD","key":"Zm9v","mod_revision":"2"}],"success":[{"request_put":{"key":"Zm9v","value":"YmFy","lease":"7"}}]}`)
-	_, err = client.CompareAndSwap(ctx, "foo", 0, []byte("bar"), 0)
+	_, err = client.CompareAndSwap(ctx, "foo", 0, []byte("bar"), store.NoLease)
 	assert.NilError(t, err)
 	assert.Equal(t, body, `{"compare":[{"result":"EQUAL","target":"CREATE","key":"Zm9v","create_revision":"0"}],"success":[{"request_put":{"key":"Zm9v","value":"YmFy"}}]}`)
 	_, err = client.CompareAndDelete(ctx, "foo", 2)
@@ -120,7 +120,7 @@
 				assert.Check(t, err)
 			}))
 			client := open(t, etcd.Config{Endpoints: []string{address, address}, MaxResponseBytes: 4096})
-			_, err := client.CompareAndSwap(testContext(t), "a", 0, nil, 0)
+			_, err := client.CompareAndSwap(testContext(t), "a", 0, nil, store.NoLease)
 			assert.ErrorIs(t, err, c.write)
 			assert.Equal(t, requests.Load(), int32(1), "a write must be sent once")
 			_, err = client.Get(testContext(t), "a")
@@ -138,7 +138,7 @@
 		assert.Check(t, err)
 	}))
 	client := open(t, etcd.Config{Endpoints: []string{address}})
-	_, err := client.CompareAndSwap(testContext(t), "a", 0, bytes.Repeat([]byte("x"), 10), 0)
+	_, err := client.CompareAndSwap(testContext(t), "a", 0, bytes.Repeat([]byte("x"), 10), store.NoLease)
 	assert.ErrorContains(t, err, "request is too large")
 	for _, other := range []error{store.ErrUnavailable, store.ErrUnknownOutcome, store.ErrConflict} {
 		assert.Assert(t, !errors.Is(err, other), "%v", err)
--- a/internal/store/etcd/client_test.go
+++ b/internal/store/etcd/client_test.go
@@ -106,13 +106,13 @@
 	address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		pages++
 		if pages == 2 {
-			_, err := writer.CompareAndSwap(ctx, "k/z", 0, []byte("late"), 0)
+			_, err := writer.CompareAndSwap(ctx, "k/z", 0, []byte("late"), store.NoLease)
 			assert.Check(t, err)
 		}
 		server.Handler().ServeHTTP(w, r)
 	}))
 	for _, key := range []string{"k/a", "k/b", "k/c"} {
-		_, err := writer.CompareAndSwap(ctx, key, 0, []byte("1"), 0)
+		_, err := writer.CompareAndSwap(ctx, key, 0, []byte("1"), store.NoLease)
 		assert.NilError(t, err)
 	}
 	reader := open(t, etcd.Config{Endpoints: []string{address}, PageEntries: 1})
@@ -125,7 +125,7 @@
 func TestErrorsNameStepAndPeer(t *testing.T) {
 	process := startStore(t, kvstore.Config{})
 	client := open(t, etcd.Config{Endpoints: []string{process.Address()}})
-	_, err := client.CompareAndSwap(testContext(t), "a", 5, nil, 0)
+	_, err := client.CompareAndSwap(testContext(t), "a", 5, nil, store.NoLease)
 	assert.ErrorIs(t, err, store.ErrConflict)
 	assert.ErrorContains(t, err, "compare-and-swap at "+process.Address())
 }
@@ -146,6 +146,6 @@
 	<-opened
 	client.Close()
 	assert.ErrorIs(t, <-ended, store.ErrUnavailable)
-	_, err := client.CompareAndSwap(testContext(t), "a", 0, nil, 0)
+	_, err := client.CompareAndSwap(testContext(t), "a", 0, nil, store.NoLease)
 	assert.ErrorIs(t, err, store.ErrUnavailable)
 }
--- a/internal/store/etcd/faults_test.go
+++ b/internal/store/etcd/faults_test.go
@@ -37,7 +37,7 @@
 	client := open(t, etcd.Config{Endpoints: []string{process.Address(), process.Address()}})
 	lease, err := client.GrantLease(ctx, time.Minute)
 	assert.NilError(t, err)
-	kept, err := client.CompareAndSwap(ctx, "removed", 0, nil, 0)
+	kept, err := client.CompareAndSwap(ctx, "removed", 0, nil, store.NoLease)
 	assert.NilError(t, err)
 	writes := []struct {
 		name string
@@ -97,7 +97,7 @@
 	unknown := 0
 	for i := range count {
 		value := fmt.Sprint(i)
-		next, err := client.CompareAndSwap(ctx, "counter", revision, []byte(value), 0)
+		next, err := client.CompareAndSwap(ctx, "counter", revision, []byte(value), store.NoLease)
 		if errors.Is(err, store.ErrUnknownOutcome) {
 			unknown++
 			entry, readErr := client.Get(ctx, "counter")
@@ -123,7 +123,7 @@
 	fresh := open(t, etcd.Config{Endpoints: []string{process.Address()}})
 	control(t, process, outage(kvstore.OutageRefuse))
 
-	_, err = fresh.CompareAndSwap(ctx, "a", 0, nil, 0)
+	_, err = fresh.CompareAndSwap(ctx, "a", 0, nil, store.NoLease)
 	assert.ErrorIs(t, err, store.ErrUnavailable)
 	assert.Assert(t, !errors.Is(err, store.ErrUnknownOutcome))
 	_, err = used.List(ctx, "a")
@@ -141,7 +141,7 @@
 	process := startStore(t, kvstore.Config{})
 	client := open(t, etcd.Config{Endpoints: []string{process.Address()}})
 	control(t, process, outage(kvstore.OutageUnavailable))
-	_, err := client.CompareAndSwap(ctx, "a", 0, nil, 0)
+	_, err := client.CompareAndSwap(ctx, "a", 0, nil, store.NoLease)
 	assert.ErrorIs(t, err, store.ErrUnavailable)
 	_, err = client.Get(ctx, "a")
 	assert.ErrorIs(t, err, store.ErrUnavailable)
@@ -160,13 +160,13 @@
 	control(t, process, outage(kvstore.OutageHang))
 	_, err := client.Get(ctx, "a")
 	assert.ErrorIs(t, err, store.ErrUnavailable)
-	_, err = client.CompareAndSwap(ctx, "a", 0, []byte("late"), 0)
+	_, err = client.CompareAndSwap(ctx, "a", 0, []byte("late"), store.NoLease)
 	assert.ErrorIs(t, err, store.ErrUnknownOutcome)
 	assert.Assert(t, !errors.Is(err, context.DeadlineExceeded))
 
 	short, cancel := context.WithTimeout(ctx, shortTimeout/4)
 	defer cancel()
-	_, err = client.CompareAndSwap(short, "b", 0, nil, 0)
+	_, err = client.CompareAndSwap(short, "b", 0, nil, store.NoLease)
 	assert.ErrorIs(t, err, store.ErrUnknownOutcome)
 	assert.ErrorIs(t, err, context.DeadlineExceeded)
 
@@ -192,7 +192,7 @@
 
 	config.Endpoints = []string{dead.Address(), healthy.Address()}
 	client := open(t, config)
-	_, err := client.CompareAndSwap(ctx, "a", 0, nil, 0)
+	_, err := client.CompareAndSwap(ctx, "a", 0, nil, store.NoLease)
 	assert.NilError(t, err)
 
 	config.Endpoints = []string{hanging.Address(), healthy.Address()}
@@ -201,7 +201,7 @@
 	assert.NilError(t, err)
 
 	client = open(t, config)
-	_, err = client.CompareAndSwap(ctx, "b", 0, nil, 0)
+	_, err = client.CompareAndSwap(ctx, "b", 0, nil, store.NoLease)
 	assert.ErrorIs(t, err, store.ErrUnknownOutcome)
 	_, err = client.Get(ctx, "b")
 	assert.ErrorIs(t, err, store.ErrNotFound)
@@ -211,9 +211,9 @@
 	ctx := testContext(t)
 	process := startStore(t, kvstore.Config{RequestsPerSecond: 0.1, Burst: 1})
 	client := open(t, etcd.Config{Endpoints: []string{process.Address()}, RequestTimeout: shortTimeout})
-	_, err := client.CompareAndSwap(ctx, "a", 0, nil, 0)
+	_, err := client.CompareAndSwap(ctx, "a", 0, nil, store.NoLease)
 	assert.NilError(t, err)
-	_, err = client.CompareAndSwap(ctx, "b", 0, nil, 0)
+	_, err = client.CompareAndSwap(ctx, "b", 0, nil, store.NoLease)
 	assert.ErrorIs(t, err, store.ErrRateLimited)
 	_, err = client.Get(ctx, "a")
 	assert.ErrorIs(t, err, store.ErrRateLimited)
@@ -244,7 +244,7 @@
 	})
 	_, err := client.Get(ctx, "a")
 	assert.ErrorIs(t, err, store.ErrNotFound)
-	_, err = client.CompareAndSwap(ctx, "a", 0, nil, 0)
+	_, err = client.CompareAndSwap(ctx, "a", 0, nil, store.NoLease)
 	assert.ErrorIs(t, err, store.ErrRateLimited)
 	assert.Equal(t, process.Status().Requests, int64(1))
 }
--- a/internal/store/etcd/keys.go
+++ b/internal/store/etcd/keys.go
@@ -79,7 +79,7 @@
 
 // CompareAndSwap implements store.Store.
 func (c *Client) CompareAndSwap(ctx context.Context, key string, expected store.Revision, value []byte, lease store.LeaseID) (store.Revision, error) {
-	put := &wire.PutRequest{Key: []byte(key), Value: value, Lease: wire.Int64(lease)}
+	put := &wire.PutRequest{Key: []byte(key), Value: value, Lease: wire.Int64(lease.Number)}
 	return c.transact(ctx, "compare-and-swap", compare(key, expected), wire.RequestOp{Put: put})
 }
 
@@ -133,5 +133,5 @@
 }
 
 func entryOf(found wire.KeyValue) store.Entry {
-	return store.Entry{Key: string(found.Key), Value: found.Value, Revision: store.Revision(found.ModRevision), Lease: store.LeaseID(found.Lease)}
+	return store.Entry{Key: string(found.Key), Value: found.Value, Revision: store.Revision(found.ModRevision), Lease: store.LeaseID{Number: int64(found.Lease)}}
 }
--- a/internal/store/etcd/leases.go
+++ b/internal/store/etcd/leases.go
@@ -28,7 +28,7 @@
 		if response.ID == 0 {
 			return errNoLease
 		}
-		lease = store.LeaseID(response.ID)
+		lease = store.LeaseID{Number: int64(response.ID)}
 		return nil
 	}})
 	return lease, err
@@ -37,7 +37,7 @@
 // RenewLease implements store.Store. The time left counts from some moment
 // during the call, in whole seconds.
 func (c *Client) RenewLease(ctx context.Context, lease store.LeaseID) (time.Duration, error) {
-	request := wire.LeaseRequest{ID: wire.Int64(lease)}
+	request := wire.LeaseRequest{ID: wire.Int64(lease.Number)}
 	var left time.Duration
 	err := c.do(ctx, call{step: "renew-lease", path: wire.PathLeaseRenew, write: true, request: request, decode: func(body []byte) error {
 		var message wire.LeaseRenewMessage
@@ -58,7 +58,7 @@
 
 // RevokeLease implements store.Store.
 func (c *Client) RevokeLease(ctx context.Context, lease store.LeaseID) error {
-	request := wire.LeaseRequest{ID: wire.Int64(lease)}
+	request := wire.LeaseRequest{ID: wire.Int64(lease.Number)}
 	return c.do(ctx, call{step: "revoke-lease", path: wire.PathLeaseRevoke, write: true, request: request, decode: func(body []byte) error {
 		var response wire.LeaseRevokeResponse
 		return json.Unmarshal(body, &response)
--- a/internal/store/etcd/watch_test.go
+++ b/internal/store/etcd/watch_test.go
@@ -70,7 +70,7 @@
 		if err != nil && !errors.Is(err, store.ErrNotFound) {
 			return err
 		}
-		revision, err := client.CompareAndSwap(ctx, key, entry.Revision, value, 0)
+		revision, err := client.CompareAndSwap(ctx, key, entry.Revision, value, store.NoLease)
 		if err != nil {
 			return err
 		}
--- a/internal/store/leased/writer.go
+++ b/internal/store/leased/writer.go
@@ -35,7 +35,7 @@
 func (w *Writer) CompareAndSwap(ctx context.Context, key string, expected store.Revision, value []byte) (store.Revision, error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.lease == 0 || w.now().Sub(w.granted) > w.duration/reusedPart {
+	if w.lease == store.NoLease || w.now().Sub(w.granted) > w.duration/reusedPart {
 		granted := w.now()
 		lease, err := w.store.GrantLease(ctx, w.duration)
 		if err != nil {
@@ -45,7 +45,7 @@
 	}
 	revision, err := w.store.CompareAndSwap(ctx, key, expected, value, w.lease)
 	if errors.Is(err, store.ErrLeaseLost) {
-		w.lease = 0
+		w.lease = store.NoLease
 	}
 	return revision, err
 }
--- a/internal/store/memory/memory.go
+++ b/internal/store/memory/memory.go
@@ -53,7 +53,7 @@
 func (s *Store) Epoch() store.Epoch { return store.Epoch(s.epoch.Load()) }
 
 // Newest returns the newest revision.
-func (s *Store) Newest() store.Revision { return s.versions.Revision() }
+func (s *Store) Newest() store.Revision { return s.revision(s.versions.Revision()) }
 
 // Get implements store.Store.
 func (s *Store) Get(ctx context.Context, key string) (store.Entry, error) {
@@ -67,7 +67,7 @@
 	if len(view.Entries) == 0 {
 		return store.Entry{}, failure("get", store.ErrNotFound)
 	}
-	return entryOf(view.Entries[0]), nil
+	return s.entryOf(view.Entries[0]), nil
 }
 
 // List implements store.Store.
@@ -79,17 +79,21 @@
 	if err != nil {
 		return store.Snapshot{}, failure("list", err)
 	}
-	snapshot := store.Snapshot{Revision: view.Current}
+	snapshot := store.Snapshot{Revision: s.revision(view.Current)}
 	for _, found := range view.Entries {
-		snapshot.Entries = append(snapshot.Entries, entryOf(found))
+		snapshot.Entries = append(snapshot.Entries, s.entryOf(found))
 	}
 	return snapshot, nil
 }
 
 // CompareAndSwap implements store.Store.
 func (s *Store) CompareAndSwap(ctx context.Context, key string, expected store.Revision, value []byte, lease store.LeaseID) (store.Revision, error) {
-	put := mvcc.Operation{Key: key, Value: value, Lease: lease}
-	return s.commit(ctx, "compare-and-swap", key, expected, put)
+	const step = "compare-and-swap"
+	if s.lapsed(lease) {
+		return 0, failure(step, store.ErrLeaseLost)
+	}
+	put := mvcc.Operation{Key: key, Value: value, Lease: mvcc.LeaseID(lease.Number)}
+	return s.commit(ctx, step, key, expected, put)
 }
 
 // CompareAndDelete implements store.Store.
@@ -105,8 +109,11 @@
 	if err := alive(ctx, step); err != nil {
 		return 0, err
 	}
+	if expected != 0 && expected.Epoch() != s.Epoch() {
+		return 0, failure(step, store.ErrConflict)
+	}
 	result, err := s.versions.Commit(mvcc.Transaction{
-		Compare: []mvcc.Comparison{{Key: key, Field: mvcc.FieldModRevision, Value: int64(expected)}},
+		Compare: []mvcc.Comparison{{Key: key, Field: mvcc.FieldModRevision, Value: expected.Number()}},
 		Success: []mvcc.Operation{operation},
 	})
 	if err != nil {
@@ -115,7 +122,17 @@
 	if !result.Succeeded {
 		return 0, failure(step, store.ErrConflict)
 	}
-	return result.Revision, nil
+	return s.revision(result.Revision), nil
+}
+
+// revision returns the revision of a change that the content numbers.
+func (s *Store) revision(number store.Revision) store.Revision {
+	return store.NewRevision(s.Epoch(), int64(number))
+}
+
+// lapsed reports whether a lease is of an earlier epoch.
+func (s *Store) lapsed(lease store.LeaseID) bool {
+	return lease != store.NoLease && lease.Epoch != s.Epoch()
 }
 
 // Watch implements store.Store.
@@ -128,13 +145,16 @@
 			return failure("watch", ctx.Err())
 		}
 		changed := s.versions.Changed()
-		batch, err := s.versions.EventsAfter(span, after, watchBatchEvents)
+		if after != 0 && after.Epoch() != s.Epoch() {
+			return failure("watch", store.ErrCompacted)
+		}
+		batch, err := s.versions.EventsAfter(span, store.Revision(after.Number()), watchBatchEvents)
 		if err != nil {
 			return failure("watch", err)
 		}
-		if batch.Through > after {
-			handler(entriesOf(batch.Events), batch.Through)
-			after = batch.Through
+		if through := s.revision(batch.Through); through > after {
+			handler(s.entriesOf(batch.Events), through)
+			after = through
 			continue
 		}
 		select {
@@ -148,13 +168,13 @@
 // GrantLease implements store.Store.
 func (s *Store) GrantLease(ctx context.Context, duration time.Duration) (store.LeaseID, error) {
 	if err := alive(ctx, "grant-lease"); err != nil {
-		return 0, err
+		return store.NoLease, err
 	}
 	id, err := s.versions.Grant(duration)
 	if err != nil {
-		return 0, failure("grant-lease", err)
+		return store.NoLease, failure("grant-lease", err)
 	}
-	return id, nil
+	return store.LeaseID{Epoch: s.Epoch(), Number: int64(id)}, nil
 }
 
 // RenewLease implements store.Store.
@@ -162,7 +182,10 @@
 	if err := alive(ctx, "renew-lease"); err != nil {
 		return 0, err
 	}
-	left, err := s.versions.Renew(lease)
+	if s.lapsed(lease) {
+		return 0, failure("renew-lease", store.ErrLeaseLost)
+	}
+	left, err := s.versions.Renew(mvcc.LeaseID(lease.Number))
 	if err != nil {
 		return 0, failure("renew-lease", err)
 	}
@@ -174,7 +197,10 @@
 	if err := alive(ctx, "revoke-lease"); err != nil {
 		return err
 	}
-	if err := s.versions.Revoke(lease); err != nil {
+	if s.lapsed(lease) {
+		return failure("revoke-lease", store.ErrLeaseLost)
+	}
+	if err := s.versions.Revoke(mvcc.LeaseID(lease.Number)); err != nil {
 		return failure("revoke-lease", err)
 	}
 	return nil
@@ -194,16 +220,20 @@
 	return oops.In("store").With("step", step).With("peer", "memory").Wrapf(err, "%s in memory", step)
 }
 
-func entriesOf(events []mvcc.Event) []store.Entry {
+func (s *Store) entriesOf(events []mvcc.Event) []store.Entry {
 	entries := make([]store.Entry, 0, len(events))
 	for _, event := range events {
-		entry := entryOf(event.KeyValue)
+		entry := s.entryOf(event.KeyValue)
 		entry.Deleted = event.Deleted
 		entries = append(entries, entry)
 	}
 	return entries
 }
 
-func entryOf(found mvcc.KeyValue) store.Entry {
-	return store.Entry{Key: found.Key, Value: bytes.Clone(found.Value), Revision: found.ModRevision, Lease: found.Lease}
+func (s *Store) entryOf(found mvcc.KeyValue) store.Entry {
+	entry := store.Entry{Key: found.Key, Value: bytes.Clone(found.Value), Revision: s.revision(found.ModRevision)}
+	if found.Lease != 0 {
+		entry.Lease = store.LeaseID{Epoch: s.Epoch(), Number: int64(found.Lease)}
+	}
+	return entry
 }
--- a/internal/store/memory/memory_test.go
+++ b/internal/store/memory/memory_test.go
@@ -27,7 +27,7 @@
 func fillHistory(t *testing.T, tested store.Store) {
 	revision := store.Revision(0)
 	for range 5000 {
-		next, err := tested.CompareAndSwap(context.Background(), "filler", revision, nil, 0)
+		next, err := tested.CompareAndSwap(context.Background(), "filler", revision, nil, store.NoLease)
 		assert.NilError(t, err)
 		revision = next
 	}
--- a/internal/store/memory/mvcc/backup.go
+++ b/internal/store/memory/mvcc/backup.go
@@ -11,8 +11,8 @@
 	revision   store.Revision
 	keys       map[string]*KeyValue
 	totalBytes int
-	leases     map[store.LeaseID]*lease
-	lastLease  store.LeaseID
+	leases     map[LeaseID]*lease
+	lastLease  LeaseID
 }
 
 // Backup copies what the store holds now, leases with the ends that they have now.
@@ -36,8 +36,8 @@
 	s.changed = make(chan struct{})
 }
 
-func cloneLeases(leases map[store.LeaseID]*lease) map[store.LeaseID]*lease {
-	cloned := make(map[store.LeaseID]*lease, len(leases))
+func cloneLeases(leases map[LeaseID]*lease) map[LeaseID]*lease {
+	cloned := make(map[LeaseID]*lease, len(leases))
 	for id, held := range leases {
 		cloned[id] = &lease{duration: held.duration, expires: held.expires, keys: maps.Clone(held.keys)}
 	}
--- a/internal/store/memory/mvcc/commit.go
+++ b/internal/store/memory/mvcc/commit.go
@@ -32,7 +32,7 @@
 	Span   keyspan.Span
 	Key    string
 	Value  []byte
-	Lease  store.LeaseID
+	Lease  LeaseID
 }
 
 // Transaction runs Success when all comparisons hold and Failure otherwise.
--- a/internal/store/memory/mvcc/lease.go
+++ b/internal/store/memory/mvcc/lease.go
@@ -7,6 +7,9 @@
 	"github.com/lugspur/lugspur/internal/store"
 )
 
+// LeaseID numbers a lease of this store; zero is no lease.
+type LeaseID int64
+
 type lease struct {
 	duration time.Duration
 	expires  time.Time
@@ -14,7 +17,7 @@
 }
 
 // Grant creates a lease. It returns ErrNoSpace when there are too many.
-func (s *Store) Grant(duration time.Duration) (store.LeaseID, error) {
+func (s *Store) Grant(duration time.Duration) (LeaseID, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLeases()
@@ -29,7 +32,7 @@
 }
 
 // Renew starts the lease's duration anew and returns it, or store.ErrLeaseLost.
-func (s *Store) Renew(id store.LeaseID) (time.Duration, error) {
+func (s *Store) Renew(id LeaseID) (time.Duration, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLeases()
@@ -42,7 +45,7 @@
 }
 
 // Revoke ends a lease and removes its keys, or returns store.ErrLeaseLost.
-func (s *Store) Revoke(id store.LeaseID) error {
+func (s *Store) Revoke(id LeaseID) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLeases()
@@ -53,7 +56,7 @@
 	return nil
 }
 
-func (s *Store) end(id store.LeaseID) {
+func (s *Store) end(id LeaseID) {
 	held := s.leases[id]
 	delete(s.leases, id)
 	keys := make([]string, 0, len(held.keys))
@@ -80,7 +83,7 @@
 		return
 	}
 	s.nextExpiry = time.Time{}
-	var expired []store.LeaseID
+	var expired []LeaseID
 	for id, held := range s.leases {
 		if !now.Before(held.expires) {
 			expired = append(expired, id)
--- a/internal/store/memory/mvcc/store.go
+++ b/internal/store/memory/mvcc/store.go
@@ -58,7 +58,7 @@
 	CreateRevision store.Revision
 	ModRevision    store.Revision
 	Version        int64
-	Lease          store.LeaseID
+	Lease          LeaseID
 }
 
 func (k *KeyValue) size() int {
@@ -87,8 +87,8 @@
 	historyBytes int
 	compacted    store.Revision
 	changed      chan struct{}
-	leases       map[store.LeaseID]*lease
-	lastLease    store.LeaseID
+	leases       map[LeaseID]*lease
+	lastLease    LeaseID
 	nextExpiry   time.Time
 }
 
@@ -99,7 +99,7 @@
 		revision: initialRevision,
 		keys:     make(map[string]*KeyValue),
 		changed:  make(chan struct{}),
-		leases:   make(map[store.LeaseID]*lease),
+		leases:   make(map[LeaseID]*lease),
 	}
 }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -16,19 +16,56 @@
 	"time"
 )
 
-// Revision numbers the store's changes: every accepted write, in any key, has
-// a larger revision than all before it. Zero is the revision of a key that
-// does not exist.
+// Epoch numbers the lives of the store's content. It rises by one each time that the
+// store comes back from a copy of an earlier state: revisions and leases that it gave out
+// since the copy was made are gone, and it gives out the same numbers again.
+type Epoch uint32
+
+// Revision names a state of the store: every accepted write, in any key, has a
+// larger revision than all before it. Zero is the revision of a key that does
+// not exist.
+//
+// A store that comes back from a copy gives out the numbers of its changes a
+// second time. Like the transaction ids of ZooKeeper a revision therefore holds
+// the epoch in its high bits and the number in its low ones: those of a later
+// epoch are larger than all of earlier ones, and none of two epochs are equal.
 type Revision int64
 
+const (
+	// revisionBits are those of the number. At 3,200 changes a second they last for 43
+	// years of one epoch.
+	revisionBits = 42
+	// MaxEpoch is the largest epoch that a revision can hold.
+	MaxEpoch Epoch = 1<<(63-revisionBits) - 1
+	// maxRevisionNumber is the largest number that a revision can hold.
+	maxRevisionNumber = 1<<revisionBits - 1
+)
+
+// NewRevision returns the revision of a change that the store numbers in an epoch. Zero is
+// no change in any epoch.
+func NewRevision(epoch Epoch, number int64) Revision {
+	if number == 0 {
+		return 0
+	}
+	return Revision(int64(epoch)<<revisionBits | min(number, maxRevisionNumber))
+}
+
+// Epoch returns the epoch in which the store made the change.
+func (r Revision) Epoch() Epoch { return Epoch(r >> revisionBits) }
+
+// Number returns the store's own number of the change.
+func (r Revision) Number() int64 { return int64(r & maxRevisionNumber) }
+
 // Errors that implementations return, possibly wrapped.
 var (
 	// ErrNotFound means that the key does not exist.
 	ErrNotFound = errors.New("key not found")
 	// ErrConflict means that the key's revision was not the expected one and
-	// that the write did not take effect.
+	// that the write did not take effect. A revision of an earlier epoch is
+	// never the expected one.
 	ErrConflict = errors.New("revision conflict")
-	// ErrUnknownOutcome means that the write may or may not have taken effect.
+	// ErrUnknownOutcome means that the write may or may not have taken effect,
+	// also because it was answered in another epoch than its condition is of.
 	ErrUnknownOutcome = errors.New("outcome of write unknown")
 	// ErrUnavailable means that the store was not reached or refused for a
 	// reason that has nothing to do with the request; nothing took effect.
@@ -37,9 +74,11 @@
 	// nothing took effect.
 	ErrRateLimited = errors.New("store rate limit reached")
 	// ErrCompacted means that a watch asked for a revision that the store no
-	// longer holds: list again and watch from the list's revision.
+	// longer holds, or never held in its present epoch: list again and watch
+	// from the list's revision.
 	ErrCompacted = errors.New("revision compacted")
-	// ErrLeaseLost means that a lease has expired or was revoked.
+	// ErrLeaseLost means that a lease has expired or was revoked, or is one of
+	// an earlier epoch, in which nothing of it is renewed or ended.
 	ErrLeaseLost = errors.New("lease lost")
 )
 
@@ -65,8 +104,17 @@
 // for.
 type Purpose string
 
-// LeaseID names a lease; zero is no lease.
-type LeaseID int64
+// LeaseID names a lease. Another lease may get the same number in a later epoch.
+type LeaseID struct {
+	_ struct{} `cbor:",toarray"`
+	// Epoch is the one in which the lease was granted, or in which a key was read that goes
+	// with it.
+	Epoch  Epoch
+	Number int64
+}
+
+// NoLease is the lease of keys that stay.
+var NoLease LeaseID
 
 // Store is the platform's key-value service. It is safe for concurrent use.
 type Store interface {
@@ -98,8 +146,3 @@
 	// RevokeLease ends a lease and removes its keys.
 	RevokeLease(ctx context.Context, lease LeaseID) error
 }
-
-// Epoch numbers the lives of the store's content. It rises by one each time that the
-// store comes back from a copy of an earlier state: revisions and leases that it gave out
-// since the copy was made are gone, and it gives out the same numbers again.
-type Epoch uint32
--- a/internal/store/storetest/keys.go
+++ b/internal/store/storetest/keys.go
@@ -35,7 +35,7 @@
 
 func createExisting(ctx context.Context, t *testing.T, tested store.Store) {
 	revision := create(ctx, t, tested, "a", "one")
-	_, err := tested.CompareAndSwap(ctx, "a", 0, []byte("two"), 0)
+	_, err := tested.CompareAndSwap(ctx, "a", 0, []byte("two"), store.NoLease)
 	assert.ErrorIs(t, err, store.ErrConflict)
 	unchanged(ctx, t, tested, "a", "one", revision)
 }
@@ -43,15 +43,15 @@
 func swapOld(ctx context.Context, t *testing.T, tested store.Store) {
 	first := create(ctx, t, tested, "a", "one")
 	second := swap(ctx, t, tested, "a", first, "two")
-	_, err := tested.CompareAndSwap(ctx, "a", first, []byte("three"), 0)
+	_, err := tested.CompareAndSwap(ctx, "a", first, []byte("three"), store.NoLease)
 	assert.ErrorIs(t, err, store.ErrConflict)
-	_, err = tested.CompareAndSwap(ctx, "a", second+1, []byte("three"), 0)
+	_, err = tested.CompareAndSwap(ctx, "a", second+1, []byte("three"), store.NoLease)
 	assert.ErrorIs(t, err, store.ErrConflict)
 	unchanged(ctx, t, tested, "a", "two", second)
 }
 
 func swapMissing(ctx context.Context, t *testing.T, tested store.Store) {
-	_, err := tested.CompareAndSwap(ctx, "a", 7, []byte("one"), 0)
+	_, err := tested.CompareAndSwap(ctx, "a", 7, []byte("one"), store.NoLease)
 	assert.ErrorIs(t, err, store.ErrConflict)
 	_, err = tested.Get(ctx, "a")
 	assert.ErrorIs(t, err, store.ErrNotFound)
@@ -59,7 +59,7 @@
 
 func unchanged(ctx context.Context, t *testing.T, tested store.Store, key, value string, revision store.Revision) {
 	t.Helper()
-	unchangedUnder(ctx, t, tested, key, value, revision, 0)
+	unchangedUnder(ctx, t, tested, key, value, revision, store.NoLease)
 }
 
 // unchangedUnder asserts that the key lies there under the lease.
@@ -72,7 +72,7 @@
 
 func valuesAreCopied(ctx context.Context, t *testing.T, tested store.Store) {
 	value := []byte("one")
-	revision, err := tested.CompareAndSwap(ctx, "a", 0, value, 0)
+	revision, err := tested.CompareAndSwap(ctx, "a", 0, value, store.NoLease)
 	assert.NilError(t, err)
 	value[0] = 'X'
 	entry, err := tested.Get(ctx, "a")
@@ -89,7 +89,7 @@
 		"large":        bytes.Repeat([]byte("0123456789abcdef"), 4096),
 	}
 	for key, value := range values {
-		_, err := tested.CompareAndSwap(ctx, key, 0, value, 0)
+		_, err := tested.CompareAndSwap(ctx, key, 0, value, store.NoLease)
 		assert.NilError(t, err)
 		entry, err := tested.Get(ctx, key)
 		assert.NilError(t, err)
@@ -140,7 +140,7 @@
 	first := create(ctx, t, tested, "a", "one")
 	removed, err := tested.CompareAndDelete(ctx, "a", first)
 	assert.NilError(t, err)
-	_, err = tested.CompareAndSwap(ctx, "a", first, []byte("two"), 0)
+	_, err = tested.CompareAndSwap(ctx, "a", first, []byte("two"), store.NoLease)
 	assert.ErrorIs(t, err, store.ErrConflict)
 	second := create(ctx, t, tested, "a", "two")
 	assert.Assert(t, second > removed)
@@ -188,7 +188,7 @@
 	var group sync.WaitGroup
 	for range writers {
 		group.Go(func() {
-			_, err := tested.CompareAndSwap(ctx, "a", revision, []byte("won"), 0)
+			_, err := tested.CompareAndSwap(ctx, "a", revision, []byte("won"), store.NoLease)
 			switch {
 			case err == nil:
 				winners.Add(1)
@@ -209,11 +209,11 @@
 	cancel()
 	_, getErr := tested.Get(ended, "a")
 	_, listErr := tested.List(ended, "a")
-	_, swapErr := tested.CompareAndSwap(ended, "a", 0, nil, 0)
+	_, swapErr := tested.CompareAndSwap(ended, "a", 0, nil, store.NoLease)
 	_, deleteErr := tested.CompareAndDelete(ended, "a", 1)
 	_, grantErr := tested.GrantLease(ended, leaseDuration)
-	_, renewErr := tested.RenewLease(ended, 1)
-	revokeErr := tested.RevokeLease(ended, 1)
+	_, renewErr := tested.RenewLease(ended, store.LeaseID{Number: 1})
+	revokeErr := tested.RevokeLease(ended, store.LeaseID{Number: 1})
 	for _, err := range []error{getErr, listErr, swapErr, deleteErr, grantErr, renewErr, revokeErr} {
 		assert.ErrorIs(t, err, context.Canceled)
 		assert.ErrorIs(t, err, store.ErrUnavailable)
--- a/internal/store/storetest/leases.go
+++ b/internal/store/storetest/leases.go
@@ -18,7 +18,7 @@
 	t.Helper()
 	lease, err := tested.GrantLease(ctx, leaseDuration)
 	assert.NilError(t, err)
-	assert.Assert(t, lease != 0)
+	assert.Assert(t, lease != store.NoLease)
 	revision, err := tested.CompareAndSwap(ctx, key, 0, []byte("held"), lease)
 	assert.NilError(t, err)
 	return lease, revision
@@ -68,7 +68,7 @@
 }
 
 func leaseLost(ctx context.Context, t *testing.T, tested store.Store) {
-	const unknown store.LeaseID = 424242
+	unknown := store.LeaseID{Number: 424242}
 	_, err := tested.RenewLease(ctx, unknown)
 	assert.ErrorIs(t, err, store.ErrLeaseLost)
 	_, err = tested.CompareAndSwap(ctx, "l/a", 0, []byte("held"), unknown)
--- a/internal/store/storetest/storetest.go
+++ b/internal/store/storetest/storetest.go
@@ -90,7 +90,7 @@
 
 func swap(ctx context.Context, t *testing.T, tested store.Store, key string, expected store.Revision, value string) store.Revision {
 	t.Helper()
-	revision, err := tested.CompareAndSwap(ctx, key, expected, []byte(value), 0)
+	revision, err := tested.CompareAndSwap(ctx, key, expected, []byte(value), store.NoLease)
 	assert.NilError(t, err)
 	return revision
 }
--- a/lab/kvstore/keys.go
+++ b/lab/kvstore/keys.go
@@ -131,7 +131,7 @@
 }
 
 func putOperation(request wire.PutRequest) mvcc.Operation {
-	return mvcc.Operation{Key: string(request.Key), Value: request.Value, Lease: store.LeaseID(request.Lease)}
+	return mvcc.Operation{Key: string(request.Key), Value: request.Value, Lease: mvcc.LeaseID(request.Lease)}
 }
 
 func deleteOperation(request wire.DeleteRangeRequest) mvcc.Operation {
--- a/lab/kvstore/leases.go
+++ b/lab/kvstore/leases.go
@@ -8,6 +8,7 @@
 
 	"github.com/lugspur/lugspur/internal/store"
 	"github.com/lugspur/lugspur/internal/store/etcd/wire"
+	"github.com/lugspur/lugspur/internal/store/memory/mvcc"
 )
 
 // maxLeaseSeconds is the longest lease, in seconds, as in etcd.
@@ -27,7 +28,7 @@
 
 // renewLease answers with one message of a stream; a lost lease has no time left.
 func (s *Server) renewLease(request wire.LeaseRequest) (answer[wire.LeaseRenewMessage], error) {
-	left, err := s.versions.Renew(store.LeaseID(request.ID))
+	left, err := s.versions.Renew(mvcc.LeaseID(request.ID))
 	if err != nil && !errors.Is(err, store.ErrLeaseLost) {
 		return answer[wire.LeaseRenewMessage]{}, err
 	}
@@ -37,7 +38,7 @@
 }
 
 func (s *Server) revokeLease(request wire.LeaseRequest) (answer[wire.LeaseRevokeResponse], error) {
-	if err := s.versions.Revoke(store.LeaseID(request.ID)); err != nil {
+	if err := s.versions.Revoke(mvcc.LeaseID(request.ID)); err != nil {
 		return answer[wire.LeaseRevokeResponse]{}, err
 	}
 	response := wire.LeaseRevokeResponse{Header: header(s.versions.Revision())}
--- a/lab/platformstub/store.go
+++ b/lab/platformstub/store.go
@@ -99,7 +99,7 @@
 }
 
 func wireOf(entry store.Entry) wireItem {
-	return wireItem{Key: entry.Key, Value: entry.Value, Revision: int64(entry.Revision), LeaseID: int64(entry.Lease), Removed: entry.Deleted}
+	return wireItem{Key: entry.Key, Value: entry.Value, Revision: entry.Revision.Number(), LeaseID: entry.Lease.Number, Removed: entry.Deleted}
 }
 
 type rangeAnswer struct {
@@ -243,7 +243,7 @@
 		fail(w, err)
 		return
 	}
-	answer := rangeAnswer{Items: []wireItem{}, At: int64(snapshot.Revision)}
+	answer := rangeAnswer{Items: []wireItem{}, At: snapshot.Revision.Number()}
 	after := r.URL.Query().Get("after")
 	for _, entry := range snapshot.Entries {
 		if entry.Key <= after && after != "" {
@@ -262,14 +262,15 @@
 	query := r.URL.Query()
 	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
 	begun := w.Header().Get(epochHeader)
-	if store.Revision(after) > s.held.Newest() {
+	place := store.NewRevision(s.held.Epoch(), after)
+	if place > s.held.Newest() {
 		fail(w, store.ErrCompacted)
 		return
 	}
 	wait, _ := strconv.Atoi(query.Get("wait-ms"))
 	ctx, cancel := context.WithTimeout(r.Context(), min(time.Duration(wait)*time.Millisecond, maxWatchWait))
 	defer cancel()
-	answer, err := s.firstBatch(ctx, cancel, query.Get("path-prefix"), store.Revision(after))
+	answer, err := s.firstBatch(ctx, cancel, query.Get("path-prefix"), place)
 	if errors.Is(err, store.ErrCompacted) {
 		fail(w, err)
 		return
@@ -287,12 +288,12 @@
 // firstBatch returns the first events under the prefix, or none when the context
 // ends: changes elsewhere in the store answer no watch, as at the platform's store. It ends the context itself once it has what it returns.
 func (s *Store) firstBatch(ctx context.Context, cancel context.CancelFunc, prefix string, after store.Revision) (watchAnswer, error) {
-	answer := watchAnswer{Events: []wireItem{}, At: int64(after)}
+	answer := watchAnswer{Events: []wireItem{}, At: after.Number()}
 	err := s.held.Watch(ctx, prefix, after, func(batch []store.Entry, progress store.Revision) {
 		for _, entry := range batch {
 			answer.Events = append(answer.Events, wireOf(entry))
 		}
-		answer.At = max(answer.At, int64(progress))
+		answer.At = max(answer.At, progress.Number())
 		if len(batch) > 0 {
 			cancel()
 		}
@@ -308,10 +309,10 @@
 	}
 	var revision store.Revision
 	var err error
-	expected := store.Revision(call.Expected[0].Revision)
+	expected := store.NewRevision(s.held.Epoch(), call.Expected[0].Revision)
 	if len(call.Put) == 1 {
 		put := call.Put[0]
-		revision, err = s.held.CompareAndSwap(r.Context(), put.Key, expected, put.Value, store.LeaseID(put.LeaseID))
+		revision, err = s.held.CompareAndSwap(r.Context(), put.Key, expected, put.Value, s.lease(put.LeaseID))
 	} else {
 		revision, err = s.held.CompareAndDelete(r.Context(), call.Remove[0], expected)
 	}
@@ -321,7 +322,7 @@
 	}
 	write(w, struct {
 		Revision int64 `json:"revision"`
-	}{int64(revision)})
+	}{revision.Number()})
 }
 
 func (s *Store) grant(w http.ResponseWriter, r *http.Request) {
@@ -335,16 +336,24 @@
 		fail(w, err)
 		return
 	}
-	write(w, leaseAnswer{LeaseID: int64(id), TTLSeconds: call.TTLSeconds})
+	write(w, leaseAnswer{LeaseID: id.Number, TTLSeconds: call.TTLSeconds})
 }
 
-func leaseOf(r *http.Request) store.LeaseID {
-	id, _ := strconv.ParseInt(r.PathValue("id"), 10, 64)
-	return store.LeaseID(id)
+// lease returns the lease that has the number in the present epoch: callers name no epoch.
+func (s *Store) lease(number int64) store.LeaseID {
+	if number == 0 {
+		return store.NoLease
+	}
+	return store.LeaseID{Epoch: s.held.Epoch(), Number: number}
+}
+
+func (s *Store) leaseOf(r *http.Request) store.LeaseID {
+	number, _ := strconv.ParseInt(r.PathValue("id"), 10, 64)
+	return s.lease(number)
 }
 
 func (s *Store) keep(w http.ResponseWriter, r *http.Request) {
-	left, err := s.held.RenewLease(r.Context(), leaseOf(r))
+	left, err := s.held.RenewLease(r.Context(), s.leaseOf(r))
 	if err != nil {
 		fail(w, err)
 		return
@@ -353,7 +362,7 @@
 }
 
 func (s *Store) end(w http.ResponseWriter, r *http.Request) {
-	if err := s.held.RevokeLease(r.Context(), leaseOf(r)); err != nil {
+	if err := s.held.RevokeLease(r.Context(), s.leaseOf(r)); err != nil {
 		fail(w, err)
 	}
 }
--- a/lab/platformstub/store_test.go
+++ b/lab/platformstub/store_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lugspur/lugspur/internal/store"
 	"github.com/lugspur/lugspur/internal/store/memory"
 )
 
@@ -30,9 +31,9 @@
 	held := memory.New(time.Now)
 	server := httptest.NewServer(NewStore(held).Handler())
 	defer server.Close()
-	revision, err := held.CompareAndSwap(context.Background(), "watched/a", 0, []byte("1"), 0)
+	revision, err := held.CompareAndSwap(context.Background(), "watched/a", 0, []byte("1"), store.NoLease)
 	assert.NilError(t, err)
-	_, err = held.CompareAndSwap(context.Background(), "elsewhere/a", 0, []byte("1"), 0)
+	_, err = held.CompareAndSwap(context.Background(), "elsewhere/a", 0, []byte("1"), store.NoLease)
 	assert.NilError(t, err)
 	const wait = 900 * time.Millisecond
 	asked := time.Now()
--- a/lab/soak/configuration.go
+++ b/lab/soak/configuration.go
@@ -121,6 +121,6 @@
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return err
 	}
-	_, err = d.held.CompareAndSwap(ctx, configurationKey, entry.Revision, configurationOf(version), 0)
+	_, err = d.held.CompareAndSwap(ctx, configurationKey, entry.Revision, configurationOf(version), store.NoLease)
 	return err
 }
--- a/test/platform_fixture_test.go
+++ b/test/platform_fixture_test.go
@@ -82,7 +82,7 @@
 
 func (p *platform) configure(expected store.Revision, document string) store.Revision {
 	p.t.Helper()
-	revision, err := p.held.CompareAndSwap(context.Background(), "op/config", expected, []byte(document), 0)
+	revision, err := p.held.CompareAndSwap(context.Background(), "op/config", expected, []byte(document), store.NoLease)
 	assert.NilError(p.t, err)
 	return revision
 }
--- a/test/platform_restore_test.go
+++ b/test/platform_restore_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lugspur/lugspur/internal/store"
 	"github.com/lugspur/lugspur/internal/store/memory"
 	"github.com/lugspur/lugspur/lab/platformstub"
 )
@@ -121,7 +122,7 @@
 func (p *platform) writeElsewhere(count int) {
 	p.t.Helper()
 	for i := range count {
-		_, err := p.held.CompareAndSwap(context.Background(), fmt.Sprintf("elsewhere/%d", i), 0, []byte("x"), 0)
+		_, err := p.held.CompareAndSwap(context.Background(), fmt.Sprintf("elsewhere/%d", i), 0, []byte("x"), store.NoLease)
 		assert.NilError(p.t, err)
 	}
 }
