Copies of a restored store: schedules in virtual time

Cause: the mend has to hold at every moment and size, not only in the five cases with real nodes. Change: the fleet's store comes back from copies; tests of the return for 5 to 300 nodes, of a return that nobody notices, of nodes that start beside newer peers, of proofs, and seeded schedules.

--- a/internal/replica/fleet_test.go
+++ b/internal/replica/fleet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -21,12 +22,22 @@
 type fakeStore struct {
 	store.Store
 
-	mutex    sync.Mutex
-	revision store.Revision
+	mutex sync.Mutex
+	// epoch rises with each return from a copy.
+	epoch    store.Epoch
+	number   int64
 	history  []store.Entry
 	dropped  store.Revision
 	changed  chan struct{}
 	calls    atomic.Int64
+	// down has the store refuse all nodes.
+	down atomic.Bool
+}
+
+// backup is a copy of what the store held.
+type backup struct {
+	number  int64
+	history []store.Entry
 }
 
 const (
@@ -47,8 +58,38 @@
 func (s *fakeStore) putUnheard(key, value string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.revision++
-	s.history = append(s.history, store.Entry{Key: key, Value: []byte(value), Revision: s.revision})
+	s.number++
+	s.history = append(s.history, store.Entry{Key: key, Value: []byte(value), Revision: s.newest()})
+}
+
+// newest returns the newest revision. The lock is held.
+func (s *fakeStore) newest() store.Revision { return store.NewRevision(s.epoch, s.number) }
+
+func (s *fakeStore) present() store.Epoch {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.epoch
+}
+
+// backup copies what the store holds.
+func (s *fakeStore) backup() backup {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return backup{number: s.number, history: slices.Clone(s.history)}
+}
+
+// restore has the store come back from a copy, without a history that watches can go on from.
+func (s *fakeStore) restore(copied backup) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.epoch++
+	s.number, s.history = copied.number, slices.Clone(copied.history)
+	for i, entry := range s.history {
+		s.history[i].Revision = store.NewRevision(s.epoch, entry.Revision.Number())
+	}
+	s.dropped = s.newest()
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 func (s *fakeStore) remove(key string) { s.add(store.Entry{Key: key, Deleted: true}) }
@@ -56,8 +97,8 @@
 func (s *fakeStore) add(entry store.Entry) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.revision++
-	entry.Revision = s.revision
+	s.number++
+	entry.Revision = s.newest()
 	s.history = append(s.history, entry)
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -67,7 +108,7 @@
 func (s *fakeStore) drop() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.dropped = s.revision
+	s.dropped = s.newest()
 }
 
 func (s *fakeStore) List(context.Context, string) (store.Snapshot, error) {
@@ -79,7 +120,10 @@
 	for _, entry := range s.history {
 		newest[entry.Key] = entry
 	}
-	snapshot := store.Snapshot{Revision: s.revision}
+	if s.down.Load() {
+		return store.Snapshot{}, store.ErrUnavailable
+	}
+	snapshot := store.Snapshot{Revision: s.newest()}
 	for _, entry := range newest {
 		if !entry.Deleted {
 			snapshot.Entries = append(snapshot.Entries, entry)
@@ -91,6 +135,9 @@
 func (s *fakeStore) after(revision store.Revision) ([]store.Entry, store.Revision, chan struct{}, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.down.Load() {
+		return nil, 0, nil, store.ErrUnavailable
+	}
 	if revision < s.dropped {
 		return nil, 0, nil, store.ErrCompacted
 	}
@@ -100,7 +147,7 @@
 			events = append(events, entry)
 		}
 	}
-	return events, s.revision, s.changed, nil
+	return events, s.newest(), s.changed, nil
 }
 
 func (s *fakeStore) Watch(ctx context.Context, _ string, after store.Revision, handler func([]store.Entry, store.Revision)) error {
@@ -114,7 +161,9 @@
 		}
 		if len(events) == 0 && wait > 0 {
 			sleepOr(ctx, wait, changed)
-			if events, revision, _, err = s.after(after); err != nil {
+			if events, revision, _, err = s.after(after); errors.Is(err, store.ErrUnavailable) || (err != nil && after.Epoch() < s.present()) {
+				return err
+			} else if err != nil {
 				// The call that waited hears nothing of what was dropped.
 				events, revision = nil, after
 			}
@@ -187,6 +236,10 @@
 	copy   *Copy
 	spread *Spread
 	stop   context.CancelFunc
+	// documents is what the process makes of the values of the key "a", nil where the fleet
+	// has no documents.
+	documents *documents
+	started   time.Time
 }
 
 // fleet is nodes around one store, in virtual time.
@@ -197,6 +250,9 @@
 	firstDelay time.Duration
 	// verifyAfter is that of the nodes' verifiers; without one they have none.
 	verifyAfter time.Duration
+	// documented has processes take the values of the key "a" as documents, and firstStart
+	// tells that there were none before.
+	documented, firstStart bool
 	// delay returns by how much a step of a message or a read is late; it may be nil.
 	delay func() time.Duration
 }
@@ -247,10 +303,18 @@
 // from the beginning.
 func (f *fleet) start(n *node, cut bool) {
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &process{node: n, store: &cutStore{fakeStore: f.store}, stop: cancel}
+	p := &process{node: n, store: &cutStore{fakeStore: f.store}, stop: cancel, started: time.Now()}
 	p.store.cut.Store(cut)
-	p.copy = NewCopy(staleAfter, func([]store.Entry, string) {}, time.Now)
-	p.spread = NewSpread(SpreadConfig{Address: n.address, Now: time.Now, Peers: f.peers, Ask: f.ask}, p.copy)
+	changed := func([]store.Entry, string) {}
+	if f.documented {
+		p.documents = newDocuments(f.firstStart)
+		changed = p.documents.feed.Change
+	}
+	p.copy = NewCopy(staleAfter, changed, time.Now)
+	p.spread = NewSpread(SpreadConfig{Address: n.address, Now: time.Now, Peers: f.peers, Ask: f.ask, FirstStart: f.firstStart}, p.copy)
+	if f.documented {
+		p.documents.follow(ctx, p)
+	}
 	n.process.Store(p)
 	keeper := &Keeper{Copy: p.copy, Store: p.store, Prefix: "k", Now: time.Now, FirstDelay: f.firstDelay, Place: func() (int, bool) { return n.place, true }}
 	go keeper.Run(ctx)
