Departures that a store lost are written again by one goroutine; tests with a store that comes back

Cause: a rewrite was started by the return of the store and by the missing entry, and both waited for each other around a call. Ruled out: a lost wake-up; the dump shows one waiting for the writer's lock. Change: lost departures are due at a moment, and one goroutine writes what is due. Tests in virtual time: departures with and without the node that acknowledged them, homes that joined in the lost seconds, a lease whose number is given out again, a write that is carried out late, and the cost by size.

--- a/internal/registry/departures.go
+++ b/internal/registry/departures.go
@@ -16,15 +16,21 @@
 	// takeOverSpacing is by how much later each node than the one before it in the order of
 	// nodes does so in its place, so that one at a time tries.
 	takeOverSpacing = 150 * time.Millisecond
+	// rewritePause is the time between two tries to write a departure again.
+	rewritePause = 200 * time.Millisecond
 )
 
 // departures are the targets that said that they leave, as this node knows them. They are
 // facts for as long as they are remembered in the store: one that is missing there, because
 // the store came back from a copy, is written again.
 type departures struct {
-	own   string
-	now   func() time.Time
-	write func(departure Departure) error
+	own string
+	now func() time.Time
+	// place returns the node's own place in an order of all nodes, false if it has none.
+	place func() (int, bool)
+	// write writes a departure again, unless it is there.
+	write func(ctx context.Context, departure Departure) error
+	wake  chan struct{}
 
 	mutex sync.Mutex
 	known map[string]*departureFact
@@ -37,80 +43,135 @@
 	// store does not hold it as far as is known.
 	learned  time.Time
 	revision store.Revision
+	// due is when this node is to write it again, zero if it is not.
+	due time.Time
 }
 
-func newDepartures(own string, now func() time.Time, write func(Departure) error) *departures {
-	return &departures{own: own, now: now, write: write, known: make(map[string]*departureFact)}
+func newDepartures(own string, place func() (int, bool), now func() time.Time, write func(context.Context, Departure) error) *departures {
+	return &departures{own: own, place: place, now: now, write: write, wake: make(chan struct{}, 1), known: make(map[string]*departureFact)}
 }
 
 // note takes a departure that the store confirmed to this node.
 func (d *departures) note(departure Departure) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if d.known[departure.Instance] == nil {
-		d.known[departure.Instance] = &departureFact{Departure: departure, learned: d.now()}
-	}
+	d.learn(departure)
 }
 
-// told takes that the store holds a departure.
-func (d *departures) told(departure Departure, revision store.Revision) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
+func (d *departures) learn(departure Departure) *departureFact {
 	fact := d.known[departure.Instance]
 	if fact == nil {
 		fact = &departureFact{Departure: departure, learned: d.now()}
 		d.known[departure.Instance] = fact
 	}
+	return fact
+}
+
+// told takes that the store holds a departure.
+func (d *departures) told(departure Departure, revision store.Revision) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	fact := d.learn(departure)
 	fact.revision = max(fact.revision, revision)
+	fact.due = time.Time{}
 }
 
-// missing takes that the store doesn't hold a departure at a revision. It returns it if the
-// store lost it and this node should see to it.
-func (d *departures) missing(instance string, revision store.Revision) (Departure, bool) {
+// missing takes that the store doesn't hold a departure at a revision. One that it lost is
+// written again, at once if its target is beside this node.
+func (d *departures) missing(instance string, revision store.Revision) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	fact := d.known[instance]
 	if fact == nil || revision <= fact.revision {
-		return Departure{}, false
+		return
 	}
-	lost := fact.revision.Epoch() < revision.Epoch() && d.now().Sub(fact.learned) < departureTTL
-	if !lost {
+	if fact.revision.Epoch() == revision.Epoch() || d.forgotten(fact) {
 		delete(d.known, instance)
-		return Departure{}, false
+		return
 	}
 	fact.revision = 0
-	return fact.Departure, true
+	place, known := d.place()
+	switch {
+	case fact.Address == d.own:
+		fact.due = d.now()
+	case known:
+		fact.due = d.now().Add(takeOverAfter + time.Duration(place)*takeOverSpacing)
+	}
+	d.signal()
+}
+
+func (d *departures) forgotten(fact *departureFact) bool {
+	return d.now().Sub(fact.learned) >= departureTTL
 }
 
-// lost reports whether the store is still not known to hold the departure.
-func (d *departures) lost(instance string) bool {
+// restored has the departures of targets beside this node be written again, as the store
+// came back from a copy that may lack them.
+func (d *departures) restored() {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	fact := d.known[instance]
-	return fact != nil && fact.revision == 0
+	for _, fact := range d.known {
+		if fact.Address == d.own && !d.forgotten(fact) {
+			fact.due = d.now()
+		}
+	}
+	d.signal()
+}
+
+func (d *departures) signal() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run writes what is due until the context ends.
+func (d *departures) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		departure, wait := d.next()
+		if wait > 0 {
+			d.await(ctx, wait)
+			continue
+		}
+		d.settle(departure.Instance, d.write(ctx, departure))
+	}
 }
 
-// ownFacts returns the departures of targets beside this node.
-func (d *departures) ownFacts() []Departure {
+func (d *departures) await(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-d.wake:
+	case <-timer.C:
+	}
+}
+
+// next returns the departure that is due first, and for how long none is.
+func (d *departures) next() (Departure, time.Duration) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	var own []Departure
+	var first *departureFact
 	for _, fact := range d.known {
-		if fact.Address == d.own && d.now().Sub(fact.learned) < departureTTL {
-			own = append(own, fact.Departure)
+		if !fact.due.IsZero() && (first == nil || fact.due.Before(first.due)) {
+			first = fact
 		}
 	}
-	return own
+	if first == nil {
+		return Departure{}, departureTTL
+	}
+	return first.Departure, first.due.Sub(d.now())
 }
 
-// takeOver writes a departure of another node's target again unless that node, or one that
-// comes first, does so before.
-func (d *departures) takeOver(ctx context.Context, departure Departure, place int) {
-	pause(ctx, takeOverAfter+time.Duration(place)*takeOverSpacing)
-	for ctx.Err() == nil && d.lost(departure.Instance) {
-		if d.write(departure) == nil {
-			return
-		}
-		pause(ctx, takeOverAfter)
+// settle takes what became of a write.
+func (d *departures) settle(instance string, failure error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	fact := d.known[instance]
+	switch {
+	case fact == nil || fact.due.IsZero():
+	case failure != nil:
+		fact.due = d.now().Add(rewritePause)
+	default:
+		fact.due = time.Time{}
 	}
 }
--- a/internal/registry/registrar.go
+++ b/internal/registry/registrar.go
@@ -77,7 +77,7 @@
 	}
 	r := &Registrar{config: config, log: log, now: now, departed: make(map[string]bool), replaced: make(map[string]bool)}
 	r.publisher = newPublisher(stores.Record, config.Epoch, config.HomesPrefix+config.Address, log, now)
-	r.facts = newDepartures(config.Address, now, r.rewrite)
+	r.facts = newDepartures(config.Address, config.Place, now, r.rewrite)
 	r.departing = newDepartureWriter(stores.Departure, config.Epoch, now)
 	r.rewriting = newDepartureWriter(stores.Departure, config.Epoch, now)
 	return r
@@ -87,6 +87,7 @@
 // published until the context ends.
 func (r *Registrar) Run(ctx context.Context) {
 	go r.recover(ctx)
+	go r.facts.run(ctx)
 	r.publisher.run(ctx)
 }
 
@@ -112,9 +113,7 @@
 // departureChanged takes what the store holds of a departure.
 func (r *Registrar) departureChanged(instance string, entry store.Entry) {
 	if entry.Deleted {
-		if lost, isLost := r.facts.missing(instance, entry.Revision); isLost {
-			r.writeAgain(lost)
-		}
+		r.facts.missing(instance, entry.Revision)
 		return
 	}
 	departure, err := decodeDeparture(entry)
@@ -130,21 +129,9 @@
 	}
 }
 
-// writeAgain has a departure that the store lost be written again, at once if its target is
-// beside this node.
-func (r *Registrar) writeAgain(lost Departure) {
-	place, known := r.config.Place()
-	switch {
-	case lost.Address == r.config.Address:
-		go func() { _ = r.rewrite(lost) }()
-	case known:
-		go r.facts.takeOver(context.Background(), lost, place)
-	}
-}
-
 // rewrite writes a departure again that the store lost.
-func (r *Registrar) rewrite(lost Departure) error {
-	ctx, cancel := context.WithTimeout(context.Background(), rewriteTimeout)
+func (r *Registrar) rewrite(ctx context.Context, lost Departure) error {
+	ctx, cancel := context.WithTimeout(ctx, rewriteTimeout)
 	defer cancel()
 	outcome := "written again"
 	err := r.rewriting.write(ctx, r.keyOf(lost), encode(lost))
@@ -156,9 +143,8 @@
 }
 
 const (
-	// rewriteTimeout bounds the time for writing a departure again. The store is there, as
-	// it named its epoch.
-	rewriteTimeout = 10 * time.Second
+	// rewriteTimeout bounds one try to write a departure again, as others may be due too.
+	rewriteTimeout = time.Second
 	// rewriteSpacing is by how much later each node than the one before it in the order of
 	// nodes writes its record again. Each needs two writing calls: with 2.5 ms the fleet
 	// makes 800 a second, less than stores of large fleets take, and 300 nodes are done
@@ -172,9 +158,7 @@
 func (r *Registrar) StoreRestored() {
 	place, _ := r.config.Place()
 	r.publisher.delay(time.Duration(place) * rewriteSpacing)
-	for _, departure := range r.facts.ownFacts() {
-		go func() { _ = r.rewrite(departure) }()
-	}
+	r.facts.restored()
 }
 
 // Resumed has the node's lease looked at, as the machine was suspended: the timer for its
--- /dev/null
+++ b/internal/registry/restore_test.go
@@ -0,0 +1,317 @@
+package registry
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lugspur/lugspur/internal/replica"
+	"github.com/lugspur/lugspur/internal/store"
+	"github.com/lugspur/lugspur/internal/store/epoch"
+	"github.com/lugspur/lugspur/internal/store/memory"
+)
+
+// epochStore tells the epoch of the store with each call, as the platform's adapter does.
+type epochStore struct {
+	*memory.Store
+	epochs *epoch.Tracker
+	down   *downtime
+}
+
+// downtime refuses calls while the store is away.
+type downtime struct {
+	mutex sync.Mutex
+	down  bool
+}
+
+func (d *downtime) set(down bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.down = down
+}
+
+// storeLatency is how long a call takes.
+const storeLatency = 4 * time.Millisecond
+
+func (s *epochStore) enter() error {
+	time.Sleep(storeLatency)
+	s.down.mutex.Lock()
+	defer s.down.mutex.Unlock()
+	if s.down.down {
+		return store.ErrUnavailable
+	}
+	s.epochs.Observe(s.Epoch(), "store")
+	return nil
+}
+
+func (s *epochStore) Get(ctx context.Context, key string) (store.Entry, error) {
+	if err := s.enter(); err != nil {
+		return store.Entry{}, err
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *epochStore) List(ctx context.Context, prefix string) (store.Snapshot, error) {
+	if err := s.enter(); err != nil {
+		return store.Snapshot{}, err
+	}
+	return s.Store.List(ctx, prefix)
+}
+
+func (s *epochStore) CompareAndSwap(ctx context.Context, key string, expected store.Revision, value []byte, lease store.LeaseID) (store.Revision, error) {
+	if err := s.enter(); err != nil {
+		return 0, err
+	}
+	return s.Store.CompareAndSwap(ctx, key, expected, value, lease)
+}
+
+func (s *epochStore) GrantLease(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	if err := s.enter(); err != nil {
+		return store.NoLease, err
+	}
+	return s.Store.GrantLease(ctx, ttl)
+}
+
+func (s *epochStore) RenewLease(ctx context.Context, lease store.LeaseID) (time.Duration, error) {
+	if err := s.enter(); err != nil {
+		return 0, err
+	}
+	return s.Store.RenewLease(ctx, lease)
+}
+
+// restoredNode is a node's registrar and directory, kept by a copy of the store.
+type restoredNode struct {
+	*Registrar
+	directory *Directory
+	stop      context.CancelFunc
+}
+
+// restoredFleet is nodes around a store that comes back from copies.
+type restoredFleet struct {
+	t       *testing.T
+	held    *memory.Store
+	down    *downtime
+	started uint32
+}
+
+func newRestoredFleet(t *testing.T) *restoredFleet {
+	return &restoredFleet{t: t, held: memory.New(time.Now), down: &downtime{}}
+}
+
+// watchGather is for how long changes are gathered.
+const watchGather = 800 * time.Millisecond
+
+// start starts a process at one of the places.
+func (f *restoredFleet) start(place int) *restoredNode {
+	f.started++
+	ctx, cancel := context.WithCancel(context.Background())
+	address := fmt.Sprintf("10.0.0.%d:8300", place)
+	epochs := epoch.NewTracker()
+	target := &epochStore{Store: f.held, epochs: epochs, down: f.down}
+	n := &restoredNode{stop: cancel, directory: NewDirectory(homesPrefix, address, nil, time.Now)}
+	begun := time.Now().Add(-time.Millisecond)
+	var held *replica.Copy
+	n.Registrar = NewRegistrar(RegistrarConfig{
+		Zone: "z", Address: address, Process: f.started, HomesPrefix: homesPrefix, DeparturesPrefix: departuresPrefix,
+		Epoch: epochs.Current, Place: n.directory.Place,
+		Records: func(ctx context.Context) ([]store.Entry, error) {
+			err := held.AwaitProved(ctx, begun)
+			return held.Entries(), err
+		},
+	}, Stores{Record: target, Departure: target}, nil, time.Now)
+	held = replica.NewCopy(time.Second, func(entries []store.Entry, source string) {
+		n.directory.Change(entries, source)
+		n.Change(entries)
+	}, time.Now)
+	epochs.OnChange(func(epoch.Change) { n.StoreRestored() })
+	keeper := &replica.Keeper{Copy: held, Store: target, Place: func() (int, bool) { return 0, true }, Gather: watchGather, Now: time.Now}
+	go keeper.Run(ctx)
+	go n.Run(ctx)
+	go n.directory.Run(ctx)
+	return n
+}
+
+// restore has the store be away for a second and come back from a copy.
+func (f *restoredFleet) restore(copied *memory.Backup) {
+	f.down.set(true)
+	time.Sleep(time.Second)
+	f.held.Restore(copied)
+	f.down.set(false)
+}
+
+func (f *restoredFleet) present(key string) bool {
+	_, err := f.held.Get(context.Background(), key)
+	return err == nil
+}
+
+func (f *restoredFleet) end(nodes ...*restoredNode) {
+	for _, n := range nodes {
+		n.stop()
+	}
+	time.Sleep(time.Minute)
+}
+
+// TestALostDepartureIsWrittenAgain has the store lose an acknowledged departure. The node that
+// acknowledged it writes it again, or the next one if that node is gone.
+func TestALostDepartureIsWrittenAgain(t *testing.T) {
+	for _, dies := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newRestoredFleet(t)
+			nodes := []*restoredNode{f.start(1), f.start(2), f.start(3)}
+			defer func() { f.end(nodes...) }()
+			time.Sleep(3 * time.Second)
+			for i, n := range nodes {
+				assert.NilError(t, n.Heartbeat(t.Context(), ready(fmt.Sprint("i-", i), 1)))
+			}
+			time.Sleep(3 * time.Second)
+			copied := f.held.Backup()
+			assert.NilError(t, nodes[0].Heartbeat(t.Context(), draining("i-0", 2)))
+			time.Sleep(time.Second)
+			if dies {
+				nodes[0].stop()
+			}
+			f.restore(copied)
+			assert.Assert(t, !f.present(departuresPrefix+"i-0"))
+			time.Sleep(2500 * time.Millisecond)
+			assert.Assert(t, f.present(departuresPrefix+"i-0"), "the node that acknowledged it died: %v", dies)
+			for _, n := range nodes[1:] {
+				for _, home := range n.directory.Homes("s") {
+					assert.Assert(t, home.Instance != "i-0", "a target that left is offered work")
+				}
+			}
+			// A process that starts goes by it, also against late heartbeats.
+			nodes[0].stop()
+			nodes[0] = f.start(1)
+			assert.NilError(t, nodes[0].Heartbeat(t.Context(), ready("i-0", 1)))
+			time.Sleep(2 * time.Second)
+			assert.Assert(t, nodes[0].Target().State != Ready)
+		})
+	}
+}
+
+// TestHomesOutlastARestoredStore has two nodes join in the seconds that the store loses: nobody
+// forgets them, and a process that starts later knows them.
+func TestHomesOutlastARestoredStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestoredFleet(t)
+		nodes := []*restoredNode{f.start(1)}
+		defer func() { f.end(nodes...) }()
+		time.Sleep(time.Second)
+		assert.NilError(t, nodes[0].Heartbeat(t.Context(), ready("i-0", 1)))
+		time.Sleep(2 * time.Second)
+		copied := f.held.Backup()
+		for i := 1; i < 3; i++ {
+			nodes = append(nodes, f.start(i+1))
+			assert.NilError(t, nodes[i].Heartbeat(t.Context(), ready(fmt.Sprint("i-", i), 1)))
+		}
+		time.Sleep(2 * time.Second)
+		f.restore(copied)
+		for range 100 {
+			time.Sleep(50 * time.Millisecond)
+			for _, n := range nodes {
+				assert.Equal(t, len(n.directory.Homes("s")), 3)
+			}
+		}
+		nodes = append(nodes, f.start(9))
+		time.Sleep(time.Second)
+		assert.Equal(t, len(nodes[3].directory.Homes("s")), 3)
+	})
+}
+
+// TestALeaseOfAnEarlierEpochIsNeitherRenewedNorEnded has the store give out the number of a
+// node's lease to somebody else.
+func TestALeaseOfAnEarlierEpochIsNeitherRenewedNorEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestoredFleet(t)
+		copied := f.held.Backup()
+		n := f.start(1)
+		defer f.end(n)
+		time.Sleep(time.Second)
+		assert.NilError(t, n.Heartbeat(t.Context(), ready("i-0", 1)))
+		time.Sleep(time.Second)
+		f.down.set(true)
+		time.Sleep(time.Second)
+		f.held.Restore(copied)
+		other, err := f.held.GrantLease(t.Context(), 5*time.Second)
+		assert.NilError(t, err)
+		_, err = f.held.CompareAndSwap(t.Context(), "other", 0, []byte("x"), other)
+		assert.NilError(t, err)
+		f.down.set(false)
+		time.Sleep(2 * time.Second)
+		entry, err := f.held.Get(t.Context(), homesPrefix+"10.0.0.1:8300")
+		assert.NilError(t, err)
+		assert.Assert(t, entry.Lease != other)
+		time.Sleep(4 * time.Second)
+		assert.Assert(t, !f.present("other"), "the lease of somebody else was renewed")
+		assert.Assert(t, f.present(homesPrefix+"10.0.0.1:8300"))
+	})
+}
+
+// TestAStaleWriteIsWrittenOver has a write of before the store's return be carried out late:
+// its condition named a number that the store gave out again.
+func TestAStaleWriteIsWrittenOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestoredFleet(t)
+		n, peer := f.start(1), f.start(2)
+		defer f.end(n, peer)
+		time.Sleep(time.Second)
+		assert.NilError(t, n.Heartbeat(t.Context(), ready("i-0", 1)))
+		time.Sleep(time.Second)
+		key := homesPrefix + "10.0.0.1:8300"
+		stale, err := f.held.Get(t.Context(), key)
+		assert.NilError(t, err)
+		copied := f.held.Backup()
+		assert.NilError(t, n.Heartbeat(t.Context(), ready("i-1", 1)))
+		time.Sleep(time.Second)
+		f.restore(copied)
+		time.Sleep(2 * time.Second)
+		now, err := f.held.Get(t.Context(), key)
+		assert.NilError(t, err)
+		_, err = f.held.CompareAndSwap(t.Context(), key, now.Revision, stale.Value, store.NoLease)
+		assert.NilError(t, err)
+		time.Sleep(3 * time.Second)
+		now, err = f.held.Get(t.Context(), key)
+		assert.NilError(t, err)
+		record, err := decodeRecord(now)
+		assert.NilError(t, err)
+		assert.Equal(t, record.Instance, "i-1")
+		assert.Equal(t, peer.directory.Homes("s")[0].Instance, "i-1")
+	})
+}
+
+// TestRecordsAreWrittenAgainInTurn counts what a return costs fleets of several sizes, and how
+// long their records are missing.
+func TestRecordsAreWrittenAgainInTurn(t *testing.T) {
+	for _, size := range []int{17, 71, 300} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newRestoredFleet(t)
+			copied := f.held.Backup()
+			var nodes []*restoredNode
+			for i := range size {
+				nodes = append(nodes, f.start(i))
+				assert.NilError(t, nodes[i].Heartbeat(t.Context(), ready(fmt.Sprint("i-", i), 1)))
+			}
+			defer func() { f.end(nodes...) }()
+			time.Sleep(5 * time.Second)
+			f.restore(copied)
+			began, busiest, before := time.Now(), int64(0), f.held.Newest().Number()
+			for f.count() < size {
+				time.Sleep(100 * time.Millisecond)
+				newest := f.held.Newest().Number()
+				busiest, before = max(busiest, newest-before), newest
+				assert.Assert(t, time.Since(began) < lapsedFor)
+			}
+			t.Logf("%d nodes: all records are back after %s, at most %d written in 0.1 s", size, time.Since(began), busiest)
+		})
+	}
+}
+
+func (f *restoredFleet) count() int {
+	snapshot, _ := f.held.List(context.Background(), homesPrefix)
+	return len(snapshot.Entries)
+}
--- a/internal/replica/fleet_test.go
+++ b/internal/replica/fleet_test.go
@@ -24,12 +24,12 @@
 
 	mutex sync.Mutex
 	// epoch rises with each return from a copy.
-	epoch    store.Epoch
-	number   int64
-	history  []store.Entry
-	dropped  store.Revision
-	changed  chan struct{}
-	calls    atomic.Int64
+	epoch   store.Epoch
+	number  int64
+	history []store.Entry
+	dropped store.Revision
+	changed chan struct{}
+	calls   atomic.Int64
 	// down has the store refuse all nodes.
 	down atomic.Bool
 }
