--- /dev/null
+++ b/internal/ratelimit/restore_test.go
@@ -0,0 +1,278 @@
+package ratelimit
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lugspur/lugspur/internal/replica"
+	"github.com/lugspur/lugspur/internal/routetable"
+	"github.com/lugspur/lugspur/internal/store"
+	"github.com/lugspur/lugspur/internal/store/epoch"
+	"github.com/lugspur/lugspur/internal/store/memory"
+)
+
+// restores is the number of seeded schedules that are played, firstRestore the first seed.
+var (
+	restores     = flag.Int("restores", 40, "seeded schedules of a store that comes back from copies to play")
+	firstRestore = flag.Uint64("first-restore", 1, "seed of the first such schedule")
+)
+
+// restoredStore is a node's way to a store that comes back from copies. Each call tells the
+// epoch, as with the platform's adapter.
+type restoredStore struct {
+	*memory.Store
+	away   *bool
+	down   *bool
+	epochs *epoch.Tracker
+}
+
+const restoredLatency = 4 * time.Millisecond
+
+func (s *restoredStore) enter() error {
+	time.Sleep(restoredLatency)
+	if *s.away || *s.down {
+		return store.ErrUnavailable
+	}
+	s.epochs.Observe(s.Epoch(), "store")
+	return nil
+}
+
+func (s *restoredStore) Get(ctx context.Context, key string) (store.Entry, error) {
+	if err := s.enter(); err != nil {
+		return store.Entry{}, err
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *restoredStore) List(ctx context.Context, prefix string) (store.Snapshot, error) {
+	if err := s.enter(); err != nil {
+		return store.Snapshot{}, err
+	}
+	return s.Store.List(ctx, prefix)
+}
+
+func (s *restoredStore) Watch(ctx context.Context, prefix string, after store.Revision, handler func([]store.Entry, store.Revision)) error {
+	if err := s.enter(); err != nil {
+		return err
+	}
+	watchCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	return s.Store.Watch(watchCtx, prefix, after, func(batch []store.Entry, progress store.Revision) {
+		if *s.away || *s.down {
+			stop()
+			return
+		}
+		handler(batch, progress)
+	})
+}
+
+func (s *restoredStore) CompareAndSwap(ctx context.Context, key string, expected store.Revision, value []byte, lease store.LeaseID) (store.Revision, error) {
+	if err := s.enter(); err != nil {
+		return 0, err
+	}
+	return s.Store.CompareAndSwap(ctx, key, expected, value, lease)
+}
+
+func (s *restoredStore) GrantLease(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	if err := s.enter(); err != nil {
+		return store.NoLease, err
+	}
+	return s.Store.GrantLease(ctx, ttl)
+}
+
+func (s *restoredStore) RenewLease(ctx context.Context, lease store.LeaseID) (time.Duration, error) {
+	if err := s.enter(); err != nil {
+		return 0, err
+	}
+	return s.Store.RenewLease(ctx, lease)
+}
+
+// restoredKeeper is one process with its keeper of shards, kept by a copy of the store.
+type restoredKeeper struct {
+	*Keeper
+	issuer *Issuer
+	away   bool
+	stop   context.CancelFunc
+}
+
+// restoredFleet is keepers around a store that comes back from copies, in virtual time.
+type restoredFleet struct {
+	t       *testing.T
+	store   *memory.Store
+	down    bool
+	keepers []*restoredKeeper
+	started uint32
+	copies  []*memory.Backup
+}
+
+func newRestoredFleet(t *testing.T, size int) *restoredFleet {
+	f := &restoredFleet{t: t, store: memory.New(time.Now)}
+	for place := range size {
+		f.keepers = append(f.keepers, f.start(place, true))
+	}
+	return f
+}
+
+func (f *restoredFleet) start(place int, first bool) *restoredKeeper {
+	f.started++
+	ctx, cancel := context.WithCancel(context.Background())
+	k := &restoredKeeper{stop: cancel}
+	epochs := epoch.NewTracker()
+	way := &restoredStore{Store: f.store, away: &k.away, down: &f.down, epochs: epochs}
+	k.issuer = NewIssuer(testBounds, func(string) *routetable.Tenant { return testTenant }, time.Now)
+	k.Keeper = NewKeeper(KeeperConfig{Address: fmt.Sprint("node-", place), Process: f.started, Started: time.Now(), FirstStart: first, Epoch: epochs.Current,
+		Prefix: "shards/", Store: way, Place: func() (int, bool) { return place, true }, Needed: func() bool { return true }, Issuer: k.issuer, Now: time.Now})
+	epochs.OnChange(func(epoch.Change) { k.StoreRestored() })
+	held := replica.NewCopy(time.Second, func(entries []store.Entry, _ string) { k.Change(entries) }, time.Now)
+	keeper := &replica.Keeper{Copy: held, Store: way, Prefix: "shards/", Place: func() (int, bool) { return 0, true }, Gather: 800 * time.Millisecond, Now: time.Now}
+	go keeper.Run(ctx)
+	go k.Run(ctx)
+	return k
+}
+
+func (f *restoredFleet) restore(copied *memory.Backup, away time.Duration) {
+	f.down = true
+	f.sleep(away)
+	f.store.Restore(copied)
+	f.down = false
+}
+
+// sleep looks at the holders meanwhile.
+func (f *restoredFleet) sleep(pause time.Duration) {
+	f.t.Helper()
+	for until := time.Now().Add(pause); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		f.held()
+	}
+}
+
+// held returns how many shards have a holder, and fails if one has two.
+func (f *restoredFleet) held() int {
+	f.t.Helper()
+	count := 0
+	for number := range Shards {
+		holders := 0
+		for _, k := range f.keepers {
+			if k != nil && k.issuer.Holds(number) {
+				holders++
+			}
+		}
+		if holders > 1 {
+			f.t.Fatalf("shard %d has %d holders", number, holders)
+		}
+		count += holders
+	}
+	return count
+}
+
+func (f *restoredFleet) awaitAll(bound time.Duration) time.Duration {
+	f.t.Helper()
+	began := time.Now()
+	for f.held() < Shards {
+		assert.Assert(f.t, time.Since(began) < bound, "%d shards have a holder", f.held())
+		time.Sleep(20 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+func (f *restoredFleet) end() {
+	for _, k := range f.keepers {
+		if k != nil {
+			k.stop()
+		}
+	}
+	time.Sleep(time.Minute)
+}
+
+// TestHoldersOutlastARestoredStore has the store lose all shards, or half of them, while nodes
+// hold them: they go on without a gap, and no other node takes one.
+func TestHoldersOutlastARestoredStore(t *testing.T) {
+	for _, settled := range []time.Duration{0, 2 * time.Second, 20 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newRestoredFleet(t, 17)
+			defer f.end()
+			f.sleep(settled)
+			copied := f.store.Backup()
+			f.sleep(20*time.Second - settled)
+			f.awaitAll(time.Second)
+			f.restore(copied, 2*time.Second)
+			for range 600 {
+				time.Sleep(20 * time.Millisecond)
+				assert.Equal(t, f.held(), Shards)
+			}
+		})
+	}
+}
+
+// TestAHolderThatDiedBesideARestoredStoreIsReplaced has a holder die while the store is away:
+// its shards are taken once its last lease is over.
+func TestAHolderThatDiedBesideARestoredStoreIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestoredFleet(t, 17)
+		defer f.end()
+		copied := f.store.Backup()
+		f.sleep(20 * time.Second)
+		f.keepers[0].stop()
+		f.keepers[0] = nil
+		f.restore(copied, time.Second)
+		t.Logf("all held again after %s", f.awaitAll(shardTTL+4*time.Second))
+	})
+}
+
+// TestNoShardHasTwoHoldersBesideARestoredStore plays seeded schedules of a store that comes
+// back from copies up to eight seconds old, also twice in a row, while nodes are killed,
+// started and refused: two nodes never issue permits of a shard at once, and all shards have
+// a holder once it is calm.
+func TestNoShardHasTwoHoldersBesideARestoredStore(t *testing.T) {
+	for seed := *firstRestore; seed < *firstRestore+uint64(*restores); seed++ {
+		synctest.Test(t, func(t *testing.T) { playShards(t, seed) })
+	}
+}
+
+func playShards(t *testing.T, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 3))
+	f := newRestoredFleet(t, 5+random.IntN(16))
+	defer f.end()
+	defer func() {
+		if t.Failed() {
+			t.Logf("seed %d", seed)
+		}
+	}()
+	f.sleep(time.Duration(random.IntN(10)) * time.Second)
+	for range 60 {
+		f.sleep(200 * time.Millisecond)
+		f.act(random)
+	}
+	for i, k := range f.keepers {
+		if k == nil {
+			f.keepers[i] = f.start(i, false)
+		}
+		f.keepers[i].away = false
+	}
+	f.awaitAll(20 * time.Second)
+}
+
+func (f *restoredFleet) act(random *rand.Rand) {
+	f.copies = append(f.copies, f.store.Backup())
+	i := random.IntN(len(f.keepers))
+	k := f.keepers[i]
+	switch action := random.IntN(12); {
+	case action == 0:
+		recent := f.copies[max(0, len(f.copies)-40):]
+		f.restore(recent[random.IntN(len(recent))], time.Duration(random.IntN(2000))*time.Millisecond)
+	case action > 5:
+	case k == nil:
+		f.keepers[i] = f.start(i, false)
+	case action < 3:
+		k.stop()
+		f.keepers[i] = nil
+	default:
+		k.away = !k.away
+	}
+}
--- a/internal/ratelimit/take.go
+++ b/internal/ratelimit/take.go
@@ -34,7 +34,8 @@
 	if k.stopped || k.owns(held) || k.config.Now().Before(held.retryAt) {
 		return false
 	}
-	if held.lost && k.wrote(held) {
+	if held.lost && k.wrote(held) && k.config.Issuer.Holds(number) {
+		// Whoever's hold has ended, as it was cut off, may have had a successor.
 		return true
 	}
 	if held.revision > 0 && !held.lost && !held.released() {
@@ -63,7 +64,9 @@
 	if k.config.Now().After(k.until) {
 		k.lease = store.NoLease
 	}
-	if k.lease == store.NoLease && !k.grant(ctx) {
+	if k.lease == store.NoLease && (!k.grant(ctx) || !k.falls(number, true)) {
+		// The grant may have told that the store came back from a copy: then it does not
+		// hold for certain what nodes hold that reached it meanwhile.
 		return
 	}
 	k.mutex.Lock()
