--- /dev/null
+++ b/internal/quarantine/restore_test.go
@@ -0,0 +1,118 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lugspur/lugspur/internal/fingerprint"
+	"github.com/lugspur/lugspur/internal/replica"
+	"github.com/lugspur/lugspur/internal/store"
+	"github.com/lugspur/lugspur/internal/store/memory"
+)
+
+// restoredNode is a node whose quarantine is kept by a copy of a store that comes back from
+// copies.
+type restoredNode struct {
+	*Quarantine
+	stop context.CancelFunc
+}
+
+// slowStore answers after a while.
+type slowStore struct{ *memory.Store }
+
+func (s slowStore) List(ctx context.Context, prefix string) (store.Snapshot, error) {
+	time.Sleep(4 * time.Millisecond)
+	return s.Store.List(ctx, prefix)
+}
+
+func startRestored(held *memory.Store, place int) *restoredNode {
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &restoredNode{stop: cancel}
+	n.Quarantine = New(Config{
+		Store: held, Prefix: testPrefix, Now: time.Now, Epoch: held.Epoch, Place: func() (int, bool) { return place, true },
+		Spread: SpreadConfig{Address: fmt.Sprint(place), Peers: func() []string { return nil }, Send: func(context.Context, string, *Notice) error { return errors.New("no peer") }},
+	})
+	copied := replica.NewCopy(time.Second, func(entries []store.Entry, _ string) { n.Change(entries) }, time.Now)
+	keeper := &replica.Keeper{Copy: copied, Store: slowStore{held}, Prefix: testPrefix, Place: func() (int, bool) { return 0, true }, Gather: 800 * time.Millisecond, Now: time.Now}
+	go keeper.Run(ctx)
+	go n.Run(ctx)
+	return n
+}
+
+// convict has targets beside a node crash under the request until it is refused.
+func (n *restoredNode) convict(hash fingerprint.Fingerprint) {
+	for i := range quarantineCrashes {
+		n.Crashed(fmt.Sprint("i-", i), []OpenCall{{Fingerprint: hash, Service: "s", Route: "r", Crashes: i + 1}})
+	}
+}
+
+// TestAVerdictOutlastsARestoredStore has the store lose a verdict: the node that wrote it does
+// so again, or another one if it is gone, and a node that starts later knows it.
+func TestAVerdictOutlastsARestoredStore(t *testing.T) {
+	for _, dies := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			held := memory.New(time.Now)
+			hash := fingerprint.Fingerprint{1}
+			copied := held.Backup()
+			nodes := []*restoredNode{startRestored(held, 0), startRestored(held, 1)}
+			defer func() {
+				for _, n := range nodes {
+					n.stop()
+				}
+				time.Sleep(time.Minute)
+			}()
+			time.Sleep(time.Second)
+			nodes[0].convict(hash)
+			time.Sleep(2 * time.Second)
+			assert.Assert(t, nodes[1].Standing(hash).Quarantined)
+			if dies {
+				nodes[0].stop()
+			}
+			held.Restore(copied)
+			time.Sleep(3 * time.Second)
+			nodes = append(nodes, startRestored(held, 2))
+			time.Sleep(time.Second)
+			assert.Assert(t, nodes[1].Standing(hash).Quarantined)
+			assert.Assert(t, nodes[2].Standing(hash).Quarantined, "the node that wrote the verdict died: %v", dies)
+		})
+	}
+}
+
+// TestAReleaseOutlastsARestoredStore has the store come back with the verdict on a request
+// that was found to be harmless since.
+func TestAReleaseOutlastsARestoredStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		held := memory.New(time.Now)
+		hash := fingerprint.Fingerprint{1}
+		nodes := []*restoredNode{startRestored(held, 0), startRestored(held, 1)}
+		defer func() {
+			for _, n := range nodes {
+				n.stop()
+			}
+			time.Sleep(time.Minute)
+		}()
+		time.Sleep(time.Second)
+		nodes[0].convict(hash)
+		time.Sleep(2 * time.Second)
+		copied := held.Backup()
+		nodes[0].Answered(OpenCall{Fingerprint: hash, Service: "s", Route: "r"})
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, !nodes[1].Standing(hash).Quarantined)
+		held.Restore(copied)
+		for range 300 {
+			time.Sleep(10 * time.Millisecond)
+			for _, n := range nodes {
+				assert.Assert(t, !n.Standing(hash).Quarantined, "a request that was released is refused")
+			}
+		}
+		nodes = append(nodes, startRestored(held, 2))
+		time.Sleep(time.Second)
+		assert.Assert(t, !nodes[2].Standing(hash).Quarantined)
+	})
+}
--- a/lab/soak/command.go
+++ b/lab/soak/command.go
@@ -47,6 +47,7 @@
 	flags.IntVar(&c.config.Machines, "machines", 6, "nodes, each with a target")
 	flags.Uint64Var(&c.config.Seed, "seed", 0, "`seed` of faults and requests; 0 takes one from the clock")
 	flags.DurationVar(&c.config.Duration, "duration", time.Minute, "`time` with faults")
+	flags.IntVar(&c.config.Restores, "restores", 2, "`times` that the store comes back from a copy")
 	flags.Float64Var(&c.config.Rate, "rate", 40, "requests a `second` of each machine's callers")
 }
 
--- a/lab/soak/inject.go
+++ b/lab/soak/inject.go
@@ -41,6 +41,7 @@
 	recorder   *recorder
 	machines   []sync.Mutex
 	store      sync.Mutex
+	copies     copies
 
 	callers      *callers
 	versionMutex sync.Mutex
@@ -98,6 +99,8 @@
 	switch fault.Kind {
 	case StoreDown, StoreThrottled, StoreLostWrites, StoreLateWrites, StoreForgets:
 		i.strikeStore(ctx, fault)
+	case StoreRestored:
+		i.restore(ctx, fault)
 	case KillAll:
 		i.killAll()
 	case Configure:
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -27,6 +27,8 @@
 	Duration time.Duration
 	// Rate is the requests a second of each machine's callers.
 	Rate float64
+	// Restores is how often the store comes back from a copy.
+	Restores int
 }
 
 // Times of a run.
@@ -63,7 +65,7 @@
 // Run runs a deployment through the faults of the seed and judges what came of
 // it.
 func Run(ctx context.Context, config Config) (*Result, error) {
-	schedule := NewSchedule(config.Seed, config.Machines, config.Duration)
+	schedule := addRestores(NewSchedule(config.Seed, config.Machines, config.Duration), config.Seed, config.Restores, config.Duration)
 	if err := writeJSON(filepath.Join(config.Directory, ScheduleFile), schedule); err != nil {
 		return nil, err
 	}
@@ -105,7 +107,9 @@
 		close(ended)
 	}()
 	sleep(ctx, warmTime)
-	newInjector(d, records, callers).run(ctx, schedule)
+	injector := newInjector(d, records, callers)
+	go injector.copies.run(calling, d.held)
+	injector.run(ctx, schedule)
 	sleep(ctx, settleTime-recoveryTime)
 	recovered := time.Now()
 	sleep(ctx, recoveryTime)
--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -21,6 +23,8 @@
 	StoreLostWrites Kind = "store-lost-writes"
 	StoreLateWrites Kind = "store-late-writes"
 	StoreForgets    Kind = "store-forgets"
+	// StoreRestored has the store come back from a copy as old as the fault is long.
+	StoreRestored Kind = "store-restored"
 	// Faults on links of one machine.
 	StoreCut    Kind = "store-cut"
 	StoreReset  Kind = "store-reset"
@@ -92,3 +96,19 @@
 	}
 	return schedule
 }
+
+// addRestores adds so many returns of the store from copies to a schedule, at moments of a
+// stream of their own, so that they come beside whatever else is struck.
+func addRestores(schedule []Fault, seed uint64, restores int, duration time.Duration) []Fault {
+	const stream = 0x72657374
+	random := rand.New(rand.NewPCG(seed, stream))
+	for range restores {
+		schedule = append(schedule, Fault{
+			Kind: StoreRestored,
+			At:   time.Duration(random.Int64N(int64(duration))),
+			For:  time.Duration(random.Int64N(int64(maxCopies * copyPeriod))),
+		})
+	}
+	slices.SortStableFunc(schedule, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return schedule
+}
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -27,6 +27,14 @@
 	}
 }
 
+// TestASoakWithARestoredStoreBreaksNoPromise has the store come back from copies of the last
+// seconds, three times in ten seconds.
+func TestASoakWithARestoredStoreBreaksNoPromise(t *testing.T) {
+	for _, seed := range []uint64{1001, 1002} {
+		runSoak(t, soak.Config{Machines: 5, Seed: seed, Duration: 10 * time.Second, Rate: 20, Restores: 3})
+	}
+}
+
 // runSoak runs a soak that must break no promise.
 func runSoak(t *testing.T, config soak.Config) {
 	t.Helper()
