A target's start is part of its identity

Cause: all that a node knows of a target was kept under its id, which two starts may share. Measured beforehand with real nodes: after a crash and a restart under the id one late heartbeat of before, which said that the target leaves, was acknowledged and the new one never got work again; one that left and started again got none either. Ruled out: sequence numbers, which start anew; the node's clock, as born is the target's. Change: an incarnation is an id with the moment of its start, from the heartbeat to records, departures, the guard and reports of crashes. A later start replaces an earlier one at once; late words of an earlier one are acknowledged and change nothing, also beside a process that started; a notice without a start that may be of either is not acknowledged. Moments that are no whole numbers after zero, unknown services and states, and slots under one are refused with 400, a log line and a counter by reason; heartbeats that tell no start are of an earlier kind. The stand-in speaks it. Conclusion: left are connections that show a restart before its heartbeat does.

--- a/internal/guard/crash.go
+++ b/internal/guard/crash.go
@@ -190,10 +190,10 @@
 	suspects := i.crash.take(&g.answered)
 	if first {
 		i.reach.crashed(g.now())
-		g.log.Record(eventlog.Event{Kind: eventlog.TargetEnded, Service: i.target.Service, Target: i.target.ID, Count: broken, Reason: reason})
+		g.log.Record(eventlog.Event{Kind: eventlog.TargetEnded, Service: i.target.Service, Target: i.target.Incarnation().String(), Count: broken, Reason: reason})
 	}
 	if len(suspects) > 0 {
-		g.config.Quarantine.Crashed(i.target.ID, suspects)
+		g.config.Quarantine.Crashed(i.target.Incarnation().String(), suspects)
 	}
 }
 
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -118,7 +118,7 @@
 		}
 		return
 	}
-	if old != nil && old.target.ID == target.ID && !old.leaving.Load() {
+	if old != nil && old.target.Incarnation() == target.Incarnation() && !old.leaving.Load() {
 		g.resize(old, target)
 		return
 	}
@@ -170,7 +170,7 @@
 	}
 	i.limit.set(next)
 	i.scheduler.Wake()
-	g.log.Record(eventlog.Event{Kind: eventlog.LimitChanged, Target: target.ID, Count: next})
+	g.log.Record(eventlog.Event{Kind: eventlog.LimitChanged, Target: target.Incarnation().String(), Count: next})
 }
 
 func (g *Guard) limitFor(target registry.Target) int {
--- a/internal/guard/reach.go
+++ b/internal/guard/reach.go
@@ -65,7 +65,7 @@
 
 // noteReach takes a call's connection into account and logs a change.
 func (g *Guard) noteReach(i *incarnation, connected bool) {
-	event := eventlog.Event{Kind: eventlog.TargetChanged, Service: i.target.Service, Target: i.target.ID}
+	event := eventlog.Event{Kind: eventlog.TargetChanged, Service: i.target.Service, Target: i.target.Incarnation().String()}
 	switch {
 	case connected && i.reach.connected():
 		event.Outcome = "reachable"
--- a/internal/guard/running.go
+++ b/internal/guard/running.go
@@ -208,7 +208,7 @@
 	if max(threshold, logged)-min(threshold, logged) < loggedStep {
 		return logged
 	}
-	g.log.Record(eventlog.Event{Kind: eventlog.AdmissionChanged, Service: i.target.Service, Target: i.target.ID,
+	g.log.Record(eventlog.Event{Kind: eventlog.AdmissionChanged, Service: i.target.Service, Target: i.target.Incarnation().String(),
 		Count: int(threshold) * 100 / criticality.RankCount, Reason: "queue " + stats.QueueDelay.String()})
 	return threshold
 }
--- a/internal/registry/record.go
+++ b/internal/registry/record.go
@@ -19,7 +19,10 @@
 
 // Heartbeat is what a target tells of itself.
 type Heartbeat struct {
-	ID       string
+	ID string
+	// Born is when the target started, in Unix milliseconds of its clock; zero if it does
+	// not tell.
+	Born     int64
 	Service  string
 	Address  string
 	Slots    int
@@ -33,10 +36,27 @@
 // Receiver takes heartbeats. A nil error acknowledges.
 type Receiver interface {
 	Heartbeat(ctx context.Context, beat Heartbeat) error
-	// Depart takes a target's notice that it leaves.
-	Depart(ctx context.Context, id string) error
+	// Depart takes a target's notice that it leaves. Born is zero if it does not tell.
+	Depart(ctx context.Context, id string, born int64) error
+	// Refused takes that a heartbeat was turned away, and why.
+	Refused(id string, reason RefusalReason)
 }
 
+// RefusalReason is why a heartbeat is turned away. What is known of the target stays as it is.
+type RefusalReason string
+
+// The reasons.
+const (
+	RefusedUnreadable RefusalReason = "unreadable"
+	RefusedState      RefusalReason = "unknown state"
+	RefusedService    RefusalReason = "unknown service"
+	RefusedSlots      RefusalReason = "no slots"
+	RefusedBorn       RefusalReason = "born is no moment"
+)
+
+// Incarnation returns which start of the target the heartbeat is of.
+func (b Heartbeat) Incarnation() Incarnation { return Incarnation{ID: b.ID, Born: b.Born} }
+
 // State is how far a target's life has come. It only moves forward.
 type State uint8
 
@@ -56,6 +76,7 @@
 // Target is the target beside a node.
 type Target struct {
 	ID        string
+	Born      int64
 	Service   string
 	Slots     int
 	State     State
@@ -63,8 +84,12 @@
 	WarmUntil time.Time
 }
 
+// Incarnation returns which start of the target this is.
+func (t Target) Incarnation() Incarnation { return Incarnation{ID: t.ID, Born: t.Born} }
+
 // Record is what a node publishes of itself and the target beside it.
 type Record struct {
+	// Instance names the target's incarnation.
 	Instance string `cbor:"1,keyasint"`
 	Service  string `cbor:"2,keyasint"`
 	Zone     string `cbor:"3,keyasint"`
@@ -89,6 +114,7 @@
 
 // Departure is the durable note that a target leaves.
 type Departure struct {
+	// Instance names the incarnation that leaves.
 	Instance string `cbor:"1,keyasint"`
 	// Address is that of the node beside the target.
 	Address string `cbor:"2,keyasint"`
--- a/internal/registry/registrar.go
+++ b/internal/registry/registrar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
@@ -21,6 +22,8 @@
 	DeparturesPrefix string
 	// OnTarget is told each new state of the target, in order.
 	OnTarget func(Target)
+	// OnRefused is told why a heartbeat was turned away; it may be nil.
+	OnRefused func(reason RefusalReason)
 	// FirstStart tells that there was no earlier process on any machine.
 	FirstStart bool
 	// Records returns the entries under both prefixes as they were at a moment
@@ -55,12 +58,18 @@
 	mutex  sync.Mutex
 	target Target
 	// departed holds the targets that are known to leave or to have left.
-	departed map[string]bool
+	departed map[Incarnation]bool
+	// newest holds the latest start that is known of each id: earlier ones are over.
+	newest map[string]int64
+	// leaving holds, by id, the start that said that it leaves and not yet that it ends.
+	leaving map[string]leavingTarget
 	// replaced holds the targets whose successor sent heartbeats, and returning the one
 	// of them that does so again.
-	replaced  map[string]bool
+	replaced  map[Incarnation]bool
 	returning returningTarget
 	recovered bool
+	// recoveredOnce is closed once recovered is set.
+	recoveredOnce chan struct{}
 }
 
 // ackTimeout bounds the time for making a departure durable. The target takes
@@ -75,7 +84,8 @@
 	if config.Place == nil {
 		config.Place = func() (int, bool) { return 0, false }
 	}
-	r := &Registrar{config: config, log: log, now: now, departed: make(map[string]bool), replaced: make(map[string]bool)}
+	r := &Registrar{config: config, log: log, now: now, departed: make(map[Incarnation]bool), replaced: make(map[Incarnation]bool),
+		newest: make(map[string]int64), leaving: make(map[string]leavingTarget), recoveredOnce: make(chan struct{})}
 	r.publisher = newPublisher(stores.Record, config.Epoch, config.HomesPrefix+config.Address, log, now)
 	r.facts = newDepartures(config.Address, config.Place, now, r.rewrite)
 	r.departing = newDepartureWriter(stores.Departure, config.Epoch, now)
@@ -125,7 +135,9 @@
 	if departure.Address == r.config.Address {
 		r.mutex.Lock()
 		defer r.mutex.Unlock()
-		r.depart(departure.Instance, Draining)
+		left := parseIncarnation(departure.Instance)
+		r.learnStart(left)
+		r.depart(left, Draining)
 	}
 }
 
@@ -188,7 +200,9 @@
 		case strings.HasPrefix(entry.Key, r.config.DeparturesPrefix):
 			departure, err := decodeDeparture(entry)
 			if err == nil && departure.Address == r.config.Address {
-				r.departed[departure.Instance] = true
+				left := parseIncarnation(departure.Instance)
+				r.departed[left] = true
+				r.learnStart(left)
 			}
 		case entry.Key == r.config.HomesPrefix+r.config.Address:
 			// Whatever else lies there, a heartbeat will tell.
@@ -196,9 +210,12 @@
 			r.publisher.resume(entry)
 		}
 	}
-	r.recovered = true
+	if !r.recovered {
+		r.recovered = true
+		close(r.recoveredOnce)
+	}
 	r.adopt(last)
-	if r.departed[r.target.ID] && r.target.State == Ready {
+	if r.departed[r.target.Incarnation()] && r.target.State == Ready {
 		r.target.State = Draining
 	}
 	r.changed()
@@ -219,10 +236,17 @@
 // heartbeat or a departure says otherwise. Should it be gone, calls find no
 // connection or another instance, and have not run in either case.
 func (r *Registrar) adopt(record *Record) {
-	if record == nil || record.State != Ready || record.Instance == "" || r.target.ID != "" || r.departed[record.Instance] {
+	if record == nil || record.State != Ready || record.Instance == "" {
+		return
+	}
+	adopted := parseIncarnation(record.Instance)
+	// A heartbeat that came before may have been a late one of an earlier start.
+	later := r.target.ID == "" || (r.target.ID == adopted.ID && r.target.Born < adopted.Born)
+	if !later || r.departed[adopted] || r.over(adopted) {
 		return
 	}
-	r.target = Target{ID: record.Instance, Service: record.Service, Slots: record.Slots, State: Ready}
+	r.learnStart(adopted)
+	r.target = Target{ID: adopted.ID, Born: adopted.Born, Service: record.Service, Slots: record.Slots, State: Ready}
 }
 
 // Target returns the target beside the node. Its state is Absent while it is
@@ -250,12 +274,31 @@
 	if !beat.Draining {
 		return nil
 	}
-	return r.makeDurable(ctx, beat.ID)
+	return r.makeDurable(ctx, beat.Incarnation())
+}
+
+// leavingTarget is a start of a target that said that it leaves.
+type leavingTarget struct {
+	born  int64
+	since time.Time
+}
+
+// leavingTime is for how long a notice without a start may be a late one of a start that said
+// before that it leaves. Targets serve on for some seconds after that.
+const leavingTime = 10 * time.Second
+
+// learnStart notes that a start is known, and that all earlier ones of its id are over.
+func (r *Registrar) learnStart(start Incarnation) {
+	r.newest[start.ID] = max(r.newest[start.ID], start.Born)
 }
 
+// over reports whether a later start of the same id is known. Nothing that an earlier one
+// says, however late it comes, changes anything.
+func (r *Registrar) over(start Incarnation) bool { return start.Born < r.newest[start.ID] }
+
 // returningTarget is a replaced target that sends heartbeats again.
 type returningTarget struct {
-	id    string
+	start Incarnation
 	since time.Time
 }
 
@@ -267,10 +310,10 @@
 
 // returns reports whether a replaced target is there after all: what was taken for
 // its successor was a late heartbeat of its predecessor.
-func (r *Registrar) returns(id string) bool {
+func (r *Registrar) returns(start Incarnation) bool {
 	now := r.now()
-	if r.returning.id != id {
-		r.returning = returningTarget{id: id, since: now}
+	if r.returning.start != start {
+		r.returning = returningTarget{start: start, since: now}
 		return false
 	}
 	return now.Sub(r.returning.since) >= returnAfter
@@ -279,23 +322,26 @@
 // take applies a heartbeat to the state. A late one of a target that left or
 // was replaced changes nothing.
 func (r *Registrar) take(beat Heartbeat) {
-	if r.departed[beat.ID] {
+	start := beat.Incarnation()
+	if r.departed[start] || r.over(start) {
 		return
 	}
-	if beat.ID != r.target.ID {
-		if r.replaced[beat.ID] && !r.returns(beat.ID) {
-			r.departed[beat.ID] = beat.Draining
+	if start != r.target.Incarnation() {
+		if r.replaced[start] && !r.returns(start) {
+			r.departed[start] = beat.Draining
 			return
 		}
 		if r.target.ID != "" {
-			r.replaced[r.target.ID] = true
+			r.replaced[r.target.Incarnation()] = true
 		}
-		delete(r.replaced, beat.ID)
-		r.target = Target{ID: beat.ID, Service: beat.Service, State: Ready}
+		delete(r.replaced, start)
+		r.target = Target{ID: beat.ID, Born: beat.Born, Service: beat.Service, State: Ready}
+		r.learnStart(start)
 	}
 	r.returning = returningTarget{}
 	if beat.Draining {
-		r.depart(beat.ID, Draining)
+		r.leaving[beat.ID] = leavingTarget{born: beat.Born, since: r.now()}
+		r.depart(start, Draining)
 		return
 	}
 	if beat.Sequence < r.target.Sequence {
@@ -310,18 +356,70 @@
 	}
 }
 
-// Depart takes the notice that a target leaves.
-func (r *Registrar) Depart(ctx context.Context, id string) error {
+// Depart takes the notice that a target leaves. One that does not tell its start is of the
+// latest that is known.
+func (r *Registrar) Depart(ctx context.Context, id string, born int64) error {
+	start := Incarnation{ID: id, Born: born}
+	if born == 0 {
+		// Which start this is about an earlier process may know.
+		if err := r.awaitRecovered(ctx); err != nil {
+			return r.unacknowledged(start, fmt.Errorf("learn which start of %s leaves: %w", id, err))
+		}
+	}
+	if err := r.end(&start); err != nil {
+		return r.unacknowledged(start, err)
+	}
+	return r.makeDurable(ctx, start)
+}
+
+// errWhichStart means that a notice may be a late one of an earlier start that said that it
+// leaves, or of the present one. Acknowledged, it would have to bind either.
+var errWhichStart = errors.New("the notice does not tell which start leaves")
+
+// end moves the start on that a notice is about, which is completed where it tells none.
+func (r *Registrar) end(start *Incarnation) error {
 	r.mutex.Lock()
-	r.depart(id, Gone)
-	r.mutex.Unlock()
-	return r.makeDurable(ctx, id)
+	defer r.mutex.Unlock()
+	if start.Born == 0 {
+		leaving, found := r.leaving[start.ID]
+		if found && leaving.born < r.newest[start.ID] && r.now().Sub(leaving.since) < leavingTime {
+			return errWhichStart
+		}
+		start.Born = r.newest[start.ID]
+	}
+	if r.leaving[start.ID].born == start.Born {
+		delete(r.leaving, start.ID)
+	}
+	r.learnStart(*start)
+	r.depart(*start, Gone)
+	return nil
+}
+
+// awaitRecovered waits until it is known what earlier processes acknowledged, for as long as
+// an acknowledgement is of use.
+func (r *Registrar) awaitRecovered(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, ackTimeout)
+	defer cancel()
+	select {
+	case <-r.recoveredOnce:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Refused takes that a heartbeat was turned away.
+func (r *Registrar) Refused(id string, reason RefusalReason) {
+	r.log.Record(eventlog.Event{Kind: eventlog.HeartbeatRefused, Target: id, Reason: string(reason)})
+	if r.config.OnRefused != nil {
+		r.config.OnRefused(reason)
+	}
 }
 
 // depart moves the target forward to a state in which it gets no new work.
-func (r *Registrar) depart(id string, state State) {
-	r.departed[id] = true
-	if r.target.ID == id && r.target.State < state {
+func (r *Registrar) depart(start Incarnation, state State) {
+	r.departed[start] = true
+	if r.target.Incarnation() == start && r.target.State < state {
 		r.target.State = state
 		r.changed()
 	}
@@ -331,7 +429,7 @@
 // are told in order.
 func (r *Registrar) changed() {
 	target := r.visible()
-	r.log.Record(eventlog.Event{Kind: eventlog.TargetChanged, Service: target.Service, Target: target.ID, Outcome: target.State.String(),
+	r.log.Record(eventlog.Event{Kind: eventlog.TargetChanged, Service: target.Service, Target: target.Incarnation().String(), Outcome: target.State.String(),
 		Version: target.Sequence, Count: target.Slots})
 	if r.config.OnTarget != nil {
 		r.config.OnTarget(target)
@@ -339,7 +437,7 @@
 	if target.State != Absent {
 		// That a leaving target is gone makes no difference to peers.
 		r.publisher.publish(Record{
-			Instance: target.ID,
+			Instance: target.Incarnation().String(),
 			Service:  target.Service,
 			Zone:     r.config.Zone,
 			Address:  r.config.Address,
@@ -352,20 +450,25 @@
 
 // makeDurable writes the departure of a target, so that it binds later
 // processes on this machine.
-func (r *Registrar) makeDurable(ctx context.Context, id string) error {
+func (r *Registrar) makeDurable(ctx context.Context, start Incarnation) error {
 	ctx, cancel := context.WithTimeout(ctx, ackTimeout)
 	defer cancel()
-	departure := Departure{Instance: id, Address: r.config.Address}
+	departure := Departure{Instance: start.String(), Address: r.config.Address}
 	err := r.departing.write(ctx, r.keyOf(departure), encode(departure))
 	if err == nil {
 		r.facts.note(departure)
 	} else {
-		err = fmt.Errorf("make departure of %s durable: %w", id, err)
-		r.log.Record(eventlog.Event{Kind: eventlog.HeartbeatRefused, Target: id, Reason: err.Error()})
+		err = r.unacknowledged(start, fmt.Errorf("make departure of %s durable: %w", start, err))
 	}
 	return err
 }
 
+// unacknowledged logs why a notice gets no acknowledgement.
+func (r *Registrar) unacknowledged(start Incarnation, err error) error {
+	r.log.Record(eventlog.Event{Kind: eventlog.HeartbeatRefused, Target: start.String(), Reason: err.Error()})
+	return err
+}
+
 func (r *Registrar) keyOf(departure Departure) string {
 	return r.config.DeparturesPrefix + departure.Instance
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -160,7 +160,7 @@
 	awaitPublished(t, target, "i-2")
 
 	// One that left since is not taken over.
-	assert.NilError(t, second.Depart(ctx, "i-2"))
+	assert.NilError(t, second.Depart(ctx, "i-2", 0))
 	third := startRegistrar(t, target)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		third.mutex.Lock()
@@ -217,13 +217,13 @@
 	target := &faultyStore{Store: held}
 	r := startRegistrar(t, target)
 	target.lossy.Store(true)
-	err := r.Depart(context.Background(), "i-1")
+	err := r.Depart(context.Background(), "i-1", 0)
 	// The second try finds the key there, which is as good as an answer.
 	if err != nil {
 		assert.Assert(t, errors.Is(err, store.ErrUnknownOutcome))
 	}
 	target.lossy.Store(false)
-	assert.NilError(t, r.Depart(context.Background(), "i-1"))
+	assert.NilError(t, r.Depart(context.Background(), "i-1", 0))
 	_, err = held.Get(context.Background(), departuresPrefix+"i-1")
 	assert.NilError(t, err)
 }
@@ -232,7 +232,7 @@
 	r := startRegistrar(t, memory.New(time.Now))
 	assert.NilError(t, r.Heartbeat(context.Background(), ready("i-1", 1)))
 	awaitState(t, r, Ready)
-	assert.NilError(t, r.Depart(context.Background(), "i-1"))
+	assert.NilError(t, r.Depart(context.Background(), "i-1", 0))
 	assert.Equal(t, r.Target().State, Gone)
 	assert.NilError(t, r.Heartbeat(context.Background(), draining("i-1", 2)))
 	assert.Equal(t, r.Target().State, Gone, "states only move forward")
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -16,6 +16,7 @@
 	"github.com/lugspur/lugspur/internal/forward"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/problem"
+	"github.com/lugspur/lugspur/internal/registry"
 )
 
 const (
@@ -37,6 +38,7 @@
 	duration *prometheus.HistogramVec
 	calls    *prometheus.CounterVec
 	sent     *prometheus.CounterVec
+	refused  *prometheus.CounterVec
 	waited   *prometheus.HistogramVec
 	ran      *prometheus.HistogramVec
 
@@ -74,6 +76,11 @@
 			Name:      "retry_budget_events_total",
 			Help:      "Requests sent from here by service: first, repeated or unpaid (no budget left), and why they were to be repeated.",
 		}, []string{"service", "kind", "cause"}),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace,
+			Name:      "heartbeats_refused_total",
+			Help:      "Heartbeats that were turned away, by reason.",
+		}, []string{"reason"}),
 		waited: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace,
 			Name:      "call_queue_seconds",
@@ -89,7 +96,7 @@
 		tenants: newTenantCounter(),
 		routes:  make(map[string]bool),
 	}
-	m.registry.MustRegister(m.tenants.requests, m.requests, m.duration, m.calls, m.sent, m.waited, m.ran, &eventCollector{log: log})
+	m.registry.MustRegister(m.tenants.requests, m.requests, m.duration, m.calls, m.sent, m.refused, m.waited, m.ran, &eventCollector{log: log})
 	return m
 }
 
@@ -134,6 +141,11 @@
 	m.sent.WithLabelValues(service, kind.String(), string(cause)).Inc()
 }
 
+// heartbeatRefused counts a heartbeat that was turned away.
+func (m *metrics) heartbeatRefused(reason registry.RefusalReason) {
+	m.refused.WithLabelValues(string(reason)).Inc()
+}
+
 // Ended counts a call to the target that ended.
 func (m *metrics) Ended(outcome peering.Outcome, reason peering.Reason, waited, ran time.Duration) {
 	name := outcome.String()
--- a/internal/sidecar/metrics_test.go
+++ b/internal/sidecar/metrics_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/lugspur/lugspur/internal/forward"
 	"github.com/lugspur/lugspur/internal/peering"
+	"github.com/lugspur/lugspur/internal/registry"
 )
 
 var metricLine = regexp.MustCompile(`(?m)^# TYPE (lugspur_[a-z_]+) `)
@@ -41,6 +42,7 @@
 	n.metrics.Identified("tenant", "")
 	n.metrics.Finished("r", 200, "", time.Second)
 	n.metrics.Ended(peering.Answered, "", time.Millisecond, time.Second)
+	n.metrics.heartbeatRefused(registry.RefusedSlots)
 	n.metrics.Counted("s", forward.FirstSent, "")
 	n.calls.Called(purposeRecords, "list", "done")
 	var served []string
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -130,6 +130,7 @@
 		HomesPrefix:      platform.HomesPrefix,
 		DeparturesPrefix: platform.DeparturesPrefix,
 		OnTarget:         n.guard.SetTarget,
+		OnRefused:        n.metrics.heartbeatRefused,
 		Records:          n.recall,
 		Epoch:            n.epochs.Current,
 		Place:            n.directory.Place,
@@ -274,6 +275,13 @@
 	}
 }
 
+// knowsService reports whether the configuration in force names a service. Without one any
+// may be named.
+func (n *Node) knowsService(name string) bool {
+	table := n.routes.Current()
+	return table == nil || table.Service(name) != nil
+}
+
 // settle puts the store's configuration in force once peers had time to tell a newer one.
 func (n *Node) settle(ctx context.Context) {
 	n.copies.spread.AwaitSettled(ctx)
@@ -292,7 +300,7 @@
 		{n.settings.Listen.Calls, n.forwarder},
 		{n.settings.Listen.Peers, peering.Handler(n.peerServices())},
 		{n.settings.Listen.Ready, platform.ReadyHandler(n.ready)},
-		{n.settings.Listen.Heartbeats, platform.HeartbeatHandler(n.registrar)},
+		{n.settings.Listen.Heartbeats, platform.HeartbeatHandler(n.registrar, n.knowsService)},
 		{n.settings.Listen.Metrics, n.metrics.handler()},
 	}
 	for _, l := range listeners {
--- a/lab/platformstub/target.go
+++ b/lab/platformstub/target.go
@@ -21,6 +21,8 @@
 	// ID and Service name the target; Address is where it listens, Control where
 	// its heartbeats go.
 	ID, Service, Address, Control, Zone string
+	// Born is when the target started, in Unix milliseconds; zero is the moment of Start.
+	Born int64
 	// Work is how long each request takes.
 	Work time.Duration
 	// OnEnd is called once the target has ended under a request; it may be nil.
@@ -78,6 +80,9 @@
 	if err != nil {
 		return err
 	}
+	if t.Born == 0 {
+		t.Born = time.Now().UnixMilli()
+	}
 	ctx, t.stop = context.WithCancel(ctx)
 	t.server = &http.Server{Handler: http.HandlerFunc(t.serve)}
 	go func() { _ = t.server.Serve(listener) }()
@@ -222,6 +227,7 @@
 	Slots    int    `json:"slots"`
 	State    string `json:"state"`
 	Sequence uint64 `json:"seq"`
+	Born     int64  `json:"born"`
 }
 
 func (t *Target) sendBeat(ctx context.Context) error {
@@ -230,7 +236,7 @@
 		state = "draining"
 	}
 	body, err := json.Marshal(heartbeat{Service: t.Service, Address: t.Address, Zone: t.Zone, Version: "v1", Slots: targetSlots,
-		State: state, Sequence: t.sequence.Add(1)})
+		State: state, Sequence: t.sequence.Add(1), Born: t.Born})
 	if err != nil {
 		return err
 	}
@@ -265,7 +271,7 @@
 // Late sends a heartbeat again that said "ready" before all others, as one that
 // was held up on its way.
 func (t *Target) Late(ctx context.Context) error {
-	body, err := json.Marshal(heartbeat{Service: t.Service, Address: t.Address, Zone: t.Zone, Version: "v1", Slots: targetSlots, State: "ready", Sequence: 1})
+	body, err := json.Marshal(heartbeat{Service: t.Service, Address: t.Address, Zone: t.Zone, Version: "v1", Slots: targetSlots, State: "ready", Sequence: 1, Born: t.Born})
 	if err != nil {
 		return err
 	}
@@ -273,4 +279,6 @@
 }
 
 // Leave says that the target is about to end.
-func (t *Target) Leave(ctx context.Context) error { return t.send(ctx, http.MethodDelete, nil) }
+func (t *Target) Leave(ctx context.Context) error {
+	return t.send(ctx, http.MethodDelete, fmt.Appendf(nil, `{"born":%d}`, t.Born))
+}
--- a/test/platform_outage_test.go
+++ b/test/platform_outage_test.go
@@ -27,7 +27,7 @@
 	drained := p.target(0).Count()
 	p.start(p.nodes[0])
 	p.awaitReady(p.nodes[0])
-	late := &platformstub.Target{ID: p.target(0).ID, Service: "one", Address: p.target(0).Address, Control: p.target(0).Control, Zone: "west"}
+	late := &platformstub.Target{ID: p.target(0).ID, Born: p.target(0).Born, Service: "one", Address: p.target(0).Address, Control: p.target(0).Control, Zone: "west"}
 	_ = late.Start(ctx)
 	running := p.startLoad("/read/x", p.nodes...)
 	time.Sleep(2 * time.Second)
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -48,7 +48,7 @@
 	p.start(p.nodes[0])
 	p.awaitReady(p.nodes[0])
 	// A heartbeat from before the drain comes late.
-	late := &platformstub.Target{ID: p.target(0).ID, Service: "one", Address: p.target(0).Address, Control: p.target(0).Control, Zone: "west"}
+	late := &platformstub.Target{ID: p.target(0).ID, Born: p.target(0).Born, Service: "one", Address: p.target(0).Address, Control: p.target(0).Control, Zone: "west"}
 	lateCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	_ = late.Start(lateCtx)
