--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -172,11 +172,19 @@
 	return err
 }
 
+// startsOfID is how many starts have the same id, one after the other.
+const startsOfID = 2
+
+// startOf names one start of a target.
+func startOf(target *platformstub.Target) string {
+	return fmt.Sprintf("%s@%d", target.ID, target.Born)
+}
+
 // startTarget starts a new incarnation of the target at the same address.
 func (m *machine) startTarget() error {
 	m.incarnation++
 	target := &platformstub.Target{
-		ID:      fmt.Sprintf("i-%s-%d", m.name, m.incarnation),
+		ID:      fmt.Sprintf("i-%s-%d", m.name, (m.incarnation+1)/startsOfID),
 		Service: m.service,
 		Address: m.target,
 		Control: m.control,
--- a/lab/soak/inject.go
+++ b/lab/soak/inject.go
@@ -231,7 +231,7 @@
 	m := i.deployment.machines[fault.Machine]
 	for range ackTries {
 		if m.current.Drain(ctx) == nil {
-			i.recorder.drained(m.current.ID)
+			i.recorder.drained(startOf(m.current))
 			break
 		}
 		sleep(ctx, ackPause)
@@ -243,7 +243,7 @@
 	}
 	sleep(ctx, drainTime+fault.For)
 	if m.current.Leave(ctx) == nil {
-		i.recorder.drained(m.current.ID)
+		i.recorder.drained(startOf(m.current))
 	}
 	m.stopTarget()
 	i.replaceTarget(m)
--- a/lab/soak/judge.go
+++ b/lab/soak/judge.go
@@ -241,7 +241,7 @@
 		bound := drained.at.Add(drainBound)
 		for id, runs := range j.runs {
 			for _, run := range runs {
-				if run.target.ID == drained.target && run.At.After(bound) {
+				if startOf(run.target) == drained.target && run.At.After(bound) {
 					j.broken(NoWorkLeaving, nil, "%s ran %s %s after its acknowledged leave", drained.target, id, run.At.Sub(drained.at))
 				}
 			}
--- a/lab/soak/judge_test.go
+++ b/lab/soak/judge_test.go
@@ -73,7 +73,7 @@
 		{"late answer", func(_ *judged, r *Request) { r.Ended = r.Sent.Add(3 * time.Second) }, InTime},
 		{"cut off", func(_ *judged, r *Request) { r.Status = 0 }, NoCuts},
 		{"new work after the leave", func(j *judged, _ *Request) {
-			j.recorder.drains = append(j.recorder.drains, acknowledgedDrain{target: "i-1", at: at(7)})
+			j.recorder.drains = append(j.recorder.drains, acknowledgedDrain{target: "i-1@0", at: at(7)})
 		}, NoWorkLeaving},
 		{"version not in force", func(j *judged, r *Request) {
 			j.recorder.versions = append(j.recorder.versions, acknowledgedVersion{version: 3, sent: at(5), at: at(5)})
