Files of one job each: departures, writes, exchanges, differences, digests; one stand-in of a restored store

Ruled out: changes of what is decided; functions moved as they were. Change: registrar, adapter of the store, copies and the short form of messages are split; the delay of who takes over lies in the epoch's package; the stand-in of a store that comes back lies with the store's tests. Conclusion: reads in pieces.

--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -12,6 +12,7 @@
 	"github.com/lugspur/lugspur/internal/eventlog"
 	"github.com/lugspur/lugspur/internal/fingerprint"
 	"github.com/lugspur/lugspur/internal/store"
+	"github.com/lugspur/lugspur/internal/store/epoch"
 	"github.com/lugspur/lugspur/internal/store/leased"
 )
 
@@ -91,36 +92,26 @@
 	place func() (int, bool)
 }
 
-const (
-	// takeOverAfter is how long the node that wrote a record is given to write it again
-	// after a store that came back from a copy had lost it, and takeOverSpacing by how much
-	// later each node than the one before it does so in its place. Others hear of a write
-	// after about a second.
-	takeOverAfter   = 1200 * time.Millisecond
-	takeOverSpacing = 150 * time.Millisecond
-)
-
 func newKeeper(config Config) *keeper {
-	target, prefix, log, now, epoch, place := config.Store, config.Prefix, config.Log, config.Now, config.Epoch, config.Place
-	if epoch == nil {
-		epoch = func() store.Epoch { return 0 }
+	if config.Epoch == nil {
+		config.Epoch = func() store.Epoch { return 0 }
 	}
-	if place == nil {
-		place = func() (int, bool) { return 0, false }
+	if config.Place == nil {
+		config.Place = func() (int, bool) { return 0, false }
 	}
 	return &keeper{
-		store:     target,
-		prefix:    prefix,
-		writer:    leased.NewWriter(target, RecordTTL, now),
-		claims:    leased.NewWriter(target, RecordTTL, now),
-		log:       log,
+		store:     config.Store,
+		prefix:    config.Prefix,
+		writer:    leased.NewWriter(config.Store, RecordTTL, config.Now),
+		claims:    leased.NewWriter(config.Store, RecordTTL, config.Now),
+		log:       config.Log,
 		wake:      make(chan struct{}, 1),
 		wanted:    make(map[fingerprint.Fingerprint]Record),
 		own:       make(map[fingerprint.Fingerprint]Record),
 		revisions: make(map[fingerprint.Fingerprint]store.Revision),
 		records:   make(map[fingerprint.Fingerprint]Record),
-		epoch:     epoch,
-		place:     place,
+		epoch:     config.Epoch,
+		place:     config.Place,
 	}
 }
 
@@ -279,7 +270,7 @@
 	if !known {
 		return
 	}
-	time.AfterFunc(takeOverAfter+time.Duration(place)*takeOverSpacing, func() { k.takeOver(hash, lost) })
+	time.AfterFunc(epoch.TakeOverDelay(place), func() { k.takeOver(hash, lost) })
 }
 
 // takeOver writes a record that is still missing. The write finds out whether it is.
--- a/internal/registry/departures.go
+++ b/internal/registry/departures.go
@@ -6,19 +6,11 @@
 	"time"
 
 	"github.com/lugspur/lugspur/internal/store"
+	"github.com/lugspur/lugspur/internal/store/epoch"
 )
 
-const (
-	// takeOverAfter is how long the node beside a target that left is given to write its
-	// departure again after a store that came back from a copy had lost it. Others hear of
-	// it after up to 0.8 s, for which changes are gathered, and the way between nodes.
-	takeOverAfter = 1200 * time.Millisecond
-	// takeOverSpacing is by how much later each node than the one before it in the order of
-	// nodes does so in its place, so that one at a time tries.
-	takeOverSpacing = 150 * time.Millisecond
-	// rewritePause is the time between two tries to write a departure again.
-	rewritePause = 200 * time.Millisecond
-)
+// rewritePause is the time between two tries to write a departure again.
+const rewritePause = 200 * time.Millisecond
 
 // departures are the targets that said that they leave, as this node knows them. They are
 // facts for as long as they are remembered in the store: one that is missing there, because
@@ -95,7 +87,7 @@
 	case fact.Address == d.own:
 		fact.due = d.now()
 	case known:
-		fact.due = d.now().Add(takeOverAfter + time.Duration(place)*takeOverSpacing)
+		fact.due = d.now().Add(epoch.TakeOverDelay(place))
 	}
 	d.signal()
 }
--- a/internal/replica/copy.go
+++ b/internal/replica/copy.go
@@ -24,43 +24,6 @@
 // unknownAge is told by a copy that was never known to be current.
 const unknownAge = time.Duration(-1)
 
-// Digest says how far a copy reaches.
-type Digest struct {
-	_ struct{} `cbor:",toarray"`
-	// Through is a revision: all changes up to it are in the copy.
-	Through store.Revision
-	// Age is how long ago the copy was known to hold everything that the store
-	// held; negative if that never was.
-	Age time.Duration
-	// Verified is how long ago some node began to read the store, with the result
-	// that the copy holds what the store held then; negative if that never was.
-	Verified time.Duration
-	// Newest is the version of the newest document that the sender holds, which the store
-	// may have lost; zero where documents have no versions.
-	Newest uint64
-}
-
-// Item is an entry of the store as peers tell it.
-type Item struct {
-	_        struct{} `cbor:",toarray"`
-	Key      string
-	Value    []byte
-	Revision store.Revision
-	Lease    store.LeaseID
-	Deleted  bool
-}
-
-// Delta is what a copy holds beyond a revision.
-type Delta struct {
-	_ struct{} `cbor:",toarray"`
-	Digest
-	// Whole tells that keys that are not named don't exist.
-	Whole bool
-	Items []Item
-	// Beyond is the newest document where the items don't tell it, nil if there is none.
-	Beyond []byte
-}
-
 // maxDeleted bounds the deleted keys that a copy remembers.
 const maxDeleted = 512
 
@@ -145,18 +108,6 @@
 	return c.digest()
 }
 
-func (c *Copy) digest() Digest {
-	return Digest{Through: c.through, Age: c.since(c.confirmed), Verified: c.since(c.verified), Newest: c.documents.Version()}
-}
-
-// since returns how long ago a moment was, unknownAge for none.
-func (c *Copy) since(moment time.Time) time.Duration {
-	if moment.IsZero() {
-		return unknownAge
-	}
-	return c.now().Sub(moment)
-}
-
 // Entries returns what the copy holds, deleted keys left out.
 func (c *Copy) Entries() []store.Entry {
 	c.mutex.Lock()
@@ -170,34 +121,6 @@
 	return entries
 }
 
-// Since returns what the copy holds beyond the digest of another one.
-func (c *Copy) Since(other Digest) Delta {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	delta := Delta{Digest: c.digest(), Beyond: c.beyond(other)}
-	empty := other.Through == 0 && other.Age < 0
-	if !c.filled || (other.Through >= c.through && !empty) {
-		return delta
-	}
-	// What the other copy holds of an earlier epoch may never have been in this one.
-	earlier := other.Through.Epoch() < c.through.Epoch()
-	delta.Whole = empty || earlier || other.Through < c.horizon
-	for _, entry := range c.entries {
-		if (delta.Whole && !entry.Deleted) || (!delta.Whole && entry.Revision > other.Through) {
-			delta.Items = append(delta.Items, Item{Key: entry.Key, Value: entry.Value, Revision: entry.Revision, Lease: entry.Lease, Deleted: entry.Deleted})
-		}
-	}
-	return delta
-}
-
-// behind reports whether a copy with the digest holds something that this one
-// lacks.
-func (c *Copy) behind(other Digest) bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return other.Through > c.through || (!c.filled && other.Age >= 0) || c.lacksDocument(other.Newest)
-}
-
 // takeSnapshot takes everything that the store held when it was asked or later.
 func (c *Copy) takeSnapshot(snapshot store.Snapshot, asked time.Time) {
 	c.apply(SourceStore, func() []store.Entry {
@@ -255,55 +178,6 @@
 	})
 }
 
-// takeDelta takes what a peer told that was asked at the given moment.
-func (c *Copy) takeDelta(delta Delta, peer string, asked time.Time) {
-	c.takeDocument(delta, peer)
-	c.apply(peer, func() []store.Entry {
-		later := delta.Through.Epoch() > c.through.Epoch()
-		if delta.Age < 0 || delta.Through < c.through || (later && !delta.Whole) {
-			return nil
-		}
-		c.enter(delta.Through.Epoch())
-		entries := make([]store.Entry, 0, len(delta.Items))
-		present := make(map[string]bool, len(delta.Items))
-		for _, item := range delta.Items {
-			present[item.Key] = true
-			entries = append(entries, store.Entry{Key: item.Key, Value: item.Value, Revision: item.Revision, Lease: item.Lease, Deleted: item.Deleted})
-		}
-		changes := c.put(entries)
-		if delta.Whole {
-			changes = append(changes, c.removeAbsent(present, delta.Through)...)
-		}
-		if delta.Whole || c.filled {
-			c.filled = true
-			c.through = delta.Through
-			c.cursor = max(c.cursor, c.through)
-			c.confirm(c.now().Add(-delta.Age), asked.Add(-delta.Age-confirmSlack))
-			c.verifyByPeer(delta.Digest, asked)
-		}
-		return changes
-	})
-}
-
-// heard takes the digest that a peer told now, on a reply to a message of the
-// given moment; zero if that is not known. Where the peer's copy holds the same
-// this one is as current.
-func (c *Copy) heard(digest Digest, asked time.Time) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if !c.filled || digest.Age < 0 || digest.Through != c.through {
-		return
-	}
-	proved := time.Time{}
-	if !asked.IsZero() {
-		proved = asked.Add(-digest.Age - confirmSlack)
-	}
-	c.confirm(c.now().Add(-digest.Age), proved)
-	c.verifyByPeer(digest, asked)
-	c.publish()
-	c.wake()
-}
-
 // enter goes on in a later epoch of the store, of which nothing is known to be current
 // yet. What the copy holds of the epoch before has lower revisions than all that the store
 // tells now, so that it is replaced or found to be absent.
--- a/internal/store/epoch/epoch.go
+++ b/internal/store/epoch/epoch.go
@@ -5,6 +5,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/lugspur/lugspur/internal/store"
 )
@@ -60,3 +61,19 @@
 	}
 	return heard
 }
+
+const (
+	// rewriteTime is how long whoever wrote an entry is given to write it again after a store
+	// that came back from a copy had lost it. Others hear of that after up to 0.8 s, for which
+	// changes are gathered, and the way between nodes.
+	rewriteTime = 1200 * time.Millisecond
+	// takeOverSpacing is by how much later each node than the one before it in the order of
+	// nodes takes over, so that one at a time tries.
+	takeOverSpacing = 150 * time.Millisecond
+)
+
+// TakeOverDelay returns how long the node at a place in the order of nodes waits before it
+// writes an entry again that the store lost and that another node had written.
+func TakeOverDelay(place int) time.Duration {
+	return rewriteTime + time.Duration(place)*takeOverSpacing
+}
--- /dev/null
+++ b/internal/store/storetest/restored.go
@@ -0,0 +1,91 @@
+package storetest
+
+import (
+	"context"
+	"time"
+
+	"github.com/lugspur/lugspur/internal/store"
+	"github.com/lugspur/lugspur/internal/store/epoch"
+	"github.com/lugspur/lugspur/internal/store/memory"
+)
+
+// Restored is one process's way to a store in memory that comes back from copies. Like the
+// platform's adapter it takes a while for each call and tells the epoch that it finds. It is
+// for tests in virtual time.
+type Restored struct {
+	*memory.Store
+	// Epochs is told the epoch of the store with each call that it answers.
+	Epochs *epoch.Tracker
+	// Refused reports whether the store does not answer this process now.
+	Refused func() bool
+}
+
+var _ store.Store = (*Restored)(nil)
+
+// restoredLatency is how long a call takes.
+const restoredLatency = 4 * time.Millisecond
+
+func (s *Restored) enter() error {
+	time.Sleep(restoredLatency)
+	if s.Refused() {
+		return store.ErrUnavailable
+	}
+	s.Epochs.Observe(s.Epoch(), "store")
+	return nil
+}
+
+// Get implements store.Store.
+func (s *Restored) Get(ctx context.Context, key string) (store.Entry, error) {
+	if err := s.enter(); err != nil {
+		return store.Entry{}, err
+	}
+	return s.Store.Get(ctx, key)
+}
+
+// List implements store.Store.
+func (s *Restored) List(ctx context.Context, prefix string) (store.Snapshot, error) {
+	if err := s.enter(); err != nil {
+		return store.Snapshot{}, err
+	}
+	return s.Store.List(ctx, prefix)
+}
+
+// Watch implements store.Store. It ends when the store refuses the process.
+func (s *Restored) Watch(ctx context.Context, prefix string, after store.Revision, handler func([]store.Entry, store.Revision)) error {
+	if err := s.enter(); err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	return s.Store.Watch(ctx, prefix, after, func(batch []store.Entry, progress store.Revision) {
+		if s.Refused() {
+			stop()
+			return
+		}
+		handler(batch, progress)
+	})
+}
+
+// CompareAndSwap implements store.Store.
+func (s *Restored) CompareAndSwap(ctx context.Context, key string, expected store.Revision, value []byte, lease store.LeaseID) (store.Revision, error) {
+	if err := s.enter(); err != nil {
+		return 0, err
+	}
+	return s.Store.CompareAndSwap(ctx, key, expected, value, lease)
+}
+
+// GrantLease implements store.Store.
+func (s *Restored) GrantLease(ctx context.Context, duration time.Duration) (store.LeaseID, error) {
+	if err := s.enter(); err != nil {
+		return store.NoLease, err
+	}
+	return s.Store.GrantLease(ctx, duration)
+}
+
+// RenewLease implements store.Store.
+func (s *Restored) RenewLease(ctx context.Context, lease store.LeaseID) (time.Duration, error) {
+	if err := s.enter(); err != nil {
+		return 0, err
+	}
+	return s.Store.RenewLease(ctx, lease)
+}
