Entries of other writers name no target

Cause: a record whose state is none, or that lies under another node's key, was taken as it was; the name of an unknown state would have ended the process. Ruled out: bytes that can't be read, which were passed over before. Change: a record needs a state that nodes write and the key of its address; the node's own key is written over whatever else lies there. Before and after: a table of nine such entries; the test ended with an index out of range for state 9, and passes now.

--- a/internal/registry/incarnation_test.go
+++ b/internal/registry/incarnation_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/lugspur/lugspur/internal/store"
 )
 
 // schedules is the number of seeded schedules that are played, firstSchedule the first seed.
@@ -84,6 +86,23 @@
 	})
 }
 
+// TestRecordsOfOtherWritersNameNoTarget has entries under the prefix of homes that no node
+// wrote, beside one that a node did.
+func TestRecordsOfOtherWritersNameNoTarget(t *testing.T) {
+	sound := Record{Instance: "i-1", Service: "s", Address: homeAddress, Slots: 4, State: Ready}
+	unknown, elsewhere, absent := sound, sound, sound
+	unknown.State, elsewhere.Address, absent.State = 9, "10.9.9.9:1", Absent
+	d := NewDirectory(homesPrefix, homeAddress, nil, time.Now)
+	d.Change([]store.Entry{{Key: homesPrefix + homeAddress, Value: encode(sound), Revision: 1}}, "store")
+	for i, value := range [][]byte{nil, {0}, []byte("{}"), []byte("\xff\xfe"), encode("text"), encode([]int{1}), encode(unknown), encode(elsewhere), encode(absent)} {
+		d.Change([]store.Entry{
+			{Key: homesPrefix + homeAddress, Value: value, Revision: store.Revision(i + 2)},
+			{Key: fmt.Sprintf("%s10.0.0.%d:1", homesPrefix, i+2), Value: value, Revision: store.Revision(i + 2)},
+		}, "store")
+		assert.Equal(t, len(d.Homes("s")), 1, "%x", value)
+	}
+}
+
 // TestATargetThatTellsNoStartIsOfAnEarlierKind has a target whose heartbeats don't tell when it
 // started be followed by one that does, under the same id.
 func TestATargetThatTellsNoStartIsOfAnEarlierKind(t *testing.T) {
--- a/internal/registry/record.go
+++ b/internal/registry/record.go
@@ -10,6 +10,8 @@
 
 import (
 	"context"
+	"errors"
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -129,10 +131,21 @@
 	return content
 }
 
+// errForeignRecord means that an entry is none that a node wrote.
+var errForeignRecord = errors.New("no record of a node")
+
+// decodeRecord reads what a node published. Another writer's entry may have any content: it
+// names no target to use.
 func decodeRecord(entry store.Entry) (Record, error) {
 	var record Record
-	err := cbor.Unmarshal(entry.Value, &record)
-	return record, err
+	if err := cbor.Unmarshal(entry.Value, &record); err != nil {
+		return Record{}, err
+	}
+	known := record.State == Ready || record.State == Draining
+	if !known || record.Address == "" || !strings.HasSuffix(entry.Key, record.Address) {
+		return Record{}, errForeignRecord
+	}
+	return record, nil
 }
 
 func decodeDeparture(entry store.Entry) (Departure, error) {
--- a/internal/registry/registrar.go
+++ b/internal/registry/registrar.go
@@ -99,19 +99,28 @@
 // with its lease, and departures may have been lost as the store came back from a copy.
 func (r *Registrar) Change(entries []store.Entry) {
 	for _, entry := range entries {
-		instance, departure := strings.CutPrefix(entry.Key, r.config.DeparturesPrefix)
-		switch {
-		case departure:
+		if instance, departure := strings.CutPrefix(entry.Key, r.config.DeparturesPrefix); departure {
 			r.departureChanged(instance, entry)
-		case entry.Key != r.config.HomesPrefix+r.config.Address:
-		case entry.Deleted:
-			r.publisher.noteRemoved()
-		default:
-			if record, err := decodeRecord(entry); err == nil {
-				r.publisher.noteTold(entry, &record, r.config.Process)
-			}
 		}
+		if entry.Key == r.config.HomesPrefix+r.config.Address {
+			r.ownRecordChanged(entry)
+		}
+	}
+}
+
+// ownRecordChanged takes what the store holds under the node's own key.
+func (r *Registrar) ownRecordChanged(entry store.Entry) {
+	if entry.Deleted {
+		r.publisher.noteRemoved()
+		return
+	}
+	record, err := decodeRecord(entry)
+	if err != nil {
+		// It is none of this process's, and is written over as one of another process.
+		r.log.Record(eventlog.Event{Kind: eventlog.RecordRejected, Peer: entry.Key, Reason: err.Error()})
+		record = Record{}
 	}
+	r.publisher.noteTold(entry, &record, r.config.Process)
 }
 
 // Resumed has the node's lease looked at, as the machine was suspended: the timer for its
