Requests of the last moment are answered when a node ends

Cause: a listener that closes resets the connections that wait to be accepted, and http.Server.Shutdown closes a connection whose request it has read but not begun. A caller of either got a reset or nothing, and could not know whether its request had run. Change: package drainlistener, moved from the other plane; the node accepts what waits, lets the first requests on new connections begin (0.15 s at most), and then shuts down.

--- a/internal/node/listener.go
+++ b/internal/drainlistener/listener.go
@@ -1,4 +1,5 @@
-package node
+// Package drainlistener has a listening socket that a process closes without resetting connections.
+package drainlistener
 
 import (
 	"errors"
@@ -9,16 +10,16 @@
 	"time"
 )
 
-// drainingListener is a listening socket that can be closed without losing the
+// Listener is a listening socket that can be closed without losing the
 // connections that the kernel has already set up: closing a socket resets
 // whatever waits to be accepted, and with it calls that callers have sent.
-type drainingListener struct {
+type Listener struct {
 	*net.TCPListener
 	stopping atomic.Bool
 }
 
-// newDrainingListener listens on an IP address and port.
-func newDrainingListener(address string) (*drainingListener, error) {
+// Listen listens on an IP address and port.
+func Listen(address string) (*Listener, error) {
 	resolved, err := net.ResolveTCPAddr("tcp", address)
 	if err != nil {
 		return nil, err
@@ -27,12 +28,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &drainingListener{TCPListener: listener}, nil
+	return &Listener{TCPListener: listener}, nil
 }
 
-// Accept returns the next connection. After stopAccepting it returns those that
+// Accept returns the next connection. After StopAccepting it returns those that
 // wait already, and then closes the socket and returns net.ErrClosed.
-func (l *drainingListener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	if !l.stopping.Load() {
 		connection, err := l.TCPListener.Accept()
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -42,9 +43,9 @@
 	return l.acceptWaiting()
 }
 
-// stopAccepting has Accept close the socket once nothing waits. It does not
+// StopAccepting has Accept close the socket once nothing waits. It does not
 // block.
-func (l *drainingListener) stopAccepting() {
+func (l *Listener) StopAccepting() {
 	l.stopping.Store(true)
 	// An Accept that waits is woken, and finds that the listener is stopping.
 	_ = l.SetDeadline(time.Now())
@@ -52,7 +53,7 @@
 
 // acceptWaiting accepts a connection that waits already. When none does, it
 // closes the socket at once, so that hardly any can come in between.
-func (l *drainingListener) acceptWaiting() (net.Conn, error) {
+func (l *Listener) acceptWaiting() (net.Conn, error) {
 	raw, err := l.SyscallConn()
 	if err != nil {
 		return nil, err
--- a/internal/node/sockets.go
+++ b/internal/node/sockets.go
@@ -12,6 +12,7 @@
 	"github.com/samber/oops"
 	"github.com/sirupsen/logrus"
 
+	"github.com/lugspur/lugspur/internal/drainlistener"
 	"github.com/lugspur/lugspur/internal/membership"
 	"github.com/lugspur/lugspur/internal/settings"
 )
@@ -26,7 +27,7 @@
 // listener is one of the node's HTTP listeners.
 type listener struct {
 	name   string
-	socket *drainingListener
+	socket *drainlistener.Listener
 	server *http.Server
 }
 
@@ -48,7 +49,7 @@
 func (s *sockets) open(listen settings.Listen) error {
 	s.edge.name, s.mesh.name, s.peer.name, s.admin.name = "edge", "mesh", "peer", "admin"
 	for i, address := range []string{listen.Edge, listen.Mesh, listen.Peer, listen.Admin} {
-		socket, err := newDrainingListener(address)
+		socket, err := drainlistener.Listen(address)
 		if err != nil {
 			s.close()
 			return oops.In("node").With("step", "listen").With("peer", address).Wrapf(err, "listen on %s", address)
@@ -100,7 +101,7 @@
 
 // stopAccepting refuses new connections; those that are open, or wait to be
 // accepted, are served on.
-func (l *listener) stopAccepting() { l.socket.stopAccepting() }
+func (l *listener) stopAccepting() { l.socket.StopAccepting() }
 
 // shutdown stops the listener and waits for its calls; those still there when
 // the context ends are cut off.
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -89,7 +88,7 @@
 	suspects  *quarantine.Quarantine
 	limits    limits
 	forwarder *forward.Forwarder
-	servers   []*http.Server
+	servers   []*server
 	stopping  atomic.Bool
 	running   sync.WaitGroup
 }
@@ -307,13 +306,12 @@
 		if l.address == "" {
 			continue
 		}
-		socket, err := net.Listen("tcp", l.address)
+		server, err := newServer(l.address, l.handler)
 		if err != nil {
-			return oops.In("sidecar").With("step", "listen").With("peer", l.address).Wrapf(err, "listen at %s", l.address)
+			return err
 		}
-		server := &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 		n.servers = append(n.servers, server)
-		go func() { _ = server.Serve(socket) }()
+		server.start()
 	}
 	return nil
 }
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -79,11 +79,9 @@
 // shutDown closes listeners and idle connections and waits for requests that came
 // at the last moment, so that none is read and left without an answer.
 func (n *Node) shutDown(deadline time.Time) {
-	ctx, cancel := clock.WithDeadline(context.Background(), deadline)
-	defer cancel()
 	var closing sync.WaitGroup
 	for _, server := range n.servers {
-		closing.Go(func() { _ = server.Shutdown(ctx) })
+		closing.Go(func() { server.shutDown(deadline) })
 	}
 	closing.Wait()
 }
