Schedules that showed a fault stay as cases

Change: shards 85, 134, 2934, 5322, 7576, copies 512, 4448, 4975, 6244, 21179 and starts 1208 are played first, each time. Conclusion: a play of copies does not repeat exactly, as goroutines take turns by the runtime's choice; the test says so.

--- a/internal/ratelimit/restore_test.go
+++ b/internal/ratelimit/restore_test.go
@@ -26,6 +26,11 @@
 	firstRestore = flag.Uint64("first-restore", 1, "seed of the first such schedule")
 )
 
+// restoresThatFailed are the seeds of schedules that showed two holders of a shard: a node that
+// was cut off learned of the return by the very call that took it (85, 7576), or a holder whose
+// hold had ended took its shard up again beside its successor (134, 2934, 5322).
+var restoresThatFailed = []uint64{85, 134, 2934, 5322, 7576}
+
 // restoredKeeper is one process with its keeper of shards, kept by a copy of the store.
 type restoredKeeper struct {
 	*Keeper
@@ -162,6 +167,9 @@
 // started and refused: two nodes never issue permits of a shard at once, and all shards have
 // a holder once it is calm.
 func TestNoShardHasTwoHoldersBesideARestoredStore(t *testing.T) {
+	for _, seed := range restoresThatFailed {
+		virtualtime.Run(t, func(t *testing.T) { playShards(t, seed) })
+	}
 	for seed := *firstRestore; seed < *firstRestore+uint64(*restores); seed++ {
 		virtualtime.Run(t, func(t *testing.T) { playShards(t, seed) })
 	}
--- a/internal/registry/incarnation_test.go
+++ b/internal/registry/incarnation_test.go
@@ -20,6 +20,10 @@
 	firstSchedule = flag.Uint64("first-schedule", 1, "seed of the first schedule")
 )
 
+// startsThatFailed are the seeds of schedules that showed a bound: a start that no heartbeat
+// told of left by a notice that told no start, which nobody can decide (1208).
+var startsThatFailed = []uint64{1208}
+
 // started is a heartbeat of one start.
 func started(id string, born int64, sequence uint64) Heartbeat {
 	beat := ready(id, sequence)
@@ -124,6 +128,9 @@
 // store that comes back from copies: no start that left gets work after its acknowledgement,
 // and none that is there goes without for 3 s.
 func TestStartsUnderOneID(t *testing.T) {
+	for _, seed := range startsThatFailed {
+		virtualtime.Run(t, func(t *testing.T) { playStarts(t, seed) })
+	}
 	for seed := *firstSchedule; seed < *firstSchedule+uint64(*schedules); seed++ {
 		virtualtime.Run(t, func(t *testing.T) { playStarts(t, seed) })
 	}
--- a/internal/replica/restore_test.go
+++ b/internal/replica/restore_test.go
@@ -24,6 +24,12 @@
 	firstRestore = flag.Uint64("first-restore", 1, "seed of the first such schedule")
 )
 
+// restoresThatFailed are the seeds of schedules that showed a fault or a bound. A process that
+// the store refused and that nobody called had an older version for longer than the bound (512,
+// 4448, 6244; 4975: for 4.2 s, in one of 1,801 plays), or went on proving it (21179). How
+// goroutines take turns is not drawn from the seed, so that a play does not repeat exactly.
+var restoresThatFailed = []uint64{512, 4448, 4975, 6244, 21179}
+
 // documents is what a process holds of the operator's document.
 type documents struct {
 	feed   *configfeed.Feed
@@ -228,6 +234,9 @@
 //     Of 300 nodes those that nobody calls hear of it after a second. One that the store lost
 //     before any node had it is known to nobody but the operator.
 func TestRestoredStoreSchedules(t *testing.T) {
+	for _, seed := range restoresThatFailed {
+		virtualtime.Run(t, func(t *testing.T) { playRestores(t, seed) })
+	}
 	for seed := *firstRestore; seed < *firstRestore+uint64(*restores); seed++ {
 		virtualtime.Run(t, func(t *testing.T) { playRestores(t, seed) })
 	}
