Shares of small bursts hold more, and each shard has a node that takes it first

A share held a quarter of the burst, which fills in 0.2 s; nodes that found it empty ask again after 0.1 to 0.3 s, and what it gained in between was lost. A share of a burst under four never held a whole permit: its tenant got nothing. Ruled out: that the simulation leaves something out. It was never played with a small burst: it admits 0.83 then, and 0.99 with a burst of 25. Shards without a holder explain only the first seconds: processes that start wait for 6 s for holds that may be there, and then four nodes needed 4.0 s to take all, as no node came first for most shards. Change: shares hold 0.5 s of the rate at least, out of what may run beyond the limit; permits last shorter for it. A share holds one permit at least. Each shard has a first node in fleets of fewer nodes than shards. Four nodes hold all shards after 1.3 s.

--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -27,7 +27,7 @@
 
 // bucket holds the permits of a tenant's share of its limit.
 type bucket struct {
-	// rate is in permits a second; level is at most burst.
+	// rate is in permits a second; level is at most burst, or one.
 	rate, burst, level float64
 	// at is when the level held.
 	at time.Time
@@ -43,7 +43,7 @@
 	if b.rate == 0 {
 		b.rate, b.burst = rate, burst
 	}
-	b.level = min(b.level+b.rate*max(now.Sub(b.at).Seconds(), 0), b.burst)
+	b.level = min(b.level+b.rate*max(now.Sub(b.at).Seconds(), 0), b.leastBurst())
 	b.at = now
 	b.rate, b.burst = rate, burst
 	b.level = min(b.level, b.leastBurst())
--- a/internal/ratelimit/issuer.go
+++ b/internal/ratelimit/issuer.go
@@ -90,7 +90,7 @@
 	if !tenant.Limited() {
 		return &Grant{Held: true, Issued: ask.Needed}
 	}
-	b := held.bucketOf(tenant, i.now())
+	b := held.bucketOf(tenant, i.bounds.depth(tenant), i.now())
 	issued := b.issue(ask)
 	grant := &Grant{Held: true, Issued: issued, Validity: i.bounds.validity(tenant)}
 	if issued < ask.Needed {
@@ -99,12 +99,14 @@
 	return grant
 }
 
-func (s *shard) bucketOf(tenant *routetable.Tenant, now time.Time) *bucket {
+// bucketOf returns the bucket of the tenant's share, filled up to now; all shares together
+// hold so many permits at most.
+func (s *shard) bucketOf(tenant *routetable.Tenant, depth float64, now time.Time) *bucket {
 	b := s.buckets[tenant.Name]
 	if b == nil {
 		b = &bucket{at: s.since, pause: minAskPause}
 		s.buckets[tenant.Name] = b
 	}
-	b.adjust(tenant.Rate/Shares, tenant.Burst/Shares, now)
+	b.adjust(tenant.Rate/Shares, depth/Shares, now)
 	return b
 }
--- a/internal/ratelimit/keeper.go
+++ b/internal/ratelimit/keeper.go
@@ -75,6 +75,9 @@
 	Store  store.Store
 	// Place returns the node's place in an order of all nodes; false if it is not known.
 	Place func() (int, bool)
+	// Nodes returns the number of nodes that are known; nil stands for as many as there are
+	// shards.
+	Nodes func() int
 	// Needed reports whether any tenant has a limit.
 	Needed func() bool
 	Issuer *Issuer
@@ -125,6 +128,9 @@
 
 // NewKeeper returns a keeper that knows no holder.
 func NewKeeper(config KeeperConfig) *Keeper {
+	if config.Nodes == nil {
+		config.Nodes = func() int { return Shards }
+	}
 	if config.Epoch == nil {
 		config.Epoch = func() store.Epoch { return 0 }
 	}
--- a/internal/ratelimit/keeper_test.go
+++ b/internal/ratelimit/keeper_test.go
@@ -40,6 +40,7 @@
 	t       *testing.T
 	store   store.Store
 	keepers []*testKeeper
+	size    int
 }
 
 // testKeeper is the keeper of a node.
@@ -53,7 +54,7 @@
 var testTenant = &routetable.Tenant{Name: "tenant", Rate: 100, Burst: 100}
 
 func newKeeperFleet(t *testing.T, size int) *keeperFleet {
-	f := &keeperFleet{t: t, store: memory.New(time.Now)}
+	f := &keeperFleet{t: t, store: memory.New(time.Now), size: size}
 	for place := range size {
 		f.keepers = append(f.keepers, f.start(place, 1))
 	}
@@ -65,7 +66,7 @@
 	k := &testKeeper{store: &refusingStore{Store: f.store}, stop: cancel}
 	k.issuer = NewIssuer(testBounds, func(string) *routetable.Tenant { return testTenant }, time.Now)
 	k.Keeper = NewKeeper(KeeperConfig{Address: fmt.Sprint("node-", place), Process: process, Started: time.Now(), FirstStart: process == 1, Prefix: "shards/", Store: k.store,
-		Place: func() (int, bool) { return place, true }, Needed: func() bool { return true }, Issuer: k.issuer, Now: time.Now})
+		Place: func() (int, bool) { return place, true }, Nodes: func() int { return f.size }, Needed: func() bool { return true }, Issuer: k.issuer, Now: time.Now})
 	go k.Run(ctx)
 	go k.follow(ctx)
 	return k
@@ -134,9 +135,10 @@
 	time.Sleep(time.Second)
 }
 
-// TestShardsSpreadOverNodes starts fleets of several sizes.
+// TestShardsSpreadOverNodes starts fleets of several sizes. Where each shard had the node of its
+// own number to take it first, four nodes held all shards after 4.0 s.
 func TestShardsSpreadOverNodes(t *testing.T) {
-	for size, most := range map[int]int{1: Shards, 4: 7, 17: 3, 71: 3} {
+	for size, most := range map[int]int{1: Shards, 4: 7, 5: 5, 17: 3, 71: 3} {
 		virtualtime.Run(t, func(t *testing.T) {
 			f := newKeeperFleet(t, size)
 			defer f.end()
@@ -144,6 +146,7 @@
 			_, busiest := f.holders()
 			t.Logf("%d nodes: all held after %s, the busiest holds %d", size, took, busiest)
 			assert.Assert(t, busiest <= most, "%d nodes: %d at one", size, busiest)
+			assert.Assert(t, took < 1500*time.Millisecond || size == 1, "%d nodes: all held after %s", size, took)
 		})
 	}
 }
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -49,17 +49,39 @@
 	// maxValidity bounds the validity of permits where the bounds would allow more: a
 	// permit that was not used by then is better issued to another node.
 	maxValidity = 2 * time.Second
+	// leastDepth is the time within which the shares of a tenant fill, at least. Nodes that
+	// found a share empty ask it again after 0.1 to 0.3 s; where the burst fills in less, the
+	// share is full meanwhile, and what it would gain is lost. With 5 nodes, a rate of 50 and
+	// a burst of 10, sent 8 times over, 0.83 of what is due is admitted without it, 0.93 with
+	// 0.3 s and 1.00 with 0.5 s.
+	leastDepth = 500 * time.Millisecond
+	// leastValidity is left to permits by what the shares may hold for leastDepth.
+	leastValidity = 300 * time.Millisecond
 	// useDelay is how much later than its permit lapses a request may arrive at a target:
 	// the time between nodes and a short wait there.
 	useDelay = 150 * time.Millisecond
 )
 
+// beyond returns how many requests of the tenant may run beyond its limit in a window.
+func (b Bounds) beyond(tenant *routetable.Tenant) float64 {
+	return (tenant.Rate*b.Window.Seconds()+tenant.Burst)*b.Overshoot + b.Slack
+}
+
+// depth returns how many permits all shares of the tenant together may hold: its burst, or
+// more where that is small, as far as what may run beyond the limit leaves permits their
+// validity. Each share holds one permit at least.
+func (b Bounds) depth(tenant *routetable.Tenant) float64 {
+	spare := b.beyond(tenant) - tenant.Rate*(leastValidity+useDelay).Seconds()
+	wanted := tenant.Rate*leastDepth.Seconds() - tenant.Burst
+	return max(tenant.Burst+max(min(wanted, spare), 0), Shares)
+}
+
 // validity returns how long a permit of the tenant may be used after it was asked for.
-// What is issued in a window and in the validity before it may all run in the window.
+// What is issued in a window and in the validity before it may all run in the window, and
+// so may what the shares held before it.
 func (b Bounds) validity(tenant *routetable.Tenant) time.Duration {
-	limit := tenant.Rate*b.Window.Seconds() + tenant.Burst
-	beyond := limit*b.Overshoot + b.Slack
-	validity := time.Duration(beyond / tenant.Rate * float64(time.Second))
+	left := b.beyond(tenant) - (b.depth(tenant) - tenant.Burst)
+	validity := time.Duration(left / tenant.Rate * float64(time.Second))
 	return min(max(validity-useDelay, minValidity), maxValidity)
 }
 
--- a/internal/ratelimit/restore_test.go
+++ b/internal/ratelimit/restore_test.go
@@ -46,11 +46,12 @@
 	down    atomic.Bool
 	keepers []*restoredKeeper
 	started uint32
+	size    int
 	copies  []*memory.Backup
 }
 
 func newRestoredFleet(t *testing.T, size int) *restoredFleet {
-	f := &restoredFleet{t: t, store: memory.New(time.Now)}
+	f := &restoredFleet{t: t, store: memory.New(time.Now), size: size}
 	for place := range size {
 		f.keepers = append(f.keepers, f.start(place, true))
 	}
@@ -65,7 +66,7 @@
 	way := &storetest.Restored{Store: f.store, Epochs: epochs, Refused: func() bool { return k.away.Load() || f.down.Load() }}
 	k.issuer = NewIssuer(testBounds, func(string) *routetable.Tenant { return testTenant }, time.Now)
 	k.Keeper = NewKeeper(KeeperConfig{Address: fmt.Sprint("node-", place), Process: f.started, Started: time.Now(), FirstStart: first, Epoch: epochs.Current,
-		Prefix: "shards/", Store: way, Place: func() (int, bool) { return place, true }, Needed: func() bool { return true }, Issuer: k.issuer, Now: time.Now})
+		Prefix: "shards/", Store: way, Place: func() (int, bool) { return place, true }, Nodes: func() int { return f.size }, Needed: func() bool { return true }, Issuer: k.issuer, Now: time.Now})
 	epochs.OnChange(func(epoch.Change) { k.StoreRestored() })
 	held := replica.NewCopy(time.Second, func(entries []store.Entry, _ string) { k.Change(entries) }, time.Now)
 	keeper := &replica.Keeper{Copy: held, Store: way, Prefix: "shards/", Place: func() (int, bool) { return 0, true }, Gather: 800 * time.Millisecond, Now: time.Now}
--- a/internal/ratelimit/take.go
+++ b/internal/ratelimit/take.go
@@ -44,16 +44,21 @@
 	if !settled || k.config.Now().Before(held.freeAt) {
 		return false
 	}
-	delay := delayOf(place, number) + time.Duration(holds)*holdsDelay
+	delay := delayOf(place, number, k.config.Nodes()) + time.Duration(holds)*holdsDelay
 	since := latest(latest(held.since, k.eligible), held.freeAt)
 	return k.config.Now().Sub(since) >= delay
 }
 
-// delayOf returns how long the node at the place leaves a shard to others.
-func delayOf(place, number int) time.Duration {
-	distance := place - number
+// delayOf returns how long the node at the place leaves a shard to others. Each shard has a
+// node that takes it first, also where there are fewer nodes than shards: else four nodes hold
+// all shards after 4.0 s, in place of 1.3 s.
+func delayOf(place, number, nodes int) time.Duration {
+	if nodes < 1 || nodes > Shards {
+		nodes = Shards
+	}
+	distance := place - number%nodes
 	if distance < 0 {
-		distance += Shards
+		distance += nodes
 	}
 	first, late := min(distance, takersFirst), max(distance-takersFirst, 0)
 	return time.Duration(first)*takeDelay + time.Duration(late)*lateTakeDelay
--- a/internal/ratelimit/ways_test.go
+++ b/internal/ratelimit/ways_test.go
@@ -94,8 +94,35 @@
 func TestNoLimitIsPassed(t *testing.T) {
 	for seed := *firstSchedule; seed < *firstSchedule+uint64(*schedules); seed++ {
 		s := randomScenario(seed)
-		o := newSimulation(s, seed).play(newLeased)
-		assert.Assert(t, o.kept(), "seed %d: %.0f ran in a window of at most %.1f: %+v", seed, o.worst, o.bound, s)
+		for _, burst := range []float64{s.burst, s.burst * smallPart} {
+			s.burst = burst
+			o := newSimulation(s, seed).play(newLeased)
+			assert.Assert(t, o.kept(), "seed %d: %.0f ran in a window of at most %.1f: %+v", seed, o.worst, o.bound, s)
+		}
+	}
+}
+
+// smallPart makes a burst one that fills within a fraction of the time after which nodes ask
+// again.
+const smallPart = 0.05
+
+// TestSmallBurstsAreUsed tells of tenants that got less than their limit on a calm day.
+//
+// What users saw: a tenant with a limit of 50 a second, which sent 8 times of it by five nodes,
+// was admitted 0.85 of what it was due. Cause: each share held a quarter of a small burst, which
+// fills in 0.2 s, while the nodes that found it empty ask again after 0.1 to 0.3 s. Evidence: the
+// simulation admits 0.83 of it with a burst of 10 and 0.99 with one of 25. A share of a burst
+// under four never held a whole permit, so that its tenant got nothing at all.
+func TestSmallBurstsAreUsed(t *testing.T) {
+	for _, nodes := range []int{3, 5, 17, 71} {
+		for _, burst := range []float64{1, 2.5, 10, 25} {
+			for _, times := range []float64{0.9, 1.2, 8} {
+				s := scenario{nodes: nodes, rate: 50, burst: burst, usual: 50 * times, length: 25 * time.Second, hot: 1}
+				got := playSeeds(s, 3, newLeased)
+				assert.Assert(t, got.admitted >= 0.95, "%d nodes, burst %v, %v times: %.3f", nodes, burst, times, got.admitted)
+				assert.Assert(t, got.worst <= 1, "%d nodes, burst %v, %v times", nodes, burst, times)
+			}
+		}
 	}
 }
 
--- a/internal/sidecar/tenants.go
+++ b/internal/sidecar/tenants.go
@@ -34,6 +34,7 @@
 		Prefix: platform.ShardsPrefix,
 		Store:  n.gate.Wrap(n.store.For(purposeShards)),
 		Place:  n.directory.Place,
+		Nodes:  func() int { return len(n.directory.Addresses()) },
 		Needed: n.hasLimits,
 		Issuer: n.limits.issuer,
 		Log:    n.log,
