Unsafe requests across starts of a target under one id, played with real nodes

Cause: that nothing runs twice where a target crashes and starts again under its id had been read, not played. Change: a test. Three targets crash under load of unsafe requests twelve times and are back within 50 ms.

--- /dev/null
+++ b/test/restart_once_test.go
@@ -0,0 +1,99 @@
+package test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lugspur/lugspur/lab/platformstub"
+	edge "github.com/lugspur/lugspur/platform"
+)
+
+// outcomes are what callers were told of their requests, by id.
+type outcomes struct {
+	mutex    sync.Mutex
+	statuses map[string]int
+	notRun   map[string]bool
+}
+
+// callOnce sends an unsafe request and notes what its caller is told.
+func (p *platform) callOnce(n *platformNode, told *outcomes) {
+	id := fmt.Sprintf("request-%d", p.requests.Add(1))
+	request, err := http.NewRequest(http.MethodPost, "http://"+n.calls+"/once/x", strings.NewReader("body"))
+	assert.Check(p.t, err)
+	request.Host = "a.example"
+	request.Header.Set("Lugspur-Attempt-Id", id)
+	request.Header.Set("Lugspur-Deadline-Ms", "5000")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		told.note(id, 0, false)
+		return
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	assert.Check(p.t, err)
+	told.note(id, response.StatusCode, strings.Contains(string(body), `"executed":"no"`))
+}
+
+func (o *outcomes) note(id string, status int, notRun bool) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.statuses[id] = status
+	if notRun {
+		o.notRun[id] = true
+	}
+}
+
+// TestPlatformNothingRunsTwiceAcrossStarts has targets crash under unsafe requests and start
+// again under their ids within 50 ms, before any heartbeat is missed. The id that answers then
+// says nothing of what the start before did: no request may run a second time at the new one,
+// and none that its caller was told has not run may have run at either.
+func TestPlatformNothingRunsTwiceAcrossStarts(t *testing.T) {
+	p := startPlatform(t, "west", "west", "east")
+	told := &outcomes{statuses: make(map[string]int), notRun: make(map[string]bool)}
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for range 4 {
+		for _, n := range p.nodes {
+			callers.Go(func() {
+				for {
+					select {
+					case <-stop:
+						return
+					case <-time.After(2 * time.Millisecond):
+						p.callOnce(n, told)
+					}
+				}
+			})
+		}
+	}
+	starts := []*platformstub.Target{p.target(0), p.target(1), p.target(2)}
+	for round := range 12 {
+		time.Sleep(250 * time.Millisecond)
+		starts = append(starts, p.startAgain(p.nodes[round%len(p.nodes)]))
+	}
+	time.Sleep(250 * time.Millisecond)
+	close(stop)
+	callers.Wait()
+	runs := make(map[string]int)
+	for _, target := range starts {
+		for _, run := range target.Log() {
+			runs[edge.RootOf(run.ID)]++
+		}
+	}
+	counts := make(map[int]int)
+	for id, status := range told.statuses {
+		counts[status]++
+		assert.Check(t, runs[id] <= 1, "%s, answered %d, ran %d times", id, status, runs[id])
+		assert.Check(t, !told.notRun[id] || runs[id] == 0, "%s was said not to have run", id)
+	}
+	t.Logf("answers %v, said not to have run %d", counts, len(told.notRun))
+	assert.Assert(t, counts[http.StatusOK] > 200, "%v", counts)
+	assert.Assert(t, counts[http.StatusOK] < len(told.statuses), "no start had requests")
+}
