Tests on the platform make their requests in one place

Cause: three tests each built the same request. Change: the fixture makes requests and reads whole answers; assertions as they were. Conclusion: nothing of the product.

--- a/test/platform_fixture_test.go
+++ b/test/platform_fixture_test.go
@@ -168,33 +168,45 @@
 	}, poll.WithTimeout(30*time.Second), poll.WithDelay(50*time.Millisecond))
 }
 
+// request makes a request that goes by the node, and returns its id.
+func (p *platform) request(n *platformNode, method, path string) (*http.Request, string) {
+	id := fmt.Sprintf("request-%d", p.requests.Add(1))
+	request, err := http.NewRequest(method, "http://"+n.calls+path, strings.NewReader("body"))
+	assert.NilError(p.t, err)
+	request.Host = "a.example"
+	request.Header.Set("Lugspur-Attempt-Id", id)
+	request.Header.Set("Lugspur-Deadline-Ms", "5000")
+	return request, id
+}
+
 // send sends one request by the node and returns the status and the request's
 // id; status 0 is no whole answer. A success must bear a target's signature.
 func (p *platform) send(n *platformNode, path string) (int, string) {
-	id := fmt.Sprintf("request-%d", p.requests.Add(1))
 	method := http.MethodGet
 	if strings.HasPrefix(path, "/once/") {
 		method = http.MethodPost
 	}
-	request, err := http.NewRequest(method, "http://"+n.calls+path, strings.NewReader("body"))
-	assert.NilError(p.t, err)
-	request.Host = "a.example"
-	request.Header.Set("Lugspur-Attempt-Id", id)
-	request.Header.Set("Lugspur-Deadline-Ms", "5000")
+	request, id := p.request(n, method, path)
+	status, header, body := answerTo(request)
+	if status == http.StatusOK {
+		assert.Check(p.t, header.Get("Lugspur-Response-Signature") != "", "a success without signature")
+		assert.Check(p.t, strings.HasPrefix(body, "one "+method+" "+path), "body %q", body)
+	}
+	return status, id
+}
+
+// answerTo sends a request; status 0 is no whole answer.
+func answerTo(request *http.Request) (status int, header http.Header, body string) {
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return 0, id
+		return 0, nil, ""
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	content, err := io.ReadAll(response.Body)
 	if err != nil {
-		return 0, id
-	}
-	if response.StatusCode == http.StatusOK {
-		assert.Check(p.t, response.Header.Get("Lugspur-Response-Signature") != "", "a success without signature")
-		assert.Check(p.t, strings.HasPrefix(string(body), "one "+method+" "+path), "body %q", body)
+		return 0, nil, ""
 	}
-	return response.StatusCode, id
+	return response.StatusCode, response.Header, string(content)
 }
 
 // steadyLoad sends requests by all given nodes at once until stopped and counts the
--- a/test/platform_limit_test.go
+++ b/test/platform_limit_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -23,6 +22,9 @@
 	limitTimes = 8
 )
 
+// served is the kind of answers of targets.
+const served = "200"
+
 const limitedTenant = `,
  {"resource-type":"tenants","metadata":{"name":"limited"},"spec":{"api-keys":["key-of-limited"],"priority":1,"rate-per-s":50,"burst":10}}`
 
@@ -67,36 +69,22 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.kinds[kind]++
-	if kind == "200" {
+	if kind == served {
 		a.bySecond[int(at/time.Second)]++
 	}
 }
 
 // sendAsTenant returns the status, and the type of a refusal.
 func (p *platform) sendAsTenant(n *platformNode) string {
-	request, err := http.NewRequest(http.MethodGet, "http://"+n.calls+"/read/x", strings.NewReader("body"))
-	if err != nil {
-		return err.Error()
-	}
-	request.Host = "a.example"
-	request.Header.Set("Lugspur-Attempt-Id", fmt.Sprintf("request-%d", p.requests.Add(1)))
-	request.Header.Set("Lugspur-Deadline-Ms", "5000")
+	request, _ := p.request(n, http.MethodGet, "/read/x")
 	request.Header.Set("X-Api-Key", "key-of-limited")
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return err.Error()
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
-		return err.Error()
-	}
-	if response.StatusCode == http.StatusOK {
-		return "200"
+	status, _, body := answerTo(request)
+	if status == http.StatusOK {
+		return served
 	}
-	_, kind, _ := strings.Cut(string(body), "problem:")
+	_, kind, _ := strings.Cut(body, "problem:")
 	kind, _, _ = strings.Cut(kind, "\"")
-	return fmt.Sprintf("%d %s", response.StatusCode, kind)
+	return fmt.Sprintf("%d %s", status, kind)
 }
 
 // awaitShards waits until all shards of limits have a holder.
@@ -138,7 +126,7 @@
 			disturbing.Go(func() { test.disturb(p) })
 			got := p.sendLimited(length)
 			disturbing.Wait()
-			admitted := float64(got.kinds["200"]) / (limitRate * length.Seconds())
+			admitted := float64(got.kinds[served]) / (limitRate * length.Seconds())
 			t.Logf("%.2f of what is due admitted, %v, by second %v", admitted, got.kinds, got.bySecond)
 			assert.Assert(t, admitted >= test.least, "%.2f", admitted)
 			const window = 5
--- a/test/restart_once_test.go
+++ b/test/restart_once_test.go
@@ -1,8 +1,6 @@
 package test
 
 import (
-	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -24,21 +22,9 @@
 
 // callOnce sends an unsafe request and notes what its caller is told.
 func (p *platform) callOnce(n *platformNode, told *outcomes) {
-	id := fmt.Sprintf("request-%d", p.requests.Add(1))
-	request, err := http.NewRequest(http.MethodPost, "http://"+n.calls+"/once/x", strings.NewReader("body"))
-	assert.Check(p.t, err)
-	request.Host = "a.example"
-	request.Header.Set("Lugspur-Attempt-Id", id)
-	request.Header.Set("Lugspur-Deadline-Ms", "5000")
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		told.note(id, 0, false)
-		return
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	assert.Check(p.t, err)
-	told.note(id, response.StatusCode, strings.Contains(string(body), `"executed":"no"`))
+	request, id := p.request(n, http.MethodPost, "/once/x")
+	status, _, body := answerTo(request)
+	told.note(id, status, strings.Contains(body, `"executed":"no"`))
 }
 
 func (o *outcomes) note(id string, status int, notRun bool) {
