--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -35,6 +35,13 @@
 	}
 }
 
+// TestASoakKeepsDeparturesBesideARestoredStore keeps a seed that broke the promise that a leaving
+// target gets no new work: its node was killed right after the acknowledgement, and the store
+// came back from a copy without the departure before other nodes heard of it.
+func TestASoakKeepsDeparturesBesideARestoredStore(t *testing.T) {
+	runSoak(t, soak.Config{Machines: 6, Seed: 1208, Duration: 15 * time.Second, Rate: 40, Restores: 3})
+}
+
 // runSoak runs a soak that must break no promise.
 func runSoak(t *testing.T, config soak.Config) {
 	t.Helper()
