One function that pauses for a while or until a context ends

Cause: eleven packages had one each, in three forms. Change: package pause; callers as they were. Conclusion: none.

--- a/internal/adminclient/write.go
+++ b/internal/adminclient/write.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/lugspur/lugspur/internal/admin"
+	"github.com/lugspur/lugspur/internal/pause"
 	"github.com/lugspur/lugspur/internal/resource"
 	"github.com/lugspur/lugspur/internal/store"
 )
@@ -170,7 +171,7 @@
 		if err == nil && question.certain(answer, time.Now()) {
 			return resolved(address, change, answer)
 		}
-		if !pause(ctx, resolvePause) {
+		if !pause.For(ctx, resolvePause) {
 			return admin.WriteAnswer{}, unresolved(address, change, question.path, lost)
 		}
 	}
@@ -208,17 +209,6 @@
 	return false
 }
 
-func pause(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func resolved(address string, change change, answer admin.ChangeAnswer) (admin.WriteAnswer, error) {
 	if answer.Outcome == admin.OutcomeAccepted {
 		return admin.WriteAnswer{
--- a/internal/claim/claimer.go
+++ b/internal/claim/claimer.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/samber/oops"
+
+	"github.com/lugspur/lugspur/internal/pause"
 )
 
 const (
@@ -148,7 +150,7 @@
 			// An earlier round saw another attempt, which may have run.
 			decision.Outcome, err = Held, ErrKeyHeld
 		}
-		if !split || round > maximumSplits || !pause(ctx, splitWait(round)) {
+		if !split || round > maximumSplits || !pause.For(ctx, splitWait(round)) {
 			return decision, err
 		}
 		attempt = NewAttemptID()
@@ -184,17 +186,6 @@
 	return time.Duration(round) * (minimumSplitWait + rand.N(splitWaitSpread))
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Release gives up an attempt that was granted its claim and will never run,
 // so that the key can be claimed again. It returns at once; a release that
 // gets lost leaves the key held until the retention has passed.
--- a/internal/configuration/backoff.go
+++ b/internal/configuration/backoff.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/lugspur/lugspur/internal/pause"
 )
 
 // backoff spaces repeated attempts: each pause is random up to a bound that
@@ -20,9 +22,10 @@
 
 // wait pauses and returns the context's error if it ended meanwhile.
 func (b *backoff) wait(ctx context.Context) error {
-	pause := b.bound/2 + jitter(b.bound/2)
+	chosen := b.bound/2 + jitter(b.bound/2)
 	b.bound = min(2*b.bound, b.most)
-	return sleep(ctx, pause)
+	pause.For(ctx, chosen)
+	return ctx.Err()
 }
 
 func (b *backoff) reset() { b.bound = b.least }
@@ -34,16 +37,3 @@
 	}
 	return rand.N(bound)
 }
-
-// sleep waits for the duration or the end of the context, whose error it
-// returns.
-func sleep(ctx context.Context, duration time.Duration) error {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/configuration/cluster_test.go
+++ b/internal/configuration/cluster_test.go
@@ -15,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lugspur/lugspur/internal/pause"
 	"github.com/lugspur/lugspur/internal/resource"
 	"github.com/lugspur/lugspur/internal/store"
 )
@@ -146,7 +147,7 @@
 
 // gossip sends digests to random nodes.
 func (c *cluster) gossip(ctx context.Context) {
-	for sleep(ctx, 10*time.Millisecond) == nil {
+	for pause.For(ctx, 10*time.Millisecond) {
 		c.mu.Lock()
 		nodes := c.nodes
 		c.mu.Unlock()
--- a/internal/configuration/poll.go
+++ b/internal/configuration/poll.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/lugspur/lugspur/internal/pause"
 	"github.com/lugspur/lugspur/internal/resource"
 	"github.com/lugspur/lugspur/internal/store"
 )
@@ -18,7 +19,7 @@
 // watches that hang and watchers that cannot reach the store.
 func (s *Spreader) pollLoop(ctx context.Context) {
 	stretch := 1
-	for sleep(ctx, s.pollPause(stretch)) == nil {
+	for pause.For(ctx, s.pollPause(stretch)) {
 		if !s.replica.Ready() {
 			continue
 		}
@@ -87,7 +88,7 @@
 		if s.replica.Floor() >= revision {
 			return true
 		}
-		if sleep(ctx, s.options.PollGrace/steps) != nil {
+		if !pause.For(ctx, s.options.PollGrace/steps) {
 			return true
 		}
 	}
--- a/internal/configuration/pull.go
+++ b/internal/configuration/pull.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/oops"
 
+	"github.com/lugspur/lugspur/internal/pause"
 	"github.com/lugspur/lugspur/internal/resource"
 	"github.com/lugspur/lugspur/internal/store"
 )
@@ -36,14 +37,14 @@
 // pullLoop fetches from peers, one at a time and paced.
 func (s *Spreader) pullLoop(ctx context.Context) {
 	for s.awaitReason(ctx) {
-		if sleep(ctx, jitter(s.options.PullInterval/4)) != nil {
+		if !pause.For(ctx, jitter(s.options.PullInterval/4)) {
 			return
 		}
 		before := s.counters.receivedBytes.Load()
 		if err := s.pullOnce(ctx); err != nil && ctx.Err() == nil {
 			s.options.Log.WithError(err).Warn("pull of configuration failed")
 		}
-		if sleep(ctx, s.pullPause(s.counters.receivedBytes.Load()-before)) != nil {
+		if !pause.For(ctx, s.pullPause(s.counters.receivedBytes.Load()-before)) {
 			return
 		}
 	}
--- a/internal/configuration/spreader.go
+++ b/internal/configuration/spreader.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/lugspur/lugspur/internal/pause"
 	"github.com/lugspur/lugspur/internal/resource"
 )
 
@@ -90,7 +91,7 @@
 }
 
 func (s *Spreader) collectLoop(ctx context.Context) {
-	for sleep(ctx, collectInterval) == nil {
+	for pause.For(ctx, collectInterval) {
 		s.replica.Collect()
 	}
 }
--- a/internal/configuration/watch.go
+++ b/internal/configuration/watch.go
@@ -7,6 +7,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/lugspur/lugspur/internal/pause"
 	"github.com/lugspur/lugspur/internal/resource"
 	"github.com/lugspur/lugspur/internal/store"
 )
@@ -35,7 +36,7 @@
 		}
 		watching = onDuty
 		interval := s.options.DutyInterval/2 + jitter(s.options.DutyInterval/2)
-		if sleep(ctx, interval) != nil {
+		if !pause.For(ctx, interval) {
 			stop()
 			return
 		}
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -10,6 +10,7 @@
 	"github.com/samber/oops"
 
 	"github.com/lugspur/lugspur/internal/claim"
+	"github.com/lugspur/lugspur/internal/pause"
 )
 
 // rosterPath is where a node tells others the roster of claim replicas that it
@@ -104,7 +105,7 @@
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
 	for ctx.Err() == nil && c.handoverDue() {
-		sleep(ctx, handoverPoll)
+		pause.For(ctx, handoverPoll)
 	}
 }
 
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/lugspur/lugspur/internal/pause"
 )
 
 const (
@@ -36,7 +38,7 @@
 	n.stopping.Store(true)
 	n.gateway.SetClosing()
 	n.members.Leave()
-	sleep(ctx, announcement)
+	pause.For(ctx, announcement)
 	n.claims.awaitHandover(ctx)
 	n.sockets.edge.stopAccepting()
 	n.awaitLeaving(ctx)
@@ -56,7 +58,7 @@
 	ctx, cancel := context.WithTimeout(ctx, leavingLimit)
 	defer cancel()
 	for ctx.Err() == nil && time.Since(n.gateway.LastArrival()) < leavingTime {
-		sleep(ctx, quietPoll)
+		pause.For(ctx, quietPoll)
 	}
 }
 
@@ -67,15 +69,6 @@
 		if n.gateway.InFlight() > 0 || n.homes.InFlight() > 0 {
 			quietSince = time.Now()
 		}
-		sleep(ctx, quietPoll)
-	}
-}
-
-func sleep(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		pause.For(ctx, quietPoll)
 	}
 }
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -9,6 +9,7 @@
 	"github.com/lugspur/lugspur/internal/catalog"
 	"github.com/lugspur/lugspur/internal/configuration"
 	"github.com/lugspur/lugspur/internal/membership"
+	"github.com/lugspur/lugspur/internal/pause"
 	"github.com/lugspur/lugspur/internal/resource"
 )
 
@@ -66,7 +67,7 @@
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		n.rebuildView()
-		sleep(ctx, rebuildPause)
+		pause.For(ctx, rebuildPause)
 		if !n.gateway.Ready() {
 			// A view may become complete without any change.
 			continue
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -11,6 +11,7 @@
 
 	"github.com/lugspur/lugspur/internal/eventlog"
 	"github.com/lugspur/lugspur/internal/fingerprint"
+	"github.com/lugspur/lugspur/internal/pause"
 	"github.com/lugspur/lugspur/internal/store"
 	"github.com/lugspur/lugspur/internal/store/epoch"
 	"github.com/lugspur/lugspur/internal/store/leased"
@@ -140,7 +141,7 @@
 		case <-k.wake:
 		}
 		for !k.writeWanted(ctx) && ctx.Err() == nil {
-			pause(ctx, writePause)
+			pause.For(ctx, writePause)
 		}
 	}
 }
--- a/internal/quarantine/spread.go
+++ b/internal/quarantine/spread.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/lugspur/lugspur/internal/pause"
 )
 
 // Notice is what a node tells all others.
@@ -95,7 +97,7 @@
 		if !notice.empty() {
 			s.send(ctx, &notice)
 		}
-		pause(ctx, gather)
+		pause.For(ctx, gather)
 	}
 }
 
@@ -135,12 +137,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/registry/departure_writer.go
+++ b/internal/registry/departure_writer.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/lugspur/lugspur/internal/pause"
 	"github.com/lugspur/lugspur/internal/store"
 	"github.com/lugspur/lugspur/internal/store/leased"
 )
@@ -48,7 +49,7 @@
 			d.written[key] = epoch
 			return nil
 		}
-		pause(ctx, writePause)
+		pause.For(ctx, writePause)
 	}
 	return errors.Join(ctx.Err(), failure)
 }
@@ -63,12 +64,3 @@
 	}
 	return err
 }
-
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/replica/fleet_test.go
+++ b/internal/replica/fleet_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lugspur/lugspur/internal/pause"
 	"github.com/lugspur/lugspur/internal/store"
 )
 
@@ -172,7 +173,7 @@
 // call has a process call others as one under light load does.
 func (f *fleet) call(ctx context.Context, p *process) {
 	for ctx.Err() == nil {
-		sleep(ctx, callPeriod/2+rand.N(callPeriod))
+		pause.For(ctx, callPeriod/2+rand.N(callPeriod))
 		peer := f.nodes[rand.IntN(len(f.nodes))].process.Load()
 		if peer == nil || peer == p || peer.silent {
 			continue
--- a/internal/replica/keeper.go
+++ b/internal/replica/keeper.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/lugspur/lugspur/internal/pause"
 	"github.com/lugspur/lugspur/internal/store"
 )
 
@@ -54,11 +55,11 @@
 	k.awaitPeers(ctx)
 	for ctx.Err() == nil {
 		if wait := k.wait(); wait > 0 {
-			sleep(ctx, max(wait, minSleep))
+			pause.For(ctx, max(wait, minSleep))
 			continue
 		}
 		if err := k.ask(ctx); err != nil {
-			sleep(ctx, failurePause/2+rand.N(failurePause))
+			pause.For(ctx, failurePause/2+rand.N(failurePause))
 		}
 	}
 }
@@ -68,7 +69,7 @@
 func (k *Keeper) awaitPeers(ctx context.Context) {
 	deadline := k.Now().Add(k.FirstDelay)
 	for ctx.Err() == nil && k.Now().Before(deadline) && !k.Copy.Filled() && !k.Watches() {
-		sleep(ctx, minSleep)
+		pause.For(ctx, minSleep)
 	}
 }
 
@@ -129,7 +130,7 @@
 			return
 		}
 		if len(events) > 0 {
-			sleep(watchCtx, k.Gather)
+			pause.For(watchCtx, k.Gather)
 		}
 	})
 	if answered && watchCtx.Err() != nil {
@@ -145,15 +146,3 @@
 	defer c.mutex.Unlock()
 	return c.cursor, c.filled
 }
-
-func sleep(ctx context.Context, pause time.Duration) {
-	if pause <= 0 {
-		return
-	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/replica/spread.go
+++ b/internal/replica/spread.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lugspur/lugspur/internal/pause"
 	"github.com/lugspur/lugspur/internal/store"
 )
 
@@ -182,7 +183,7 @@
 			s.askOne(ctx, asking)
 		}
 		period := s.period()
-		sleep(ctx, period/2+rand.N(period))
+		pause.For(ctx, period/2+rand.N(period))
 	}
 }
 
--- a/internal/replica/verify.go
+++ b/internal/replica/verify.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/lugspur/lugspur/internal/pause"
 )
 
 const (
@@ -41,7 +43,7 @@
 	delay := v.placeDelay()
 	for ctx.Err() == nil {
 		if wait := v.wait(delay); wait > 0 {
-			sleep(ctx, max(wait, minSleep))
+			pause.For(ctx, max(wait, minSleep))
 			continue
 		}
 		v.read(ctx)
@@ -81,6 +83,6 @@
 	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
 	defer cancel()
 	if err := v.Keeper.list(ctx); err != nil {
-		sleep(ctx, failurePause/2+rand.N(failurePause))
+		pause.For(ctx, failurePause/2+rand.N(failurePause))
 	}
 }
--- a/lab/chaos/callers.go
+++ b/lab/chaos/callers.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lugspur/lugspur/internal/pause"
 	"github.com/lugspur/lugspur/lab/answer"
 	"github.com/lugspur/lugspur/lab/judge"
 	"github.com/lugspur/lugspur/lab/load"
@@ -95,7 +96,7 @@
 	for count := 0; count < maxCalls; count++ {
 		gap := c.random.ExpFloat64() / (rate * c.currentMultiplier())
 		next = next.Add(time.Duration(gap * float64(time.Second)))
-		if !sleep(ctx, time.Until(next)) {
+		if !pause.For(ctx, time.Until(next)) {
 			return
 		}
 		c.launch(calls, c.draw(count))
@@ -183,14 +184,14 @@
 		hasty := edges[len(edges)-1]
 		edges = edges[:len(edges)-1]
 		c.running.Go(func() {
-			if sleep(ctx, drawn.patience) {
+			if pause.For(ctx, drawn.patience) {
 				c.send(ctx, drawn, hasty)
 			}
 		})
 	}
 	for index, to := range edges {
 		last := c.send(ctx, drawn, to)
-		if drawn.key == "" || !sendAgain(last) || !sleep(ctx, drawn.pauses[index]) {
+		if drawn.key == "" || !sendAgain(last) || !pause.For(ctx, drawn.pauses[index]) {
 			return
 		}
 	}
@@ -225,18 +226,3 @@
 	c.recorder.addCall(call)
 	return attempt
 }
-
-// sleep waits; it is false when the context ended first.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	if duration <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/lab/chaos/injector.go
+++ b/lab/chaos/injector.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/lugspur/lugspur/internal/pause"
 	"github.com/lugspur/lugspur/lab/cluster"
 	"github.com/lugspur/lugspur/lab/emulator"
 	"github.com/lugspur/lugspur/lab/faultproxy"
@@ -71,12 +72,12 @@
 		return nil
 	case Drain:
 		i.operators.drain(ctx, fault.Target)
-		sleep(ctx, fault.length())
+		pause.For(ctx, fault.length())
 		i.operators.join(ctx, fault.Target)
 		return nil
 	case Surge:
 		i.callers.setMultiplier(fault.Factor)
-		sleep(ctx, fault.length())
+		pause.For(ctx, fault.length())
 		i.callers.setMultiplier(1)
 		return nil
 	}
@@ -106,7 +107,7 @@
 		i.recorder.note(judge.Event{Kind: judge.NodeCut, Node: node, Detail: string(fault.Kind)})
 		failures = append(failures, i.cluster.Proxies[node].SetFaults(faults.ToUpstream, faults.ToClient))
 	}
-	sleep(ctx, fault.length())
+	pause.For(ctx, fault.length())
 	for _, node := range fault.Nodes {
 		i.cluster.Proxies[node].Clear()
 		i.recorder.note(judge.Event{Kind: judge.NodeJoined, Node: node})
@@ -129,7 +130,7 @@
 func (i *injector) injectStore(ctx context.Context, fault Fault) error {
 	i.recorder.note(judge.Event{Kind: judge.StoreFaulty, Detail: string(fault.Kind)})
 	failed := i.cluster.StoreControl(ctx, storeControl(fault))
-	sleep(ctx, fault.length())
+	pause.For(ctx, fault.length())
 	undo, cancel := undoContext(ctx)
 	defer cancel()
 	cleared := i.cluster.StoreControl(undo, kvstore.ControlRequest{Clear: true})
@@ -164,7 +165,7 @@
 		i.recorder.note(judge.Event{Kind: judge.TargetFaulty, Target: target, Detail: string(fault.Kind)})
 		failures = append(failures, i.cluster.SetTargetFaults(ctx, target, targetFaults(fault)))
 	}
-	sleep(ctx, fault.length())
+	pause.For(ctx, fault.length())
 	undo, cancel := undoContext(ctx)
 	defer cancel()
 	for _, target := range targets {
@@ -215,7 +216,7 @@
 	process := i.processOf(node)
 	i.recorder.note(judge.Event{Kind: judge.NodeFrozen, Node: node.Name})
 	process.Freeze()
-	sleep(ctx, length)
+	pause.For(ctx, length)
 	process.Resume()
 	i.recorder.note(judge.Event{Kind: judge.NodeResumed, Node: node.Name})
 }
@@ -226,7 +227,7 @@
 	ctx, cancel := context.WithTimeout(ctx, servingTimeout)
 	defer cancel()
 	for {
-		if _, err := node.Status(ctx); err == nil || !sleep(ctx, servingPause) {
+		if _, err := node.Status(ctx); err == nil || !pause.For(ctx, servingPause) {
 			return
 		}
 	}
@@ -242,8 +243,8 @@
 }
 
 // startAgain starts a new process of the node after a pause.
-func (i *injector) startAgain(ctx context.Context, node *cluster.Node, pause time.Duration) error {
-	if !sleep(ctx, pause) {
+func (i *injector) startAgain(ctx context.Context, node *cluster.Node, after time.Duration) error {
+	if !pause.For(ctx, after) {
 		return nil
 	}
 	i.mutex.Lock()
--- a/lab/chaos/observer.go
+++ b/lab/chaos/observer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lugspur/lugspur/internal/adminclient"
+	"github.com/lugspur/lugspur/internal/pause"
 	"github.com/lugspur/lugspur/internal/resource"
 	"github.com/lugspur/lugspur/lab/judge"
 )
@@ -35,7 +36,7 @@
 // run observes until the context ends.
 func (o *observer) run(ctx context.Context) {
 	defer o.http.CloseIdleConnections()
-	for sleep(ctx, observeInterval) {
+	for pause.For(ctx, observeInterval) {
 		o.observe(ctx)
 	}
 }
--- a/lab/chaos/operators.go
+++ b/lab/chaos/operators.go
@@ -11,6 +11,7 @@
 
 	"github.com/lugspur/lugspur/internal/admin"
 	"github.com/lugspur/lugspur/internal/adminclient"
+	"github.com/lugspur/lugspur/internal/pause"
 	"github.com/lugspur/lugspur/internal/resource"
 	"github.com/lugspur/lugspur/lab/cluster"
 	"github.com/lugspur/lugspur/lab/judge"
@@ -130,7 +131,7 @@
 		bounded, cancel := context.WithTimeout(ctx, operatorTimeout)
 		_, err = client.Join(bounded, adminclient.Leaving{Collection: "targets", Name: target})
 		cancel()
-		if err == nil || !sleep(ctx, joinPause) {
+		if err == nil || !pause.For(ctx, joinPause) {
 			return
 		}
 	}
--- a/lab/chaos/run.go
+++ b/lab/chaos/run.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/lugspur/lugspur/internal/pause"
 	"github.com/lugspur/lugspur/lab/cluster"
 	"github.com/lugspur/lugspur/lab/emulator"
 	"github.com/lugspur/lugspur/lab/judge"
@@ -119,7 +120,7 @@
 	calls.Go(func() { r.callers.run(calling, ctx, r.config.Rate) })
 	err := r.injectAll(ctx)
 	r.settled = time.Now()
-	sleep(ctx, r.config.Settle)
+	pause.For(ctx, r.config.Settle)
 	r.ended = time.Now()
 	stopCalling()
 	calls.Wait()
@@ -136,7 +137,7 @@
 	var faults sync.WaitGroup
 	for index, fault := range r.schedule {
 		faults.Go(func() {
-			if !sleep(ctx, time.Until(start.Add(fault.begin()))) {
+			if !pause.For(ctx, time.Until(start.Add(fault.begin()))) {
 				return
 			}
 			if err := r.injector.inject(ctx, fault); err != nil {
@@ -144,7 +145,7 @@
 			}
 		})
 	}
-	sleep(ctx, r.config.Duration)
+	pause.For(ctx, r.config.Duration)
 	faults.Wait()
 	return errors.Join(failures...)
 }
--- a/lab/linear/workload.go
+++ b/lab/linear/workload.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lugspur/lugspur/internal/admin"
+	"github.com/lugspur/lugspur/internal/pause"
 	"github.com/lugspur/lugspur/internal/store"
 )
 
@@ -84,7 +85,7 @@
 
 func (w *worker) run(ctx context.Context) error {
 	for range w.Steps {
-		if !pause(ctx, time.Duration(w.random.Int64N(int64(maxPause)))) {
+		if !pause.For(ctx, time.Duration(w.random.Int64N(int64(maxPause)))) {
 			return nil
 		}
 		// What was sent is waited for, so that its outcome is recorded.
@@ -173,14 +174,3 @@
 	}
 	return nil
 }
-
-func pause(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/lab/load/client.go
+++ b/lab/load/client.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/lugspur/lugspur/internal/callcontext"
+	"github.com/lugspur/lugspur/internal/pause"
 	"github.com/lugspur/lugspur/internal/problem"
 	"github.com/lugspur/lugspur/lab/answer"
 	"github.com/lugspur/lugspur/lab/mesh"
@@ -74,7 +75,7 @@
 		if !c.tryAgain(ctx, call) {
 			return call
 		}
-		pause(ctx, c.plan.Retry.Pause)
+		pause.For(ctx, c.plan.Retry.Pause)
 	}
 }
 
@@ -92,25 +93,13 @@
 	return true
 }
 
-func pause(ctx context.Context, duration time.Duration) {
-	if duration <= 0 {
-		return
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (c *client) attempt(ctx context.Context, a arrival, kind mesh.Kind) Attempt {
 	attempt := Attempt{Start: time.Now()}
 	ctx, cancel := context.WithTimeout(ctx, kind.Deadline())
 	defer cancel()
-	pause(ctx, c.latency)
+	pause.For(ctx, c.latency)
 	c.exchange(ctx, a, kind, &attempt)
-	pause(ctx, c.latency)
+	pause.For(ctx, c.latency)
 	if ctx.Err() != nil && attempt.Verdict != VerdictTimeout {
 		attempt.Verdict = VerdictTimeout
 		attempt.Error = "the answer came after the deadline"
--- a/lab/load/generator.go
+++ b/lab/load/generator.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/samber/oops"
+
+	"github.com/lugspur/lugspur/internal/pause"
 )
 
 // generator starts the calls of one run.
@@ -50,7 +52,7 @@
 			return
 		}
 		intended := g.start.Add(next.offset)
-		pause(ctx, time.Until(intended))
+		pause.For(ctx, time.Until(intended))
 		if ctx.Err() != nil {
 			g.results.invalidate("the run was cancelled")
 			return
--- a/lab/soak/callers.go
+++ b/lab/soak/callers.go
@@ -13,6 +13,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/lugspur/lugspur/internal/pause"
 )
 
 const (
@@ -64,7 +66,7 @@
 	defer kept.CloseIdleConnections()
 	places := make(chan struct{}, maxOutstanding)
 	for ctx.Err() == nil {
-		sleep(ctx, time.Duration(random.ExpFloat64()/c.rate*float64(time.Second)))
+		pause.For(ctx, time.Duration(random.ExpFloat64()/c.rate*float64(time.Second)))
 		if !in.Load() {
 			continue
 		}
@@ -90,7 +92,7 @@
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: readyEvery}
 	missed := 0
 	for ctx.Err() == nil {
-		sleep(ctx, readyEvery)
+		pause.For(ctx, readyEvery)
 		response, err := client.Get("http://" + c.deployment.machines[machine].ready + "/ready")
 		if err == nil {
 			_ = response.Body.Close()
--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -13,6 +13,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/lugspur/lugspur/internal/pause"
 	"github.com/lugspur/lugspur/internal/store/memory"
 	"github.com/lugspur/lugspur/lab/cluster"
 	"github.com/lugspur/lugspur/lab/faultproxy"
@@ -219,7 +220,7 @@
 				return nil
 			}
 		}
-		sleep(ctx, readyPause)
+		pause.For(ctx, readyPause)
 	}
 	return oops.In("soak").With("step", "await ready").With("peer", m.name).Errorf("%s is not ready within %s", m.name, readyTimeout)
 }
@@ -249,12 +250,3 @@
 	}
 	return errors.Join(append(failures, d.server.Close())...)
 }
-
-func sleep(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/lab/soak/inject.go
+++ b/lab/soak/inject.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/lugspur/lugspur/internal/pause"
 	"github.com/lugspur/lugspur/lab/faultproxy"
 	"github.com/lugspur/lugspur/lab/platformstub"
 )
@@ -75,7 +76,7 @@
 	defer sent.Wait()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: callDeadline + callPatience}
 	path := deadlyPath(services[fault.Machine%len(services)])
-	for until := time.Now().Add(fault.For + deadlyTime); time.Now().Before(until) && ctx.Err() == nil; sleep(ctx, deadlyPause) {
+	for until := time.Now().Add(fault.For + deadlyTime); time.Now().Before(until) && ctx.Err() == nil; pause.For(ctx, deadlyPause) {
 		request := i.callers.deadly(path)
 		sent.Go(func() { i.callers.send(client, request) })
 	}
@@ -86,7 +87,7 @@
 	start := time.Now()
 	var running sync.WaitGroup
 	for _, fault := range schedule {
-		sleep(ctx, time.Until(start.Add(fault.At)))
+		pause.For(ctx, time.Until(start.Add(fault.At)))
 		if ctx.Err() != nil {
 			break
 		}
@@ -129,7 +130,7 @@
 	end := i.recorder.begin(everyMachine, false)
 	defer end()
 	i.deployment.stub.SetFaults(storeFaults[fault.Kind])
-	sleep(ctx, fault.For)
+	pause.For(ctx, fault.For)
 	i.deployment.stub.SetFaults(platformstub.Faults{})
 }
 
@@ -166,7 +167,7 @@
 		i.drain(ctx, fault)
 	case TargetReplaced:
 		m.stopTarget()
-		sleep(ctx, fault.For)
+		pause.For(ctx, fault.For)
 		i.replaceTarget(m)
 	case AnswersLost, AnswersSpoilt, TargetRejects, TargetSlow:
 		i.strikeTarget(ctx, m, fault)
@@ -210,7 +211,7 @@
 	defer end()
 	process := i.deployment.machines[fault.Machine].process
 	process.Freeze()
-	sleep(ctx, fault.For)
+	pause.For(ctx, fault.For)
 	process.Resume()
 }
 
@@ -234,14 +235,14 @@
 			i.recorder.drained(startOf(m.current))
 			break
 		}
-		sleep(ctx, ackPause)
+		pause.For(ctx, ackPause)
 	}
 	if fault.Kind == DrainAndKill {
 		m.current.Silence()
 		i.kill(fault.Machine)
 		i.beatLate(ctx, m.current)
 	}
-	sleep(ctx, drainTime+fault.For)
+	pause.For(ctx, drainTime+fault.For)
 	if m.current.Leave(ctx) == nil {
 		i.recorder.drained(startOf(m.current))
 	}
@@ -253,7 +254,7 @@
 // started, which no longer knows the target of itself.
 func (i *injector) beatLate(ctx context.Context, target *platformstub.Target) {
 	for range lateBeats {
-		sleep(ctx, ackPause)
+		pause.For(ctx, ackPause)
 		_ = target.Late(ctx)
 	}
 }
@@ -279,7 +280,7 @@
 	faults := targetFaults[fault.Kind]
 	faults.EndsUnder = deadlyPath(m.service)
 	m.current.SetFaults(faults)
-	sleep(ctx, fault.For)
+	pause.For(ctx, fault.For)
 	m.current.SetFaults(platformstub.TargetFaults{EndsUnder: deadlyPath(m.service)})
 }
 
@@ -324,6 +325,6 @@
 	if err := link.SetFaults(struck.toUpstream, struck.toClient); err != nil {
 		i.recorder.endedByItself(err.Error())
 	}
-	sleep(ctx, fault.For)
+	pause.For(ctx, fault.For)
 	link.Clear()
 }
--- a/lab/soak/restore.go
+++ b/lab/soak/restore.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/lugspur/lugspur/internal/pause"
 	"github.com/lugspur/lugspur/internal/store/memory"
 	"github.com/lugspur/lugspur/lab/platformstub"
 )
@@ -31,7 +32,7 @@
 		c.kept = append(c.kept, held.Backup())
 		c.kept = c.kept[max(0, len(c.kept)-maxCopies):]
 		c.mutex.Unlock()
-		sleep(ctx, copyPeriod)
+		pause.For(ctx, copyPeriod)
 	}
 }
 
@@ -51,7 +52,7 @@
 	end := i.recorder.begin(everyMachine, false)
 	defer end()
 	i.deployment.stub.SetFaults(platformstub.Faults{Down: true})
-	sleep(ctx, restoreAway)
+	pause.For(ctx, restoreAway)
 	copied := i.copies.at(fault.For)
 	i.versionMutex.Lock()
 	defer i.versionMutex.Unlock()
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/samber/oops"
+
+	"github.com/lugspur/lugspur/internal/pause"
 )
 
 // Config says what a run consists of.
@@ -106,16 +108,16 @@
 		callers.run(calling)
 		close(ended)
 	}()
-	sleep(ctx, warmTime)
+	pause.For(ctx, warmTime)
 	injector := newInjector(d, records, callers)
 	go injector.copies.run(calling, d.held)
 	injector.run(ctx, schedule)
-	sleep(ctx, settleTime-recoveryTime)
+	pause.For(ctx, settleTime-recoveryTime)
 	recovered := time.Now()
-	sleep(ctx, recoveryTime)
+	pause.For(ctx, recoveryTime)
 	stopCalling()
 	<-ended
-	sleep(ctx, endPause)
+	pause.For(ctx, endPause)
 	return recovered
 }
 
