--- a/internal/replica/verify.go
+++ b/internal/replica/verify.go
@@ -22,7 +22,7 @@
 	verifyTimeout = 400 * time.Millisecond
 	// overdueAfter is how much older than the age at which it is verified anew a copy's
 	// verification is before peers are asked for a younger one more often. It guards nodes
-	// that no peer calls: of 300 nodes one relied on a verification of 2.5 s and more in 3 of
+	// that no peer calls: of 300 nodes one relied on a verification of 2.5 s and more in 4 of
 	// 128 plays of 10 s.
 	overdueAfter = 500 * time.Millisecond
 )
