One answer to a call that outlasts its time: 504, whichever clock notices first

What callers saw: a request whose target worked on beyond the request's time was answered 504 deadline-exceeded or 502 target-failed by chance, at the same moment. Of 12 requests that had 0.4 s on four idle nodes with real processes, 4 got 502 (work of 1.5 s). Evidence: the nodes' logs, two lines of one second: request-failed duration_ms=400 status=504 reason="deadline-exceeded: no answer before the deadline" request-failed duration_ms=400 status=502 attempt=1 reason="target-failed: deadline: no retry budget left" Cause: the home beside the target watches the deadline as well. Its reply "deadline" that came before the asking node's own time was over was taken as a failure of the target: a repetition was weighed, paid for out of the retry budget, and the lack of one was what the caller was told. Ruled out: targets' records; a call that was given up counts there only after three times its usual time. Change: a reply that the deadline has come ends the request as the node's own clock does. What follows a reply without answer is one function (final). Elsewhere: the gateway passes the home's reason on as it is. Why it holds: only a home whose own timer ended the call says "deadline", and the time it was given is what the request had left.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -37,6 +37,7 @@
 	return reply, failure
 }
 
+// tryHomes offers the request to one home after the other.
 func (f *Forwarder) tryHomes(ctx context.Context, q *request) (*peering.Reply, *problem.Problem) {
 	for q.offers < maxHomes {
 		next := f.chooseAgain(q)
@@ -54,8 +55,10 @@
 		q.offers++
 		reply := f.offer(ctx, q, home)
 		f.countArrival(q, reply)
-		if reply.Outcome == peering.Answered {
+		if reply.Outcome != peering.Refused {
 			q.attempts++
+		}
+		if reply.Outcome == peering.Answered {
 			f.noteAnswered(q)
 			if !f.worthRepeating(q, reply) {
 				return reply, nil
@@ -67,32 +70,40 @@
 		}
 		q.lastReason = reply.Reason
 		q.noteCrash(reply)
-		if reply.Reason == peering.Quarantined {
-			if reply.Outcome == peering.Failed {
-				// It was withdrawn from the target.
-				q.attempts++
-			}
-			return nil, f.quarantined(q, reply.RetryAfter)
-		}
-		if ctx.Err() != nil {
-			return nil, f.timedOut(q, reply)
+		if failure := f.final(ctx, q, reply); failure != nil {
+			return nil, failure
 		}
 		q.exclude(home, reply)
-		if reply.Outcome == peering.Refused {
-			q.noteWait(reply.RetryAfter)
-			if q.offers > f.retries(q) || (q.suspected() && reply.Reason == peering.Waited) {
-				break
-			}
-			continue
-		}
-		q.attempts++
-		if failure := f.repeatable(q, reply); failure != nil {
-			return nil, failure
+		if reply.Outcome == peering.Refused && !f.offersAgain(q, reply) {
+			break
 		}
 	}
 	return nil, f.exhausted(q)
 }
 
+// final returns the answer to a request that no other home may be offered after a
+// reply without an answer, nil if one may.
+func (f *Forwarder) final(ctx context.Context, q *request, reply *peering.Reply) *problem.Problem {
+	switch {
+	case reply.Reason == peering.Quarantined:
+		// One that failed was withdrawn from the target.
+		return f.quarantined(q, reply.RetryAfter)
+	case ctx.Err() != nil, reply.Reason == peering.DeadlinePassed:
+		// The home watches the deadline as well and may notice first. That is no failure
+		// of its target, and no time is left for another one.
+		return f.timedOut(q, reply)
+	case reply.Outcome == peering.Failed:
+		return f.repeatable(q, reply)
+	}
+	return nil
+}
+
+// offersAgain reports whether a request that a home refused goes to another one.
+func (f *Forwarder) offersAgain(q *request, reply *peering.Reply) bool {
+	q.noteWait(reply.RetryAfter)
+	return q.offers <= f.retries(q) && !(q.suspected() && reply.Reason == peering.Waited)
+}
+
 // chooseAgain returns the home that the request goes to next. Once no other is
 // left, homes whose targets turned it away are chosen again: these may reject
 // requests at random.
