A node tells that it stood still: a log line, a counter, the story of a late answer

Its logs can't tell whether something inside the node held them or the process got no processor: that is what this adds, before any change of logic. Change: the loop that looks at homes each 0.1 s notes when it wakes up late (package stall), as process-stalled with its duration and the requests that waited, and lugspur_process_stalled_seconds_total. No wake-ups are added. explain takes in a stall that is told after the answer.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -19,6 +19,7 @@
 	ProcessStopping
 	ProcessStopped
 	MachineResumed
+	ProcessStalled
 	SettingsReloaded
 	DependencyLost
 	DependencyRegained
@@ -86,6 +87,7 @@
 	ProcessStopping:       {"process-stopping", belief, "a planned stop began"},
 	ProcessStopped:        {"process-stopped", belief, "the process ends; count is the requests still in flight"},
 	MachineResumed:        {"machine-resumed", belief, "the machine was suspended; age is for how long in all since the process started"},
+	ProcessStalled:        {"process-stalled", belief, "the process stood still for duration, as it got no processor, waited for memory or was stopped; count is the requests that waited for their answers"},
 	SettingsReloaded:      {"settings-reloaded", belief, "the settings were read again; reason says what became of them"},
 	DependencyLost:        {"dependency-lost", belief, "peer stopped answering; reason is its first error"},
 	DependencyRegained:    {"dependency-regained", belief, "peer answers again; age is how long it did not"},
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -104,7 +104,7 @@
 	}
 	byTime := func(a, b line) int { return cmp.Compare(a.Time.UnixNano(), b.Time.UnixNano()) }
 	slices.SortStableFunc(s.own, byTime)
-	first := s.own[0].Time.Add(-time.Duration(s.own[0].Duration) * time.Millisecond)
+	first := s.own[0].began()
 	last := s.own[len(s.own)-1].Time
 	nodes := make(map[string]bool)
 	for _, l := range s.own {
@@ -112,7 +112,7 @@
 	}
 	told := slices.Clone(s.own)
 	for _, l := range s.beliefs {
-		if nodes[l.Node] && l.Time.After(first.Add(-around)) && !l.Time.After(last) {
+		if nodes[l.Node] && l.Time.After(first.Add(-around)) && !l.began().After(last) {
 			told = append(told, l)
 		}
 	}
@@ -125,6 +125,12 @@
 	return nil
 }
 
+// began returns when what the line tells of began. A process that stood still may tell
+// of that after it has answered the requests that waited meanwhile.
+func (l *line) began() time.Time {
+	return l.Time.Add(-time.Duration(l.Duration) * time.Millisecond)
+}
+
 func (l *line) describe(first time.Time) string {
 	var text strings.Builder
 	fmt.Fprintf(&text, "%+9.3f s  %-18s %-22s", l.Time.Sub(first).Seconds(), l.Node, l.Message)
--- a/internal/explain/story_test.go
+++ b/internal/explain/story_test.go
@@ -55,3 +55,18 @@
 		}
 	}
 }
+
+// TestAStallToldAfterTheAnswerBelongsToTheStory: a process that stood still may answer what
+// waited before it notices.
+func TestAStallToldAfterTheAnswerBelongsToTheStory(t *testing.T) {
+	const stalled = `
+{"msg":"request-failed","node":"node-a","request":"a","status":504,"time":"2026-01-01T00:00:02Z","duration_ms":1200}
+{"msg":"process-stalled","node":"node-a","time":"2026-01-01T00:00:02.1Z","duration_ms":1000}
+{"msg":"process-stalled","node":"node-a","time":"2026-01-01T00:00:09Z","duration_ms":1000}
+`
+	story := NewStory("a")
+	assert.NilError(t, story.Read(strings.NewReader(stalled)))
+	var out strings.Builder
+	assert.NilError(t, story.Print(&out))
+	assert.Equal(t, strings.Count(out.String(), "process-stalled"), 1, out.String())
+}
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -113,6 +113,8 @@
 
 func (observer) Counted(string, BudgetEvent, peering.Reason) {}
 
+func (observer) Stalled(time.Duration) {}
+
 // fixture is a forwarder with peers behind real sockets.
 type fixture struct {
 	forwarder *Forwarder
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -134,6 +134,8 @@
 	// Counted sees what the retry budget of a service counted. The cause of what is
 	// sent for the first time is empty.
 	Counted(service string, kind BudgetEvent, cause peering.Reason)
+	// Stalled sees that the process stood still for so long.
+	Stalled(duration time.Duration)
 }
 
 // Forwarder serves requests. It is safe for concurrent use.
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -5,7 +5,9 @@
 	"errors"
 	"time"
 
+	"github.com/lugspur/lugspur/internal/eventlog"
 	"github.com/lugspur/lugspur/internal/peering"
+	"github.com/lugspur/lugspur/internal/stall"
 )
 
 const (
@@ -16,6 +18,9 @@
 	// asked whether it is there. Homes that run calls give a sign each 300 ms.
 	silence     = 450 * time.Millisecond
 	pingTimeout = 300 * time.Millisecond
+	// stallTolerance is how late a look at the homes may be before the process counts
+	// as having stood still. It lies below the time-outs of requests.
+	stallTolerance = 150 * time.Millisecond
 )
 
 // errSuspected ends calls that wait for a home that does not answer.
@@ -30,6 +35,7 @@
 	defer forget.Stop()
 	asking := make(map[string]bool)
 	done := make(chan string)
+	stalls := stall.Detector{Period: watchPeriod, Tolerance: stallTolerance}
 	for {
 		select {
 		case <-ctx.Done():
@@ -40,6 +46,7 @@
 			f.homes.forget(f.directory.Addresses())
 		case <-ticker.C:
 			now := f.now()
+			f.noteStall(stalls.Tick(now))
 			for _, state := range f.homes.all() {
 				if !asking[state.address] && state.toAsk(now) {
 					asking[state.address] = true
@@ -50,6 +57,16 @@
 	}
 }
 
+// noteStall notes that the process stood still. Requests that end late with such a line
+// near them were not held by anything inside the node; those without it were.
+func (f *Forwarder) noteStall(late time.Duration) {
+	if late == 0 {
+		return
+	}
+	f.observer.Stalled(late)
+	f.log.Record(eventlog.Event{Kind: eventlog.ProcessStalled, Duration: late, Count: int(f.inFlight.Load())})
+}
+
 // ask pings a silent home and gives up the calls that wait for it if it does
 // not answer.
 func (f *Forwarder) ask(ctx context.Context, state *homeState, done chan<- string) {
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -41,6 +41,7 @@
 	refused  *prometheus.CounterVec
 	waited   *prometheus.HistogramVec
 	ran      *prometheus.HistogramVec
+	stalled  prometheus.Counter
 
 	tenants *tenantCounter
 
@@ -93,10 +94,15 @@
 			Help:      "Time that calls spent at the target, by outcome.",
 			Buckets:   buckets,
 		}, []string{"outcome"}),
+		stalled: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace,
+			Name:      "process_stalled_seconds_total",
+			Help:      "Time for which the process stood still, without the first 0.15 s of each time.",
+		}),
 		tenants: newTenantCounter(),
 		routes:  make(map[string]bool),
 	}
-	m.registry.MustRegister(m.tenants.requests, m.requests, m.duration, m.calls, m.sent, m.refused, m.waited, m.ran, &eventCollector{log: log})
+	m.registry.MustRegister(m.tenants.requests, m.requests, m.duration, m.calls, m.sent, m.refused, m.waited, m.ran, m.stalled, &eventCollector{log: log})
 	return m
 }
 
@@ -141,6 +147,9 @@
 	m.sent.WithLabelValues(service, kind.String(), string(cause)).Inc()
 }
 
+// Stalled counts the time for which the process stood still.
+func (m *metrics) Stalled(duration time.Duration) { m.stalled.Add(duration.Seconds()) }
+
 // heartbeatRefused counts a heartbeat that was turned away.
 func (m *metrics) heartbeatRefused(reason registry.RefusalReason) {
 	m.refused.WithLabelValues(string(reason)).Inc()
@@ -182,7 +191,7 @@
 // decisive are the metrics that tell why requests fail. They come first on the page.
 var decisive = []string{
 	namespace + "_retry_budget_events_total", namespace + "_retry_budget_left",
-	namespace + "_requests_total", namespace + "_calls_total",
+	namespace + "_requests_total", namespace + "_calls_total", namespace + "_process_stalled_seconds_total",
 }
 
 // serve writes the page: first what is decisive, then the other metrics, then
--- a/test/explain_test.go
+++ b/test/explain_test.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"regexp"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -117,3 +118,24 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(log), "1\n")
 }
+
+// TestTheLogTellsThatTheNodeStoodStill stops the process that the callers asked while
+// their requests wait, and continues it after their time was over. They are answered late
+// and nothing inside the node held them: the log must tell that from a request that waits
+// for a lock or a peer.
+func TestTheLogTellsThatTheNodeStoodStill(t *testing.T) {
+	const stopped = 1200 * time.Millisecond
+	p := startPlatform(t, "west", "west")
+	for _, n := range p.nodes {
+		n.target.SetFaults(platformstub.TargetFaults{Slow: 3 * time.Second})
+	}
+	asked := p.nodes[0].process.Process
+	time.AfterFunc(100*time.Millisecond, func() { _ = asked.Signal(syscall.SIGSTOP) })
+	time.AfterFunc(100*time.Millisecond+stopped, func() { _ = asked.Signal(syscall.SIGCONT) })
+	request, id := p.request(p.nodes[0], http.MethodGet, "/read/x")
+	request.Header.Set("Lugspur-Deadline-Ms", givenTime)
+	status, _, _ := answerTo(request)
+	assert.Equal(t, status, http.StatusGatewayTimeout)
+	p.awaitStory(id, "request-failed .*status=504 .*duration_ms=1[0-9]{3} .*deadline-exceeded")
+	p.awaitStory(id, "process-stalled .*duration_ms=[0-9]{3,4}")
+}
