A call whose time was over before it asked for room is told so

Change: it looks at the cause there, as it does for calls that wait. Before and after: TestADeadlineThatIsTheCauseIsADeadlineRefusal fails before. Elsewhere: no other part that clock contexts reach tells the two apart by the error (searched for context.DeadlineExceeded and Canceled).

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -85,11 +85,11 @@
 }
 
 // Acquire returns a permit to send the call, after waiting for one if need be.
-// It fails with a *Refusal, or with the context's error when the context was
+// It fails with a *Refusal, or with the context's cause when the context was
 // cancelled. A context whose own deadline passes gives a Deadline refusal.
 func (s *Scheduler) Acquire(ctx context.Context, request Request) (*Permit, error) {
-	if err := ctx.Err(); err != nil {
-		return nil, s.contextError(err)
+	if ctx.Err() != nil {
+		return nil, s.contextError(context.Cause(ctx))
 	}
 	now := s.now()
 	s.mu.Lock()
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -211,6 +211,19 @@
 	})
 }
 
+// TestADeadlineThatIsTheCauseIsADeadlineRefusal has a context whose deadline was kept by
+// another clock than its own: it is cancelled, and its cause tells why. A call whose time was
+// over before it asked was taken for one whose caller left, and not told when to come back.
+func TestADeadlineThatIsTheCauseIsADeadlineRefusal(t *testing.T) {
+	virtualtime.Run(t, func(t *testing.T) {
+		b := newBench(t, 1, scheduler.Config{})
+		ctx, expire := context.WithCancelCause(t.Context())
+		expire(context.DeadlineExceeded)
+		_, err := b.scheduler.Acquire(ctx, from(1))
+		b.assertRefused(&call{name: "before", err: err}, scheduler.Deadline)
+	})
+}
+
 func TestReleaseCountsOnceAndFeedsTheLimiter(t *testing.T) {
 	virtualtime.Run(t, func(t *testing.T) {
 		b := newBench(t, 2, scheduler.Config{})
