--- a/internal/membership/contacts.go
+++ b/internal/membership/contacts.go
@@ -60,7 +60,7 @@
 }
 
 // contact tries to reach a seed or hint: every period while the node knows
-// nobody, seldom otherwise.
+// nobody or has just started, seldom otherwise.
 func (m *Membership) contact() {
 	eager := m.periods <= eagerPeriods || m.table.present.size() == 0
 	if m.contacts.none() || !eager && m.periods%contactPeriods != 0 {
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -8,8 +8,8 @@
 
 import "time"
 
-// Detector measures by how much a periodic loop wakes up too late. The zero value and
-// one Tick begin it. It belongs to one goroutine.
+// Detector measures by how much a periodic loop wakes up too late, from its first Tick on.
+// It belongs to one goroutine.
 type Detector struct {
 	// Period is the time between two ticks, and Tolerance the lateness that is usual.
 	Period, Tolerance time.Duration
