--- a/internal/membership/starts_test.go
+++ b/internal/membership/starts_test.go
@@ -48,7 +48,7 @@
 }
 
 // TestNodesThatStartTogetherAgree: a fleet that starts, or comes back, together took up to
-// 70 s to know itself. Meanwhile nodes disagreed on the homes of targets, so that calls went
+// 90 s to know itself. Meanwhile nodes disagreed on the homes of targets, so that calls went
 // to fewer nodes than there were and a target had two homes. Nodes that first reached
 // different seeds formed islands, as a node that knows anyone asked other seeds every 10 s
 // only; once one contact joined two islands, no change was queued any more, lists learned
