Announced rate limits and departures of targets in log and metrics

Which limit a target announced, since when and by which response, and how many first, nested and repeated calls it was sent, could not be told from logs and metrics, so that the three hypotheses of the incident could not be told apart. A node now logs target-rate-changed, target-rate-malformed and target-leaving, and serves target_rate_limit and calls_sent_total (three kinds). Nothing acts on it yet.

The stub target of the lab announces both and counts arrivals.

--- a/internal/callheader/names.go
+++ b/internal/callheader/names.go
@@ -25,6 +25,11 @@
 	NotExecuted string
 	// Load is the target's load report: running and waiting calls, and slots.
 	Load string
+	// RateLimit announces the calls per second that the target accepts from all nodes
+	// together, a decimal number; responses without it announce no limit.
+	RateLimit string
+	// Leaving is "1" on the responses of a target that is about to shut down.
+	Leaving string
 	// APIKey is the caller's API key. It is never passed to targets.
 	APIKey string
 	// Tenant tells the target which tenant holds the caller's API key.
--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -33,6 +33,9 @@
 	ConfigurationRejected
 	TargetChanged
 	TargetEnded
+	TargetRateChanged
+	TargetRateMalformed
+	TargetLeaving
 	RequestQuarantined
 	QuarantineTrial
 	QuarantineLifted
@@ -102,6 +105,9 @@
 	ConfigurationRejected: {"configuration-rejected", stateChange, "a configuration from peer was rejected; reason says why"},
 	TargetChanged:         {"target-changed", stateChange, "the local target is now in state outcome, or stopped accepting connections (unreachable) or accepts them again (reachable); version is the sequence number of its heartbeat"},
 	TargetEnded:           {"target-ended", stateChange, "the local target terminated without announcing that it leaves; count is the number of calls that it interrupted, reason the evidence"},
+	TargetRateChanged:     {"target-rate-changed", stateChange, "outcome is the rate limit in force that the local target announced, previously that in reason; request is the call whose response announced it, status that response's, age the time since the call was sent"},
+	TargetRateMalformed:   {"target-rate-malformed", stateChange, "the local target announced a rate limit that is not a decimal number, so that the one in outcome stays in force; reason is the error"},
+	TargetLeaving:         {"target-leaving", stateChange, "the local target announced in a response that it is leaving; request is the call, status that of the response, age the time since the call was sent"},
 	RequestQuarantined:    {"request-quarantined", stateChange, "requests with the fingerprint are refused from now on, because count targets in a row crashed while running them; reason is the source of the information, wait the time until a trial run"},
 	QuarantineTrial:       {"quarantine-trial", stateChange, "this node makes a trial run of the quarantined request; count is the number of trial runs at all nodes so far"},
 	QuarantineLifted:      {"quarantine-lifted", stateChange, "requests with the fingerprint are no longer refused; reason says why"},
--- a/internal/guard/exchange.go
+++ b/internal/guard/exchange.go
@@ -32,7 +32,8 @@
 	defer cancel(nil)
 	finish := g.running.begin(call, cancel)
 	inc.stats.recordStart(call.Route, started)
-	response, err := inc.pool.Exchange(ctx, g.targetCall(inc, call, remainingMillis))
+	g.countSent(call)
+	response, err := inc.pool.Exchange(ctx, g.targetCall(inc, call, remainingMillis, started))
 	ended := g.now()
 	callFailed := finish(err == nil, ended)
 	duration := ended.Sub(started)
@@ -88,7 +89,7 @@
 }
 
 // targetCall returns the HTTP request to the target for a call.
-func (g *Guard) targetCall(inc *incarnation, call *peering.Call, remainingMillis int64) *transport.Call {
+func (g *Guard) targetCall(inc *incarnation, call *peering.Call, remainingMillis int64, sentAt time.Time) *transport.Call {
 	names := &g.config.Headers
 	header := call.Header
 	if header == nil {
@@ -104,13 +105,20 @@
 		RequestURI: call.URI,
 		Header:     header,
 		Body:       call.Body,
-		Matches: func(responseHeader http.Header) bool {
-			id := responseHeader.Get(names.RequestID)
-			return id == "" || id == call.RequestID
+		OnHeader: func(status int, responseHeader http.Header) {
+			g.observeHeader(inc, call, status, responseHeader, sentAt)
 		},
+		Matches: func(responseHeader http.Header) bool { return g.matches(call, responseHeader) },
 	}
 }
 
+// matches reports whether a response with the header belongs to the call. One without an ID
+// does, because it cannot be attributed to another call.
+func (g *Guard) matches(call *peering.Call, header http.Header) bool {
+	id := header.Get(g.config.Headers.RequestID)
+	return id == "" || id == call.RequestID
+}
+
 // replyForError returns the reply for an exchange that ended without a response. The call
 // counts as failed if it may have been sent, and as refused otherwise.
 func (g *Guard) replyForError(ctx context.Context, call *peering.Call, err error) *peering.Reply {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -73,6 +73,8 @@
 	// CallFinished records a finished call with the time that it spent in the queue and at the
 	// target. The latter is zero for a call that was refused admission.
 	CallFinished(outcome peering.Outcome, reason peering.Reason, queueTime, targetTime time.Duration)
+	// CallSent records a call that is sent to the target.
+	CallSent(kind SendKind)
 }
 
 // Guard admits calls to the target. It is safe for concurrent use.
@@ -104,6 +106,7 @@
 	reachability  reachability
 	shedding      *shed.Controller
 	crashDetector crashDetector
+	announcements announcements
 	draining      atomic.Bool
 }
 
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -25,7 +25,8 @@
 )
 
 var headerNames = callheader.Names{RequestID: "X-Id", DeadlineMillis: "X-Deadline", Caller: "X-Caller", ExpectInstance: "X-Expect",
-	Instance: "X-Instance", Signature: "X-Signature", NotExecuted: "X-Not-Executed", Load: "X-Load"}
+	Instance: "X-Instance", Signature: "X-Signature", NotExecuted: "X-Not-Executed", Load: "X-Load",
+	RateLimit: "X-Rate-Limit", Leaving: "X-Leaving"}
 
 // startRawTarget starts a target that calls a function for each request, which writes the raw
 // bytes of the response to the connection. It returns the target's address.
--- a/internal/sidecar/gauges.go
+++ b/internal/sidecar/gauges.go
@@ -33,6 +33,7 @@
 		{"target_in_flight", "Calls at the target beside the node.", func() float64 { return float64(n.guard.Load("").InFlight) }},
 		{"target_queued", "Calls that wait for the target.", func() float64 { return float64(n.guard.Load("").Queued) }},
 		{"target_limit", "Calls that the target may work on at once.", func() float64 { return float64(n.guard.Load("").Limit) }},
+		{"target_rate_limit", "Calls per second that the target announces to accept; negative if it announces no limit.", n.targetRateLimit},
 		{"shed_threshold_ratio", "Part of all ranks that the home admits; 1 sheds nothing.", func() float64 { return float64(n.guard.Load("").Threshold) / float64(shed.None) }},
 	}
 	for _, g := range gauges {
@@ -60,6 +61,15 @@
 	return clock.Since(verified).Seconds()
 }
 
+// targetRateLimit returns -1 if the target announces no limit.
+func (n *Node) targetRateLimit() float64 {
+	announced := n.guard.RateLimit()
+	if !announced.Limited {
+		return -1
+	}
+	return announced.Rate
+}
+
 func boolValue(condition bool) float64 {
 	if condition {
 		return 1
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -14,6 +14,7 @@
 
 	"github.com/lugspur/lugspur/internal/eventlog"
 	"github.com/lugspur/lugspur/internal/forward"
+	"github.com/lugspur/lugspur/internal/guard"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/problem"
 	"github.com/lugspur/lugspur/internal/registry"
@@ -37,6 +38,7 @@
 	requests          *prometheus.CounterVec
 	duration          *prometheus.HistogramVec
 	calls             *prometheus.CounterVec
+	callsSent         *prometheus.CounterVec
 	budgetEvents      *prometheus.CounterVec
 	heartbeatRefusals *prometheus.CounterVec
 	queueTime         *prometheus.HistogramVec
@@ -72,6 +74,11 @@
 			Name:      "calls_total",
 			Help:      "Calls to the target beside the node, by outcome and reason.",
 		}, []string{"outcome", "reason"}),
+		callsSent: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace,
+			Name:      "calls_sent_total",
+			Help:      "Calls that were sent to the target beside the node, by kind: first, nested or retry.",
+		}, []string{"kind"}),
 		budgetEvents: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace,
 			Name:      "retry_budget_events_total",
@@ -102,7 +109,7 @@
 		tenants: newTenantCounter(),
 		routes:  make(map[string]bool),
 	}
-	m.registry.MustRegister(m.tenants.requests, m.requests, m.duration, m.calls, m.budgetEvents, m.heartbeatRefusals, m.queueTime, m.targetTime, m.stallTime, &eventCollector{log: log})
+	m.registry.MustRegister(m.tenants.requests, m.requests, m.duration, m.calls, m.callsSent, m.budgetEvents, m.heartbeatRefusals, m.queueTime, m.targetTime, m.stallTime, &eventCollector{log: log})
 	return m
 }
 
@@ -167,6 +174,9 @@
 	}
 }
 
+// CallSent counts a call that is sent to the target.
+func (m *metrics) CallSent(kind guard.SendKind) { m.callsSent.WithLabelValues(kind.String()).Inc() }
+
 // routeLabel returns the label for the route: its name, or otherRoute once there are
 // maxRouteLabels others.
 func (m *metrics) routeLabel(route string) string {
@@ -195,7 +205,7 @@
 // failureMetrics are the metrics that show why requests fail. They come first on the page.
 var failureMetrics = []string{
 	namespace + "_retry_budget_events_total", namespace + "_retry_budget_left",
-	namespace + "_requests_total", namespace + "_calls_total", namespace + "_process_stalled_seconds_total",
+	namespace + "_requests_total", namespace + "_calls_total", namespace + "_calls_sent_total", namespace + "_target_rate_limit", namespace + "_process_stalled_seconds_total",
 }
 
 // serve writes the metrics page: failureMetrics first, then other metrics, then histograms,
--- a/internal/sidecar/metrics_test.go
+++ b/internal/sidecar/metrics_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lugspur/lugspur/internal/forward"
+	"github.com/lugspur/lugspur/internal/guard"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/registry"
 )
@@ -42,6 +43,7 @@
 	n.metrics.TenantChecked("tenant", "")
 	n.metrics.RequestFinished("r", 200, "", time.Second)
 	n.metrics.CallFinished(peering.Answered, "", time.Millisecond, time.Second)
+	n.metrics.CallSent(guard.FirstSend)
 	n.metrics.countRefusedHeartbeat(registry.RefusedSlots)
 	n.metrics.BudgetCounted("s", forward.FirstSent, "")
 	n.storeCalls.CallEnded(purposeRecords, "list", "done")
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -99,6 +99,9 @@
 	RequestURI string
 	Header     http.Header
 	Body       []byte
+	// OnHeader is called for the header of each final response on the connection, including
+	// those that Matches rejects; it may be nil.
+	OnHeader func(status int, header http.Header)
 	// Matches reports whether a response with the header belongs to the call; nil accepts
 	// every response. Responses that do not belong to it, such as a surplus response to an
 	// earlier call, are skipped.
@@ -254,6 +257,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if call.OnHeader != nil {
+			call.OnHeader(response.StatusCode, response.Header)
+		}
 		if call.Matches == nil || call.Matches(response.Header) {
 			return response, nil
 		}
--- a/lab/platformstub/target.go
+++ b/lab/platformstub/target.go
@@ -35,8 +35,11 @@
 	crashOnce         sync.Once
 	mutex             sync.Mutex
 	faults            TargetFaults
+	rateLimits        []string
+	leaving           bool
 	requests          uint64
 	runs              []Run
+	arrivals          []Arrival
 	server            *http.Server
 	stop              context.CancelFunc
 }
@@ -54,6 +57,12 @@
 	At        time.Time
 }
 
+// Arrival is a request that a target received, whether it executed or rejected it.
+type Arrival struct {
+	ID string
+	At time.Time
+}
+
 // TargetFaults are the faults of a target.
 type TargetFaults struct {
 	// Delay is added to the service time of each request.
@@ -99,6 +108,34 @@
 	t.faults = faults
 }
 
+// AnnounceRateLimit sets the values of the header that announces the target's rate limit in
+// all its responses; none announces no limit.
+func (t *Target) AnnounceRateLimit(values ...string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.rateLimits = values
+}
+
+// AnnounceLeaving sets whether the target's responses announce that it is leaving. Its
+// heartbeats don't.
+func (t *Target) AnnounceLeaving(leaving bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.leaving = leaving
+}
+
+// setAnnouncements sets the headers of a response that announce the target's state.
+func (t *Target) setAnnouncements(header http.Header) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, value := range t.rateLimits {
+		header.Add("Server-Limit", value)
+	}
+	if t.leaving {
+		header.Set("Server-Leaving", "1")
+	}
+}
+
 // countRequest counts a request and returns the current faults and the count.
 func (t *Target) countRequest() (TargetFaults, uint64) {
 	t.mutex.Lock()
@@ -119,7 +156,9 @@
 	}
 	body, _ := io.ReadAll(r.Body)
 	faults, count := t.countRequest()
+	t.recordArrival(id)
 	if isNth(faults.RejectEvery, count) {
+		t.setAnnouncements(w.Header())
 		w.Header().Set("Lugspur-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -130,6 +169,7 @@
 	case <-r.Context().Done():
 		return
 	}
+	t.setAnnouncements(w.Header())
 	if faults.CrashPrefix != "" && strings.HasPrefix(r.URL.Path, faults.CrashPrefix) {
 		t.crash()
 		panic(http.ErrAbortHandler)
@@ -172,6 +212,19 @@
 	t.runs = append(t.runs, run)
 }
 
+func (t *Target) recordArrival(id string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.arrivals = append(t.arrivals, Arrival{ID: id, At: time.Now()})
+}
+
+// Arrivals returns the received requests in the order of their arrival.
+func (t *Target) Arrivals() []Arrival {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return append([]Arrival(nil), t.arrivals...)
+}
+
 // Log returns the executed requests in the order of their start.
 func (t *Target) Log() []Run {
 	t.mutex.Lock()
