A target that announces in its responses that it is leaving gets no more requests

What callers saw: requests went on to a target that was about to shut down, and ended with it.

Only heartbeats told of a departure, and these may still say ready.

Why this holds: the home drains the incarnation at the first response that announces it, for good: queued calls are refused and go to other homes, those at the target run to their end. The departure is also written to the store and sent to peers, like an acknowledged one, but in the background. Each node that received such a response offers the incarnation nothing more, whatever it can reach, and tells the home, which may have restarted.

--- a/internal/forward/announced.go
+++ b/internal/forward/announced.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,7 +50,8 @@
 	return *known, true
 }
 
-// update records an announcement and the pause that follows from it.
+// update records an announcement and the pause that follows from it. A departure is never
+// taken back.
 func (t *announcedTargets) update(announced peering.TargetAnnouncement, pause func(*announcedTarget), now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -57,6 +59,7 @@
 	if known == nil {
 		known = t.add(announced.Instance)
 	}
+	announced.Leaving = announced.Leaving || known.Leaving
 	known.TargetAnnouncement = announced
 	known.updatedAt = now
 	pause(known)
@@ -93,8 +96,15 @@
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	delete(t.targets, instance)
-	t.count.Store(int64(len(t.targets)))
+	known := t.targets[instance]
+	switch {
+	case known == nil:
+	case known.Leaving:
+		known.Rate = targetrate.Announcement{}
+	default:
+		delete(t.targets, instance)
+		t.count.Store(int64(len(t.targets)))
+	}
 }
 
 // pausedFor returns how long requests of the level are not offered to the home of the target,
@@ -150,11 +160,14 @@
 // announcementOf returns the announcement in the response that a home passed on without
 // reporting it, as one of an earlier version does.
 func announcementOf(names *callheader.Names, home *registry.Home, reply *peering.Reply) peering.TargetAnnouncement {
-	rate, err := targetrate.Parse(reply.Header[names.RateLimit])
-	if err != nil || !rate.Limited {
-		return peering.TargetAnnouncement{}
+	announced := peering.TargetAnnouncement{Leaving: slices.Contains(reply.Header[names.Leaving], targetrate.LeavingValue)}
+	if rate, err := targetrate.Parse(reply.Header[names.RateLimit]); err == nil {
+		announced.Rate = rate
+	}
+	if announced.Rate.Limited || announced.Leaving {
+		announced.Instance = home.Instance
 	}
-	return peering.TargetAnnouncement{Instance: home.Instance, Rate: rate}
+	return announced
 }
 
 // shareInterval returns the interval of a node's requests to a target whose home doesn't
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -60,7 +60,7 @@
 }
 
 // candidates returns the homes of the request's service that have neither been excluded nor
-// rejected the request.
+// rejected the request, and whose targets are not leaving.
 func (f *Forwarder) candidates(q *request, now time.Time) []candidate {
 	homes := f.directory.Homes(q.service)
 	candidates := make([]candidate, 0, len(homes))
@@ -70,6 +70,9 @@
 			continue
 		}
 		announced, _ := f.announced.get(home.Instance)
+		if announced.Leaving {
+			continue
+		}
 		state := f.homes.state(home.Address)
 		candidates = append(candidates, candidate{home: home, state: state, stats: state.stats(home, q.route, median, now),
 			rateLimited: announced.Rate.Limited, paused: announced.pausedFor(q.rank.Level, now)})
--- a/internal/guard/announcements.go
+++ b/internal/guard/announcements.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,6 +42,12 @@
 	return isNew
 }
 
+func (a *announcements) isLeaving() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.leaving
+}
+
 // updatePacer applies the rate limit in force. Concurrent changes end with the last one.
 func (a *announcements) updatePacer(now time.Time) {
 	a.mutex.Lock()
@@ -67,11 +74,8 @@
 	case inc.announcements.rate.Observe(observation):
 		g.applyRate(inc, previous, now, event)
 	}
-	for _, value := range header[g.config.Headers.Leaving] {
-		if value == targetrate.LeavingValue && inc.announcements.setLeaving() {
-			event.Kind, event.Service, event.Target = eventlog.TargetLeaving, inc.target.Service, inc.name
-			g.log.Record(event)
-		}
+	if slices.Contains(header[g.config.Headers.Leaving], targetrate.LeavingValue) {
+		g.markLeaving(inc, event)
 	}
 }
 
@@ -87,6 +91,9 @@
 	if call.Target.Rate.Limited && inc.announcements.rate.Adopt(call.Target.Rate, now) {
 		g.applyRate(inc, previous, now, event)
 	}
+	if call.Target.Leaving {
+		g.markLeaving(inc, event)
+	}
 }
 
 // applyRate applies and logs a change of the rate limit. The event names its source.
@@ -104,6 +111,20 @@
 	}
 }
 
+// markLeaving refuses queued and new calls for the rest of the target's life. The event names
+// the source.
+func (g *Guard) markLeaving(inc *incarnation, event eventlog.Event) {
+	if !inc.announcements.setLeaving() {
+		return
+	}
+	inc.drain()
+	event.Kind, event.Service, event.Target = eventlog.TargetLeaving, inc.target.Service, inc.name
+	g.log.Record(event)
+	if g.config.OnLeaving != nil {
+		g.config.OnLeaving(inc.target.Incarnation())
+	}
+}
+
 // takeToken takes a token for a call under the target's rate limit. It returns a refusal if
 // there is none.
 func (g *Guard) takeToken(inc *incarnation, call *peering.Call) (targetrate.Decision, *peering.Reply) {
@@ -118,8 +139,8 @@
 
 // targetAnnouncement returns what peers need to know of the target's announcements.
 func (inc *incarnation) targetAnnouncement() peering.TargetAnnouncement {
-	announced := peering.TargetAnnouncement{Instance: inc.name, Rate: inc.announcements.rate.Current()}
-	if !announced.Rate.Limited {
+	announced := peering.TargetAnnouncement{Instance: inc.name, Rate: inc.announcements.rate.Current(), Leaving: inc.announcements.isLeaving()}
+	if !announced.Rate.Limited && !announced.Leaving {
 		return peering.TargetAnnouncement{}
 	}
 	return announced
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -51,6 +51,9 @@
 	Downstream func(route string) pressure.Level
 	// Quarantine tracks requests that crash targets.
 	Quarantine Quarantine
+	// OnLeaving is called once with each incarnation that announces in a response that it is
+	// leaving; it may be nil.
+	OnLeaving func(registry.Incarnation)
 	// Observer receives the outcomes of calls; it may be nil.
 	Observer Observer
 }
@@ -144,6 +147,9 @@
 	if old != nil && old.target.Incarnation() == target.Incarnation() {
 		next.announcements = old.announcements
 	}
+	if next.announcements.isLeaving() {
+		next.drain()
+	}
 	g.current.Store(next)
 }
 
--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -149,6 +149,9 @@
 	Instance string
 	// Rate is the target's rate limit.
 	Rate targetrate.Announcement
+	// Leaving reports whether the target is about to shut down. An incarnation that is
+	// leaving gets no more calls, even if it announces nothing later.
+	Leaving bool
 }
 
 // Load is a home's report of its load.
--- a/internal/peering/wire.go
+++ b/internal/peering/wire.go
@@ -115,14 +115,15 @@
 type wireTarget struct {
 	Instance string `cbor:"1,keyasint"`
 	// Rate is the rate limit in calls per second; nil if there is none.
-	Rate *float64 `cbor:"2,keyasint,omitempty"`
+	Rate    *float64 `cbor:"2,keyasint,omitempty"`
+	Leaving bool     `cbor:"3,keyasint,omitempty"`
 }
 
 func encodeTarget(target *TargetAnnouncement) *wireTarget {
 	if target.Instance == "" {
 		return nil
 	}
-	encoded := &wireTarget{Instance: target.Instance}
+	encoded := &wireTarget{Instance: target.Instance, Leaving: target.Leaving}
 	if target.Rate.Limited {
 		encoded.Rate = &target.Rate.Rate
 	}
@@ -133,7 +134,7 @@
 	if encoded == nil {
 		return TargetAnnouncement{}
 	}
-	target := TargetAnnouncement{Instance: encoded.Instance}
+	target := TargetAnnouncement{Instance: encoded.Instance, Leaving: encoded.Leaving}
 	if encoded.Rate != nil {
 		target.Rate = targetrate.Announcement{Limited: true, Rate: *encoded.Rate}
 	}
--- a/internal/registry/departures.go
+++ b/internal/registry/departures.go
@@ -72,6 +72,17 @@
 	d.getOrCreate(departure)
 }
 
+// addDue adds a departure that this node writes to the store as soon as possible.
+func (d *departures) addDue(departure Departure) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	known := d.getOrCreate(departure)
+	if known.revision == 0 {
+		known.due = d.now()
+	}
+	d.signal()
+}
+
 // getOrCreate returns the state of a departure, and creates it if the departure is new to this
 // node. The caller holds the mutex.
 func (d *departures) getOrCreate(departure Departure) *knownDeparture {
--- a/internal/registry/registrar_departures.go
+++ b/internal/registry/registrar_departures.go
@@ -52,6 +52,20 @@
 	return nil
 }
 
+// TargetLeaving handles a target's announcement, in a response, that it is leaving. The target
+// gets no new work from now on, whatever its heartbeats report. The departure is made durable in
+// the background, as nobody waits for an acknowledgement.
+func (r *Registrar) TargetLeaving(ctx context.Context, incarnation Incarnation) {
+	r.mutex.Lock()
+	r.markDeparted(incarnation, Draining)
+	r.mutex.Unlock()
+	departure := Departure{Instance: incarnation.String(), Address: r.config.Address}
+	r.departures.addDue(departure)
+	ctx, cancel := context.WithTimeout(ctx, ackTimeout)
+	defer cancel()
+	r.replicateDeparture(ctx, departure)
+}
+
 // awaitRecovered waits until the departures acknowledged by earlier processes are known, at
 // most for as long as an acknowledgement is still useful.
 func (r *Registrar) awaitRecovered(ctx context.Context) error {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -122,6 +122,7 @@
 		MaxConnections: n.maxConnections,
 		Downstream:     n.pressure.Downstream,
 		Quarantine:     n.quarantine,
+		OnLeaving:      n.handleTargetLeaving,
 		Observer:       n.metrics,
 	}, n.log, clock.Now)
 	n.registrar = registry.NewRegistrar(registry.RegistrarConfig{
@@ -162,6 +163,11 @@
 	return n.peers.SendDeparture(ctx, address, departure)
 }
 
+// handleTargetLeaving handles the local target's announcement, in a response, that it is leaving.
+func (n *Node) handleTargetLeaving(incarnation registry.Incarnation) {
+	n.running.Go(func() { n.registrar.TargetLeaving(context.Background(), incarnation) })
+}
+
 // handleResume handles the machine's resumption after it was suspended.
 func (n *Node) handleResume() {
 	n.log.Record(eventlog.Event{Kind: eventlog.MachineResumed, Age: clock.System.Suspended()})
