Requests refused for rate limits return one after the other, important ones first

What callers saw, with all six targets of a service at 10 a second and twice as many requests: refused ones were told to come back after 0 to 123 ms, all of them at the moment of the next single place, and 6 were told nothing; 0.79 of the urgent requests were served, beside 0.21 of the others, though the limits have room for all urgent ones.

Cause: the delay was the time until one of the homes has room for one request, the same for all; the backlog of less important refused calls was added to the waiting time of more important ones; and they left them too few tokens.

Each final refusal now gets the next time at which this node's share of the limits has room, at least 0.1 s and at most 5 s ahead, and more important requests come before others. Pacers count refused calls by level.

--- a/internal/forward/announced.go
+++ b/internal/forward/announced.go
@@ -177,8 +177,7 @@
 	if err != nil || !announced.Limited {
 		return 0
 	}
-	nodes := max(len(f.directory.Addresses()), 1)
-	seconds := float64(nodes) / max(announced.Rate, targetrate.MinRate)
+	seconds := float64(f.nodeCount()) / max(announced.Rate, targetrate.MinRate)
 	return time.Duration(math.Min(seconds, maxShareInterval.Seconds()) * float64(time.Second))
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -158,6 +158,7 @@
 
 	homes     homeTable
 	announced announcedTargets
+	returns   returnSchedule
 	splitter  routetable.Splitter
 	stopping  atomic.Bool
 	// shutdownDeadline is the time by which all requests must have finished.
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -207,10 +207,13 @@
 		return f.problem(problem.TargetFailed, problem.ExecutedUnknown, "run", "no other home took the repetition")
 	}
 	reason := problem.Overloaded
-	if q.lastReason != peering.RateLimited && (len(q.excluded) == 0 || q.lastReason.HomeUnavailable()) {
+	delay := q.retryAfter
+	switch {
+	case q.lastReason == peering.RateLimited:
+		delay = f.returnDelay(q)
+	case len(q.excluded) == 0 || q.lastReason.HomeUnavailable():
 		reason = problem.NoTarget
 	}
-	delay := q.retryAfter
 	if delay == 0 {
 		delay = defaultRetryAfter
 	}
--- a/internal/targetrate/pacer.go
+++ b/internal/targetrate/pacer.go
@@ -1,6 +1,7 @@
 package targetrate
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -16,8 +17,8 @@
 	// shallower leaves tokens unused when calls arrive at random.
 	baseDepth = 2.0
 	depthTime = 0.5
-	// reservedShare is the share of the bucket that is reserved for the most important calls.
-	reservedShare = 0.5
+	// reservedShare is the share of the bucket that the least important calls leave to others.
+	reservedShare = 0.7
 	// MinWait and MaxWait bound the waiting time that is reported to refused calls.
 	MinWait = 100 * time.Millisecond
 	MaxWait = 5 * time.Second
@@ -32,9 +33,9 @@
 	// tokens are the calls that may be sent at the time updatedAt.
 	tokens    float64
 	updatedAt time.Time
-	// backlog is the number of refused calls whose waiting time has not passed yet. Each
-	// gets another waiting time, so that they return at the rate of the limit.
-	backlog float64
+	// backlog is, by level, the number of refused calls whose waiting time has not passed yet.
+	// Each gets another waiting time, so that they return at the rate of the limit.
+	backlog [criticality.LevelCount]float64
 	// admitted and refused count calls.
 	admitted, refused uint64
 }
@@ -45,7 +46,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if !announcement.Limited {
-		p.rate, p.backlog = 0, 0
+		p.rate, p.backlog = 0, [criticality.LevelCount]float64{}
 		return
 	}
 	p.refill(now)
@@ -80,9 +81,9 @@
 		return Decision{Admitted: true, Limited: true}
 	}
 	p.refused++
-	wait := p.waitFor(needed)
+	wait := p.waitFor(rank.Level, needed)
 	if wait < MaxWait {
-		p.backlog++
+		p.backlog[rank.Level]++
 	}
 	return Decision{Limited: true, Wait: wait}
 }
@@ -108,10 +109,10 @@
 	}
 	p.refill(now)
 	needed := p.needed(rank)
-	if p.tokens >= needed && p.backlog == 0 {
+	if p.tokens >= needed && p.backlogOf(rank.Level) == 0 {
 		return 0
 	}
-	return p.waitFor(needed)
+	return p.waitFor(rank.Level, needed)
 }
 
 // Rate returns the rate at which calls are admitted, zero if there is no limit.
@@ -142,26 +143,41 @@
 
 func (p *Pacer) depth() float64 { return baseDepth + p.rate*depthTime }
 
-// needed returns the number of tokens at which a call of the rank is admitted.
+// needed returns the number of tokens at which a call of the rank is admitted. It rises fastest
+// between the most important levels.
 func (p *Pacer) needed(rank criticality.Rank) float64 {
-	share := float64(rank.Key()) / float64(criticality.RankCount)
+	share := math.Sqrt(float64(rank.Key()) / float64(criticality.RankCount))
 	return 1 + share*reservedShare*(p.depth()-1)
 }
 
 // refill adds the tokens since the last update and removes refused calls from the backlog
-// at the same rate.
+// at the same rate, the most important ones first.
 func (p *Pacer) refill(now time.Time) {
 	if elapsed := now.Sub(p.updatedAt).Seconds(); elapsed > 0 {
-		p.tokens = min(p.tokens+elapsed*p.rate, p.depth())
-		p.backlog = max(p.backlog-elapsed*p.rate, 0)
+		added := elapsed * p.rate
+		p.tokens = min(p.tokens+added, p.depth())
+		for level := range p.backlog {
+			returned := min(p.backlog[level], added)
+			p.backlog[level] -= returned
+			added -= returned
+		}
 	}
 	p.updatedAt = now
 }
 
-// waitFor returns the time until the bucket holds the tokens and earlier refused calls have
-// returned.
-func (p *Pacer) waitFor(needed float64) time.Duration {
-	missing := max(needed-p.tokens, 0) + p.backlog
+// backlogOf returns the number of refused calls that are at least as important as the level.
+func (p *Pacer) backlogOf(level criticality.Level) float64 {
+	total := 0.0
+	for _, refused := range p.backlog[:level+1] {
+		total += refused
+	}
+	return total
+}
+
+// waitFor returns the time until the bucket holds the tokens and the refused calls that are at
+// least as important as the level have returned.
+func (p *Pacer) waitFor(level criticality.Level, needed float64) time.Duration {
+	missing := max(needed-p.tokens, 0) + p.backlogOf(level)
 	seconds := min(missing/p.rate, MaxWait.Seconds())
 	return max(time.Duration(seconds*float64(time.Second)), MinWait)
 }
--- a/test/target_rate_limit_test.go
+++ b/test/target_rate_limit_test.go
@@ -158,3 +158,80 @@
 	answers := load.stop()
 	assert.Equal(t, count(answers, isServed), len(answers), "targets without a limit had room for all requests")
 }
+
+func TestPlatformRateLimitsOfAllTargetsAreUsed(t *testing.T) {
+	const (
+		rate     = 10.0
+		duration = 12 * time.Second
+		// minUsed is the least share of all limits that must be used.
+		minUsed = 0.8
+		// maxRefusalTime bounds the time until a request is refused.
+		maxRefusalTime = 100 * time.Millisecond
+	)
+	p := startPlatform(t, sixNodes...)
+	load := p.startPacedLoad(120, "/read/x", "/once/x")
+	time.Sleep(time.Second)
+	for i := range p.nodes {
+		p.target(i).AnnounceRateLimit("10")
+	}
+	from := time.Now().Add(limitStart)
+	time.Sleep(duration)
+	to := time.Now()
+	answers := load.stop()
+	for i := range p.nodes {
+		assertLimitKept(t, p.target(i), rate, from, to)
+	}
+	steady := func(a pacedAnswer) bool { return a.sentAt.After(from) && a.sentAt.Before(to) }
+	served := count(answers, func(a pacedAnswer) bool { return steady(a) && isServed(a) })
+	used := float64(served) / (rate * float64(len(p.nodes)) * to.Sub(from).Seconds())
+	servedShare := func(path string) float64 {
+		total := count(answers, func(a pacedAnswer) bool { return steady(a) && a.path == path })
+		return float64(count(answers, func(a pacedAnswer) bool { return steady(a) && a.path == path && isServed(a) })) / float64(total)
+	}
+	t.Logf("%.2f of the limits used, %.2f of the urgent and %.2f of the other requests served", used, servedShare("/once/x"), servedShare("/read/x"))
+	assert.Check(t, used >= minUsed, "%.2f", used)
+	assert.Check(t, servedShare("/once/x") > servedShare("/read/x"))
+	for _, a := range answers {
+		if steady(a) && !isServed(a) {
+			assert.Check(t, a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests, "%d", a.status)
+			assert.Check(t, a.retryAfter > 0, "no retry delay")
+			assert.Check(t, a.duration < maxRefusalTime, "refused after %s", a.duration)
+		}
+	}
+}
+
+func TestPlatformRateLimitOutlastsRestartOfItsHome(t *testing.T) {
+	const rate = 3.6
+	p := startPlatform(t, sixNodes...)
+	load := p.startPacedLoad(120, "/read/x", "/once/x")
+	p.target(0).AnnounceRateLimit("3.6")
+	from := time.Now().Add(limitStart)
+	time.Sleep(4 * time.Second)
+	for range 2 {
+		assert.NilError(t, p.nodes[0].process.Process.Kill())
+		<-p.nodes[0].exited
+		p.start(p.nodes[0])
+		p.awaitReady(p.nodes[0])
+		time.Sleep(4 * time.Second)
+	}
+	to := time.Now()
+	load.stop()
+	assertLimitKept(t, p.target(0), rate, from, to)
+}
+
+func TestPlatformMalformedRateLimitChangesNothing(t *testing.T) {
+	const rate = 5.0
+	p := startPlatform(t, "west", "west", "east")
+	load := p.startPacedLoad(90, "/read/x")
+	p.target(0).AnnounceRateLimit("5")
+	from := time.Now().Add(limitStart)
+	time.Sleep(time.Second)
+	for _, malformed := range [][]string{{""}, {"-1"}, {"NaN"}, {"Inf"}, {"1e400"}, {"many"}, {"8", "x"}, {"0x5"}} {
+		p.target(0).AnnounceRateLimit(malformed...)
+		time.Sleep(time.Second)
+	}
+	to := time.Now()
+	answers := load.stop()
+	assertLimitKept(t, p.target(0), rate, from, to)
+	assert.Equal(t, count(answers, isServed), len(answers))
+}
