Soak: targets announce rate limits and departures in their responses

Both rules are checked from what callers and targets saw: requests at a target in windows of 4 s, counted once their machine had passed on an announcement; and requests that reach a target that announced its departure. Announcements come from a random stream of their own, so that kept seeds keep their faults.

--- a/lab/platformstub/target.go
+++ b/lab/platformstub/target.go
@@ -36,6 +36,7 @@
 	mutex             sync.Mutex
 	faults            TargetFaults
 	rateLimits        []string
+	announcements     []RateAnnouncement
 	leaving           bool
 	requests          uint64
 	runs              []Run
@@ -114,8 +115,26 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.rateLimits = values
+	t.announcements = append(t.announcements, RateAnnouncement{Values: values, At: time.Now()})
 }
 
+// RateAnnouncement is the values of the header that announces the rate limit from a time on.
+type RateAnnouncement struct {
+	Values []string
+	At     time.Time
+}
+
+// RateAnnouncements returns all announcements in order.
+func (t *Target) RateAnnouncements() []RateAnnouncement {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return append([]RateAnnouncement(nil), t.announcements...)
+}
+
+// StartHeader is the header of responses that holds the target's start time, which
+// distinguishes the starts of a target under one ID.
+const StartHeader = "X-Target-Start"
+
 // AnnounceLeaving sets whether the target's responses announce that it is leaving. Its
 // heartbeats don't.
 func (t *Target) AnnounceLeaving(leaving bool) {
@@ -150,6 +169,7 @@
 	id := r.Header.Get("Lugspur-Attempt-Id")
 	w.Header().Set("Lugspur-Attempt-Id", id)
 	w.Header().Set("Lugspur-Instance-Id", t.ID)
+	w.Header().Set(StartHeader, strconv.FormatInt(t.StartedAt, 10))
 	if expected := r.Header.Get("Lugspur-Expect-Instance"); expected != t.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -239,6 +259,20 @@
 	t.runs = append([]Run(nil), runs...)
 }
 
+// SetArrivals replaces the arrivals, for tests of code that reads them.
+func (t *Target) SetArrivals(arrivals []Arrival) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.arrivals = append([]Arrival(nil), arrivals...)
+}
+
+// SetRateAnnouncements replaces the announcements, for tests of code that reads them.
+func (t *Target) SetRateAnnouncements(announcements []RateAnnouncement) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.announcements = append([]RateAnnouncement(nil), announcements...)
+}
+
 // Runs returns the number of executions of each request ID.
 func (t *Target) Runs() map[string]int {
 	runs := make(map[string]int)
--- a/lab/soak/callers.go
+++ b/lab/soak/callers.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/lugspur/lugspur/internal/pause"
+	"github.com/lugspur/lugspur/lab/platformstub"
 )
 
 const (
@@ -176,5 +177,10 @@
 	request.Status = response.StatusCode
 	request.Signature = response.Header.Get("Lugspur-Response-Signature")
 	request.Body = string(body)
+	if request.Signature != "" {
+		request.Target = response.Header.Get("Lugspur-Instance-Id") + "@" + response.Header.Get(platformstub.StartHeader)
+	}
+	request.RateLimited = len(response.Header["Server-Limit"]) > 0
+	request.Leaving = response.Header.Get("Server-Leaving") == "1"
 	return nil
 }
--- a/lab/soak/command.go
+++ b/lab/soak/command.go
@@ -49,6 +49,7 @@
 	flags.Uint64Var(&c.config.Seed, "seed", 0, "`seed` of faults and requests; 0 derives one from the clock")
 	flags.DurationVar(&c.config.Duration, "duration", time.Minute, "`time` during which faults are injected")
 	flags.IntVar(&c.config.Restores, "restores", 2, "`number` of restores of the store from a backup")
+	flags.IntVar(&c.config.Announcements, "announcements", 4, "`number` of times that a target announces a rate limit or that it is leaving")
 	flags.Float64Var(&c.config.Rate, "rate", 40, "requests per `second` of each machine's callers")
 }
 
--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -60,7 +60,7 @@
 	process                            *cluster.Process
 	// incarnation counts the targets started on the machine.
 	incarnation   int
-	currentTarget *platformstub.Target
+	currentTarget atomic.Pointer[platformstub.Target]
 	// onTargetCrash is called targetRestartDelay after a target crashed; stopping is
 	// set while the deployment stops.
 	onTargetCrash func()
@@ -199,7 +199,8 @@
 		cancel()
 		return oops.In("soak").With("step", "start target").With("peer", m.targetAddress).Wrap(err)
 	}
-	m.currentTarget, m.stopTarget = target, cancel
+	m.stopTarget = cancel
+	m.currentTarget.Store(target)
 	m.targets = append(m.targets, target)
 	return nil
 }
--- a/lab/soak/inject.go
+++ b/lab/soak/inject.go
@@ -64,7 +64,7 @@
 	i.machineLocks[machine].Lock()
 	defer i.machineLocks[machine].Unlock()
 	m := i.deployment.machines[machine]
-	if m.stopping.Load() || !m.currentTarget.Crashed() {
+	if m.stopping.Load() || !m.currentTarget.Load().Crashed() {
 		return
 	}
 	m.stopTarget()
@@ -107,6 +107,10 @@
 		i.killAll()
 	case Configure:
 		i.configure(ctx)
+	case TargetRateLimited:
+		i.announceRateLimit(ctx, fault)
+	case TargetLeaving:
+		i.announceLeaving(ctx, fault)
 	case CrashingRequest:
 		i.sendCrashingRequests(ctx, fault)
 	default:
@@ -128,7 +132,7 @@
 		return
 	}
 	defer i.storeLock.Unlock()
-	end := i.recorder.beginDisturbance(allMachines, false)
+	end := i.recorder.beginDisturbance(otherDisturbance, allMachines, false)
 	defer end()
 	i.deployment.storeStub.SetFaults(storeFaults[fault.Kind])
 	pause.For(ctx, fault.For)
@@ -178,7 +182,7 @@
 }
 
 func (i *injector) kill(machine int) {
-	end := i.recorder.beginDisturbance(machine, false)
+	end := i.recorder.beginDisturbance(processRestart, machine, false)
 	defer end()
 	i.deployment.machines[machine].process.Kill()
 	time.Sleep(restartDelay)
@@ -208,7 +212,7 @@
 }
 
 func (i *injector) freeze(ctx context.Context, fault Fault) {
-	end := i.recorder.beginDisturbance(fault.Machine, false)
+	end := i.recorder.beginDisturbance(processFreeze, fault.Machine, false)
 	defer end()
 	process := i.deployment.machines[fault.Machine].process
 	process.Freeze()
@@ -218,7 +222,7 @@
 
 // terminate stops a node gracefully and restarts it.
 func (i *injector) terminate(machine int) {
-	end := i.recorder.beginDisturbance(machine, true)
+	end := i.recorder.beginDisturbance(processRestart, machine, true)
 	defer end()
 	m := i.deployment.machines[machine]
 	if err := m.process.Stop(gracePeriod); err != nil {
@@ -232,20 +236,20 @@
 func (i *injector) drain(ctx context.Context, fault Fault) {
 	m := i.deployment.machines[fault.Machine]
 	for range maxAttempts {
-		if m.currentTarget.Drain(ctx) == nil {
-			i.recorder.addDrain(incarnationID(m.currentTarget))
+		if m.currentTarget.Load().Drain(ctx) == nil {
+			i.recorder.addDrain(incarnationID(m.currentTarget.Load()))
 			break
 		}
 		pause.For(ctx, attemptInterval)
 	}
 	if fault.Kind == DrainAndKill {
-		m.currentTarget.StopHeartbeats()
+		m.currentTarget.Load().StopHeartbeats()
 		i.kill(fault.Machine)
-		i.sendStaleHeartbeats(ctx, m.currentTarget)
+		i.sendStaleHeartbeats(ctx, m.currentTarget.Load())
 	}
 	pause.For(ctx, drainDuration+fault.For)
-	if m.currentTarget.Deregister(ctx) == nil {
-		i.recorder.addDrain(incarnationID(m.currentTarget))
+	if m.currentTarget.Load().Deregister(ctx) == nil {
+		i.recorder.addDrain(incarnationID(m.currentTarget.Load()))
 	}
 	m.stopTarget()
 	i.replaceTarget(m)
@@ -280,9 +284,9 @@
 func (i *injector) injectTargetFault(ctx context.Context, m *machine, fault Fault) {
 	faults := targetFaults[fault.Kind]
 	faults.CrashPrefix = crashPath(m.service)
-	m.currentTarget.SetFaults(faults)
+	m.currentTarget.Load().SetFaults(faults)
 	pause.For(ctx, fault.For)
-	m.currentTarget.SetFaults(platformstub.TargetFaults{CrashPrefix: crashPath(m.service)})
+	m.currentTarget.Load().SetFaults(platformstub.TargetFaults{CrashPrefix: crashPath(m.service)})
 }
 
 // linkFault is the effect of a fault kind on one proxy of a machine.
@@ -320,7 +324,7 @@
 		i.recorder.addFailure("unknown fault kind " + string(fault.Kind))
 		return
 	}
-	end := i.recorder.beginDisturbance(fault.Machine, false)
+	end := i.recorder.beginDisturbance(linkCut, fault.Machine, false)
 	defer end()
 	proxy := effect.proxy(i.deployment.machines[fault.Machine])
 	if err := proxy.SetFaults(effect.toUpstream, effect.toClient); err != nil {
--- a/lab/soak/judge.go
+++ b/lab/soak/judge.go
@@ -54,6 +54,7 @@
 	RevokedKeysRejected  Guarantee = "a key that was taken away stops to work"
 	ValidKeysAccepted    Guarantee = "a key that is held works"
 	WithinLimits         Guarantee = "no tenant passes its limit"
+	WithinTargetRate     Guarantee = "no target gets more than the rate that it announced"
 )
 
 // Breach is a violation of a guarantee.
@@ -100,6 +101,8 @@
 	j.judgeRuns(byID)
 	j.judgeTenants(byID)
 	j.judgeDrains()
+	j.judgeLeaving(byID)
+	j.judgeRateLimits(byID)
 	j.judgeRollbacks()
 	j.judgeCrashes(byID)
 	j.judgeRecovery(recovered)
--- a/lab/soak/record.go
+++ b/lab/soak/record.go
@@ -36,15 +36,35 @@
 	Status    int    `json:"status"`
 	Failure   string `json:"failure,omitempty"`
 	Signature string `json:"signature,omitempty"`
-	Body      string `json:"body,omitempty"`
+	// Target is the start of the target that answered, RateLimited whether the response
+	// announces a rate limit, and Leaving whether it announces that the target is leaving.
+	Target      string `json:"target,omitempty"`
+	RateLimited bool   `json:"rate_limited,omitempty"`
+	Leaving     bool   `json:"leaving,omitempty"`
+	Body        string `json:"body,omitempty"`
 }
 
 // nonIdempotent reports whether the request must run at most once.
 func (r *Request) nonIdempotent() bool { return r.Method == "POST" }
 
+// disturbanceKind tells what a disturbance does to the process of the machine.
+type disturbanceKind uint8
+
+const (
+	// otherDisturbance leaves the process running.
+	otherDisturbance disturbanceKind = iota
+	// processRestart ends the process and starts another one.
+	processRestart
+	// processFreeze stops the process for some time.
+	processFreeze
+	// linkCut cuts or harms the connections of the machine.
+	linkCut
+)
+
 // disturbance is a period with a fault or planned work on a machine, or on the
 // store for all machines.
 type disturbance struct {
+	kind     disturbanceKind
 	machine  int
 	planned  bool
 	from, to time.Time
@@ -85,11 +105,11 @@
 
 // beginDisturbance records the start of a disturbance, which lasts until the
 // returned function is called.
-func (r *recorder) beginDisturbance(machine int, planned bool) func() {
+func (r *recorder) beginDisturbance(kind disturbanceKind, machine int, planned bool) func() {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	index := len(r.disturbances)
-	r.disturbances = append(r.disturbances, disturbance{machine: machine, planned: planned, from: time.Now()})
+	r.disturbances = append(r.disturbances, disturbance{kind: kind, machine: machine, planned: planned, from: time.Now()})
 	return func() {
 		r.mutex.Lock()
 		defer r.mutex.Unlock()
--- a/lab/soak/restore.go
+++ b/lab/soak/restore.go
@@ -49,7 +49,7 @@
 func (i *injector) restore(ctx context.Context, fault Fault) {
 	i.storeLock.Lock()
 	defer i.storeLock.Unlock()
-	end := i.recorder.beginDisturbance(allMachines, false)
+	end := i.recorder.beginDisturbance(otherDisturbance, allMachines, false)
 	defer end()
 	i.deployment.storeStub.SetFaults(platformstub.Faults{Down: true})
 	pause.For(ctx, restoreDowntime)
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -31,6 +31,8 @@
 	Rate float64
 	// Restores is how often the store is restored from a backup.
 	Restores int
+	// Announcements is how often a target announces a rate limit or that it is leaving.
+	Announcements int
 }
 
 // Phases of a run.
@@ -67,6 +69,7 @@
 // Run runs a deployment through the faults of the seed and checks the guarantees.
 func Run(ctx context.Context, config Config) (*Result, error) {
 	schedule := addRestores(NewSchedule(config.Seed, config.Machines, config.Duration), config.Seed, config.Restores, config.Duration)
+	schedule = addAnnouncements(schedule, config.Seed, config.Announcements, config.Machines, config.Duration)
 	if err := writeJSON(filepath.Join(config.Directory, ScheduleFile), schedule); err != nil {
 		return nil, err
 	}
--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -41,6 +41,11 @@
 	ResponsesTruncated Kind = "answers-spoilt"
 	TargetRejects      Kind = "target-rejects"
 	TargetReplaced     Kind = "target-replaced"
+	// TargetRateLimited makes a target announce a rate limit in its responses, which it lowers
+	// and then lifts. TargetLeaving makes it announce that it is leaving while its
+	// heartbeats report it as ready.
+	TargetRateLimited Kind = "target-rate-limited"
+	TargetLeaving     Kind = "target-leaving"
 	// CrashingRequest repeats a request that crashes each target that runs it.
 	CrashingRequest Kind = "deadly-request"
 	// Drain drains a target; DrainAndKill also kills the node right after it has
@@ -68,6 +73,8 @@
 	For time.Duration `json:"for_ns"`
 	// Machine is the index of the affected machine.
 	Machine int `json:"machine"`
+	// Rate is the first rate limit that the target announces, in requests per second.
+	Rate float64 `json:"rate,omitempty"`
 }
 
 // Ranges of the pauses between faults and of their durations.
@@ -112,3 +119,30 @@
 	slices.SortStableFunc(schedule, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return schedule
 }
+
+// addAnnouncements adds announcements of targets to a schedule. Like the times of restores,
+// they are independent of the other faults.
+func addAnnouncements(schedule []Fault, seed uint64, announcements, machines int, duration time.Duration) []Fault {
+	const stream = 0x616e6e6f
+	random := rand.New(rand.NewPCG(seed, stream))
+	for range announcements {
+		fault := Fault{Kind: TargetRateLimited, At: time.Duration(random.Int64N(int64(duration))), Machine: random.IntN(machines),
+			For: minLimited + time.Duration(random.Int64N(int64(maxLength))), Rate: maxAnnouncedRate * random.Float64() * random.Float64()}
+		if random.IntN(leavingShare) == 0 {
+			fault.Kind = TargetLeaving
+		}
+		schedule = append(schedule, fault)
+	}
+	slices.SortStableFunc(schedule, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return schedule
+}
+
+const (
+	// minLimited is the least time for which a target announces a rate limit, so that
+	// whole windows lie in it.
+	minLimited = rateStart + 2*rateWindow
+	// maxAnnouncedRate is the highest announced rate limit, in requests per second.
+	maxAnnouncedRate = 40.0
+	// One of leavingShare announcements is that the target is leaving.
+	leavingShare = 3
+)
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -42,6 +42,14 @@
 	runSoak(t, soak.Config{Machines: 6, Seed: 1208, Duration: 15 * time.Second, Rate: 40, Restores: 3})
 }
 
+// TestSoakWithAnnouncements lets targets announce rate limits and departures in their responses
+// while faults occur.
+func TestSoakWithAnnouncements(t *testing.T) {
+	for _, seed := range []uint64{6, 2001} {
+		runSoak(t, soak.Config{Machines: 6, Seed: seed, Duration: 12 * time.Second, Rate: 40, Announcements: 6})
+	}
+}
+
 // runSoak runs a soak test, which must report no breach.
 func runSoak(t *testing.T, config soak.Config) {
 	t.Helper()
