A rate limit outlasts its home and is known to nodes that have had no response

Cause: a node learned of a limit only from a reply of that home, so a request went from one limited home to the next until its offers were used up; and a restarted home knew the limit only from calls of nodes that still had it.

Nodes prefer other homes once a request was refused for a limit, and a later process on the machine enforces the limit from its start. Offers that were refused for limits don't count against the others. The bucket begins empty and is a little shallower at low limits.

--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -75,7 +75,7 @@
 		}
 		state := f.homes.state(home.Address)
 		candidates = append(candidates, candidate{home: home, state: state, stats: state.stats(home, q.route, median, now),
-			rateLimited: announced.Rate.Limited, paused: announced.pausedFor(q.rank.Level, now)})
+			rateLimited: announced.Rate.Limited || home.RateLimit != nil, paused: announced.pausedFor(q.rank.Level, now)})
 	}
 	return candidates
 }
@@ -132,9 +132,13 @@
 	return best
 }
 
-// maxRateRefusals limits the offers of one request that may be refused because of the rate limits
-// of targets.
-const maxRateRefusals = 2
+const (
+	// maxLimitedRefusals is the number of refusals because of rate limits after which a request
+	// is offered only to homes whose targets are not known to have one.
+	maxLimitedRefusals = 2
+	// maxRateRefusals limits the refusals of one request because of rate limits.
+	maxRateRefusals = 10
+)
 
 // withRoom returns the candidates that are expected to have room under the rate limits of their
 // targets, and the time until the first of the others is. Once a limit has led to a refusal,
@@ -148,7 +152,7 @@
 		case c.paused > 0:
 			paused = shorter(paused, c.paused)
 			continue
-		case c.rateLimited && q.rateRefusals >= maxRateRefusals:
+		case c.rateLimited && q.rateRefusals >= maxLimitedRefusals:
 			continue
 		}
 		unlimited = unlimited || !c.rateLimited && c.state.usable(c.home, now)
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -40,7 +40,7 @@
 
 // tryHomes offers the request to one home after another.
 func (f *Forwarder) tryHomes(ctx context.Context, q *request) (*peering.Reply, *problem.Problem) {
-	for q.offers < maxOffers {
+	for q.offers-q.rateRefusals < maxOffers && q.rateRefusals < maxRateRefusals {
 		next := f.nextChoice(q)
 		home := next.home
 		if home == nil {
@@ -107,7 +107,7 @@
 	if reply.Reason == peering.RateLimited {
 		q.rateRefusals++
 	}
-	return q.offers <= f.maxRetries(q) && !(q.isSuspect() && reply.Reason == peering.QueueTimeout)
+	return q.offers-q.rateRefusals <= f.maxRetries(q) && !(q.isSuspect() && reply.Reason == peering.QueueTimeout)
 }
 
 // nextChoice returns the home that the request is offered to next. If no other is left,
--- a/internal/guard/announcements.go
+++ b/internal/guard/announcements.go
@@ -110,8 +110,12 @@
 func (g *Guard) applyRate(inc *incarnation, previous targetrate.Announcement, now time.Time, event eventlog.Event) {
 	inc.announcements.updatePacer(now)
 	event.Kind, event.Service, event.Target = eventlog.TargetRateChanged, inc.target.Service, inc.name
-	event.Outcome, event.Reason = inc.announcements.rate.Current().String(), previous.String()
+	current := inc.announcements.rate.Current()
+	event.Outcome, event.Reason = current.String(), previous.String()
 	g.log.Record(event)
+	if g.config.OnRateLimit != nil {
+		g.config.OnRateLimit(inc.target.Incarnation(), current)
+	}
 }
 
 func (g *Guard) logMalformed(inc *incarnation, inForce targetrate.Announcement, err error) {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -24,6 +24,7 @@
 	"github.com/lugspur/lugspur/internal/registry"
 	"github.com/lugspur/lugspur/internal/scheduler"
 	"github.com/lugspur/lugspur/internal/shed"
+	"github.com/lugspur/lugspur/internal/targetrate"
 	"github.com/lugspur/lugspur/internal/transport"
 )
 
@@ -50,6 +51,9 @@
 	Downstream func(route string) pressure.Level
 	// Quarantine tracks requests that crash targets.
 	Quarantine Quarantine
+	// OnRateLimit is called with each change of the rate limit that an incarnation announces; it
+	// may be nil.
+	OnRateLimit func(registry.Incarnation, targetrate.Announcement)
 	// OnLeaving is called once with each incarnation that announces in a response that it is
 	// leaving; it may be nil.
 	OnLeaving func(registry.Incarnation)
@@ -149,6 +153,9 @@
 	if next.announcements.isLeaving() {
 		next.drain()
 	}
+	if target.RateLimit.Limited && next.announcements.rate.Adopt(target.RateLimit, g.now()) {
+		next.announcements.updatePacer(g.now())
+	}
 	g.current.Store(next)
 }
 
--- a/internal/registry/record.go
+++ b/internal/registry/record.go
@@ -18,6 +18,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/lugspur/lugspur/internal/store"
+	"github.com/lugspur/lugspur/internal/targetrate"
 )
 
 // Heartbeat is the state that a target reports about itself.
@@ -89,6 +90,8 @@
 	State       State
 	Sequence    uint64
 	WarmUntil   time.Time
+	// RateLimit is the rate limit that the target announced in its responses.
+	RateLimit targetrate.Announcement
 }
 
 // Incarnation returns the target's incarnation.
@@ -109,6 +112,17 @@
 	// Epoch is the store's epoch when the record was written. If the store is in a later epoch,
 	// the record was restored from a backup, and its node may have written newer ones since.
 	Epoch store.Epoch `cbor:"8,keyasint,omitempty"`
+	// RateLimit is the rate limit that the target announced, in calls per second; nil if it
+	// announced none. It may be some seconds old.
+	RateLimit *float64 `cbor:"9,keyasint,omitempty"`
+}
+
+// Announcement returns the rate limit that the target announced.
+func (r *Record) Announcement() targetrate.Announcement {
+	if r.RateLimit == nil {
+		return targetrate.Announcement{}
+	}
+	return targetrate.Announcement{Limited: true, Rate: *r.RateLimit}
 }
 
 // restored reports whether a record read at the revision was restored from a backup.
--- a/internal/registry/registrar.go
+++ b/internal/registry/registrar.go
@@ -68,6 +68,7 @@
 	replaced  map[Incarnation]bool
 	returning returningTarget
 	recovered bool
+	rate      ratePublication
 	// recoveryDone is closed when recovered is set.
 	recoveryDone chan struct{}
 }
@@ -172,6 +173,9 @@
 		close(r.recoveryDone)
 	}
 	r.adoptTarget(last)
+	if last != nil && last.Instance == r.target.Incarnation().String() && !r.target.RateLimit.Limited {
+		r.target.RateLimit = last.Announcement()
+	}
 	if r.departed[r.target.Incarnation()] && r.target.State == Ready {
 		r.target.State = Draining
 	}
@@ -332,16 +336,27 @@
 	if r.config.OnTargetChange != nil {
 		r.config.OnTargetChange(target)
 	}
-	if target.State != Absent {
+	r.publishRecord()
+}
+
+// publishRecord publishes the target's state. The caller holds the mutex.
+func (r *Registrar) publishRecord() {
+	target := r.visibleTarget()
+	if target.State == Absent {
+		return
+	}
+	record := Record{
+		Instance: target.Incarnation().String(),
+		Service:  target.Service,
+		Zone:     r.config.Zone,
+		Address:  r.config.Address,
+		Slots:    target.Slots,
 		// Peers treat the states Draining and Gone alike.
-		r.publisher.publish(Record{
-			Instance: target.Incarnation().String(),
-			Service:  target.Service,
-			Zone:     r.config.Zone,
-			Address:  r.config.Address,
-			Slots:    target.Slots,
-			State:    min(target.State, Draining),
-			Process:  r.config.Process,
-		})
+		State:   min(target.State, Draining),
+		Process: r.config.Process,
+	}
+	if target.RateLimit.Limited {
+		record.RateLimit = &target.RateLimit.Rate
 	}
+	r.publisher.publish(record)
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -27,6 +27,7 @@
 	"github.com/lugspur/lugspur/internal/routetable"
 	"github.com/lugspur/lugspur/internal/store/epoch"
 	"github.com/lugspur/lugspur/internal/store/reachability"
+	"github.com/lugspur/lugspur/internal/targetrate"
 	"github.com/lugspur/lugspur/internal/version"
 	"github.com/lugspur/lugspur/platform"
 )
@@ -122,6 +123,7 @@
 		MaxConnections: n.maxConnections,
 		Downstream:     n.pressure.Downstream,
 		Quarantine:     n.quarantine,
+		OnRateLimit:    func(i registry.Incarnation, a targetrate.Announcement) { n.registrar.SetRateLimit(i, a) },
 		OnLeaving:      n.handleTargetLeaving,
 		Observer:       n.metrics,
 	}, n.log, clock.Now)
--- a/internal/targetrate/pacer.go
+++ b/internal/targetrate/pacer.go
@@ -15,7 +15,7 @@
 	// baseDepth is the depth in calls of the token bucket of a low limit, and depthTime the
 	// time in seconds in which the rest of a deeper bucket is refilled. A bucket that is
 	// shallower leaves tokens unused when calls arrive at random.
-	baseDepth = 2.0
+	baseDepth = 1.5
 	depthTime = 0.5
 	// reservedShare is the share of the bucket that the least important calls leave to others.
 	reservedShare = 0.7
@@ -40,8 +40,8 @@
 	admitted, refused uint64
 }
 
-// Set applies an announcement. A limit begins with a single token, because calls were sent
-// without a limit before.
+// Set applies an announcement. A limit begins with an empty bucket, because calls were sent
+// before, without a limit or by an earlier process.
 func (p *Pacer) Set(announcement Announcement, now time.Time) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -51,7 +51,7 @@
 	}
 	p.refill(now)
 	if p.rate == 0 {
-		p.tokens = 1
+		p.tokens = 0
 	}
 	p.rate = max(announcement.Rate, MinRate)
 	p.tokens = min(p.tokens, p.depth())
--- a/internal/targetrate/pacer_test.go
+++ b/internal/targetrate/pacer_test.go
@@ -68,8 +68,8 @@
 func TestCallsOfBegunRequestsGoFirst(t *testing.T) {
 	var p Pacer
 	p.Set(limitOf(1), at(0))
-	assert.Assert(t, !p.Take(Call{Rank: sheddable}, at(0)).Admitted)
-	assert.Assert(t, p.Take(Call{Rank: sheddable, Continues: true}, at(0)).Admitted)
+	assert.Assert(t, !p.Take(Call{Rank: sheddable}, at(1)).Admitted)
+	assert.Assert(t, p.Take(Call{Rank: sheddable, Continues: true}, at(1)).Admitted)
 }
 
 func TestPacerWithoutLimitAdmitsAll(t *testing.T) {
@@ -84,7 +84,6 @@
 func TestWaitingTimesOfRefusedCallsAreSpread(t *testing.T) {
 	var p Pacer
 	p.Set(limitOf(10), at(0))
-	assert.Assert(t, p.Take(Call{Rank: urgent}, at(0)).Admitted)
 	for i := range 10 {
 		decision := p.Take(Call{Rank: urgent}, at(0))
 		assert.Assert(t, !decision.Admitted)
@@ -95,8 +94,8 @@
 func TestReturnedTokenIsTakenAgain(t *testing.T) {
 	var p Pacer
 	p.Set(limitOf(1), at(0))
-	decision := p.Take(Call{Rank: urgent}, at(0))
+	decision := p.Take(Call{Rank: urgent}, at(1))
 	p.Return(decision)
-	assert.Assert(t, p.Take(Call{Rank: urgent}, at(0)).Admitted)
-	assert.Assert(t, !p.Take(Call{Rank: urgent}, at(0)).Admitted)
+	assert.Assert(t, p.Take(Call{Rank: urgent}, at(1)).Admitted)
+	assert.Assert(t, !p.Take(Call{Rank: urgent}, at(1)).Admitted)
 }
--- a/lab/platformstub/target.go
+++ b/lab/platformstub/target.go
@@ -157,6 +157,8 @@
 type RateAnnouncement struct {
 	Values []string
 	At     time.Time
+	// FirstSent is when the first response with the values was sent, zero if none was.
+	FirstSent time.Time
 }
 
 // RateAnnouncements returns all announcements in order.
@@ -182,6 +184,9 @@
 func (t *Target) setAnnouncements(header http.Header) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	if last := len(t.announcements) - 1; last >= 0 && t.announcements[last].FirstSent.IsZero() {
+		t.announcements[last].FirstSent = time.Now()
+	}
 	for _, value := range t.rateLimits {
 		header.Add("Server-Limit", value)
 	}
--- a/lab/soak/judge_announcements.go
+++ b/lab/soak/judge_announcements.go
@@ -104,7 +104,8 @@
 	return counted
 }
 
-// limitedPeriod is a time in which a target announces one rate limit.
+// limitedPeriod is a time in which a target announces one rate limit. It begins with the first
+// response that announces it.
 type limitedPeriod struct {
 	rate     float64
 	from, to time.Time
@@ -117,14 +118,14 @@
 func limitedPeriods(announcements []platformstub.RateAnnouncement) []limitedPeriod {
 	var periods []limitedPeriod
 	for i, announcement := range announcements {
-		if len(announcement.Values) == 0 || i+1 == len(announcements) {
+		if len(announcement.Values) == 0 || announcement.FirstSent.IsZero() || i+1 == len(announcements) {
 			continue
 		}
 		rate, err := strconv.ParseFloat(announcement.Values[0], 64)
 		if err != nil {
 			continue
 		}
-		periods = append(periods, limitedPeriod{rate: rate, from: announcement.At, to: announcements[i+1].At, first: i == 0 || len(announcements[i-1].Values) == 0})
+		periods = append(periods, limitedPeriod{rate: rate, from: announcement.FirstSent, to: announcements[i+1].At, first: i == 0 || len(announcements[i-1].Values) == 0})
 	}
 	return periods
 }
--- a/lab/soak/judge_announcements_test.go
+++ b/lab/soak/judge_announcements_test.go
@@ -53,7 +53,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			j := announcementRun(func(r *Request) { r.RateLimited = true })
-			j.target.SetRateAnnouncements([]platformstub.RateAnnouncement{{Values: []string{fmt.Sprint(rate)}, At: at(0)}, {At: at(20)}})
+			j.target.SetRateAnnouncements([]platformstub.RateAnnouncement{{Values: []string{fmt.Sprint(rate)}, At: at(0), FirstSent: at(0)}, {At: at(20)}})
 			j.addArrivals(c.count, 10, 0.1)
 			c.prepare(j)
 			assert.Equal(t, slices.Contains(j.violatedGuarantees(), WithinTargetRate), c.detected)
