The rate limit of a target's successor is written to the record

What was seen: a target that announces the limit that its predecessor at the address had announced never got it into its home's record, so that a later process on the machine didn't know it.

Cause: the last published limit was kept across incarnations, though a new one's record holds none. It is now set by each write of the record.

TestRateLimitIsPublishedForEachIncarnation timed out before ("limit none"). Two more tests: a restarted node knows the limit, and a departure that was announced in a response outlasts a restart.

--- a/internal/registry/registrar.go
+++ b/internal/registry/registrar.go
@@ -358,5 +358,6 @@
 	if target.RateLimit.Limited {
 		record.RateLimit = &target.RateLimit.Rate
 	}
+	r.rate.published = target.RateLimit
 	r.publisher.publish(record)
 }
--- a/internal/registry/registrar_rate.go
+++ b/internal/registry/registrar_rate.go
@@ -16,6 +16,7 @@
 
 // ratePublication limits how often the record is written because of rate limits.
 type ratePublication struct {
+	// published is the rate limit in the latest record.
 	published   targetrate.Announcement
 	publishedAt time.Time
 	// pending is set while a write is scheduled.
@@ -56,7 +57,7 @@
 		time.AfterFunc(wait, r.publishPendingRate)
 		return
 	}
-	r.rate.published, r.rate.publishedAt = r.target.RateLimit, now
+	r.rate.publishedAt = now
 	r.publishRecord()
 }
 
--- a/internal/registry/registrar_rate_test.go
+++ b/internal/registry/registrar_rate_test.go
@@ -1,10 +1,15 @@
 package registry
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
+	"github.com/lugspur/lugspur/internal/store"
+	"github.com/lugspur/lugspur/internal/store/memory"
 	"github.com/lugspur/lugspur/internal/targetrate"
 )
 
@@ -31,3 +36,63 @@
 		})
 	}
 }
+
+// awaitPublishedRate waits until the record of the node holds the announcement.
+func awaitPublishedRate(t *testing.T, kv store.Store, want targetrate.Announcement) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		snapshot, err := kv.List(context.Background(), homesPrefix)
+		if err != nil || len(snapshot.Entries) != 1 {
+			return poll.Continue("%d entries, %v", len(snapshot.Entries), err)
+		}
+		record, err := decodeRecord(snapshot.Entries[0])
+		if err != nil || record.Announcement() != want {
+			return poll.Continue("limit %s, %v", record.Announcement(), err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+func TestRateLimitIsPublishedForEachIncarnation(t *testing.T) {
+	kv := memory.New(time.Now)
+	r := startRegistrar(t, kv)
+	limit := targetrate.Announcement{Limited: true, Rate: 6.8}
+	for _, id := range []string{"i-1", "i-2"} {
+		assert.NilError(t, r.Heartbeat(context.Background(), readyHeartbeat(id, 1)))
+		awaitPublishedRate(t, kv, targetrate.Announcement{})
+		r.SetRateLimit(Incarnation{ID: id}, limit)
+		awaitPublishedRate(t, kv, limit)
+	}
+}
+
+func TestRestartedNodeKnowsRateLimitOfTarget(t *testing.T) {
+	kv := memory.New(time.Now)
+	limit := targetrate.Announcement{Limited: true, Rate: 6.8}
+	first := startRegistrar(t, kv)
+	assert.NilError(t, first.Heartbeat(context.Background(), readyHeartbeat("i-1", 1)))
+	first.SetRateLimit(Incarnation{ID: "i-1"}, limit)
+	awaitPublishedRate(t, kv, limit)
+	second := startRegistrar(t, kv)
+	awaitState(t, second, Ready)
+	assert.Equal(t, second.Target().RateLimit, limit)
+}
+
+func TestAnnouncedDepartureOutlastsNodeRestart(t *testing.T) {
+	kv := memory.New(time.Now)
+	first := startRegistrar(t, kv)
+	assert.NilError(t, first.Heartbeat(context.Background(), readyHeartbeat("i-1", 1)))
+	awaitPublished(t, kv, "i-1")
+	first.TargetLeaving(context.Background(), Incarnation{ID: "i-1"})
+	assert.NilError(t, first.Heartbeat(context.Background(), readyHeartbeat("i-1", 2)))
+	assert.Equal(t, first.Target().State, Draining)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		snapshot, err := kv.List(context.Background(), departuresPrefix)
+		if err != nil || len(snapshot.Entries) == 0 {
+			return poll.Continue("no departure: %v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+	second := startRegistrar(t, kv)
+	assert.NilError(t, second.Heartbeat(context.Background(), readyHeartbeat("i-1", 3)))
+	awaitState(t, second, Draining)
+}
