The store's stand-in closes its listener even if it does not serve yet

Cause: http.Server.Close closes only listeners that Serve has registered, and Serve is called in a goroutine. A listener whose goroutine has not run yet stays open, and a dial gets in and is reset.

The stand-in now closes the listener itself.

--- a/lab/kvstore/process.go
+++ b/lab/kvstore/process.go
@@ -20,11 +20,10 @@
 	address     string
 	reservation *reservation
 
-	mu              sync.Mutex
-	api             *http.Server
-	control         *http.Server
-	controlListener net.Listener
-	serving         sync.WaitGroup
+	mu      sync.Mutex
+	api     *httpServer
+	control *httpServer
+	serving sync.WaitGroup
 }
 
 // Start starts the API and control listeners on the given addresses, whose ports
@@ -40,7 +39,7 @@
 		reservation.release()
 		return nil, oops.In("kvstore").With("step", "listen").With("peer", control).Wrapf(err, "listen on %s", control)
 	}
-	p := &Process{server: New(config), address: apiListener.Addr().String(), reservation: reservation, controlListener: controlListener}
+	p := &Process{server: New(config), address: apiListener.Addr().String(), reservation: reservation}
 	p.control = p.serve(controlListener, controlHandler(p.server, p.Control))
 	p.api = p.serve(apiListener, p.server.Handler())
 	return p, nil
@@ -53,7 +52,7 @@
 
 // ControlAddress returns the address of the control listener.
 func (p *Process) ControlAddress() string {
-	return p.controlListener.Addr().String()
+	return p.control.listener.Addr().String()
 }
 
 // Status returns the current faults and the counters.
@@ -89,16 +88,35 @@
 	return nil
 }
 
-func (p *Process) serve(listener net.Listener, handler http.Handler) *http.Server {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
-	p.serving.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			_ = listener.Close()
-		}
-	})
+func (p *Process) serve(listener net.Listener, handler http.Handler) *httpServer {
+	server := newHTTPServer(listener, handler)
+	p.serving.Go(server.serve)
 	return server
 }
 
+// httpServer serves HTTP on one listener.
+type httpServer struct {
+	http     *http.Server
+	listener net.Listener
+}
+
+func newHTTPServer(listener net.Listener, handler http.Handler) *httpServer {
+	return &httpServer{http: &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}, listener: listener}
+}
+
+// serve accepts connections until the server is closed.
+func (s *httpServer) serve() {
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		_ = s.listener.Close()
+	}
+}
+
+// Close closes the listener and all connections. http.Server.Close alone leaves a listener open
+// that Serve has not been called with yet.
+func (s *httpServer) Close() error {
+	return errors.Join(s.listener.Close(), s.http.Close())
+}
+
 // Close closes the listeners and all connections.
 func (p *Process) Close() {
 	p.server.Close()
