--- a/internal/guard/announcements.go
+++ b/internal/guard/announcements.go
@@ -21,7 +21,8 @@
 	pacer targetrate.Pacer
 	// shedding determines the ranks to be refused upstream because of the rate limit.
 	shedding *shed.Controller
-	// refused is the number of calls refused by the pacer at the last tick of shedding.
+	// refused is the number of calls refused by the pacer at the last tick of shedding, which
+	// alone uses it.
 	refused uint64
 
 	mutex sync.Mutex
@@ -73,8 +74,10 @@
 	event := eventlog.Event{Request: call.RequestID, Status: status, Age: now.Sub(sentAt)}
 	announced, err := targetrate.Parse(header[g.config.Headers.RateLimit])
 	observation := targetrate.Observation{Announcement: announced, SentAt: sentAt, ReceivedAt: now}
-	if status == http.StatusMisdirectedRequest || !g.matches(call, header) {
-		// It may be older than the call, or come from another target.
+	// Another target answers with 421 to calls that expect this one.
+	fromOtherTarget := status == http.StatusMisdirectedRequest
+	if fromOtherTarget || !g.matches(call, header) {
+		// A response to another call may be older than this call.
 		observation.SentAt, observation.ReceivedAt = time.Time{}, sentAt
 	}
 	previous := inc.announcements.rate.Current()
@@ -84,7 +87,7 @@
 	case inc.announcements.rate.Observe(observation):
 		g.applyRate(inc, previous, now, event)
 	}
-	if slices.Contains(header[g.config.Headers.Leaving], targetrate.LeavingValue) {
+	if !fromOtherTarget && slices.Contains(header[g.config.Headers.Leaving], targetrate.LeavingValue) {
 		g.markLeaving(inc, event)
 	}
 }
--- a/internal/guard/announcements_test.go
+++ b/internal/guard/announcements_test.go
@@ -95,6 +95,13 @@
 	assert.Assert(t, !g.RateLimit().Limited)
 }
 
+func TestDepartureOfAnotherTargetIsIgnored(t *testing.T) {
+	g := respondWith(t, "HTTP/1.1 421 Other\r\nX-Id: %s\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n", okResponse)
+	assert.Equal(t, g.Run(context.Background(), newCall("a")).Reason, peering.Misdirected)
+	g.SetTarget(newTarget(registry.Ready, 2))
+	assert.Equal(t, g.Run(context.Background(), newCall("b")).Outcome, peering.Answered)
+}
+
 func TestAnnouncedDepartureIsFinal(t *testing.T) {
 	left := make(chan registry.Incarnation, 1)
 	g := respondWith(t, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Leaving: 1\r\nX-Signature: sig\r\nContent-Length: 2\r\n\r\nok", okResponse)
--- a/internal/targetrate/doc.go
+++ b/internal/targetrate/doc.go
@@ -4,6 +4,6 @@
 // nodes together; a response without the announcement lifts the limit. Because all calls
 // to a target pass through its home, the home alone counts them: a Tracker decides which
 // of the announcements is in force, and a Pacer admits calls at that rate. Peers learn the
-// limit from the home's replies and send it back with their calls, so that a restarted
-// home enforces it before the first response.
+// limit from the home's replies and from its record in the store. They send it back with
+// their calls, so that a restarted home enforces it before the first response.
 package targetrate
--- a/lab/platformstub/target.go
+++ b/lab/platformstub/target.go
@@ -48,38 +48,6 @@
 	stop              context.CancelFunc
 }
 
-// NestedCalls are calls that a target makes, one after the other, while it runs a request.
-type NestedCalls struct {
-	// Count is the number of calls.
-	Count int
-	// Node is the address at which the target's node accepts calls. Host and Path are those
-	// of the calls.
-	Node, Host, Path string
-}
-
-// run makes the calls of the request and reports whether all succeeded.
-func (n *NestedCalls) run(parent *http.Request, id string) bool {
-	for number := range n.Count {
-		request, err := http.NewRequestWithContext(parent.Context(), http.MethodGet, "http://"+n.Node+n.Path, nil)
-		if err != nil {
-			return false
-		}
-		request.Host = n.Host
-		request.Header.Set("Lugspur-Attempt-Id", fmt.Sprintf("%s.%02x", id, number))
-		request.Header.Set("Lugspur-Deadline-Ms", parent.Header.Get("Lugspur-Deadline-Ms"))
-		response, err := http.DefaultClient.Do(request)
-		if err != nil {
-			return false
-		}
-		_, err = io.Copy(io.Discard, response.Body)
-		_ = response.Body.Close()
-		if err != nil || response.StatusCode != http.StatusOK {
-			return false
-		}
-	}
-	return true
-}
-
 // Run is a request that a target began to execute.
 type Run struct {
 	// ID, Path and Caller are as the target received them.
@@ -93,12 +61,6 @@
 	At        time.Time
 }
 
-// Arrival is a request that a target received, whether it executed or rejected it.
-type Arrival struct {
-	ID string
-	At time.Time
-}
-
 // TargetFaults are the faults of a target.
 type TargetFaults struct {
 	// Delay is added to the service time of each request.
@@ -144,57 +106,6 @@
 	t.faults = faults
 }
 
-// AnnounceRateLimit sets the values of the header that announces the target's rate limit in
-// all its responses; none announces no limit.
-func (t *Target) AnnounceRateLimit(values ...string) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.rateLimits = values
-	t.announcements = append(t.announcements, RateAnnouncement{Values: values, At: time.Now()})
-}
-
-// RateAnnouncement is the values of the header that announces the rate limit from a time on.
-type RateAnnouncement struct {
-	Values []string
-	At     time.Time
-	// FirstSent is when the first response with the values was sent, zero if none was.
-	FirstSent time.Time
-}
-
-// RateAnnouncements returns all announcements in order.
-func (t *Target) RateAnnouncements() []RateAnnouncement {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	return append([]RateAnnouncement(nil), t.announcements...)
-}
-
-// StartHeader is the header of responses that holds the target's start time, which
-// distinguishes the starts of a target under one ID.
-const StartHeader = "X-Target-Start"
-
-// AnnounceLeaving sets whether the target's responses announce that it is leaving. Its
-// heartbeats don't.
-func (t *Target) AnnounceLeaving(leaving bool) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.leaving = leaving
-}
-
-// setAnnouncements sets the headers of a response that announce the target's state.
-func (t *Target) setAnnouncements(header http.Header) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if last := len(t.announcements) - 1; last >= 0 && t.announcements[last].FirstSent.IsZero() {
-		t.announcements[last].FirstSent = time.Now()
-	}
-	for _, value := range t.rateLimits {
-		header.Add("Server-Limit", value)
-	}
-	if t.leaving {
-		header.Set("Server-Leaving", "1")
-	}
-}
-
 // countRequest counts a request and returns the current faults and the count.
 func (t *Target) countRequest() (TargetFaults, uint64) {
 	t.mutex.Lock()
@@ -276,19 +187,6 @@
 	t.runs = append(t.runs, run)
 }
 
-func (t *Target) recordArrival(id string) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.arrivals = append(t.arrivals, Arrival{ID: id, At: time.Now()})
-}
-
-// Arrivals returns the received requests in the order of their arrival.
-func (t *Target) Arrivals() []Arrival {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	return append([]Arrival(nil), t.arrivals...)
-}
-
 // Log returns the executed requests in the order of their start.
 func (t *Target) Log() []Run {
 	t.mutex.Lock()
@@ -303,20 +201,6 @@
 	t.runs = append([]Run(nil), runs...)
 }
 
-// SetArrivals replaces the arrivals, for tests of code that reads them.
-func (t *Target) SetArrivals(arrivals []Arrival) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.arrivals = append([]Arrival(nil), arrivals...)
-}
-
-// SetRateAnnouncements replaces the announcements, for tests of code that reads them.
-func (t *Target) SetRateAnnouncements(announcements []RateAnnouncement) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.announcements = append([]RateAnnouncement(nil), announcements...)
-}
-
 // Runs returns the number of executions of each request ID.
 func (t *Target) Runs() map[string]int {
 	runs := make(map[string]int)
