Choosing a home costs no copy of the candidates while no target has a rate limit

Cause: the candidates with room under rate limits were copied for each choice, also without any limit.

--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -146,7 +146,11 @@
 // there is no other: homes must see all nested calls, because the thresholds that they
 // report for the calling routes depend on it.
 func (q *request) withRoom(candidates []candidate, now time.Time) (withRoom []candidate, paused time.Duration) {
+	if !slices.ContainsFunc(candidates, isRateLimited) {
+		return candidates, 0
+	}
 	unlimited := false
+	withRoom = make([]candidate, 0, len(candidates))
 	for _, c := range candidates {
 		switch {
 		case c.paused > 0:
@@ -162,11 +166,15 @@
 	case len(withRoom) == 0 && q.nested && q.rateRefusals == 0:
 		return candidates, 0
 	case unlimited && q.rateRefusals > 0:
-		withRoom = slices.DeleteFunc(withRoom, func(c candidate) bool { return c.rateLimited })
+		withRoom = slices.DeleteFunc(withRoom, isRateLimited)
 	}
 	return withRoom, paused
 }
 
+// isRateLimited reports whether the candidate's target announced a rate limit. Only such
+// candidates are paused.
+func isRateLimited(c candidate) bool { return c.rateLimited }
+
 // shorter returns the shorter of two durations, where zero stands for none.
 func shorter(a, b time.Duration) time.Duration {
 	if a == 0 {
