--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -28,12 +28,13 @@
 	Store string `toml:"store"`
 	// FirstStart is set on the first start of the whole system, when no earlier process
 	// can have acknowledged anything.
-	FirstStart bool           `toml:"first-start"`
-	Listen     Listen         `toml:"listen"`
-	Stop       StopSettings   `toml:"stop"`
-	Retries    RetrySettings  `toml:"retries"`
-	Queue      QueueSettings  `toml:"queue"`
-	Tenants    TenantSettings `toml:"tenants"`
+	FirstStart bool             `toml:"first-start"`
+	Listen     Listen           `toml:"listen"`
+	Stop       StopSettings     `toml:"stop"`
+	Retries    RetrySettings    `toml:"retries"`
+	Queue      QueueSettings    `toml:"queue"`
+	Tenants    TenantSettings   `toml:"tenants"`
+	Shortage   ShortageSettings `toml:"shortage"`
 	// Policies decide about requests, one for each kind of route.
 	Policies routepolicy.Sources `toml:"policies"`
 }
@@ -113,6 +114,17 @@
 	return ratelimit.Bounds{Window: window, Overshoot: s.Overshoot, Slack: s.Slack}
 }
 
+// ShortageSettings describe the shortage of capacity that the deployment must expect.
+type ShortageSettings struct {
+	// ZoneLosses is the number of zones whose loss the deployment must tolerate. If it is not
+	// zero, the deployment must expect to run with too little capacity, and the decisions for
+	// that case are enabled.
+	ZoneLosses int `toml:"zone-losses"`
+}
+
+// Expected reports whether the deployment must expect to run with too little capacity.
+func (s *ShortageSettings) Expected() bool { return s.ZoneLosses > 0 }
+
 // Defaults of settings.
 const (
 	DefaultGraceSeconds        = 6.0
@@ -183,6 +195,7 @@
 		checkRange("tenants.window-seconds", s.Tenants.WindowSeconds, 0.1, 3600),
 		checkRange("tenants.overshoot", s.Tenants.Overshoot, 0, 10),
 		checkRange("tenants.slack", s.Tenants.Slack, 0, 1e6),
+		checkRange("shortage.zone-losses", float64(s.Shortage.ZoneLosses), 0, 16),
 		checkPolicies(s.Policies),
 	)
 }
--- a/internal/sidecar/settings_test.go
+++ b/internal/sidecar/settings_test.go
@@ -17,6 +17,7 @@
 	"listen.outbound": "10.0.0.1:8304", "listen.inbound": "10.0.0.1:8300", "listen.ready": "10.0.0.1:8302",
 	"listen.control": "10.0.0.1:8306", "ip": "10.0.0.1", "ephemeral-ports.0": "7620", "bounds.grace-s": "6", "bounds.retry-budget-ratio": "0.2", "bounds.budget-window-s": "10", "bounds.budget-slack": "57",
 	"bounds.revoke-s": "5", "bounds.quota-window-s": "6", "bounds.quota-overshoot": "0.2", "bounds.quota-slack": "21",
+	"fault-tolerance.zones": "1",
 }
 
 var placeholder = regexp.MustCompile(`\{\{([a-z0-9.-]+)(\|json)?\}\}`)
@@ -26,6 +27,7 @@
 var sections = map[string]*regexp.Regexp{
 	"bootstrap":             regexp.MustCompile(`(?s)\{\{#bootstrap\}\}(.*?)\{\{/bootstrap\}\}`),
 	"bounds.strict-revoke":  regexp.MustCompile(`(?s)\{\{#bounds.strict-revoke\}\}(.*?)\{\{/bounds.strict-revoke\}\}`),
+	"fault-tolerance.zones": regexp.MustCompile(`(?s)\{\{#fault-tolerance.zones\}\}(.*?)\{\{/fault-tolerance.zones\}\}`),
 	"bounds.quota-window-s": regexp.MustCompile(`(?s)\{\{#bounds.quota-window-s\}\}(.*?)\{\{/bounds.quota-window-s\}\}`),
 }
 
@@ -52,7 +54,7 @@
 		parts := placeholder.FindStringSubmatch(text)
 		value, known := templateValues[parts[1]]
 		assert.Assert(t, known, "the template has an unknown placeholder %s", parts[1])
-		if parts[2] != "" && !strings.HasPrefix(parts[1], "bounds.") {
+		if parts[2] != "" && !strings.HasPrefix(parts[1], "bounds.") && !strings.HasPrefix(parts[1], "fault-tolerance.") {
 			return `"` + value + `"`
 		}
 		return value
@@ -67,16 +69,18 @@
 	assert.Equal(t, settings.Retries.BudgetRatio, 0.2)
 	assert.Equal(t, settings.Queue.MaxLength, DefaultQueueLength)
 	assert.Assert(t, !settings.FirstStart)
+	assert.Assert(t, !settings.Shortage.Expected())
 	assert.Equal(t, settings.Tenants, TenantSettings{WindowSeconds: DefaultLimitWindow, Overshoot: DefaultLimitOvershoot, Slack: DefaultLimitSlack})
-	settings, err = Parse([]byte(renderTemplateWith(t, "bootstrap", "bounds.strict-revoke", "bounds.quota-window-s")))
+	settings, err = Parse([]byte(renderTemplateWith(t, "bootstrap", "bounds.strict-revoke", "bounds.quota-window-s", "fault-tolerance.zones")))
 	assert.NilError(t, err)
+	assert.Assert(t, settings.Shortage.Expected())
 	assert.Assert(t, settings.FirstStart)
 	assert.Equal(t, settings.Tenants, TenantSettings{RevokeSeconds: 5, WindowSeconds: 6, Overshoot: 0.2, Slack: 21})
 }
 
 func TestParseReportsEveryError(t *testing.T) {
-	_, err := Parse([]byte("name = \"n\"\nservice = \"s\"\ntarget = \"host:80\"\n[queue]\nslot-share = 2.0\n[listen]\nmetrics = \"x\"\n"))
-	for _, key := range []string{"zone", "target", "store", "listen.calls", "listen.metrics", "queue.slot-share"} {
+	_, err := Parse([]byte("name = \"n\"\nservice = \"s\"\ntarget = \"host:80\"\n[queue]\nslot-share = 2.0\n[listen]\nmetrics = \"x\"\n[shortage]\nzone-losses = 17\n"))
+	for _, key := range []string{"zone", "target", "store", "listen.calls", "listen.metrics", "queue.slot-share", "shortage.zone-losses"} {
 		assert.ErrorContains(t, err, key)
 	}
 	_, err = Parse([]byte("name = "))
