Return places: allow for the time in which a refusal reaches its caller

Cause: the latest place was a third of the time left when the request was refused. The caller compares the delay with a third of the time that it has left when the refusal arrives, which is less, and may ignore a longer delay.

Change: 15 ms are subtracted from the caller's remaining time.

--- a/internal/returnplace/schedule.go
+++ b/internal/returnplace/schedule.go
@@ -21,6 +21,9 @@
 	// deadlineDivisor is the divisor of the caller's remaining time that yields the time to the
 	// latest place: callers wait for up to a third of their remaining time.
 	deadlineDivisor = 3
+	// transitTime is subtracted from the caller's remaining time: the caller compares the delay
+	// with the time that it has left when the refusal reaches it, and may ignore a longer one.
+	transitTime = 15 * time.Millisecond
 	// NoPlaceDelay is the shortest delay of requests that get no place.
 	NoPlaceDelay = time.Second
 	// maxEarly and maxLate bound how far a returning request may miss the time of its place.
@@ -120,7 +123,7 @@
 }
 
 // Reserve reserves a place for a request that is refused now, if one is free before a third of
-// the time to the caller's deadline has passed.
+// the time that the caller has left has passed.
 func (s *Schedule) Reserve(q Request, now time.Time) Reservation {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -132,7 +135,7 @@
 	}
 	level := &tracked.levels[q.Level]
 	at := level.nextPlace(slot, now)
-	latest := now.Add(min(q.Deadline.Sub(now)/deadlineDivisor, MaxAhead))
+	latest := now.Add(min((q.Deadline.Sub(now)-transitTime)/deadlineDivisor, MaxAhead))
 	if at.After(latest) || s.table.full() {
 		return s.noPlace(at.Sub(now))
 	}
