Entry nodes give refused requests a place to return to if shortage is expected

Cause: all requests refused because of a threshold were told to return after a second, longer than a third of most callers' remaining time.

Change: with shortage.zone-losses of 1 or more, forward.admit reserves a place for each request that it refuses because of a threshold and tells its time. A request that returns on time is admitted whatever the threshold, with the best cohort of its level; the policy, keys, limits, quarantine and body checks hold. If the policy tells another delay, the place moves there within its window. Refusals' details say "place in N ms" or "no place"; new metric lugspur_return_places_total. With the switch off, nothing changes.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -126,7 +126,7 @@
 	LimitChanged:          {"limit-changed", stateChange, "count is the new concurrency limit of the local target"},
 	AdmissionChanged:      {"admission-changed", stateChange, "count is the shed threshold as a percentage of all ranks; reason is the queueing delay that caused the change"},
 	RequestAnswered:       {"request-answered", success, "a response of a target was returned to the caller"},
-	RequestRefused:        {"request-refused", refusal, "the request was refused without having run; wait is the retry delay"},
+	RequestRefused:        {"request-refused", refusal, "the request was refused without having run; wait is the retry delay, and reason names its return place if such places are given"},
 	RequestFailed:         {"request-failed", failure, "the request failed and may have run"},
 	RequestRetried:        {"request-retried", refusal, "the request is sent to another home; reason says why the previous home did not serve it"},
 	RequestAbandoned:      {"request-abandoned", refusal, "the caller disconnected before the response"},
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -29,6 +29,7 @@
 	"github.com/lugspur/lugspur/internal/ratelimit"
 	"github.com/lugspur/lugspur/internal/registry"
 	"github.com/lugspur/lugspur/internal/retrybudget"
+	"github.com/lugspur/lugspur/internal/returnplace"
 	"github.com/lugspur/lugspur/internal/routepolicy"
 	"github.com/lugspur/lugspur/internal/routetable"
 )
@@ -68,7 +69,9 @@
 	Keys   Keys
 	Limits Limits
 	// Levels holds the shed thresholds of routes.
-	Levels   *pressure.Table
+	Levels *pressure.Table
+	// Places gives refused requests a time to return; nil means that none is given.
+	Places   *returnplace.Schedule
 	Peers    Peers
 	Observer Observer
 	Log      *eventlog.Log
@@ -148,6 +151,7 @@
 	local      LocalHome
 	policies   *routepolicy.Holder
 	levels     *pressure.Table
+	places     *returnplace.Schedule
 	quarantine Quarantine
 	keys       Keys
 	limits     Limits
@@ -182,6 +186,7 @@
 		local:      dependencies.Local,
 		policies:   dependencies.Policies,
 		levels:     dependencies.Levels,
+		places:     dependencies.Places,
 		quarantine: dependencies.Quarantine,
 		keys:       dependencies.Keys,
 		limits:     dependencies.Limits,
--- a/internal/forward/receive.go
+++ b/internal/forward/receive.go
@@ -72,7 +72,7 @@
 	}
 	q.rank = parent.Rank
 	q.policyCall = f.policyCallOf(q, r)
-	if failure := f.admit(q); failure != nil {
+	if failure := f.admit(q, r); failure != nil {
 		return q, failure
 	}
 	if failure := f.checkLimit(r.Context(), q); failure != nil {
@@ -82,6 +82,7 @@
 	if failure != nil {
 		return q, failure
 	}
+	f.countAdmitted(q)
 	callheader.StripConnection(r.Header)
 	r.Header.Del("Content-Length")
 	f.config.Headers.StripInternal(r.Header)
@@ -171,9 +172,9 @@
 }
 
 // admit ranks a request that enters at this node. It refuses the request if the policy does
-// not admit it or if its rank is shed further down the call chain. A nested call keeps the
-// rank of its parent and is always admitted.
-func (f *Forwarder) admit(q *request) *problem.Problem {
+// not admit it, or if its rank is shed further down the call chain and it doesn't return to a
+// place. A nested call keeps the rank of its parent and is always admitted.
+func (f *Forwarder) admit(q *request, r *http.Request) *problem.Problem {
 	if q.nested {
 		return nil
 	}
@@ -182,11 +183,11 @@
 	}
 	q.rank = f.rankOf(q)
 	threshold := f.levels.Threshold(q.route.Name)
-	if q.rank.Key() < threshold {
+	if f.takePlace(q, r) || q.rank.Key() < threshold {
 		return nil
 	}
 	detail := fmt.Sprintf("the chain of calls has no room: rank %d, threshold %d", q.rank.Key(), threshold)
-	return f.refusal(q, problem.Overloaded, "admit", detail, shedDelay)
+	return f.refuseWithPlace(q, r, detail)
 }
 
 // timeoutOf returns the timeout of the route, or the default if it has none, limited by the
@@ -196,13 +197,21 @@
 	if route.Timeout > 0 {
 		timeout = route.Timeout
 	}
-	millis, err := strconv.ParseInt(header.Get(f.config.Headers.DeadlineMillis), 10, 64)
-	if err == nil && millis >= 0 {
-		timeout = min(timeout, time.Duration(millis)*time.Millisecond)
+	if callerTimeout, sent := f.callerTimeout(header); sent {
+		timeout = min(timeout, callerTimeout)
 	}
 	return timeout
 }
 
+// callerTimeout returns the timeout that the caller sent, and false if it sent none.
+func (f *Forwarder) callerTimeout(header http.Header) (time.Duration, bool) {
+	millis, err := strconv.ParseInt(header.Get(f.config.Headers.DeadlineMillis), 10, 64)
+	if err != nil || millis < 0 {
+		return 0, false
+	}
+	return time.Duration(millis) * time.Millisecond, true
+}
+
 func (f *Forwarder) readBody(w http.ResponseWriter, r *http.Request, maxBytes int64) ([]byte, *problem.Problem) {
 	if r.ContentLength == 0 {
 		return nil, nil
--- a/internal/sidecar/metrics_test.go
+++ b/internal/sidecar/metrics_test.go
@@ -81,6 +81,20 @@
 	assert.Assert(t, !strings.Contains(text, `call_target_seconds_count{outcome="refused"}`), "a refused call must not count as time at the target")
 }
 
+// TestPlacesAreGivenOnlyIfShortageIsExpected checks the switch, and that the metric exists in
+// both cases.
+func TestPlacesAreGivenOnlyIfShortageIsExpected(t *testing.T) {
+	for zoneLosses, expected := range []bool{false, true} {
+		settings, err := Parse([]byte(renderTemplate(t)))
+		assert.NilError(t, err)
+		settings.Shortage.ZoneLosses = zoneLosses
+		n, err := New(settings, io.Discard)
+		assert.NilError(t, err)
+		assert.Equal(t, n.places != nil, expected)
+		assert.Assert(t, strings.Contains(scrape(n), `lugspur_return_places_total{result="none-left"} 0`))
+	}
+}
+
 // TestStoreCallsAreCountedOnce checks that each store call is counted once in the metrics
 // and reported in one log event.
 func TestStoreCallsAreCountedOnce(t *testing.T) {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -23,6 +23,7 @@
 	"github.com/lugspur/lugspur/internal/quarantine"
 	"github.com/lugspur/lugspur/internal/registry"
 	"github.com/lugspur/lugspur/internal/retrybudget"
+	"github.com/lugspur/lugspur/internal/returnplace"
 	"github.com/lugspur/lugspur/internal/routepolicy"
 	"github.com/lugspur/lugspur/internal/routetable"
 	"github.com/lugspur/lugspur/internal/store/epoch"
@@ -88,12 +89,14 @@
 	// policySources are the sources of the active policies. After New, only Reload uses them.
 	policySources routepolicy.Sources
 	pressure      *pressure.Table
-	quarantine    *quarantine.Quarantine
-	limits        tenantLimits
-	forwarder     *forward.Forwarder
-	servers       []*server
-	stopping      atomic.Bool
-	running       sync.WaitGroup
+	// places is nil unless the deployment must expect shortage.
+	places     *returnplace.Schedule
+	quarantine *quarantine.Quarantine
+	limits     tenantLimits
+	forwarder  *forward.Forwarder
+	servers    []*server
+	stopping   atomic.Bool
+	running    sync.WaitGroup
 }
 
 // New creates a node. It sends nothing and does not listen before Run.
@@ -112,6 +115,7 @@
 	n.createReplicas()
 	n.createLimits()
 	n.pressure = pressure.New(clock.Now)
+	n.createPlaces()
 	n.quarantine = n.newQuarantine()
 	n.guard = guard.New(guard.Config{
 		Service:        settings.Service,
@@ -219,6 +223,7 @@
 		Local:      n.guard,
 		Policies:   n.policies,
 		Levels:     n.pressure,
+		Places:     n.places,
 		Quarantine: n.quarantine,
 		Keys:       apikey.NewChecker(n.routes, configfeed.NewFreshness(n.feed, n.replicas.configuration), n.settings.Tenants.revocationTime()),
 		Limits:     n.limits.limiter,
