Fair shares: order the requests of a tenant by position times rate

A cohort that is a hash of the request's ID refuses the same share of each tenant's requests, so that a tenant at six times its rate takes capacity from all others. internal/fairshare derives the cohort from u * r: u is a hash of the content, r the tenant's rate over all nodes. Nothing uses it yet.

A node counts over one second and leaves out the request that it ranks: with it, each rare request would count as one a second, times the number of nodes.

--- /dev/null
+++ b/internal/fairshare/fairshare_test.go
@@ -0,0 +1,90 @@
+package fairshare
+
+import (
+	"math"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestCohortRisesWithRate guards against cohorts that differ between nodes or leave the range of
+// a level, also for rates that make no sense.
+func TestCohortRisesWithRate(t *testing.T) {
+	for _, c := range []struct {
+		position, rate float64
+		want           uint8
+	}{{0.99, 0, 0}, {0.99, 0.9, 0}, {0, 1e9, 0}, {0.5, 2, 0}, {1, 10, 42}, {0.1, 100, 42}, {1, 100, 85}, {0.9999, 1000, 127}, {0.9, 1e5, 127},
+		{0.5, math.Inf(1), 127}, {0.5, math.NaN(), 0}, {0.5, -1, 0}} {
+		assert.Equal(t, CohortOf(c.position, c.rate), c.want, "%v", c)
+	}
+}
+
+// TestPositionDependsOnContent guards against a position that is not uniform, or that differs
+// between a request and its repetition or not between different requests.
+func TestPositionDependsOnContent(t *testing.T) {
+	content := Content{Method: "GET", Host: "a", URI: "/b", Tenant: "c"}
+	assert.Equal(t, content.Position(), Content{Method: "GET", Host: "a", URI: "/b", Tenant: "c"}.Position())
+	for _, other := range []Content{{"PUT", "a", "/b", "c"}, {"GET", "x", "/b", "c"}, {"GET", "a", "/x", "c"}, {"GET", "a", "/b", "x"}, {"GET", "a/b", "", "c"}} {
+		assert.Assert(t, content.Position() != other.Position(), "%v", other)
+	}
+	const count = 10_000
+	below := 0
+	for i := range count {
+		if (Content{URI: strconv.Itoa(i)}).Position() < 0.3 {
+			below++
+		}
+	}
+	assert.Assert(t, math.Abs(float64(below)/count-0.3) < 0.02, "%d", below)
+}
+
+// TestRateIsGreaterEstimate guards against a tenant that is underestimated where one of the two
+// inputs is missing or malformed.
+func TestRateIsGreaterEstimate(t *testing.T) {
+	for _, c := range []struct {
+		observation Observation
+		want        float64
+	}{
+		{Observation{Route: 2, Tenant: 4, Nodes: 70}, 140},
+		{Observation{Route: 2, Tenant: 4, Nodes: 70, Demand: 600}, 300},
+		{Observation{Route: 2, Tenant: 4, Nodes: 70, Demand: 10}, 140},
+		{Observation{Nodes: 70, Demand: 600}, 0},
+		{Observation{Route: 3, Tenant: 3}, 3},
+	} {
+		assert.Equal(t, c.observation.Rate(), c.want, "%v", c.observation)
+	}
+}
+
+// TestStateIsBounded guards against memory that grows with the names of tenants and routes, and
+// against the eviction of an active tenant.
+func TestStateIsBounded(t *testing.T) {
+	now := time.Now()
+	e := New(Config{Nodes: func() int { return 10 }, Now: func() time.Time { return now }})
+	for i := range 3 * maxTenants {
+		now = now.Add(10 * time.Microsecond)
+		e.Cohort(Content{Tenant: strconv.Itoa(i)}, "route")
+		e.Cohort(Content{Tenant: "busy"}, "route")
+		e.Cohort(Content{Tenant: "many routes"}, strconv.Itoa(i))
+	}
+	assert.Assert(t, len(e.tenants) <= maxTenants && e.counters <= maxCounters, "%d, %d", len(e.tenants), e.counters)
+	assert.Assert(t, len(e.tenants["many routes"].routes) <= maxRoutes)
+	assert.Assert(t, e.tenants["busy"].all.weight > maxTenants/10)
+	assert.Assert(t, e.Largest() > 100*1000, "%v", e.Largest())
+	now = now.Add(largestAge + time.Second)
+	assert.Equal(t, e.Largest(), 0.0)
+}
+
+// BenchmarkCohort measures a request of one of 79 tenants on one of four routes.
+func BenchmarkCohort(b *testing.B) {
+	e := New(Config{Nodes: func() int { return 70 }, Now: time.Now})
+	names := make([]string, 79)
+	for i := range names {
+		names[i] = "tenant-" + strconv.Itoa(i)
+	}
+	routes := []string{"browse", "lookup", "deposit", "download"}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		e.Cohort(Content{Method: "GET", Host: "archive.example", URI: "/transcripts/lookup?id=12345678", Tenant: names[i%len(names)]}, routes[i%len(routes)])
+	}
+}
