Entry node: order tenants' requests by their fair shares where a shortage is expected

With shortage.zone-losses of 1 or more, the cohort of a request with a tenant comes from internal/fairshare; other requests, and all requests without the setting, keep the hash of their ID. The gauge tenant_rate_estimate_max shows the estimate of the largest tenant's rate. receive.go gets one line, which records the content of the request while its URI and host are at hand.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -19,6 +19,7 @@
 	"github.com/lugspur/lugspur/internal/criticality"
 	"github.com/lugspur/lugspur/internal/ending"
 	"github.com/lugspur/lugspur/internal/eventlog"
+	"github.com/lugspur/lugspur/internal/fairshare"
 	"github.com/lugspur/lugspur/internal/fingerprint"
 	"github.com/lugspur/lugspur/internal/guard"
 	"github.com/lugspur/lugspur/internal/peering"
@@ -68,11 +69,13 @@
 	Keys   Keys
 	Limits Limits
 	// Levels holds the shed thresholds of routes.
-	Levels   *pressure.Table
-	Peers    Peers
-	Observer Observer
-	Log      *eventlog.Log
-	Now      func() time.Time
+	Levels *pressure.Table
+	// FairShares assigns the cohorts of tenants' requests; nil derives them from request IDs.
+	FairShares *fairshare.Estimator
+	Peers      Peers
+	Observer   Observer
+	Log        *eventlog.Log
+	Now        func() time.Time
 }
 
 // Quarantine tracks requests that crash targets. It is safe for concurrent use.
@@ -148,6 +151,7 @@
 	local      LocalHome
 	policies   *routepolicy.Holder
 	levels     *pressure.Table
+	fairShares *fairshare.Estimator
 	quarantine Quarantine
 	keys       Keys
 	limits     Limits
@@ -182,6 +186,7 @@
 		local:      dependencies.Local,
 		policies:   dependencies.Policies,
 		levels:     dependencies.Levels,
+		fairShares: dependencies.FairShares,
 		quarantine: dependencies.Quarantine,
 		keys:       dependencies.Keys,
 		limits:     dependencies.Limits,
@@ -283,6 +288,8 @@
 	deadline time.Time
 	// policyCall holds the fields of the request that policies read.
 	policyCall policy.Call
+	// content identifies the request and its repetitions by its caller.
+	content fairshare.Content
 	// attempts counts the targets that may have executed the request, offers the homes
 	// that it was offered to, and arrivals the targets that may have received it.
 	attempts, offers, arrivals int
--- a/internal/forward/policy.go
+++ b/internal/forward/policy.go
@@ -8,6 +8,7 @@
 
 	"github.com/lugspur/lugspur/internal/criticality"
 	"github.com/lugspur/lugspur/internal/eventlog"
+	"github.com/lugspur/lugspur/internal/fairshare"
 	"github.com/lugspur/lugspur/internal/policy"
 	"github.com/lugspur/lugspur/internal/problem"
 	"github.com/lugspur/lugspur/internal/routetable"
@@ -57,11 +58,26 @@
 }
 
 // rankOf returns the rank of a request that enters at this node: the level that its policy
-// assigns, and a cohort within the level derived from the hash of its ID.
+// assigns, and a cohort within the level. It must be called once for each request.
 func (f *Forwarder) rankOf(q *request) criticality.Rank {
 	level, err := f.policies.For(q.route.Kind).Rank(q.policyCall)
 	f.logPolicyError(q, err)
-	return criticality.Rank{Level: level, Cohort: uint8(xxhash.Sum64String(q.id) % criticality.CohortCount)}
+	return criticality.Rank{Level: level, Cohort: f.cohortOf(q)}
+}
+
+// cohortOf returns the cohort of a request: the one that its tenant's fair share requires, or a
+// hash of its ID if it has no tenant or fair shares are disabled.
+func (f *Forwarder) cohortOf(q *request) uint8 {
+	if f.fairShares == nil || q.tenant == nil {
+		return uint8(xxhash.Sum64String(q.id) % criticality.CohortCount)
+	}
+	return f.fairShares.Cohort(q.content, q.route.Name)
+}
+
+// contentOf returns what a caller repeats unchanged when it retries the request.
+func contentOf(q *request, r *http.Request) fairshare.Content {
+	tenant, _ := q.tenantOf()
+	return fairshare.Content{Method: r.Method, Host: r.Host, URI: requestURI(r), Tenant: tenant}
 }
 
 // policyAdmits reports whether the policy admits the request.
--- a/internal/forward/receive.go
+++ b/internal/forward/receive.go
@@ -72,6 +72,7 @@
 	}
 	q.rank = parent.Rank
 	q.policyCall = f.policyCallOf(q, r)
+	q.content = contentOf(q, r)
 	if failure := f.admit(q); failure != nil {
 		return q, failure
 	}
--- a/internal/forward/tenant_test.go
+++ b/internal/forward/tenant_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -14,7 +15,9 @@
 	"github.com/lugspur/lugspur/internal/apikey"
 	"github.com/lugspur/lugspur/internal/criticality"
 	"github.com/lugspur/lugspur/internal/eventlog"
+	"github.com/lugspur/lugspur/internal/fairshare"
 	"github.com/lugspur/lugspur/internal/peering"
+	"github.com/lugspur/lugspur/internal/pressure"
 	"github.com/lugspur/lugspur/internal/ratelimit"
 	"github.com/lugspur/lugspur/internal/routetable"
 )
@@ -150,6 +153,43 @@
 	assert.Equal(t, rank(nil, 2), criticality.SheddablePlus)
 }
 
+// TestThresholdRefusesTenantAboveItsShare sends 300 requests a second of one tenant and one a
+// second of another while a threshold admits 10 a second of each. It guards against cohorts
+// that ignore the tenant's rate, that change with the request's ID, or that are assigned while
+// the part is disabled.
+func TestThresholdRefusesTenantAboveItsShare(t *testing.T) {
+	threshold := criticality.Rank{Level: criticality.Sheddable, Cohort: fairshare.CohortOf(1, 10)}.Key()
+	f := newTenantFixture(t, nil, func(ctx context.Context, call *peering.Call) *peering.Reply {
+		reply := replyOK(ctx, call)
+		reply.Load.Threshold = threshold
+		return reply
+	})
+	f.forwarder.limits = &fixedLimits{}
+	now := time.Now()
+	status := func(tenant, path, id string) int {
+		f.levels.Report("read", "home", pressure.Level{Threshold: threshold}, 10)
+		f.forwarder.keys = &fixedKeys{decision: apikey.Decision{Tenant: &routetable.Tenant{Name: tenant, Priority: 1}}}
+		return f.doWithKey(path, id).Code
+	}
+	assert.Equal(t, status("small", "/read/x", "3"), status("hot", "/read/x", "3"), "disabled")
+	f.forwarder.fairShares = fairshare.New(fairshare.Config{Nodes: func() int { return 1 }, Now: func() time.Time { return now }})
+	admitted, lastPath := 0, ""
+	for i := range 1500 {
+		now = now.Add(time.Second / 300)
+		lastPath = "/read/" + strconv.Itoa(i)
+		if status("hot", lastPath, strconv.Itoa(i)) == http.StatusOK && i >= 900 {
+			admitted++
+		}
+		if i%300 == 0 {
+			assert.Equal(t, status("small", lastPath, "s"+strconv.Itoa(i)), http.StatusOK)
+		}
+	}
+	assert.Assert(t, admitted > 10 && admitted < 30, "%d in 2 s", admitted)
+	for id := range 20 {
+		assert.Equal(t, status("hot", lastPath, "again"+strconv.Itoa(id)), status("hot", lastPath, strconv.Itoa(id)))
+	}
+}
+
 // fixedLimits is a Limits that returns the same decision for every request and counts the
 // requests and returned permits.
 type fixedLimits struct {
--- a/internal/sidecar/gauges.go
+++ b/internal/sidecar/gauges.go
@@ -24,6 +24,7 @@
 		{"store_watched", "Whether the node is one of those that watch the store, 1 or 0.", func() float64 { return boolValue(n.replicas.recordsSyncer.IsWatcher()) }},
 		{"configuration_verified_age_seconds", "Time since a read of the store began by which the configuration is known to be current; API keys rest on it.", func() float64 { return verifiedAgeSeconds(n.replicas.configuration) }},
 		{"limit_shards_held", "Shards of tenants' limits that the node holds.", func() float64 { return float64(n.limits.shardManager.HeldCount()) }},
+		{"tenant_rate_estimate_max", "Estimated requests a second of the tenant that sends the most, over all nodes and routes.", n.largestTenantRate},
 		{"homes_known", "Homes with a ready target that the node knows.", func() float64 { return float64(n.directory.Count()) }},
 		{"homes_suspected", "Homes that are passed over.", func() float64 { return float64(n.forwarder.Suspected()) }},
 		{"requests_quarantined", "Requests that are refused as targets crash under them.", func() float64 { return float64(n.quarantine.Quarantined()) }},
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -219,6 +219,7 @@
 		Local:      n.guard,
 		Policies:   n.policies,
 		Levels:     n.pressure,
+		FairShares: n.limits.fairShares,
 		Quarantine: n.quarantine,
 		Keys:       apikey.NewChecker(n.routes, configfeed.NewFreshness(n.feed, n.replicas.configuration), n.settings.Tenants.revocationTime()),
 		Limits:     n.limits.limiter,
--- a/internal/sidecar/tenantmetrics_test.go
+++ b/internal/sidecar/tenantmetrics_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"io"
 	"testing"
 
 	"github.com/prometheus/client_golang/prometheus"
 	dto "github.com/prometheus/client_model/go"
 	"gotest.tools/v3/assert"
 
+	"github.com/lugspur/lugspur/internal/fairshare"
 	"github.com/lugspur/lugspur/internal/problem"
 )
 
@@ -44,3 +46,22 @@
 	assert.NilError(t, c.requests.WithLabelValues(tenant, outcome).Write(&line))
 	return line.GetCounter().GetValue()
 }
+
+// TestFairSharesAreEnabledByExpectedShortage guards against fair shares in deployments that do
+// not enable them, and against an estimate that the metrics page does not show.
+func TestFairSharesAreEnabledByExpectedShortage(t *testing.T) {
+	settings, err := Parse([]byte(renderTemplate(t)))
+	assert.NilError(t, err)
+	for losses, enabled := range []bool{false, true} {
+		settings.Shortage.ZoneLosses = losses
+		n, err := New(settings, io.Discard)
+		assert.NilError(t, err)
+		assert.Equal(t, n.limits.fairShares != nil, enabled)
+		if enabled {
+			for range 100 {
+				n.limits.fairShares.Cohort(fairshare.Content{Tenant: "tenant"}, "route")
+			}
+		}
+		assert.Equal(t, n.largestTenantRate() > 0, enabled)
+	}
+}
--- a/internal/sidecar/tenants.go
+++ b/internal/sidecar/tenants.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/lugspur/lugspur/internal/clock"
+	"github.com/lugspur/lugspur/internal/fairshare"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/ratelimit"
 	"github.com/lugspur/lugspur/internal/routetable"
@@ -15,6 +16,8 @@
 	issuer       *ratelimit.Issuer
 	shardManager *ratelimit.ShardManager
 	limiter      *ratelimit.Limiter
+	// fairShares is nil unless a shortage of capacity must be expected.
+	fairShares *fairshare.Estimator
 	// permitSocket is nil if permits are only requested over connections.
 	permitSocket *peering.PermitSocket
 }
@@ -34,13 +37,29 @@
 		Prefix:    platform.ShardsPrefix,
 		Store:     n.storeBreaker.Wrap(n.store.WithPurpose(purposeShards)),
 		Position:  n.directory.Position,
-		Nodes:     func() int { return len(n.directory.Addresses()) },
+		Nodes:     n.nodeCount,
 		HasLimits: n.hasTenantLimits,
 		Issuer:    n.limits.issuer,
 		Log:       n.log,
 		Now:       clock.Now,
 	})
 	n.limits.limiter = ratelimit.NewLimiter(n.limits.shardManager, n.requestPermits, clock.Now)
+	if n.settings.Shortage.Expected() {
+		n.limits.limiter.RequestDemand()
+		n.limits.fairShares = fairshare.New(fairshare.Config{Nodes: n.nodeCount, Demand: n.limits.limiter.Demand, Now: clock.Now})
+	}
+}
+
+// nodeCount returns the number of known nodes, each of which serves callers.
+func (n *Node) nodeCount() int { return len(n.directory.Addresses()) }
+
+// largestTenantRate returns the estimated request rate over all nodes of the tenant that sends
+// the most, in requests a second; 0 if fair shares are disabled.
+func (n *Node) largestTenantRate() float64 {
+	if n.limits.fairShares == nil {
+		return 0
+	}
+	return n.limits.fairShares.Largest()
 }
 
 // requestPermits requests permits from the holder of a shard, which may be the node itself. If
