Retries: keep an even order where fair shares are enabled

The urgency of a retry of a critical-plus request is spread by the cohort of its rank, so that some requests get all of their retries. The cohort of a fair share is not uniform: tenants with low rates would use up the budget. Where the part is enabled, a hash of the ID of the request, or of its parent, takes its place.

--- a/internal/forward/policy.go
+++ b/internal/forward/policy.go
@@ -69,11 +69,14 @@
 // hash of its ID if it has no tenant or fair shares are disabled.
 func (f *Forwarder) cohortOf(q *request) uint8 {
 	if f.fairShares == nil || q.tenant == nil {
-		return uint8(xxhash.Sum64String(q.id) % criticality.CohortCount)
+		return hashCohort(q.id)
 	}
 	return f.fairShares.Cohort(q.content, q.route.Name)
 }
 
+// hashCohort returns the cohort that is a hash of the request ID.
+func hashCohort(id string) uint8 { return uint8(xxhash.Sum64String(id) % criticality.CohortCount) }
+
 // contentOf returns what a caller repeats unchanged when it retries the request.
 func contentOf(q *request, r *http.Request) fairshare.Content {
 	tenant, _ := q.tenantOf()
--- a/internal/forward/retry.go
+++ b/internal/forward/retry.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"cmp"
+
 	"github.com/lugspur/lugspur/internal/criticality"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/problem"
@@ -64,12 +66,22 @@
 	calls := f.levels.Calls(q.route.Name)
 	urgency := levelUrgency[min(q.rank.Level, criticality.LevelCount-1)] / float64(callsLeft*(1+calls))
 	if q.rank.Level == criticality.CriticalPlus && calls == 0 {
-		position := float64(q.rank.Cohort) / criticality.CohortCount
+		position := float64(f.retryCohort(q)) / criticality.CohortCount
 		urgency = max(urgency, 1-(1-minCriticalUrgency)*position)
 	}
 	return urgency
 }
 
+// retryCohort returns the cohort that spreads the urgency of retries evenly. The cohort of a fair
+// share is not uniform and must not decide which tenant's requests are retried, so that a hash of
+// the request's ID, or that of its parent, takes its place where fair shares are enabled.
+func (f *Forwarder) retryCohort(q *request) uint8 {
+	if f.fairShares == nil {
+		return q.rank.Cohort
+	}
+	return hashCohort(cmp.Or(q.parent, q.id))
+}
+
 // spendRetryBudget charges the next offer to the retry budget if it is a retry. It returns
 // the final problem of the request if the budget does not allow the retry.
 func (f *Forwarder) spendRetryBudget(q *request) *problem.Problem {
--- a/internal/forward/tenant_test.go
+++ b/internal/forward/tenant_test.go
@@ -190,6 +190,20 @@
 	}
 }
 
+// TestFairShareDoesNotDecideOnRetries guards against tenants with low rates that use up the retry
+// budget because their cohort is low.
+func TestFairShareDoesNotDecideOnRetries(t *testing.T) {
+	f := newFixture(t, replyOK)
+	f.levels.RecordCalls("parent", "read", pressure.CallStats{Count: 8})
+	urgency := func(cohort uint8) float64 {
+		return f.forwarder.urgency(&request{id: "running.1", nested: true, parent: "running", parentRoute: "parent", route: &routetable.Route{Name: "read"}, call: &peering.Call{},
+			rank: criticality.Rank{Cohort: cohort}})
+	}
+	assert.Assert(t, urgency(0) > urgency(127))
+	f.forwarder.fairShares = fairshare.New(fairshare.Config{Now: time.Now})
+	assert.Equal(t, urgency(0), urgency(127))
+}
+
 // fixedLimits is a Limits that returns the same decision for every request and counts the
 // requests and returned permits.
 type fixedLimits struct {
