--- a/internal/fairshare/doc.go
+++ b/internal/fairshare/doc.go
@@ -14,8 +14,8 @@
 // # Inputs and their age
 //
 //   - The node's own count of the tenant's requests on the route, admitted or not, times the
-//     number of nodes that serve callers. It is a moving average over the last second or the
-//     last minCount requests, whichever is longer.
+//     number of nodes that serve callers. It is a moving average over timeConstant, without
+//     the request that is being ranked.
 //   - The demand that the holders of the tenant's permits report with their grants, at most
 //     some seconds old (ratelimit.Limiter.Demand). It covers all routes; the node's own counts
 //     give the share of the route.
