Transport: prepare the probe and the closing of a connection once

Each reuse of a connection created a raw connection, a probe buffer and a closure, and each exchange a closure that closes the socket. An absent Keep-Alive header was split and parsed, which allocated an error. The connection now creates its functions once, and an absent header is not parsed.

--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -41,14 +41,37 @@
 	// stopContextWatch unregisters the callback of closeOnDone. It returns false if the
 	// callback has already been started.
 	stopContextWatch func() bool
+	// closeSocket closes the socket.
+	closeSocket func()
+	// rawSocket and probe are used by isOpen; probe stores in quiet whether the socket is open
+	// and nothing was received. rawSocket is nil if the socket cannot be accessed.
+	rawSocket syscall.RawConn
+	probe     func(fd uintptr) bool
+	quiet     bool
 }
 
 func newConnection(socket net.Conn) *connection {
 	c := &connection{socket: socket}
 	c.reader = bufio.NewReaderSize(c, readBufferSize)
+	c.closeSocket = func() { _ = socket.Close() }
+	c.probe = c.peek
+	c.rawSocket = rawConnOf(socket)
 	return c
 }
 
+// rawConnOf returns the raw connection of a socket, nil if it has none.
+func rawConnOf(socket net.Conn) syscall.RawConn {
+	accessible, ok := socket.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := accessible.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
 // Read reads from the socket and enforces the limit on the header's size.
 func (c *connection) Read(buffer []byte) (int, error) {
 	if c.headerRemaining < 0 {
@@ -84,7 +107,7 @@
 		c.stopContextWatch = func() bool { return true }
 		return
 	}
-	c.stopContextWatch = context.AfterFunc(ctx, func() { _ = c.socket.Close() })
+	c.stopContextWatch = context.AfterFunc(ctx, c.closeSocket)
 }
 
 // maxInterim bounds the interim responses (1xx) before a final response.
@@ -147,18 +170,20 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.socket.(syscall.Conn).SyscallConn()
-	if err != nil {
+	if c.rawSocket == nil {
 		return false
 	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var probe [1]byte
-		_, _, errno := syscall.Recvfrom(int(fd), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(errno, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && open
+	c.quiet = false
+	err := c.rawSocket.Read(c.probe)
+	return err == nil && c.quiet
+}
+
+// peek stores in quiet whether the socket is open and nothing was received on it.
+func (c *connection) peek(fd uintptr) bool {
+	var first [1]byte
+	_, _, errno := syscall.Recvfrom(int(fd), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	c.quiet = errors.Is(errno, syscall.EAGAIN)
+	return true
 }
 
 // encodedCall is a call in the form that is written to a connection.
--- a/internal/transport/idle.go
+++ b/internal/transport/idle.go
@@ -21,7 +21,11 @@
 // keepAliveTimeout returns the timeout parameter of the Keep-Alive header, zero if there
 // is none.
 func keepAliveTimeout(header http.Header) time.Duration {
-	for _, parameter := range strings.Split(header.Get("Keep-Alive"), ",") {
+	announced := header.Get("Keep-Alive")
+	if announced == "" {
+		return 0
+	}
+	for parameter := range strings.SplitSeq(announced, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(parameter), "=")
 		seconds, err := strconv.Atoi(strings.TrimSpace(value))
 		if strings.EqualFold(name, "timeout") && err == nil && seconds > 0 {
