Transport: read the header of a peer's reply without net/http

The reply of a peer has the status 200 and no header field but Content-Length, but was parsed by http.ReadResponse, which allocates a response, a header map, a textproto reader's lines and a body. A call can now state that it does not need such a header (PlainResponseBytes): the connection then takes the length from the received bytes and reuses its own response. Any other response, including one whose header arrives in pieces, is read as before. The http.Request that ReadResponse needs for the method is reused as well, also in exchanges with targets.

--- a/internal/peering/client.go
+++ b/internal/peering/client.go
@@ -202,6 +202,7 @@
 const peerHost = "p"
 
 func (c *Client) exchange(ctx context.Context, address string, call *transport.Call) (*transport.Response, error) {
+	call.PlainResponseBytes = c.config.MaxMessageBytes
 	response, err := c.pool(address).Exchange(ctx, call)
 	if err != nil {
 		var failure *transport.Failure
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -48,8 +49,19 @@
 	rawSocket syscall.RawConn
 	probe     func(fd uintptr) bool
 	quiet     bool
+	// request, plain and plainBody are reused for each exchange: request holds the method for
+	// http.ReadResponse, plain and plainBody are the result of readPlain.
+	request   http.Request
+	plain     http.Response
+	plainBody plainBody
 }
 
+// plainBody reads the body of a plain response.
+type plainBody struct{ io.LimitedReader }
+
+// Close does nothing: the connection is released by its pool.
+func (*plainBody) Close() error { return nil }
+
 func newConnection(socket net.Conn) *connection {
 	c := &connection{socket: socket}
 	c.reader = bufio.NewReaderSize(c, readBufferSize)
@@ -117,7 +129,7 @@
 // body must be read before the next exchange. If the silence timeout is not zero, it
 // bounds the time between interim responses, and their number is not limited.
 func (c *connection) readHeader(call *Call, maxBytes int64, silenceTimeout time.Duration) (*http.Response, error) {
-	request := &http.Request{Method: call.Method}
+	c.request.Method = call.Method
 	c.headerRemaining = maxBytes
 	for interim := 0; interim < maxInterim || silenceTimeout > 0; interim++ {
 		if silenceTimeout > 0 {
@@ -126,7 +138,7 @@
 		if err := c.startSilenceTimeout(silenceTimeout); err != nil {
 			return nil, err
 		}
-		response, err := http.ReadResponse(c.reader, request)
+		response, err := c.readResponse(call)
 		switch {
 		case err != nil:
 			return nil, err
@@ -142,6 +154,69 @@
 	return nil, errTooManyInterim
 }
 
+// readResponse reads the header of one response.
+func (c *connection) readResponse(call *Call) (*http.Response, error) {
+	if call.PlainResponseBytes > 0 {
+		response, err := c.readPlain(call.PlainResponseBytes)
+		if response != nil || err != nil {
+			return response, err
+		}
+	}
+	return http.ReadResponse(c.reader, &c.request)
+}
+
+// plainHeaderPrefix is the beginning of a plain response, whose only header field is
+// Content-Length.
+const plainHeaderPrefix = "HTTP/1.1 200 OK\r\nContent-Length: "
+
+// readPlain reads the header of a plain response with a body of up to maxBody bytes. It returns
+// nil and reads nothing if the response is not plain or its header has not arrived completely.
+// The response has no Header and is valid until the next exchange.
+func (c *connection) readPlain(maxBody int64) (*http.Response, error) {
+	if _, err := c.reader.Peek(1); err != nil {
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
+		return nil, err
+	}
+	// Peek cannot fail for bytes that are buffered.
+	received, _ := c.reader.Peek(c.reader.Buffered())
+	length, headerBytes := parsePlain(received)
+	if headerBytes == 0 || length > maxBody {
+		return nil, nil
+	}
+	_, _ = c.reader.Discard(headerBytes)
+	c.plainBody = plainBody{io.LimitedReader{R: c.reader, N: length}}
+	c.plain = http.Response{StatusCode: http.StatusOK, ContentLength: length, Body: &c.plainBody}
+	return &c.plain, nil
+}
+
+// maxLengthDigits bounds the digits of a plain response's Content-Length, so that the number
+// cannot overflow.
+const maxLengthDigits = 18
+
+// parsePlain returns the Content-Length and the size of the header of a plain response. The size
+// is zero if the content does not begin with a complete plain header.
+func parsePlain(content []byte) (length int64, headerBytes int) {
+	rest, ok := bytes.CutPrefix(content, []byte(plainHeaderPrefix))
+	if !ok {
+		return 0, 0
+	}
+	digits := 0
+	for digits < len(rest) && rest[digits] >= '0' && rest[digits] <= '9' {
+		length = length*10 + int64(rest[digits]-'0')
+		digits++
+		if digits > maxLengthDigits {
+			return 0, 0
+		}
+	}
+	end := []byte("\r\n\r\n")
+	if digits == 0 || !bytes.HasPrefix(rest[digits:], end) {
+		return 0, 0
+	}
+	return length, len(plainHeaderPrefix) + digits + len(end)
+}
+
 // startSilenceTimeout sets the read deadline to the end of the timeout if it is not zero.
 func (c *connection) startSilenceTimeout(silenceTimeout time.Duration) error {
 	if silenceTimeout <= 0 {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -110,6 +110,11 @@
 	OnInterim func()
 	// NewConnection sends the call over a new connection instead of an idle one.
 	NewConnection bool
+	// PlainResponseBytes states, unless it is zero, that the call does not need the header of a
+	// response with status 200, no header field but Content-Length, and a body of up to so many
+	// bytes. Response.Header is nil for such a response, which is then read faster. It must not
+	// exceed Config.MaxBuffered, nor be set together with OnHeader or Matches, or for HEAD.
+	PlainResponseBytes int64
 	// SilenceTimeout overrides Config.SilenceTimeout for this call unless it is zero.
 	SilenceTimeout time.Duration
 }
