Forward: copy a request's header only for the local home

Each offer copied the header, because the home adds the headers for its target to it. Only the local home does so with this copy: a peer gets an encoded one.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -224,7 +224,6 @@
 func (f *Forwarder) offer(ctx context.Context, q *request, home *registry.Home) *peering.Reply {
 	state := f.homes.state(home.Address)
 	call := *q.call
-	call.Header = q.call.Header.Clone()
 	call.Retried = q.isRetry()
 	call.OfferIndex = q.offers - 1
 	call.Process = home.Process
@@ -238,6 +237,8 @@
 	if home.Address == f.config.Address {
 		done := state.begin(q.route.Name, nil, f.now())
 		defer done()
+		// The local home adds headers for its target.
+		call.Header = q.call.Header.Clone()
 		reply := f.local.Run(ctx, &call)
 		f.recordReply(q, home, state, reply)
 		return reply
