Peering: decode headers, IDs and addresses without reflection

The fields of a header took one allocation each and another one for each value in the decoded map; request IDs and addresses were decoded into an interface, and encoded through up to four intermediate slices; the encoded forms of messages, 400 bytes each, were allocated for each conversion; the epochs of digests were collected even if all are zero. Header fields are now parts of one string, their values parts of one slice, IDs and addresses are encoded and decoded directly, and the encoded forms are pooled.

--- a/internal/peering/wire.go
+++ b/internal/peering/wire.go
@@ -3,9 +3,12 @@
 import (
 	"encoding/hex"
 	"fmt"
+	"math"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -48,24 +51,24 @@
 
 // wireCall is the encoded form of a Call. Times are in milliseconds.
 type wireCall struct {
-	Service    string   `cbor:"1,keyasint"`
-	RequestID  wireID   `cbor:"2,keyasint"`
-	Method     string   `cbor:"3,keyasint,omitempty"`
-	URI        string   `cbor:"4,keyasint"`
-	Host       string   `cbor:"5,keyasint"`
-	Header     []string `cbor:"6,keyasint,omitempty"`
-	Body       []byte   `cbor:"7,keyasint,omitempty"`
-	Remaining  int64    `cbor:"8,keyasint"`
-	Caller     string   `cbor:"9,keyasint"`
-	Route      string   `cbor:"10,keyasint"`
-	Rank       uint16   `cbor:"11,keyasint,omitempty"`
-	MaxWait    int64    `cbor:"12,keyasint,omitempty"`
-	Nested     bool     `cbor:"13,keyasint,omitempty"`
-	Retried    bool     `cbor:"14,keyasint,omitempty"`
-	PriorCalls int      `cbor:"17,keyasint,omitempty"`
-	Attempt    int      `cbor:"18,keyasint,omitempty"`
-	AtMostOnce bool     `cbor:"20,keyasint,omitempty"`
-	Crashes    int      `cbor:"21,keyasint,omitempty"`
+	Service    string    `cbor:"1,keyasint"`
+	RequestID  wireID    `cbor:"2,keyasint"`
+	Method     string    `cbor:"3,keyasint,omitempty"`
+	URI        string    `cbor:"4,keyasint"`
+	Host       string    `cbor:"5,keyasint"`
+	Header     wireTexts `cbor:"6,keyasint,omitempty"`
+	Body       []byte    `cbor:"7,keyasint,omitempty"`
+	Remaining  int64     `cbor:"8,keyasint"`
+	Caller     string    `cbor:"9,keyasint"`
+	Route      string    `cbor:"10,keyasint"`
+	Rank       uint16    `cbor:"11,keyasint,omitempty"`
+	MaxWait    int64     `cbor:"12,keyasint,omitempty"`
+	Nested     bool      `cbor:"13,keyasint,omitempty"`
+	Retried    bool      `cbor:"14,keyasint,omitempty"`
+	PriorCalls int       `cbor:"17,keyasint,omitempty"`
+	Attempt    int       `cbor:"18,keyasint,omitempty"`
+	AtMostOnce bool      `cbor:"20,keyasint,omitempty"`
+	Crashes    int       `cbor:"21,keyasint,omitempty"`
 	// ResumedProcess is the process that a resumed call was first sent to; zero if the
 	// call is not resumed.
 	ResumedProcess   uint32       `cbor:"19,keyasint,omitempty"`
@@ -81,7 +84,7 @@
 	Outcome          Outcome      `cbor:"1,keyasint"`
 	Reason           Reason       `cbor:"2,keyasint,omitempty"`
 	Status           int          `cbor:"3,keyasint,omitempty"`
-	Header           []string     `cbor:"4,keyasint,omitempty"`
+	Header           wireTexts    `cbor:"4,keyasint,omitempty"`
 	Body             []byte       `cbor:"5,keyasint,omitempty"`
 	RetryAfter       int64        `cbor:"6,keyasint,omitempty"`
 	TargetError      bool         `cbor:"8,keyasint,omitempty"`
@@ -144,13 +147,33 @@
 // latencyUnit is the unit of encoded latencies.
 const latencyUnit = 10 * time.Microsecond
 
+// callPool and replyPool hold the encoded forms of messages while these are converted. Messages in
+// the pool are zero.
+var (
+	callPool  = sync.Pool{New: func() any { return new(wireCall) }}
+	replyPool = sync.Pool{New: func() any { return new(wireReply) }}
+)
+
+func freeCall(w *wireCall) {
+	*w = wireCall{}
+	callPool.Put(w)
+}
+
+func freeReply(w *wireReply) {
+	*w = wireReply{}
+	replyPool.Put(w)
+}
+
 func (c *Codec) encodeCall(call *Call) []byte {
-	return encode(&wireCall{
+	w := callPool.Get().(*wireCall)
+	defer freeCall(w)
+	*w = wireCall{
 		Service: call.Service, RequestID: wireID(call.RequestID), Method: encodeMethod(call.Method), URI: call.URI, Host: call.Host,
 		Header: c.encodeHeader(call.Header), Body: call.Body, Remaining: call.Remaining.Milliseconds(), Caller: call.Caller, Route: call.Route,
 		Rank: call.Rank, MaxWait: call.MaxWait.Milliseconds(), Nested: call.Nested, Retried: call.Retried, PriorCalls: call.PriorCalls,
 		Attempt: call.OfferIndex, AtMostOnce: call.AtMostOnce, Crashes: call.Crashes, ResumedProcess: resumedProcessOf(call), Target: encodeTarget(&call.Target), From: wireAddress(call.From), Digests: encodeDigests(call.Digests), Epochs: encodeEpochs(call.Digests), DocumentVersions: encodeDocumentVersions(call.Digests),
-	})
+	}
+	return encode(w)
 }
 
 func resumedProcessOf(call *Call) uint32 {
@@ -161,8 +184,9 @@
 }
 
 func (c *Codec) decodeCall(content []byte) (*Call, error) {
-	var w wireCall
-	if err := cbor.Unmarshal(content, &w); err != nil {
+	w := callPool.Get().(*wireCall)
+	defer freeCall(w)
+	if err := cbor.Unmarshal(content, w); err != nil {
 		return nil, err
 	}
 	header, err := c.decodeHeader(w.Header)
@@ -178,7 +202,9 @@
 
 func (c *Codec) encodeReply(reply *Reply) []byte {
 	load := &reply.Load
-	return encode(&wireReply{
+	w := replyPool.Get().(*wireReply)
+	defer freeReply(w)
+	*w = wireReply{
 		Outcome: reply.Outcome, Reason: reply.Reason, Status: reply.Status, Header: c.encodeHeader(reply.Header), Body: reply.Body,
 		RetryAfter: reply.RetryAfter.Milliseconds(), Crashes: reply.Crashes, TargetError: reply.TargetError, Digests: encodeDigests(reply.Digests), Epochs: encodeEpochs(reply.Digests), DocumentVersions: encodeDocumentVersions(reply.Digests),
 		Load: wireLoad{
@@ -187,12 +213,14 @@
 			CallsPerRequest: load.CallsPerRequest, RetryBudgetLow: load.RetryBudgetLow,
 			Target: encodeTarget(&load.Target), Room: (load.Room + time.Millisecond - 1).Milliseconds(),
 		},
-	})
+	}
+	return encode(w)
 }
 
 func (c *Codec) decodeReply(content []byte) (*Reply, error) {
-	var w wireReply
-	if err := cbor.Unmarshal(content, &w); err != nil {
+	w := replyPool.Get().(*wireReply)
+	defer freeReply(w)
+	if err := cbor.Unmarshal(content, w); err != nil {
 		return nil, err
 	}
 	header, err := c.decodeHeader(w.Header)
@@ -244,6 +272,7 @@
 	return fields
 }
 
+// decodeHeader returns the header of the fields, whose strings it uses as the values.
 func (c *Codec) decodeHeader(fields []string) (http.Header, error) {
 	header := make(http.Header, len(fields)/2)
 	if len(fields)%2 != 0 {
@@ -257,7 +286,12 @@
 			}
 			name = c.headerNames[name[0]]
 		}
-		header[name] = append(header[name], fields[i+1])
+		// The capacity of one makes later appends to the values copy them.
+		values := fields[i+1 : i+2 : i+2]
+		if known := header[name]; known != nil {
+			values = append(known, values...)
+		}
+		header[name] = values
 	}
 	return header, nil
 }
@@ -269,49 +303,63 @@
 // MarshalCBOR returns a byte string for an ID of hexadecimal parts and a text string
 // for any other ID.
 func (id wireID) MarshalCBOR() ([]byte, error) {
-	if packed, ok := packID(string(id)); ok {
-		return cbor.Marshal(packed)
+	var buffer [packedIDBytes]byte
+	packed, ok := packID(buffer[:0], string(id))
+	switch {
+	case !ok:
+		return cbor.Marshal(string(id))
+	case len(packed) > math.MaxUint16:
+		return cbor.Marshal(slices.Clone(packed))
 	}
-	return cbor.Marshal(string(id))
+	return appendBytes(make([]byte, 0, maxHeadBytes+len(packed)), packed), nil
 }
 
 // UnmarshalCBOR decodes either form.
 func (id *wireID) UnmarshalCBOR(content []byte) error {
-	var decoded any
-	if err := cbor.Unmarshal(content, &decoded); err != nil {
-		return err
+	text, packed, err := decodeString(content)
+	if err != nil {
+		return fmt.Errorf("request ID: %w", err)
 	}
-	switch value := decoded.(type) {
-	case string:
-		*id = wireID(value)
+	if packed == nil {
+		*id = wireID(text)
 		return nil
-	case []byte:
-		unpacked, err := unpackID(value)
-		*id = wireID(unpacked)
-		return err
 	}
-	return fmt.Errorf("unexpected type %T of a request ID", decoded)
+	unpacked, err := unpackID(packed)
+	*id = wireID(unpacked)
+	return err
 }
 
+// packedIDBytes is the size of the buffer in which IDs are packed; longer ones take an allocation.
+// It has room for the ID of a request at the end of a chain of seven calls.
+const packedIDBytes = 64
+
 const lowerHex = "0123456789abcdef"
 
-func packID(id string) ([]byte, bool) {
-	packed := make([]byte, 0, len(id))
+// packID appends the packed form of the ID to the buffer.
+func packID(packed []byte, id string) ([]byte, bool) {
 	for part := range strings.SplitSeq(id, ".") {
 		if part == "" || len(part)%2 != 0 || len(part) > 2*0xff || strings.Trim(part, lowerHex) != "" {
 			return nil, false
 		}
 		packed = append(packed, byte(len(part)/2))
-		var err error
-		if packed, err = hex.AppendDecode(packed, []byte(part)); err != nil {
-			return nil, false
+		for i := 0; i < len(part); i += 2 {
+			packed = append(packed, hexDigit(part[i])<<4|hexDigit(part[i+1]))
 		}
 	}
 	return packed, true
 }
 
+// hexDigit returns the value of a lower-case hexadecimal digit.
+func hexDigit(digit byte) byte {
+	if digit <= '9' {
+		return digit - '0'
+	}
+	return digit - 'a' + 10
+}
+
 func unpackID(packed []byte) (string, error) {
-	var id []byte
+	var buffer [2 * packedIDBytes]byte
+	id := buffer[:0]
 	for len(packed) > 0 {
 		length := int(packed[0])
 		if length == 0 || length >= len(packed) {
@@ -333,33 +381,44 @@
 // for any other address.
 func (a wireAddress) MarshalCBOR() ([]byte, error) {
 	address, err := netip.ParseAddrPort(string(a))
-	if err != nil || address.String() != string(a) {
+	if err != nil || !isCanonical(address, string(a)) {
 		return cbor.Marshal(string(a))
 	}
-	packed, err := address.MarshalBinary()
+	var buffer [packedAddressBytes]byte
+	packed, err := address.AppendBinary(buffer[:0])
 	if err != nil {
 		return nil, err
 	}
-	return cbor.Marshal(packed)
+	return appendBytes(make([]byte, 0, maxHeadBytes+len(packed)), packed), nil
+}
+
+const (
+	// packedAddressBytes is the size of a packed IPv6 address with a port.
+	packedAddressBytes = 16 + 2
+	// addressTextBytes has room for the text of an IPv6 address with a port.
+	addressTextBytes = 64
+)
+
+// isCanonical reports whether the text is the one that the address is decoded to.
+func isCanonical(address netip.AddrPort, text string) bool {
+	var buffer [addressTextBytes]byte
+	return string(address.AppendTo(buffer[:0])) == text
 }
 
 // UnmarshalCBOR decodes either form.
 func (a *wireAddress) UnmarshalCBOR(content []byte) error {
-	var decoded any
-	if err := cbor.Unmarshal(content, &decoded); err != nil {
-		return err
+	text, packed, err := decodeString(content)
+	if err != nil {
+		return fmt.Errorf("address: %w", err)
 	}
-	switch value := decoded.(type) {
-	case string:
-		*a = wireAddress(value)
-		return nil
-	case []byte:
-		var address netip.AddrPort
-		if err := address.UnmarshalBinary(value); err != nil {
-			return err
-		}
-		*a = wireAddress(address.String())
+	if packed == nil {
+		*a = wireAddress(text)
 		return nil
 	}
-	return fmt.Errorf("unexpected type %T of an address", decoded)
+	var address netip.AddrPort
+	if err := address.UnmarshalBinary(packed); err != nil {
+		return err
+	}
+	*a = wireAddress(address.String())
+	return nil
 }
--- a/internal/peering/wire_digest.go
+++ b/internal/peering/wire_digest.go
@@ -1,7 +1,6 @@
 package peering
 
 import (
-	"slices"
 	"time"
 
 	"github.com/lugspur/lugspur/internal/replica"
@@ -44,18 +43,27 @@
 // encodeEpochs returns the epochs of the digests: nil if all are epoch zero, a single
 // element if all are equal.
 func encodeEpochs(digests []replica.Digest) []uint32 {
-	var epochs []uint32
-	for _, digest := range digests {
-		epochs = append(epochs, uint32(digest.Revision.Epoch()))
+	if len(digests) == 0 {
+		return nil
 	}
-	distinct := slices.Compact(slices.Clone(epochs))
-	if len(distinct) > 1 {
-		return epochs
+	first := uint32(digests[0].Revision.Epoch())
+	for _, digest := range digests[1:] {
+		if uint32(digest.Revision.Epoch()) != first {
+			return allEpochs(digests)
+		}
 	}
-	if len(distinct) == 1 && distinct[0] == 0 {
+	if first == 0 {
 		return nil
 	}
-	return distinct
+	return []uint32{first}
+}
+
+func allEpochs(digests []replica.Digest) []uint32 {
+	epochs := make([]uint32, len(digests))
+	for i, digest := range digests {
+		epochs[i] = uint32(digest.Revision.Epoch())
+	}
+	return epochs
 }
 
 // digestRevision returns the revision of the digest at the index, given the epochs of the
