Clock: contexts of calls that are cheap to derive from each other

A request passed through eight contexts of package context. Each child allocated, besides itself, its parent's map of children and the parent's channel, and each AfterFunc a further context: 60 allocations of the whole path. Package clock now has a context whose children and callbacks are in a list, whose channel is created when it is needed, and which implements AfterFunc for children of package context. WithDeadline returns it, and the offer, the run at the home and the exchange with the target use it. Its cause is read by clock.Cause; context.Cause doesn't know it, so the scheduler, the guard and the forwarder call clock.Cause.

A full pool of connections needed the channel for each exchange: an exchange waits now only if no slot is free, and a context that has ended gets no slot.

Two lines in internal/guard/exchange.go change.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -59,10 +59,13 @@
 	resumeHooks []func()
 }
 
-// deadline is the deadline of a context.
+// deadline is a context with a deadline.
 type deadline struct {
-	at     time.Time
-	expire context.CancelCauseFunc
+	cancelContext
+	clock *Clock
+	at    time.Time
+	// timer fires at the deadline.
+	timer *time.Timer
 }
 
 // New returns a clock based on the source.
@@ -136,7 +139,7 @@
 	hooks := c.resumeHooks
 	c.mutex.Unlock()
 	for _, d := range overdue {
-		d.expire(context.DeadlineExceeded)
+		d.cancel(context.DeadlineExceeded)
 	}
 	for _, hook := range hooks {
 		hook()
@@ -144,30 +147,36 @@
 }
 
 // WithDeadline returns a context that ends at a time of this clock, also if the machine is
-// suspended meanwhile. Its cause is then context.DeadlineExceeded, which Expired checks; its
+// suspended meanwhile. Its Cause is then context.DeadlineExceeded, which Expired checks; its
 // Err is context.Canceled, and its Deadline method reports none.
 //
 // If the process was stalled when the deadline passed, the context ends LateDeadlineGrace after the
 // process continues, so that data that arrived meanwhile can still be read.
 func (c *Clock) WithDeadline(parent context.Context, at time.Time) (context.Context, context.CancelFunc) {
-	ctx, expire := context.WithCancelCause(parent)
-	d := &deadline{at: at, expire: expire}
+	d := &deadline{clock: c, at: at}
+	d.attach(parent)
 	remaining := at.Sub(c.Now())
 	if remaining <= 0 {
-		expire(context.DeadlineExceeded)
-		return ctx, func() {}
+		d.cancel(context.DeadlineExceeded)
+		return d, func() {}
 	}
 	c.mutex.Lock()
 	c.deadlines[d] = struct{}{}
 	c.mutex.Unlock()
-	timer := time.AfterFunc(remaining, func() { c.deadlineReached(d, at, maxGracePeriods) })
-	return ctx, func() {
-		c.mutex.Lock()
-		delete(c.deadlines, d)
-		c.mutex.Unlock()
-		timer.Stop()
-		expire(nil)
-	}
+	d.timer = time.AfterFunc(remaining, d.reached)
+	return d, d.release
+}
+
+// reached runs when the timer for the deadline has fired.
+func (d *deadline) reached() { d.clock.deadlineReached(d, d.at, maxGracePeriods) }
+
+// release ends the context and stops its timer.
+func (d *deadline) release() {
+	d.clock.mutex.Lock()
+	delete(d.clock.deadlines, d)
+	d.clock.mutex.Unlock()
+	d.timer.Stop()
+	d.cancel(nil)
 }
 
 // deadlineReached runs when the timer for the time due has fired, which is the deadline or the
@@ -175,7 +184,7 @@
 // late that the process must have been stalled.
 func (c *Clock) deadlineReached(d *deadline, due time.Time, gracePeriods int) {
 	if gracePeriods == 0 || !IsStall(c.Since(due)) {
-		d.expire(context.DeadlineExceeded)
+		d.cancel(context.DeadlineExceeded)
 		return
 	}
 	due = c.Now().Add(LateDeadlineGrace)
--- a/internal/clock/system.go
+++ b/internal/clock/system.go
@@ -29,7 +29,7 @@
 
 // Expired reports whether a context ended because its deadline passed.
 func Expired(ctx context.Context) bool {
-	return errors.Is(context.Cause(ctx), context.DeadlineExceeded)
+	return errors.Is(Cause(ctx), context.DeadlineExceeded)
 }
 
 func newSystemSource() Source {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -247,7 +247,7 @@
 }
 
 func (f *Forwarder) offerToPeer(ctx context.Context, q *request, home *registry.Home, state *homeState, call *peering.Call) *peering.Reply {
-	offerCtx, cancel := context.WithCancelCause(ctx)
+	offerCtx, cancel := clock.WithCancelCause(ctx)
 	defer cancel(nil)
 	cancelOnSuspicion := cancel
 	if q.route.Kind != routetable.Repeatable {
@@ -278,7 +278,7 @@
 		reason = peering.DeadlinePassed
 	case ctx.Err() != nil:
 		reason = peering.CallCanceled
-	case errors.Is(context.Cause(offerCtx), errSuspected):
+	case errors.Is(clock.Cause(offerCtx), errSuspected):
 		reason = peering.Suspected
 	default:
 		f.suspect(state, err.Error())
--- a/internal/guard/exchange.go
+++ b/internal/guard/exchange.go
@@ -57,7 +57,7 @@
 		return reply
 	}
 	permit := admitted.permit
-	ctx, cancel := context.WithCancelCause(ctx)
+	ctx, cancel := clock.WithCancelCause(ctx)
 	defer cancel(nil)
 	finish := g.running.begin(call, cancel)
 	inc.stats.recordStart(call.Route, started)
@@ -155,7 +155,7 @@
 	sent := !errors.As(err, &failure) || failure.Sent
 	reason := peering.ExchangeBroken
 	switch {
-	case errors.Is(context.Cause(ctx), errQuarantined):
+	case errors.Is(clock.Cause(ctx), errQuarantined):
 		reason = peering.Quarantined
 	case clock.Expired(ctx):
 		reason = peering.DeadlinePassed
--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -89,7 +89,7 @@
 		// The process that first received the call may have run it.
 		return s.encode(&Reply{Outcome: Failed, Reason: ExchangeBroken}), true
 	}
-	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	runCtx, cancel := clock.WithCancel(context.WithoutCancel(ctx))
 	exchange, mustRun := s.exchanges.open(call, cancel)
 	if !mustRun {
 		cancel()
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/lugspur/lugspur/internal/clock"
 	"github.com/lugspur/lugspur/internal/criticality"
 	"github.com/lugspur/lugspur/internal/limit"
 )
@@ -89,7 +90,7 @@
 // canceled. An expired context deadline results in a Deadline refusal.
 func (s *Scheduler) Acquire(ctx context.Context, request Request) (*Permit, error) {
 	if ctx.Err() != nil {
-		return nil, s.contextError(context.Cause(ctx))
+		return nil, s.contextError(clock.Cause(ctx))
 	}
 	now := s.now()
 	s.mu.Lock()
--- a/internal/scheduler/wait.go
+++ b/internal/scheduler/wait.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/lugspur/lugspur/internal/clock"
 	"github.com/lugspur/lugspur/internal/criticality"
 )
 
@@ -77,7 +78,7 @@
 	if err == nil {
 		permit.Cancel()
 	}
-	return nil, s.contextError(context.Cause(ctx))
+	return nil, s.contextError(clock.Cause(ctx))
 }
 
 func (o outcome) unwrap() (*Permit, error) {
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -115,11 +115,7 @@
 
 // closeOnDone closes the socket when the context ends.
 func (c *connection) closeOnDone(ctx context.Context) {
-	if ctx.Done() == nil {
-		c.stopContextWatch = func() bool { return true }
-		return
-	}
-	c.stopContextWatch = context.AfterFunc(ctx, c.closeSocket)
+	c.stopContextWatch = clock.AfterFunc(ctx, c.closeSocket)
 }
 
 // maxInterim bounds the interim responses (1xx) before a final response.
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -95,6 +95,15 @@
 	if p.slots == nil {
 		return nil
 	}
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	select {
+	case p.slots <- struct{}{}:
+		return nil
+	default:
+	}
+	// A channel of the context is only created for an exchange that has to wait.
 	select {
 	case p.slots <- struct{}{}:
 		return nil
