Peering: reuse interim timers and message buffers

Each call at the home allocated a timer for interim responses, a buffer for the message, a channel for resumptions that hardly ever come, and a value for Content-Length; each call at the entry node a buffer for the encoded message and variables for errors that did not occur. Stopped interim writers and buffers of up to 16 KiB are pooled, the channel is created by the first resumption, and net/http adds Content-Length to small responses, with the same bytes on the wire.

--- a/internal/peering/client.go
+++ b/internal/peering/client.go
@@ -116,12 +116,19 @@
 	if c.config.OnInterim != nil {
 		exchange.OnInterim = func() { c.config.OnInterim(address) }
 	}
+	buffer := newBuffer()
+	defer freeBuffer(buffer)
 	for {
-		exchange.Body = c.config.Codec.encodeCall(call)
+		buffer.Reset()
+		c.config.Codec.encodeCall(buffer, call)
+		exchange.Body = buffer.Bytes()
 		response, err := c.exchange(ctx, address, exchange)
+		if err == nil {
+			return response, nil
+		}
 		var failure *transport.Failure
 		if !errors.As(err, &failure) || failure.SilentConnection == nil {
-			return response, markSentIfResumed(err, call)
+			return nil, markSentIfResumed(err, call)
 		}
 		// The home would treat closing this connection as cancellation, so it stays open
 		// until the call has ended.
--- a/internal/peering/exchanges.go
+++ b/internal/peering/exchanges.go
@@ -15,8 +15,8 @@
 // exchange is the state of an attempt that this node is running or has run.
 type exchange struct {
 	key exchangeKey
-	// done is closed when the run has ended. reply is then the encoded reply, nil if it
-	// was not retained.
+	// done is closed when the run has ended; it is nil unless a resumption waits for the end.
+	// reply is the encoded reply of an ended run, nil if it was not retained.
 	done  chan struct{}
 	reply []byte
 	// cancel cancels the run.
@@ -72,16 +72,28 @@
 	known := t.exchanges[key]
 	if known != nil && (call.Resumed || known.resumed) {
 		known.resumed = true
+		known.prepareWait()
 		return known, false
 	}
 	if known != nil {
 		t.retainedBytes -= len(known.reply)
 	}
-	e = &exchange{key: key, done: make(chan struct{}), cancel: cancel, atMostOnce: call.AtMostOnce, resumed: call.Resumed}
+	e = &exchange{key: key, cancel: cancel, atMostOnce: call.AtMostOnce, resumed: call.Resumed}
 	t.exchanges[key] = e
 	return e, true
 }
 
+// prepareWait creates the channel for the end of the run. The table's mutex must be held.
+func (e *exchange) prepareWait() {
+	if e.done != nil {
+		return
+	}
+	e.done = make(chan struct{})
+	if !e.endedAt.IsZero() {
+		close(e.done)
+	}
+}
+
 // finish ends an exchange and retains its reply for resumptions.
 func (t *exchangeTable) finish(e *exchange, reply []byte) {
 	t.mutex.Lock()
@@ -91,7 +103,9 @@
 		e.reply = reply
 		t.retainedBytes += len(reply)
 	}
-	close(e.done)
+	if e.done != nil {
+		close(e.done)
+	}
 }
 
 // reply returns the reply of an ended exchange, nil if it was not retained.
--- a/internal/peering/interim.go
+++ b/internal/peering/interim.go
@@ -27,11 +27,22 @@
 	stopped bool
 }
 
+// interimPool holds interim writers whose timers are stopped.
+var interimPool sync.Pool
+
 func startInterimWriter(w http.ResponseWriter) *interimWriter {
-	i := &interimWriter{writer: w}
+	i, pooled := interimPool.Get().(*interimWriter)
+	if !pooled {
+		i = &interimWriter{}
+	}
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	i.timer = time.AfterFunc(interimInterval, i.send)
+	i.writer, i.stopped = w, false
+	if pooled {
+		i.timer.Reset(interimInterval)
+	} else {
+		i.timer = time.AfterFunc(interimInterval, i.send)
+	}
 	return i
 }
 
@@ -46,10 +57,18 @@
 }
 
 // stop ends the interim responses. The http.ResponseWriter may be used again once it
-// returns.
+// returns. The interim writer must not be used again.
 func (i *interimWriter) stop() {
+	if i.end() {
+		interimPool.Put(i)
+	}
+}
+
+// end ends the interim responses. It reports whether the interim writer can be reused: send may
+// still run if the timer has fired.
+func (i *interimWriter) end() bool {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	i.stopped = true
-	i.timer.Stop()
+	i.stopped, i.writer = true, nil
+	return i.timer.Stop()
 }
--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -5,6 +5,7 @@
 package peering
 
 import (
+	"bytes"
 	"net/http"
 	"time"
 
@@ -278,3 +279,11 @@
 	}
 	return content
 }
+
+// encodeInto appends the encoded message to the buffer.
+func encodeInto(buffer *bytes.Buffer, message any) {
+	if err := cbor.MarshalToBuffer(message, buffer); err != nil {
+		// See encode.
+		panic(err)
+	}
+}
--- a/internal/peering/resume_test.go
+++ b/internal/peering/resume_test.go
@@ -180,7 +180,7 @@
 
 func TestHomeSendsInterimResponses(t *testing.T) {
 	f := newResumeFixture(t, 2*interimInterval)
-	message := testCodec.encodeCall(&Call{Service: "s", RequestID: "a", Method: "POST", URI: "/x", Remaining: time.Minute, From: callerAddress})
+	message := encodedCall(&Call{Service: "s", RequestID: "a", Method: "POST", URI: "/x", Remaining: time.Minute, From: callerAddress})
 	interim := 0
 	ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{Got1xxResponse: func(status int, _ textproto.MIMEHeader) error {
 		assert.Equal(t, status, http.StatusProcessing)
--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -1,6 +1,7 @@
 package peering
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -63,12 +64,7 @@
 }
 
 func (s *server) serveCall(w http.ResponseWriter, r *http.Request) {
-	content, err := readBody(r, s.MaxMessageBytes)
-	if err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	call, err := s.Codec.decodeCall(content)
+	call, err := s.readCall(r)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -82,6 +78,17 @@
 	}
 }
 
+// readCall reads a call. Its content is copied from the message.
+func (s *server) readCall(r *http.Request) (*Call, error) {
+	buffer := newBuffer()
+	defer freeBuffer(buffer)
+	content, err := readBodyInto(buffer, r, s.MaxMessageBytes)
+	if err != nil {
+		return nil, err
+	}
+	return s.Codec.decodeCall(content)
+}
+
 // runOrResume runs the call, or waits for the run that it resumes, and returns the
 // encoded reply. It returns false if the caller disconnected first.
 func (s *server) runOrResume(ctx context.Context, call *Call) (reply []byte, completed bool) {
@@ -179,23 +186,36 @@
 }
 
 func readBody(r *http.Request, maxBytes int64) ([]byte, error) {
+	return readBodyInto(new(bytes.Buffer), r, maxBytes)
+}
+
+// readBodyInto returns the request's body, which is valid until the buffer is used again.
+func readBodyInto(buffer *bytes.Buffer, r *http.Request, maxBytes int64) ([]byte, error) {
 	if r.ContentLength > maxBytes {
 		return nil, http.ErrContentLength
 	}
 	if r.ContentLength < 0 {
-		return io.ReadAll(io.LimitReader(r.Body, maxBytes))
+		_, err := buffer.ReadFrom(io.LimitReader(r.Body, maxBytes))
+		return buffer.Bytes(), err
 	}
-	content := make([]byte, r.ContentLength)
+	buffer.Grow(int(r.ContentLength))
+	content := buffer.AvailableBuffer()[:r.ContentLength]
 	_, err := io.ReadFull(r.Body, content)
 	return content, err
 }
 
+// implicitLengthBytes is the size up to which net/http adds Content-Length to a response that the
+// handler has written completely.
+const implicitLengthBytes = 2000
+
 // writeResponse writes the complete response. Setting Content-Type and Date to nil keeps
 // net/http from adding them.
 func writeResponse(w http.ResponseWriter, content []byte) {
 	header := w.Header()
 	header["Content-Type"] = nil
 	header["Date"] = nil
-	header.Set("Content-Length", strconv.Itoa(len(content)))
+	if len(content) > implicitLengthBytes {
+		header.Set("Content-Length", strconv.Itoa(len(content)))
+	}
 	_, _ = w.Write(content)
 }
--- a/internal/peering/wire.go
+++ b/internal/peering/wire.go
@@ -1,6 +1,7 @@
 package peering
 
 import (
+	"bytes"
 	"encoding/hex"
 	"fmt"
 	"math"
@@ -164,7 +165,8 @@
 	replyPool.Put(w)
 }
 
-func (c *Codec) encodeCall(call *Call) []byte {
+// encodeCall appends the encoded call to the buffer.
+func (c *Codec) encodeCall(buffer *bytes.Buffer, call *Call) {
 	w := callPool.Get().(*wireCall)
 	defer freeCall(w)
 	*w = wireCall{
@@ -173,7 +175,7 @@
 		Rank: call.Rank, MaxWait: call.MaxWait.Milliseconds(), Nested: call.Nested, Retried: call.Retried, PriorCalls: call.PriorCalls,
 		Attempt: call.OfferIndex, AtMostOnce: call.AtMostOnce, Crashes: call.Crashes, ResumedProcess: resumedProcessOf(call), Target: encodeTarget(&call.Target), From: wireAddress(call.From), Digests: encodeDigests(call.Digests), Epochs: encodeEpochs(call.Digests), DocumentVersions: encodeDocumentVersions(call.Digests),
 	}
-	return encode(w)
+	encodeInto(buffer, w)
 }
 
 func resumedProcessOf(call *Call) uint32 {
--- a/internal/peering/wire_benchmark_test.go
+++ b/internal/peering/wire_benchmark_test.go
@@ -28,7 +28,7 @@
 	call, reply := benchmarkCall(), benchmarkReply()
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, err := testCodec.decodeCall(testCodec.encodeCall(call)); err != nil {
+		if _, err := testCodec.decodeCall(encodedCall(call)); err != nil {
 			b.Fatal(err)
 		}
 		if _, err := testCodec.decodeReply(testCodec.encodeReply(reply)); err != nil {
--- a/internal/peering/wire_test.go
+++ b/internal/peering/wire_test.go
@@ -1,6 +1,7 @@
 package peering
 
 import (
+	"bytes"
 	"net/http"
 	"reflect"
 	"strings"
@@ -32,6 +33,12 @@
 			Target: TargetAnnouncement{Instance: "i-1@7", Rate: targetrate.Announcement{Limited: true}}, Room: 150 * time.Millisecond}}
 }
 
+func encodedCall(call *Call) []byte {
+	var buffer bytes.Buffer
+	testCodec.encodeCall(&buffer, call)
+	return buffer.Bytes()
+}
+
 // TestDigestsRoundTripAcrossEpochs covers replicas of one epoch of the store and of
 // several, and a newest document that the store has lost.
 func TestDigestsRoundTripAcrossEpochs(t *testing.T) {
@@ -43,14 +50,14 @@
 	} {
 		call := fullCall()
 		call.Digests = digests
-		decoded, err := testCodec.decodeCall(testCodec.encodeCall(call))
+		decoded, err := testCodec.decodeCall(encodedCall(call))
 		assert.NilError(t, err)
 		assert.DeepEqual(t, decoded.Digests, digests)
 	}
 }
 
 func TestMessagesRoundTrip(t *testing.T) {
-	call, err := testCodec.decodeCall(testCodec.encodeCall(fullCall()))
+	call, err := testCodec.decodeCall(encodedCall(fullCall()))
 	assert.NilError(t, err)
 	assert.DeepEqual(t, call, fullCall())
 	reply, err := testCodec.decodeReply(testCodec.encodeReply(fullReply()))
@@ -122,7 +129,7 @@
 	reply := fullReply()
 	reply.Reason, reply.RetryAfter, reply.TargetError, reply.Body = "", 0, false, nil
 	reply.Load = Load{InFlight: 12, Queued: 3, Limit: 19, Latency: 22340 * time.Microsecond, Threshold: shed.None}
-	callBytes, replyBytes := len(testCodec.encodeCall(call)), len(testCodec.encodeReply(reply))
+	callBytes, replyBytes := len(encodedCall(call)), len(testCodec.encodeReply(reply))
 	t.Logf("call %d bytes, reply %d bytes", callBytes, replyBytes)
 	assert.Assert(t, callBytes <= maxCallBytes, "%d", callBytes)
 	assert.Assert(t, replyBytes <= maxReplyBytes, "%d", replyBytes)
