Replica: read the clock less often for digests

The digests of a call and its reply took 19 readings of the clock at both nodes, 60 ns each. The two ages of a digest now share one reading, and the time of the last contact shares one with the report of confirmed copies.

--- a/internal/replica/antientropy.go
+++ b/internal/replica/antientropy.go
@@ -153,11 +153,12 @@
 	if len(digests) != len(a.copies) {
 		return
 	}
-	a.lastContact.Store(int64(a.config.Now().Sub(a.created)))
+	now := a.config.Now()
+	a.lastContact.Store(int64(now.Sub(a.created)))
 	for i, c := range a.copies {
 		c.confirmByDigest(digests[i], sentAt)
 	}
-	a.reportConfirmed(digests)
+	a.reportConfirmed(digests, now)
 	a.reportEpochs(digests, peer)
 	if a.isBehind(digests) {
 		a.fetch(peer)
@@ -263,13 +264,15 @@
 	return false
 }
 
-func (a *AntiEntropy) reportConfirmed(digests []Digest) {
+// reportConfirmed reports when a peer's copies, whose digests were received by now, were known to be
+// current.
+func (a *AntiEntropy) reportConfirmed(digests []Digest, now time.Time) {
 	if a.config.OnConfirmed == nil {
 		return
 	}
 	for _, digest := range digests {
 		if digest.Age >= 0 {
-			a.config.OnConfirmed(a.config.Now().Add(-digest.Age))
+			a.config.OnConfirmed(now.Add(-digest.Age))
 		}
 	}
 }
@@ -312,7 +315,7 @@
 		c.applyDelta(answer.Deltas[i], peer, sentAt)
 		digests[i] = answer.Deltas[i].Digest
 	}
-	a.reportConfirmed(digests)
+	a.reportConfirmed(digests, a.config.Now())
 	a.reportEpochs(digests, peer)
 	a.initialSync.recordAnswer(peer, answer.Synced, a.countPeers())
 }
--- a/internal/replica/delta.go
+++ b/internal/replica/delta.go
@@ -44,15 +44,16 @@
 }
 
 func (c *Copy) digest() Digest {
-	return Digest{Revision: c.revision, Age: c.ageOf(c.confirmed), Verified: c.ageOf(c.verified), DocumentVersion: c.document.Version()}
+	now := c.now()
+	return Digest{Revision: c.revision, Age: ageOf(c.confirmed, now), Verified: ageOf(c.verified, now), DocumentVersion: c.document.Version()}
 }
 
 // ageOf returns the time since the given one, unknownAge for the zero time.
-func (c *Copy) ageOf(at time.Time) time.Duration {
+func ageOf(at, now time.Time) time.Duration {
 	if at.IsZero() {
 		return unknownAge
 	}
-	return c.now().Sub(at)
+	return now.Sub(at)
 }
 
 // DeltaSince returns what the copy holds beyond a copy with the given digest.
