--- a/internal/clock/context.go
+++ b/internal/clock/context.go
@@ -20,8 +20,8 @@
 	mutex sync.Mutex
 	// done is closed when the context ends; nil until it is needed.
 	done chan struct{}
-	// err and cause are set when the context ends.
-	err, cause error
+	// cause is set when the context ends.
+	cause error
 	// first is the first of the registrations, which do not change any more once the context
 	// has ended.
 	first *registration
@@ -131,11 +131,11 @@
 		cause = context.Canceled
 	}
 	c.mutex.Lock()
-	if c.err != nil {
+	if c.cause != nil {
 		c.mutex.Unlock()
 		return
 	}
-	c.err, c.cause = context.Canceled, cause
+	c.cause = cause
 	if c.done == nil {
 		c.done = closedChannel
 	} else {
@@ -167,7 +167,7 @@
 func (c *cancelContext) add(r *registration) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.err != nil {
+	if c.cause != nil {
 		return false
 	}
 	r.owner = c
@@ -185,7 +185,7 @@
 	c := r.owner
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.err != nil || r.removed {
+	if c.cause != nil || r.removed {
 		return false
 	}
 	r.removed = true
@@ -227,7 +227,10 @@
 func (c *cancelContext) Err() error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.err
+	if c.cause == nil {
+		return nil
+	}
+	return context.Canceled
 }
 
 func (c *cancelContext) endCause() error {
