Peering: keep no context of ended exchanges

An ended exchange is kept for 1.4 s, up to 15 s for a call that must not run twice, and with it the function that cancels its run, which refers to the contexts of the request and of its connection. The function is dropped when the run ends; a resumption that arrives later finds nothing to cancel.

--- a/internal/peering/exchanges.go
+++ b/internal/peering/exchanges.go
@@ -19,7 +19,8 @@
 	// reply is the encoded reply of an ended run, nil if it was not retained.
 	done  chan struct{}
 	reply []byte
-	// cancel cancels the run.
+	// cancel cancels the run. It is nil once the run has ended, so that the context is not
+	// kept.
 	cancel context.CancelFunc
 	// atMostOnce reports whether the request must not run twice. resumed reports whether
 	// a resumption arrived, in which case the first message may still arrive later.
@@ -99,6 +100,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	e.endedAt = t.now()
+	e.cancel = nil
 	if t.exchanges[e.key] == e && t.retainedBytes+len(reply) <= maxRetainedBytes {
 		e.reply = reply
 		t.retainedBytes += len(reply)
@@ -108,6 +110,16 @@
 	}
 }
 
+// cancel cancels the run of an exchange unless it has ended.
+func (t *exchangeTable) cancel(e *exchange) {
+	t.mutex.Lock()
+	cancel := e.cancel
+	t.mutex.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
 // reply returns the reply of an ended exchange, nil if it was not retained.
 func (t *exchangeTable) reply(e *exchange) []byte {
 	t.mutex.Lock()
--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -100,9 +100,10 @@
 	exchange, mustRun := s.exchanges.open(call, cancel)
 	if !mustRun {
 		cancel()
+		cancel = func() { s.exchanges.cancel(exchange) }
 	}
 	// The call is canceled when any of its waiting callers disconnects.
-	defer context.AfterFunc(ctx, exchange.cancel)()
+	defer context.AfterFunc(ctx, cancel)()
 	if mustRun {
 		defer cancel()
 		reply = s.encode(s.Home.Run(runCtx, call))
@@ -113,7 +114,7 @@
 	case <-exchange.done:
 	case <-ctx.Done():
 		// The deferred stop function may remove the AfterFunc above before it has run.
-		exchange.cancel()
+		cancel()
 		return nil, false
 	}
 	if reply = s.exchanges.reply(exchange); reply == nil {
