--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -41,14 +42,48 @@
 	// stopContextWatch unregisters the callback of closeOnDone. It returns false if the
 	// callback has already been started.
 	stopContextWatch func() bool
+	// closeSocket closes the socket.
+	closeSocket func()
+	// rawSocket and probe are used by isOpen; probe stores in quiet whether the socket is open
+	// and nothing was received. rawSocket is nil if the socket cannot be accessed.
+	rawSocket syscall.RawConn
+	probe     func(fd uintptr) bool
+	quiet     bool
+	// request, plain and plainBody are reused for each exchange: request holds the method for
+	// http.ReadResponse, plain and plainBody are the result of readPlain.
+	request   http.Request
+	plain     http.Response
+	plainBody plainBody
 }
 
+// plainBody reads the body of a plain response.
+type plainBody struct{ io.LimitedReader }
+
+// Close does nothing: the connection is released by its pool.
+func (*plainBody) Close() error { return nil }
+
 func newConnection(socket net.Conn) *connection {
 	c := &connection{socket: socket}
 	c.reader = bufio.NewReaderSize(c, readBufferSize)
+	c.closeSocket = func() { _ = socket.Close() }
+	c.probe = c.peek
+	c.rawSocket = rawConnOf(socket)
 	return c
 }
 
+// rawConnOf returns the raw connection of a socket, nil if it has none.
+func rawConnOf(socket net.Conn) syscall.RawConn {
+	accessible, ok := socket.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := accessible.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
 // Read reads from the socket and enforces the limit on the header's size.
 func (c *connection) Read(buffer []byte) (int, error) {
 	if c.headerRemaining < 0 {
@@ -80,11 +115,7 @@
 
 // closeOnDone closes the socket when the context ends.
 func (c *connection) closeOnDone(ctx context.Context) {
-	if ctx.Done() == nil {
-		c.stopContextWatch = func() bool { return true }
-		return
-	}
-	c.stopContextWatch = context.AfterFunc(ctx, func() { _ = c.socket.Close() })
+	c.stopContextWatch = clock.AfterFunc(ctx, c.closeSocket)
 }
 
 // maxInterim bounds the interim responses (1xx) before a final response.
@@ -94,7 +125,7 @@
 // body must be read before the next exchange. If the silence timeout is not zero, it
 // bounds the time between interim responses, and their number is not limited.
 func (c *connection) readHeader(call *Call, maxBytes int64, silenceTimeout time.Duration) (*http.Response, error) {
-	request := &http.Request{Method: call.Method}
+	c.request.Method = call.Method
 	c.headerRemaining = maxBytes
 	for interim := 0; interim < maxInterim || silenceTimeout > 0; interim++ {
 		if silenceTimeout > 0 {
@@ -103,7 +134,7 @@
 		if err := c.startSilenceTimeout(silenceTimeout); err != nil {
 			return nil, err
 		}
-		response, err := http.ReadResponse(c.reader, request)
+		response, err := c.readResponse(call)
 		switch {
 		case err != nil:
 			return nil, err
@@ -119,6 +150,69 @@
 	return nil, errTooManyInterim
 }
 
+// readResponse reads the header of one response.
+func (c *connection) readResponse(call *Call) (*http.Response, error) {
+	if call.PlainResponseBytes > 0 {
+		response, err := c.readPlain(call.PlainResponseBytes)
+		if response != nil || err != nil {
+			return response, err
+		}
+	}
+	return http.ReadResponse(c.reader, &c.request)
+}
+
+// plainHeaderPrefix is the beginning of a plain response, whose only header field is
+// Content-Length.
+const plainHeaderPrefix = "HTTP/1.1 200 OK\r\nContent-Length: "
+
+// readPlain reads the header of a plain response with a body of up to maxBody bytes. It returns
+// nil and reads nothing if the response is not plain or its header has not arrived completely.
+// The response has no Header and is valid until the next exchange.
+func (c *connection) readPlain(maxBody int64) (*http.Response, error) {
+	if _, err := c.reader.Peek(1); err != nil {
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
+		return nil, err
+	}
+	// Peek cannot fail for bytes that are buffered.
+	received, _ := c.reader.Peek(c.reader.Buffered())
+	length, headerBytes := parsePlain(received)
+	if headerBytes == 0 || length > maxBody {
+		return nil, nil
+	}
+	_, _ = c.reader.Discard(headerBytes)
+	c.plainBody = plainBody{io.LimitedReader{R: c.reader, N: length}}
+	c.plain = http.Response{StatusCode: http.StatusOK, ContentLength: length, Body: &c.plainBody}
+	return &c.plain, nil
+}
+
+// maxLengthDigits bounds the digits of a plain response's Content-Length, so that the number
+// cannot overflow.
+const maxLengthDigits = 18
+
+// parsePlain returns the Content-Length and the size of the header of a plain response. The size
+// is zero if the content does not begin with a complete plain header.
+func parsePlain(content []byte) (length int64, headerBytes int) {
+	rest, ok := bytes.CutPrefix(content, []byte(plainHeaderPrefix))
+	if !ok {
+		return 0, 0
+	}
+	digits := 0
+	for digits < len(rest) && rest[digits] >= '0' && rest[digits] <= '9' {
+		length = length*10 + int64(rest[digits]-'0')
+		digits++
+		if digits > maxLengthDigits {
+			return 0, 0
+		}
+	}
+	end := []byte("\r\n\r\n")
+	if digits == 0 || !bytes.HasPrefix(rest[digits:], end) {
+		return 0, 0
+	}
+	return length, len(plainHeaderPrefix) + digits + len(end)
+}
+
 // startSilenceTimeout sets the read deadline to the end of the timeout if it is not zero.
 func (c *connection) startSilenceTimeout(silenceTimeout time.Duration) error {
 	if silenceTimeout <= 0 {
@@ -147,18 +241,20 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.socket.(syscall.Conn).SyscallConn()
-	if err != nil {
+	if c.rawSocket == nil {
 		return false
 	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var probe [1]byte
-		_, _, errno := syscall.Recvfrom(int(fd), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(errno, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && open
+	c.quiet = false
+	err := c.rawSocket.Read(c.probe)
+	return err == nil && c.quiet
+}
+
+// peek stores in quiet whether the socket is open and nothing was received on it.
+func (c *connection) peek(fd uintptr) bool {
+	var first [1]byte
+	_, _, errno := syscall.Recvfrom(int(fd), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	c.quiet = errors.Is(errno, syscall.EAGAIN)
+	return true
 }
 
 // encodedCall is a call in the form that is written to a connection.
