Package pace: reports of targets, age of a pace, expected completion

Some targets report with each response how long work currently takes there. The package parses the report, keeps the last pace of an incarnation, weights it by its age and estimates the wait and the duration of a call at a home. Nothing uses it yet.

--- /dev/null
+++ b/internal/pace/pace_test.go
@@ -0,0 +1,101 @@
+package pace
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func at(milliseconds int) time.Time {
+	return time.Unix(1000, 0).Add(time.Duration(milliseconds) * time.Millisecond)
+}
+
+func TestReportIsParsed(t *testing.T) {
+	for _, c := range []struct {
+		fields []string
+		want   Report
+	}{
+		{nil, Report{}},
+		{[]string{"3,0,65"}, Report{Kind: WithoutPace}},
+		{[]string{"3,0,65,250"}, Report{Kind: WithPace, Percent: 250}},
+		{[]string{" 3, 0 ,65,\t62.5 "}, Report{Kind: WithPace, Percent: 62.5}},
+		{[]string{"0,0,0,10000"}, Report{Kind: WithPace, Percent: MaxPercent}},
+		{[]string{"1e1,0,65,0.01"}, Report{Kind: WithPace, Percent: 0.01}},
+	} {
+		got, err := Parse(c.fields)
+		assert.NilError(t, err)
+		assert.Equal(t, got, c.want, "%q", c.fields)
+	}
+}
+
+// TestMalformedReportsChangeNothing guards against a pace taken from an invalid report.
+func TestMalformedReportsChangeNothing(t *testing.T) {
+	var tracker Tracker
+	tracker.Observe(Report{Kind: WithPace, Percent: 250}, at(0))
+	for _, fields := range [][]string{{""}, {"3"}, {"3,0"}, {"3,0,"}, {"3,,65,100"}, {"3,0,65,"}, {"3,0,65,100,1"}, {"-3,0,65,100"}, {"3,-0,65,100"},
+		{"3,0,65,0"}, {"3,0,65,-100"}, {"3,0,65,10001"}, {"3,0,65,1e400"}, {"1e400,0,65"}, {"3,0,65,NaN"}, {"3,0,Inf,100"}, {"3,0,65,infinity"},
+		{"3,0,65,0x10"}, {"3,0,65,1_0"}, {"3;0;65;100"}, {"a,b,c"}, {"3,0,65,100", "3,0,65,100"}, {"3", "0", "65"}, {strings.Repeat("0", 200) + ",0,65"}} {
+		report, err := Parse(fields)
+		assert.ErrorIs(t, err, ErrMalformed, "%q", fields)
+		tracker.Observe(report, at(1))
+	}
+	assert.Equal(t, tracker.Reading(at(0)), Reading{Percent: 250})
+	assert.Assert(t, tracker.FirstMalformed() && !tracker.FirstMalformed())
+}
+
+func TestTrackerKeepsTheLastReport(t *testing.T) {
+	var tracker Tracker
+	assert.Equal(t, tracker.Reading(at(0)), Reading{})
+	tracker.Observe(Report{Kind: WithPace, Percent: 250}, at(100))
+	tracker.Observe(Report{Kind: WithPace, Percent: 90}, at(50))
+	tracker.Observe(Report{}, at(120))
+	assert.Equal(t, tracker.Reading(at(130)), Reading{Percent: 250, Age: 30 * time.Millisecond})
+	tracker.Observe(Report{Kind: WithoutPace}, at(140))
+	assert.Equal(t, tracker.Reading(at(150)), Reading{}, "three figures mean that no pace is known")
+	tracker.Observe(Report{Kind: WithPace, Percent: 0.2}, at(160))
+	assert.Assert(t, tracker.Reading(at(160)).Known(), "a very low pace must not be passed on as unknown")
+}
+
+// TestPaceCountsLessWithAge guards against a pace that outlives the phase it was measured in, as
+// after a crash of the home.
+func TestPaceCountsLessWithAge(t *testing.T) {
+	var tracker Tracker
+	tracker.Observe(Report{Kind: WithPace, Percent: 250}, at(0))
+	for age, want := range map[int]float64{0: 2.5, 300: 1.75, 599: 1.0025, 600: 1, 5000: 1} {
+		assert.Equal(t, tracker.Factor(at(age)), want, "%d ms", age)
+		reading := Reading{Percent: 250, Age: time.Duration(age) * time.Millisecond / 2}
+		assert.Equal(t, reading.Factor(reading.Age), Reading{Percent: 250, Age: 2 * reading.Age}.Factor(0))
+	}
+	assert.Equal(t, (*Tracker)(nil).Factor(at(0)), 1.0)
+	assert.Equal(t, Reading{}.Factor(0), 1.0, "a home of the previous build counts as usual")
+	assert.Equal(t, Reading{Percent: 40}.Factor(300*time.Millisecond), 0.7)
+}
+
+func TestReadingsOutOfRangeAreUnknown(t *testing.T) {
+	for _, r := range []Reading{{Percent: -1}, {Percent: MaxPercent + 1}, {Percent: 100, Age: -1}} {
+		assert.Equal(t, r.Checked(), Reading{})
+	}
+	assert.Equal(t, Reading{Percent: 100}.Checked(), Reading{Percent: 100})
+}
+
+func TestEstimate(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct {
+		name string
+		home Home
+		want Estimate
+	}{
+		{"idle", Home{Limit: 10, Usual: 40 * ms, Factor: 1}, Estimate{Duration: 40 * ms}},
+		{"slow", Home{Limit: 10, Usual: 40 * ms, Factor: 2.5}, Estimate{Duration: 100 * ms}},
+		{"last slot", Home{Calls: 9, Limit: 10, Usual: 40 * ms, Factor: 1}, Estimate{Duration: 40 * ms}},
+		{"full", Home{Calls: 10, Limit: 10, Usual: 40 * ms, Factor: 1}, Estimate{Wait: 4 * ms, Duration: 40 * ms}},
+		{"queue of a slow home", Home{Calls: 19, Limit: 10, Usual: 40 * ms, Factor: 2.5}, Estimate{Wait: 100 * ms, Duration: 100 * ms}},
+	} {
+		assert.Equal(t, c.home.Estimate(), c.want, c.name)
+	}
+	assert.Equal(t, Distance(time.Second), 50*ms)
+	assert.Equal(t, Distance(20*ms), 2*ms)
+	assert.Equal(t, Distance(0), 2*ms)
+}
