Homes keep the pace of their target and report it to peers

The home parses the load report of each response of its target, keeps the last pace of the incarnation and adds it with its age to its load (CBOR keys 14 and 15, omitted if unknown, ignored if out of range). Samples of the latency are divided by the pace at their end, so that the reported latency is that at the usual pace; decisions at the home that need the current one multiply it again. Malformed reports change nothing and are logged once for each incarnation (target-load-malformed).

Nodes whose target reports no pace calculate as before: the factor is 1.

--- a/internal/callheader/names.go
+++ b/internal/callheader/names.go
@@ -23,7 +23,8 @@
 	Signature string
 	// NotExecuted marks a response to a request that the target did not execute.
 	NotExecuted string
-	// Load is the target's load report: running and waiting calls, and slots.
+	// Load is the target's load report: running calls, waiting calls, slots and, at some
+	// targets, its pace in percent, separated by commas.
 	Load string
 	// RateLimit announces the calls per second that the target accepts from all nodes
 	// together, a decimal number; responses without it announce no limit.
--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -35,6 +35,7 @@
 	TargetEnded
 	TargetRateChanged
 	TargetRateMalformed
+	TargetLoadMalformed
 	TargetLeaving
 	RequestQuarantined
 	QuarantineTrial
@@ -107,6 +108,7 @@
 	TargetEnded:           {"target-ended", stateChange, "the local target terminated without announcing that it leaves; count is the number of calls that it interrupted, reason the evidence"},
 	TargetRateChanged:     {"target-rate-changed", stateChange, "outcome is the rate limit in force that the local target announced, previously that in reason; request is the call whose response announced it, status that response's, age the time since the call was sent"},
 	TargetRateMalformed:   {"target-rate-malformed", stateChange, "the local target announced a rate limit that is not a decimal number, so that the one in outcome stays in force; reason is the error"},
+	TargetLoadMalformed:   {"target-load-malformed", stateChange, "the local target reported its load in a form that cannot be read, which is ignored; reason is the error; logged once for each start of the target"},
 	TargetLeaving:         {"target-leaving", stateChange, "the local target announced in a response that it is leaving; request is the call, status that of the response, age the time since the call was sent"},
 	RequestQuarantined:    {"request-quarantined", stateChange, "requests with the fingerprint are refused from now on, because count targets in a row crashed while running them; reason is the source of the information, wait the time until a trial run"},
 	QuarantineTrial:       {"quarantine-trial", stateChange, "this node makes a trial run of the quarantined request; count is the number of trial runs at all nodes so far"},
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -112,6 +112,8 @@
 
 func (noopObserver) TenantChecked(string, problem.Reason) {}
 
+func (noopObserver) ZoneLeft() {}
+
 func (noopObserver) BudgetCounted(string, BudgetEvent, peering.Reason) {}
 
 func (noopObserver) Stalled(time.Duration) {}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -136,6 +136,8 @@
 	// BudgetCounted is called for each event that the retry budget of a service counts. The
 	// cause is empty for first sends.
 	BudgetCounted(service string, kind BudgetEvent, cause peering.Reason)
+	// ZoneLeft is called when a home in another zone is chosen for a request.
+	ZoneLeft()
 	// Stalled is called after the whole process has stalled for the duration.
 	Stalled(duration time.Duration)
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -53,6 +53,9 @@
 		if failure := f.spendRetryBudget(q); failure != nil {
 			return nil, failure
 		}
+		if home.Zone != f.config.Zone {
+			f.observer.ZoneLeft()
+		}
 		q.lastHome = home.Address
 		q.offers++
 		reply := f.offer(ctx, q, home)
--- a/internal/guard/announcements.go
+++ b/internal/guard/announcements.go
@@ -9,6 +9,7 @@
 
 	"github.com/lugspur/lugspur/internal/criticality"
 	"github.com/lugspur/lugspur/internal/eventlog"
+	"github.com/lugspur/lugspur/internal/pace"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/shed"
 	"github.com/lugspur/lugspur/internal/targetrate"
@@ -19,6 +20,7 @@
 type announcements struct {
 	rate  targetrate.Tracker
 	pacer targetrate.Pacer
+	pace  pace.Tracker
 	// shedding determines the ranks to be refused upstream because of the rate limit.
 	shedding *shed.Controller
 	// refused is the number of calls refused by the pacer at the last tick of shedding, which
@@ -87,11 +89,29 @@
 	case inc.announcements.rate.Observe(observation):
 		g.applyRate(inc, previous, now, event)
 	}
+	if !fromOtherTarget {
+		g.observePace(inc, header, observation.ReceivedAt)
+	}
 	if !fromOtherTarget && slices.Contains(header[g.config.Headers.Leaving], targetrate.LeavingValue) {
 		g.markLeaving(inc, event)
 	}
 }
 
+// observePace processes the load report in the header of a response.
+func (g *Guard) observePace(inc *incarnation, header http.Header, receivedAt time.Time) {
+	report, err := pace.Parse(header[g.config.Headers.Load])
+	if report.Kind == pace.None {
+		return
+	}
+	inc.announcements.pace.Observe(report, receivedAt)
+	if g.config.Observer != nil {
+		g.config.Observer.LoadReported(report.Kind)
+	}
+	if err != nil && inc.announcements.pace.FirstMalformed() {
+		g.log.Record(eventlog.Event{Kind: eventlog.TargetLoadMalformed, Service: inc.target.Service, Target: inc.name, Reason: err.Error()})
+	}
+}
+
 // adoptAnnouncements processes what a peer knows of the target. A home that was restarted
 // thereby enforces a rate limit before the target's first response.
 func (g *Guard) adoptAnnouncements(inc *incarnation, call *peering.Call) {
@@ -203,6 +223,15 @@
 	return inc.announcements.rate.Current()
 }
 
+// Pace returns the last pace that the local target reported.
+func (g *Guard) Pace() pace.Reading {
+	inc := g.current.Load()
+	if inc == nil {
+		return pace.Reading{}
+	}
+	return inc.announcements.pace.Reading(g.now())
+}
+
 // SendKind is the kind of a call that is sent to the target.
 type SendKind uint8
 
--- a/internal/guard/announcements_test.go
+++ b/internal/guard/announcements_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -10,6 +11,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lugspur/lugspur/internal/eventlog"
+	"github.com/lugspur/lugspur/internal/pace"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/registry"
 	"github.com/lugspur/lugspur/internal/targetrate"
@@ -115,3 +118,29 @@
 	g.SetTarget(restarted)
 	assert.Equal(t, g.Run(context.Background(), newCall("c")).Outcome, peering.Answered)
 }
+
+// TestPaceIsPassedOn guards against a pace that is lost between target and peers, taken from a
+// malformed report, or kept after the target was replaced.
+func TestPaceIsPassedOn(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signature: sig\r\nContent-Length: 2\r\n"
+	g := respondWith(t, response+"X-Load: 1,0,2,250\r\n\r\nok", response+"X-Load: 1,0,2,NaN\r\n\r\nok", response+"X-Load: 1,0\r\n\r\nok",
+		"HTTP/1.1 421 Other\r\nX-Id: %s\r\nX-Load: 1,0,2,80\r\nContent-Length: 0\r\n\r\n")
+	g.log = eventlog.New(eventlog.Config{RootOf: func(id string) string { return id }}, "node", io.Discard, time.Now)
+	for range 4 {
+		reply := g.Run(context.Background(), newCall("a"))
+		assert.Equal(t, reply.Load.Pace.Percent, 250)
+		assert.Equal(t, reply.Header.Get("X-Load"), "")
+	}
+	assert.Equal(t, g.Pace().Percent, 250)
+	logged := uint64(0)
+	g.log.Counts(func(kind eventlog.Kind, count uint64) {
+		if kind == eventlog.TargetLoadMalformed {
+			logged += count
+		}
+	})
+	assert.Equal(t, logged, uint64(1))
+	restarted := newTarget(registry.Ready, 2)
+	restarted.StartMillis = 7
+	g.SetTarget(restarted)
+	assert.Equal(t, g.Pace(), pace.Reading{})
+}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -18,6 +18,7 @@
 	"github.com/lugspur/lugspur/internal/ending"
 	"github.com/lugspur/lugspur/internal/eventlog"
 	"github.com/lugspur/lugspur/internal/fingerprint"
+	"github.com/lugspur/lugspur/internal/pace"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/pressure"
 	"github.com/lugspur/lugspur/internal/quarantine"
@@ -83,6 +84,8 @@
 	CallFinished(outcome peering.Outcome, reason peering.Reason, queueTime, targetTime time.Duration)
 	// CallSent records a call that is sent to the target.
 	CallSent(kind SendKind)
+	// LoadReported records a load report of the target.
+	LoadReported(kind pace.Kind)
 }
 
 // Guard admits calls to the target. It is safe for concurrent use.
@@ -156,6 +159,7 @@
 	if target.RateLimit.Limited && next.announcements.rate.Adopt(target.RateLimit, g.now()) {
 		next.announcements.updatePacer(g.now())
 	}
+	next.stats.pace = &next.announcements.pace
 	g.current.Store(next)
 }
 
@@ -220,7 +224,7 @@
 // endsBeforeShutdown reports whether a call of the route that starts now will finish before
 // the shutdown deadline with a margin for slow calls.
 func (g *Guard) endsBeforeShutdown(inc *incarnation, route string, now time.Time) bool {
-	return g.shutdownDeadline.Allows(ending.SafeDuration(inc.stats.latency(route, now)), now)
+	return g.shutdownDeadline.Allows(ending.SafeDuration(inc.stats.currentLatency(route, now)), now)
 }
 
 // Close makes the guard refuse all new calls; calls in flight continue.
@@ -249,6 +253,7 @@
 		RetryBudgetLow:  downstream.RetryBudgetLow,
 		Stopping:        g.stopping.Load(),
 		Target:          inc.targetAnnouncement(),
+		Pace:            inc.announcements.pace.Reading(g.now()),
 	}
 }
 
@@ -279,7 +284,8 @@
 	if rate == 0 {
 		return
 	}
-	load.Limit = max(min(load.Limit, int(math.Ceil(rate*load.Latency.Seconds()))), 1)
+	latency := inc.stats.currentLatency(call.Route, g.now())
+	load.Limit = max(min(load.Limit, int(math.Ceil(rate*latency.Seconds()))), 1)
 	load.Room = pacer.Room(pacedCall(call), g.now())
 }
 
--- a/internal/guard/latency.go
+++ b/internal/guard/latency.go
@@ -17,7 +17,8 @@
 // the mean from right-censored samples: for calls without an answer, whether
 // canceled or in flight, only a lower bound of the duration is known. Such calls add
 // only the time by which they exceed the average. Thus the estimate rises while
-// calls hang, before any of them ends.
+// calls hang, before any of them ends. Durations are those at the usual pace of the
+// target: samples are divided by the factor by which calls take longer.
 type latencyEstimator struct {
 	// average is the long-term moving average in seconds, zero if unknown.
 	average float64
@@ -64,14 +65,16 @@
 	}
 }
 
-// end records a finished call. The latency of a call without an answer is only a
-// lower bound, so it may raise the average but never lowers it.
-func (e *latencyEstimator) end(now, seconds float64, answered bool) {
+// end records a finished call, given the factor by which it took longer than usual. The
+// latency of a call without an answer is only a lower bound, so it may raise the average but
+// never lowers it.
+func (e *latencyEstimator) end(now, seconds, factor float64, answered bool) {
 	e.rotate(now)
 	if e.inFlight > 0 {
 		e.inFlight--
 		e.startSum -= now - seconds
 	}
+	seconds /= factor
 	if answered {
 		e.current.answered++
 	} else if e.average == 0 || seconds < e.average {
@@ -84,13 +87,14 @@
 	e.average += (seconds - e.average) * latencyWeight
 }
 
-// estimate returns the expected latency of a call in seconds, zero if unknown.
-func (e *latencyEstimator) estimate(now float64) float64 {
+// estimate returns the expected latency of a call in seconds at the usual pace, zero if
+// unknown. factor is the factor by which calls currently take longer than usual.
+func (e *latencyEstimator) estimate(now, factor float64) float64 {
 	if e.average == 0 {
 		return 0
 	}
 	e.rotate(now)
-	excess := max(float64(e.inFlight)*(now-e.average)-e.startSum, 0)
+	excess := max(float64(e.inFlight)*(now-e.average*factor)-e.startSum, 0) / factor
 	total := priorCalls*e.average + e.current.seconds + e.previous.seconds + excess
 	return total / float64(priorCalls+e.current.answered+e.previous.answered)
 }
--- a/internal/guard/target_stats.go
+++ b/internal/guard/target_stats.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/lugspur/lugspur/internal/pace"
 	"github.com/lugspur/lugspur/internal/peering"
 )
 
@@ -26,6 +27,8 @@
 	errorRate float64
 	// epoch is the time of the first recorded call.
 	epoch time.Time
+	// pace is the pace of the target; nil if it reports none.
+	pace *pace.Tracker
 }
 
 // recordStart records a call that was sent to the target.
@@ -64,7 +67,7 @@
 func (s *targetStats) recordEnd(route string, reply *peering.Reply, duration time.Duration, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.recordFailure(route, reply, duration)
+	s.recordFailure(route, reply, duration, now)
 	estimator := s.latencyFor(route)
 	switch {
 	case estimator == nil:
@@ -73,7 +76,7 @@
 	default:
 		// An error of the target counts as a call without an answer, so that fast errors
 		// don't lower the estimate.
-		estimator.end(s.sinceEpoch(now), duration.Seconds(), reply.Outcome == peering.Answered && !isTargetFailure(reply))
+		estimator.end(s.sinceEpoch(now), duration.Seconds(), s.pace.Factor(now), reply.Outcome == peering.Answered && !isTargetFailure(reply))
 	}
 }
 
@@ -84,7 +87,7 @@
 
 // recordFailure updates the failure and error rates. A call counts as failed if it got
 // no valid response, or if the target rejected it although its slots were not exceeded.
-func (s *targetStats) recordFailure(route string, reply *peering.Reply, duration time.Duration) {
+func (s *targetStats) recordFailure(route string, reply *peering.Reply, duration time.Duration, now time.Time) {
 	if reply.Outcome == peering.Answered {
 		s.errorRate += (indicator(reply.TargetError) - s.errorRate) * rateWeight
 	}
@@ -94,7 +97,7 @@
 		failed = true
 	case reply.Outcome == peering.Failed:
 		estimator := s.latencies[route]
-		if estimator == nil || estimator.average == 0 || duration.Seconds() < overdueFactor*estimator.average {
+		if estimator == nil || estimator.average == 0 || duration.Seconds() < overdueFactor*estimator.average*s.pace.Factor(now) {
 			return
 		}
 		failed = true
@@ -120,7 +123,8 @@
 	return int(s.errorRate * percent)
 }
 
-// latency returns the expected latency of a call of the route, zero if unknown.
+// latency returns the expected latency of a call of the route at the usual pace of the
+// target, zero if unknown.
 func (s *targetStats) latency(route string, now time.Time) time.Duration {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -128,7 +132,13 @@
 	if estimator == nil {
 		return 0
 	}
-	return time.Duration(estimator.estimate(s.sinceEpoch(now)) * float64(time.Second))
+	return time.Duration(estimator.estimate(s.sinceEpoch(now), s.pace.Factor(now)) * float64(time.Second))
+}
+
+// currentLatency returns the expected latency of a call of the route at the current pace of
+// the target, zero if unknown.
+func (s *targetStats) currentLatency(route string, now time.Time) time.Duration {
+	return time.Duration(float64(s.latency(route, now)) * s.pace.Factor(now))
 }
 
 // failurePercent returns the percentage of calls without a valid response.
--- a/internal/guard/target_stats_test.go
+++ b/internal/guard/target_stats_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lugspur/lugspur/internal/pace"
 	"github.com/lugspur/lugspur/internal/peering"
 )
 
@@ -125,3 +126,20 @@
 	assert.Assert(t, stats.failurePercent() > 90)
 	assert.Equal(t, stats.errorPercent(), 0)
 }
+
+// TestSlowPhaseDoesNotRaiseUsualLatency covers a target that takes 2.5 times as long and reports
+// it: a latency that rose as well would count the slowness twice.
+func TestSlowPhaseDoesNotRaiseUsualLatency(t *testing.T) {
+	stats := targetStats{pace: &pace.Tracker{}}
+	now := startTime
+	for i := range 100 {
+		percentOfUsual := 100 + 150*(i/50)
+		duration := time.Duration(percentOfUsual) * time.Millisecond
+		stats.recordStart("r", now)
+		now = now.Add(duration)
+		stats.pace.Observe(pace.Report{Kind: pace.WithPace, Percent: float64(percentOfUsual)}, now)
+		stats.recordEnd("r", &peering.Reply{Outcome: peering.Answered}, duration, now)
+		assert.Equal(t, stats.latency("r", now).Round(time.Millisecond), 100*time.Millisecond)
+		assert.Equal(t, stats.currentLatency("r", now).Round(time.Millisecond), duration)
+	}
+}
--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/lugspur/lugspur/internal/fingerprint"
+	"github.com/lugspur/lugspur/internal/pace"
 	"github.com/lugspur/lugspur/internal/quarantine"
 	"github.com/lugspur/lugspur/internal/ratelimit"
 	"github.com/lugspur/lugspur/internal/registry"
@@ -159,8 +160,8 @@
 	InFlight int
 	Queued   int
 	Limit    int
-	// Latency is the typical duration of the route's calls at the target; zero if it is
-	// unknown.
+	// Latency is the typical duration of the route's calls at the target, at its usual pace;
+	// zero if it is unknown.
 	Latency time.Duration
 	// Threshold is the lowest rank of the route's calls that entry nodes should shed on
 	// the home's behalf.
@@ -183,6 +184,8 @@
 	// Room is the time after which the home expects to admit another call of the same rank
 	// under the target's rate limit; zero if it would admit one now.
 	Room time.Duration
+	// Pace is the current pace of the target; the zero value if it is unknown.
+	Pace pace.Reading
 }
 
 // Reply is a home's reply to a call.
--- a/internal/peering/wire.go
+++ b/internal/peering/wire.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/lugspur/lugspur/internal/pace"
 	"github.com/lugspur/lugspur/internal/shed"
 	"github.com/lugspur/lugspur/internal/targetrate"
 )
@@ -109,6 +110,9 @@
 	Target          *wireTarget `cbor:"12,keyasint,omitempty"`
 	// Room is in milliseconds, rounded up.
 	Room int64 `cbor:"13,keyasint,omitempty"`
+	// Pace is in percent, and PaceAge in milliseconds.
+	Pace    int   `cbor:"14,keyasint,omitempty"`
+	PaceAge int64 `cbor:"15,keyasint,omitempty"`
 }
 
 // wireTarget is the encoded form of a TargetAnnouncement.
@@ -186,6 +190,7 @@
 			ShedOffset: shed.None - min(load.Threshold, shed.None), FailurePercent: load.FailurePercent, Stopping: load.Stopping, ErrorPercent: load.ErrorPercent,
 			CallsPerRequest: load.CallsPerRequest, RetryBudgetLow: load.RetryBudgetLow,
 			Target: encodeTarget(&load.Target), Room: (load.Room + time.Millisecond - 1).Milliseconds(),
+			Pace: load.Pace.Percent, PaceAge: load.Pace.Age.Milliseconds(),
 		},
 	})
 }
@@ -208,6 +213,7 @@
 			Threshold: shed.None - min(load.ShedOffset, shed.None), FailurePercent: load.FailurePercent, Stopping: load.Stopping, ErrorPercent: load.ErrorPercent,
 			CallsPerRequest: load.CallsPerRequest, RetryBudgetLow: load.RetryBudgetLow,
 			Target: decodeTarget(load.Target), Room: milliseconds(load.Room),
+			Pace: pace.Reading{Percent: load.Pace, Age: milliseconds(load.PaceAge)}.Checked(),
 		},
 	}, nil
 }
--- a/internal/peering/wire_test.go
+++ b/internal/peering/wire_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/lugspur/lugspur/internal/pace"
 	"github.com/lugspur/lugspur/internal/replica"
 	"github.com/lugspur/lugspur/internal/shed"
 	"github.com/lugspur/lugspur/internal/store"
@@ -29,7 +30,7 @@
 	return &Reply{Outcome: Answered, Reason: QueueTimeout, Status: 200, Header: http.Header{"X-Signature": {"3e1b.07.5a2.600.0.c9f2a4d1"}, "Content-Type": {"text/plain"}}, Body: []byte("ok"),
 		RetryAfter: 150 * time.Millisecond, Crashes: 3, TargetError: true, Digests: fullCall().Digests,
 		Load: Load{InFlight: 12, Queued: 3, Limit: 19, Latency: 22340 * time.Microsecond, Threshold: 7, FailurePercent: 4, Stopping: true, ErrorPercent: 5, CallsPerRequest: 10, RetryBudgetLow: true,
-			Target: TargetAnnouncement{Instance: "i-1@7", Rate: targetrate.Announcement{Limited: true}}, Room: 150 * time.Millisecond}}
+			Target: TargetAnnouncement{Instance: "i-1@7", Rate: targetrate.Announcement{Limited: true}}, Room: 150 * time.Millisecond, Pace: pace.Reading{Percent: 250, Age: 30 * time.Millisecond}}}
 }
 
 // TestDigestsRoundTripAcrossEpochs covers replicas of one epoch of the store and of
@@ -109,6 +110,16 @@
 	assert.Equal(t, reply.Load.Threshold, shed.None)
 }
 
+// TestPaceOfOtherNodes guards against a load derived from a missing or invalid pace: a node of
+// the previous build sends none.
+func TestPaceOfOtherNodes(t *testing.T) {
+	for _, load := range []wireLoad{{}, {PaceAge: 7}, {Pace: -1}, {Pace: pace.MaxPercent + 1}, {Pace: 100, PaceAge: -1}} {
+		reply, err := testCodec.decodeReply(encode(&wireReply{Outcome: Answered, Load: load}))
+		assert.NilError(t, err)
+		assert.Equal(t, reply.Load.Pace, pace.Reading{})
+	}
+}
+
 // TestEnvelopeSize bounds the encoded size of a typical call and its reply without
 // bodies. Without the compact form they took 358 and 232 bytes, excluding HTTP.
 func TestEnvelopeSize(t *testing.T) {
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -15,6 +15,7 @@
 	"github.com/lugspur/lugspur/internal/eventlog"
 	"github.com/lugspur/lugspur/internal/forward"
 	"github.com/lugspur/lugspur/internal/guard"
+	"github.com/lugspur/lugspur/internal/pace"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/problem"
 	"github.com/lugspur/lugspur/internal/registry"
@@ -39,6 +40,8 @@
 	duration          *prometheus.HistogramVec
 	calls             *prometheus.CounterVec
 	callsSent         *prometheus.CounterVec
+	loadReports       *prometheus.CounterVec
+	zoneExits         prometheus.Counter
 	budgetEvents      *prometheus.CounterVec
 	heartbeatRefusals *prometheus.CounterVec
 	queueTime         *prometheus.HistogramVec
@@ -79,6 +82,16 @@
 			Name:      "calls_sent_total",
 			Help:      "Calls that were sent to the target beside the node, by kind: first, nested or retry.",
 		}, []string{"kind"}),
+		loadReports: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace,
+			Name:      "target_load_reports_total",
+			Help:      "Load reports of the target beside the node, by kind: pace, no-pace or malformed.",
+		}, []string{"kind"}),
+		zoneExits: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace,
+			Name:      "zone_exits_total",
+			Help:      "Choices of a home in another zone for requests that began on this machine.",
+		}),
 		budgetEvents: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace,
 			Name:      "retry_budget_events_total",
@@ -109,7 +122,7 @@
 		tenants: newTenantCounter(),
 		routes:  make(map[string]bool),
 	}
-	m.registry.MustRegister(m.tenants.requests, m.requests, m.duration, m.calls, m.callsSent, m.budgetEvents, m.heartbeatRefusals, m.queueTime, m.targetTime, m.stallTime, &eventCollector{log: log})
+	m.registry.MustRegister(m.tenants.requests, m.requests, m.duration, m.calls, m.callsSent, m.loadReports, m.zoneExits, m.budgetEvents, m.heartbeatRefusals, m.queueTime, m.targetTime, m.stallTime, &eventCollector{log: log})
 	return m
 }
 
@@ -177,6 +190,12 @@
 // CallSent counts a call that is sent to the target.
 func (m *metrics) CallSent(kind guard.SendKind) { m.callsSent.WithLabelValues(kind.String()).Inc() }
 
+// LoadReported counts a load report of the target.
+func (m *metrics) LoadReported(kind pace.Kind) { m.loadReports.WithLabelValues(kind.String()).Inc() }
+
+// ZoneLeft counts the choice of a home in another zone.
+func (m *metrics) ZoneLeft() { m.zoneExits.Inc() }
+
 // routeLabel returns the label for the route: its name, or otherRoute once there are
 // maxRouteLabels others.
 func (m *metrics) routeLabel(route string) string {
--- a/internal/sidecar/metrics_test.go
+++ b/internal/sidecar/metrics_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/lugspur/lugspur/internal/forward"
 	"github.com/lugspur/lugspur/internal/guard"
+	"github.com/lugspur/lugspur/internal/pace"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/registry"
 )
@@ -44,6 +45,7 @@
 	n.metrics.RequestFinished("r", 200, "", time.Second)
 	n.metrics.CallFinished(peering.Answered, "", time.Millisecond, time.Second)
 	n.metrics.CallSent(guard.FirstSend)
+	n.metrics.LoadReported(pace.WithPace)
 	n.metrics.countRefusedHeartbeat(registry.RefusedSlots)
 	n.metrics.BudgetCounted("s", forward.FirstSent, "")
 	n.storeCalls.CallEnded(purposeRecords, "list", "done")
