Choosing a home takes one lock for each home and no sorting

A choice locked each home's state three times and the table once for each home, copied the candidates several times and sorted two slices for their medians. It now looks up all states under one lock of the table, reads each state under one lock, selects the medians in linear time and reuses its slices. The result is the same.

--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/lugspur/lugspur/internal/registry"
@@ -53,31 +54,57 @@
 	home  *registry.Home
 	state *homeState
 	stats homeStats
+	// usable and unavailable are those of the state at the time of the choice.
+	usable, unavailable bool
 	// rateLimited reports whether the home's target announced a rate limit, and paused is the
 	// time until the limit is expected to leave room for the request.
 	rateLimited bool
 	paused      time.Duration
 }
 
-// candidates returns the homes of the request's service that have neither been excluded nor
-// rejected the request, and whose targets are not leaving.
-func (f *Forwarder) candidates(q *request, now time.Time) []candidate {
-	homes := f.directory.Homes(q.service)
-	candidates := make([]candidate, 0, len(homes))
-	median := f.homes.statsOf(q.route.Name).latency
-	for _, home := range homes {
-		if containsHome(q.excluded, home) || containsHome(q.rejected, home) {
-			continue
+// choiceBuffers are slices that a choice needs, reused by later choices.
+type choiceBuffers struct {
+	homes      []*registry.Home
+	states     []*homeState
+	candidates []candidate
+	latencies  []time.Duration
+	errorRates []float64
+}
+
+var choiceBuffersPool = sync.Pool{New: func() any { return new(choiceBuffers) }}
+
+// release returns the buffers to the pool. It clears them, so that they refer to no homes that
+// have left.
+func (b *choiceBuffers) release() {
+	clear(b.homes)
+	clear(b.states)
+	clear(b.candidates)
+	choiceBuffersPool.Put(b)
+}
+
+// candidates fills the buffers with the homes of the request's service that have neither been
+// excluded nor rejected the request, and whose targets are not leaving. The result is valid until
+// the buffers are released. usual is the usual latency of the route, zero if unknown.
+func (f *Forwarder) candidates(q *request, now time.Time, buffers *choiceBuffers) (candidates []candidate, usual time.Duration) {
+	buffers.homes = buffers.homes[:0]
+	for _, home := range f.directory.Homes(q.service) {
+		if !containsHome(q.excluded, home) && !containsHome(q.rejected, home) {
+			buffers.homes = append(buffers.homes, home)
 		}
+	}
+	buffers.states, usual = f.homes.appendStates(buffers.states[:0], buffers.homes, q.route.Name)
+	buffers.candidates = slices.Grow(buffers.candidates[:0], len(buffers.homes))
+	for i, home := range buffers.homes {
 		announced, _ := f.announced.get(home.Instance)
 		if announced.Leaving {
 			continue
 		}
-		state := f.homes.state(home.Address)
-		candidates = append(candidates, candidate{home: home, state: state, stats: state.stats(home, q.route, median, now),
-			rateLimited: announced.Rate.Limited || home.RateLimit != nil, paused: announced.pausedFor(q.rank.Level, now)})
+		buffers.candidates = append(buffers.candidates, candidate{home: home, state: buffers.states[i]})
+		c := &buffers.candidates[len(buffers.candidates)-1]
+		c.rateLimited, c.paused = announced.Rate.Limited || home.RateLimit != nil, announced.pausedFor(q.rank.Level, now)
+		c.observe(q.route, usual, now)
 	}
-	return candidates
+	return buffers.candidates, usual
 }
 
 // choice is the home that a request is offered to next.
@@ -96,30 +123,34 @@
 // request, and are not chosen while the limit leaves no room.
 func (f *Forwarder) choose(q *request) choice {
 	now := f.now()
-	var best, fallback choice
-	least, leastFallback := math.Inf(1), math.Inf(1)
-	candidates := f.candidates(q, now)
-	median := medianLatency(candidates)
-	if median > 0 {
+	buffers := choiceBuffersPool.Get().(*choiceBuffers)
+	defer buffers.release()
+	candidates, usual := f.candidates(q, now, buffers)
+	median := buffers.medianLatency()
+	if median > 0 && median != usual {
 		f.homes.setLatency(q.route.Name, median)
 	}
-	baselineErrorRate := medianErrorRate(candidates)
+	baselineErrorRate := buffers.medianErrorRate()
 	zoneFactor := crossZoneFactor
 	if len(q.excluded) == 0 && f.zoneHasCapacity(candidates, now) {
 		zoneFactor = f.crossZoneFactorOf(q.route)
 	}
-	candidates, paused := q.withRoom(candidates, now)
-	for _, c := range candidates {
+	candidates, paused := q.withRoom(candidates)
+	var best, fallback choice
+	least, leastFallback := math.Inf(1), math.Inf(1)
+	remaining := q.deadline.Sub(now)
+	for i := range candidates {
+		c := &candidates[i]
 		excessErrorRate := max(c.stats.errorRate-baselineErrorRate, 0)
 		c.stats.failureRate += excessErrorRate * (1 - c.stats.failureRate)
-		latency := expectedLatency(c.stats, median, q.route.Kind)
-		cost := f.cost(q, c, latency, q.deadline.Sub(now), zoneFactor)
+		latency := expectedLatency(&c.stats, median, q.route.Kind)
+		cost := f.cost(q, c, latency, remaining, zoneFactor)
 		switch {
-		case c.state.usable(c.home, now):
+		case c.usable:
 			if cost < least {
 				best, least = choice{home: c.home, latency: latency}, cost
 			}
-		case cost < leastFallback && !c.state.isUnavailable(c.home, now):
+		case cost < leastFallback && !c.unavailable:
 			fallback, leastFallback = choice{home: c.home, latency: latency}, cost
 		}
 	}
@@ -145,7 +176,7 @@
 // homes without a limit take precedence. A nested call is offered to a home without room if
 // there is no other: homes must see all nested calls, because the thresholds that they
 // report for the calling routes depend on it.
-func (q *request) withRoom(candidates []candidate, now time.Time) (withRoom []candidate, paused time.Duration) {
+func (q *request) withRoom(candidates []candidate) (withRoom []candidate, paused time.Duration) {
 	if !slices.ContainsFunc(candidates, isRateLimited) {
 		return candidates, 0
 	}
@@ -159,7 +190,7 @@
 		case c.rateLimited && q.rateRefusals >= maxLimitedRefusals:
 			continue
 		}
-		unlimited = unlimited || !c.rateLimited && c.state.usable(c.home, now)
+		unlimited = unlimited || !c.rateLimited && c.usable
 		withRoom = append(withRoom, c)
 	}
 	switch {
@@ -186,8 +217,8 @@
 // cost returns the expected cost of a call at the home, in seconds of latency. The cost
 // grows with occupancy and failure rate and is multiplied by zoneFactor for a home in
 // another zone.
-func (f *Forwarder) cost(q *request, c candidate, latency, remaining time.Duration, zoneFactor float64) float64 {
-	s := c.stats
+func (f *Forwarder) cost(q *request, c *candidate, latency, remaining time.Duration, zoneFactor float64) float64 {
+	s := &c.stats
 	cost := latency.Seconds() * (1 + belowKneeCost*min(s.occupancy, kneeOccupancy))
 	if s.occupancy > kneeOccupancy {
 		cost *= 1 + aboveKneeCost*(s.occupancy-kneeOccupancy)/(1-kneeOccupancy)
@@ -210,8 +241,9 @@
 // zoneHasCapacity reports whether a home in the node's own zone is healthy and has spare
 // capacity. Otherwise crossZoneFactor is not increased by the response size.
 func (f *Forwarder) zoneHasCapacity(candidates []candidate, now time.Time) bool {
-	for _, c := range candidates {
-		s := c.stats
+	for i := range candidates {
+		c := &candidates[i]
+		s := &c.stats
 		if c.paused == 0 && c.home.Zone == f.config.Zone && s.occupancy < spareOccupancy && s.failureRate < lowFailureRate && !s.stopping && c.state.usable(c.home, now) {
 			return true
 		}
@@ -233,7 +265,7 @@
 // must not run twice it is the highest of the known estimates. For other requests, which can
 // be retried elsewhere, estimates from few calls are left out, because their noise would
 // make the load distribution less even.
-func expectedLatency(s homeStats, median time.Duration, kind routetable.Kind) time.Duration {
+func expectedLatency(s *homeStats, median time.Duration, kind routetable.Kind) time.Duration {
 	median = max(median, time.Millisecond)
 	latency := s.latency
 	if latency == 0 {
--- a/internal/forward/choose_test.go
+++ b/internal/forward/choose_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -217,3 +219,17 @@
 	state.suspect(time.Now())
 	assert.Assert(t, !hasCapacity(home.Zone, homeStats{}))
 }
+
+// TestLowerMedian compares the median with that of sorted values, among them many equal ones.
+func TestLowerMedian(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 2000 {
+		values := make([]int, 1+random.IntN(40))
+		for i := range values {
+			values[i] = random.IntN(1 + random.IntN(50))
+		}
+		sorted := slices.Sorted(slices.Values(values))
+		assert.Equal(t, lowerMedian(values), sorted[(len(sorted)-1)/2])
+	}
+	assert.Equal(t, lowerMedian([]float64(nil)), 0.0)
+}
--- a/internal/forward/home.go
+++ b/internal/forward/home.go
@@ -72,10 +72,7 @@
 func (s *homeState) usable(home *registry.Home, now time.Time) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.unavailableRevision == uint64(home.Revision) && now.Before(s.unavailableUntil) {
-		return false
-	}
-	return s.suspicion.backoff == 0
+	return !s.unavailableLocked(home, now) && s.suspicion.backoff == 0
 }
 
 // begin records a call of the route that waits for the home. The returned function must be
@@ -253,6 +250,11 @@
 func (t *homeTable) state(address string) *homeState {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	return t.stateLocked(address)
+}
+
+// stateLocked returns the state of a home and creates it if necessary. The caller holds the mutex.
+func (t *homeTable) stateLocked(address string) *homeState {
 	if t.states == nil {
 		t.states = make(map[string]*homeState)
 	}
@@ -264,6 +266,17 @@
 	return s
 }
 
+// appendStates appends the states of the homes to the slice and returns the usual latency of the
+// route, zero if unknown. It locks the table once for all of them.
+func (t *homeTable) appendStates(states []*homeState, homes []*registry.Home, route string) ([]*homeState, time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, home := range homes {
+		states = append(states, t.stateLocked(home.Address))
+	}
+	return states, t.routes[route].latency
+}
+
 // find returns the state of a home, or nil if there is none.
 func (t *homeTable) find(address string) *homeState {
 	t.mutex.Lock()
@@ -296,9 +309,8 @@
 	return states
 }
 
-func (s *homeState) isUnavailable(home *registry.Home, now time.Time) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+// unavailableLocked reports whether the home reported that it has no available target.
+func (s *homeState) unavailableLocked(home *registry.Home, now time.Time) bool {
 	return s.unavailableRevision == uint64(home.Revision) && now.Before(s.unavailableUntil)
 }
 
--- a/internal/forward/home_stats.go
+++ b/internal/forward/home_stats.go
@@ -1,7 +1,7 @@
 package forward
 
 import (
-	"slices"
+	"cmp"
 	"time"
 
 	"github.com/lugspur/lugspur/internal/peering"
@@ -87,27 +87,43 @@
 	failureRate, errorRate float64
 }
 
-func (s *homeState) stats(home *registry.Home, route *routetable.Route, median time.Duration, now time.Time) homeStats {
+// observe sets what the choice of a home depends on from the state of the home. median is the
+// usual latency of the route, zero if unknown.
+func (c *candidate) observe(route *routetable.Route, median time.Duration, now time.Time) {
+	s := c.state
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	c.unavailable = s.unavailableLocked(c.home, now)
+	c.usable = !c.unavailable && s.suspicion.backoff == 0
+	c.stats = s.statsLocked(c.home, route, median, now)
+}
+
+func (s *homeState) statsLocked(home *registry.Home, route *routetable.Route, median time.Duration, now time.Time) homeStats {
 	limit := max(home.Slots, 1)
 	if s.load.Limit > 0 {
 		limit = s.load.Limit
 	}
 	busy := len(s.inFlight)
-	if now.Sub(s.loadAt) < loadMaxAge {
+	loadAge := now.Sub(s.loadAt)
+	if loadAge < loadMaxAge {
 		busy = max(busy, s.load.InFlight+s.load.Queued)
 	}
 	maxAge := maxAgeFor(route.Kind)
 	// On average, a pending call has run for half of its duration.
-	stats := homeStats{stopping: s.stoppingLocked(now), occupancy: float64(busy) / float64(limit), pendingLatency: 2 * s.pending[route.Name].meanAge(now)}
-	if latency := s.latencies[route.Name]; now.Sub(latency.at) < maxAge || (now.Sub(latency.at) < slowMaxAge && latency.value > slowLatencyRatio*median && median > 0) {
-		stats.latency = latency.value
+	stats := homeStats{stopping: s.load.Stopping && loadAge < stoppingMaxAge, occupancy: float64(busy) / float64(limit)}
+	if len(s.pending) > 0 {
+		stats.pendingLatency = 2 * s.pending[route.Name].meanAge(now)
+	}
+	if latency, known := s.latencies[route.Name]; known {
+		age := now.Sub(latency.at)
+		if age < maxAge || (age < slowMaxAge && latency.value > slowLatencyRatio*median && median > 0) {
+			stats.latency = latency.value
+		}
 	}
 	if now.Sub(s.slownessAt) < maxAge {
 		stats.slowness = s.slowness
 	}
-	if now.Sub(s.loadAt) < maxAge {
+	if loadAge < maxAge {
 		stats.failureRate = float64(s.load.FailurePercent) / percent
 		stats.errorRate = float64(s.load.ErrorPercent) / percent
 	}
@@ -155,30 +171,65 @@
 
 // medianErrorRate returns the median error rate of the candidates. A rate that all homes
 // have in common is caused further down the call chain.
-func medianErrorRate(candidates []candidate) float64 {
-	if len(candidates) == 0 {
-		return 0
+func (b *choiceBuffers) medianErrorRate() float64 {
+	b.errorRates = b.errorRates[:0]
+	for i := range b.candidates {
+		b.errorRates = append(b.errorRates, b.candidates[i].stats.errorRate)
 	}
-	rates := make([]float64, len(candidates))
-	for i, c := range candidates {
-		rates[i] = c.stats.errorRate
-	}
-	slices.Sort(rates)
-	return rates[(len(rates)-1)/2]
+	return lowerMedian(b.errorRates)
 }
 
 // medianLatency returns the median of the known latencies, which is the estimate for homes
 // whose latency is unknown. It returns zero if no latency is known.
-func medianLatency(candidates []candidate) time.Duration {
-	latencies := make([]time.Duration, 0, len(candidates))
-	for _, c := range candidates {
-		if c.stats.latency > 0 {
-			latencies = append(latencies, c.stats.latency)
+func (b *choiceBuffers) medianLatency() time.Duration {
+	b.latencies = b.latencies[:0]
+	for i := range b.candidates {
+		if latency := b.candidates[i].stats.latency; latency > 0 {
+			b.latencies = append(b.latencies, latency)
 		}
 	}
-	if len(latencies) == 0 {
-		return 0
+	return lowerMedian(b.latencies)
+}
+
+// lowerMedian returns the median of the values, the lower one of two, and zero if there are
+// none. It reorders the values (Hoare's quickselect, in linear time on average).
+func lowerMedian[T cmp.Ordered](values []T) T {
+	if len(values) == 0 {
+		var zero T
+		return zero
+	}
+	middle := (len(values) - 1) / 2
+	for first, last := 0, len(values)-1; first < last; {
+		below, above := partition(values, first, last)
+		switch {
+		case middle <= below:
+			last = below
+		case middle >= above:
+			first = above
+		default:
+			return values[middle]
+		}
+	}
+	return values[middle]
+}
+
+// partition reorders the values from first to last around one of them. Those up to below are at
+// most as great, those from above on at least as great, and those in between equal to it.
+func partition[T cmp.Ordered](values []T, first, last int) (below, above int) {
+	pivot := values[first+(last-first)/2]
+	low, high := first, last
+	for low <= high {
+		for values[low] < pivot {
+			low++
+		}
+		for values[high] > pivot {
+			high--
+		}
+		if low <= high {
+			values[low], values[high] = values[high], values[low]
+			low++
+			high--
+		}
 	}
-	slices.Sort(latencies)
-	return latencies[(len(latencies)-1)/2]
+	return high, low
 }
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -81,9 +81,12 @@
 	var best choice
 	highest := uint64(0)
 	hash := q.fingerprint()
-	for _, c := range f.candidates(q, now) {
+	buffers := choiceBuffersPool.Get().(*choiceBuffers)
+	defer buffers.release()
+	candidates, _ := f.candidates(q, now, buffers)
+	for _, c := range candidates {
 		weight := xxhash.Sum64String(string(hash[:]) + c.home.Address)
-		if c.state.usable(c.home, now) && (best.home == nil || weight > highest) {
+		if c.usable && (best.home == nil || weight > highest) {
 			best, highest = choice{home: c.home, latency: c.stats.latency}, weight
 		}
 	}
