Calls go to the home where they are expected to complete first

Targets that are slow for a few hundred milliseconds kept getting calls, because the latency of a home is an average over two seconds, and calls left their zone because the cost of a home grows with its occupancy. For services of which a home reports a pace, the entry node now compares the expected completion: wait for a slot, duration at the current pace, and distance to another zone as a time. Within a zone crowded homes count as slower; between zones only the expected times decide. Other services are served as before.

--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/lugspur/lugspur/internal/pace"
 	"github.com/lugspur/lugspur/internal/registry"
 	"github.com/lugspur/lugspur/internal/routetable"
 )
@@ -54,6 +55,8 @@
 	home  *registry.Home
 	state *homeState
 	stats homeStats
+	// latency is the expected latency of a call, set by the choice by pace.
+	latency time.Duration
 	// usable and unavailable are those of the state at the time of the choice.
 	usable, unavailable bool
 	// rateLimited reports whether the home's target announced a rate limit, and paused is the
@@ -136,13 +139,33 @@
 		zoneFactor = f.crossZoneFactorOf(q.route)
 	}
 	candidates, paused := q.withRoom(candidates)
+	for i := range candidates {
+		stats := &candidates[i].stats
+		excessErrorRate := max(stats.errorRate-baselineErrorRate, 0)
+		stats.failureRate += excessErrorRate * (1 - stats.failureRate)
+	}
 	var best, fallback choice
+	if buffers.reportPace() {
+		best, fallback = f.earliestCompletion(q, candidates, median, now)
+	} else {
+		best, fallback = f.lowestCost(q, candidates, median, zoneFactor, now)
+	}
+	if best.home == nil && paused > 0 {
+		return choice{paused: paused}
+	}
+	if best.home == nil && len(q.excluded) == 0 {
+		return fallback
+	}
+	return best
+}
+
+// lowestCost returns the usable candidate with the lowest cost, and the suspected one with the
+// lowest cost.
+func (f *Forwarder) lowestCost(q *request, candidates []candidate, median time.Duration, zoneFactor float64, now time.Time) (best, fallback choice) {
 	least, leastFallback := math.Inf(1), math.Inf(1)
 	remaining := q.deadline.Sub(now)
 	for i := range candidates {
 		c := &candidates[i]
-		excessErrorRate := max(c.stats.errorRate-baselineErrorRate, 0)
-		c.stats.failureRate += excessErrorRate * (1 - c.stats.failureRate)
 		latency := expectedLatency(&c.stats, median, q.route.Kind)
 		cost := f.cost(q, c, latency, remaining, zoneFactor)
 		switch {
@@ -154,13 +177,46 @@
 			fallback, leastFallback = choice{home: c.home, latency: latency}, cost
 		}
 	}
-	if best.home == nil && paused > 0 {
-		return choice{paused: paused}
+	return best, fallback
+}
+
+// earliestCompletion returns the usable candidate at which a call is expected to complete first
+// at the current pace of targets, and the same of the suspected candidates.
+func (f *Forwarder) earliestCompletion(q *request, candidates []candidate, median time.Duration, now time.Time) (best, fallback choice) {
+	var usable, suspected pace.Selection
+	remaining := q.deadline.Sub(now)
+	for i := range candidates {
+		c := &candidates[i]
+		estimate := c.stats.estimate(median, q.route.Kind)
+		risk := c.stats.riskFactor(q.route.Kind, estimate.Time(), remaining)
+		c.latency = estimate.Time()
+		added := pace.Candidate{Index: i, Estimate: estimate, Risk: risk, OtherZone: c.home.Zone != f.config.Zone, Random: rand.Float64()}
+		switch {
+		case c.usable:
+			usable.Add(added)
+		case !c.unavailable:
+			suspected.Add(added)
+		}
 	}
-	if best.home == nil && len(q.excluded) == 0 {
-		return fallback
+	distance := pace.Distance(q.route.Objective)
+	if i, found := usable.Best(distance); found {
+		best = choice{home: candidates[i].home, latency: candidates[i].latency}
 	}
-	return best
+	if i, found := suspected.Best(distance); found {
+		fallback = choice{home: candidates[i].home, latency: candidates[i].latency}
+	}
+	return best, fallback
+}
+
+// estimate returns the expected time that a call takes at the home at its current pace. For a
+// request that must not run twice it is at least as long as the other known estimates.
+func (s *homeStats) estimate(median time.Duration, kind routetable.Kind) pace.Estimate {
+	s.paced.Usual = expectedLatency(s, median, routetable.Repeatable)
+	estimate := s.paced.Estimate()
+	if kind == routetable.AtMostOnce {
+		estimate.Duration = max(estimate.Duration, s.cautiousLatency(median)-estimate.Wait)
+	}
+	return estimate
 }
 
 const (
@@ -223,19 +279,35 @@
 	if s.occupancy > kneeOccupancy {
 		cost *= 1 + aboveKneeCost*(s.occupancy-kneeOccupancy)/(1-kneeOccupancy)
 	}
-	if q.route.Kind == routetable.AtMostOnce {
+	cost *= s.riskFactor(q.route.Kind, latency, remaining)
+	if c.home.Zone != f.config.Zone {
+		cost *= zoneFactor
+	}
+	return cost * (1 + jitter*rand.Float64())
+}
+
+// riskFactor returns the factor by which a call at the home costs more because it may fail or miss
+// its deadline, or because the home is about to stop.
+func (s *homeStats) riskFactor(kind routetable.Kind, latency, remaining time.Duration) float64 {
+	factor := 1 + failureFactor*s.failureRate
+	if kind == routetable.AtMostOnce {
 		failureProbability := 1 - (1-s.failureRate)*(1-lateProbability(latency, remaining))
-		cost *= 1 + onceFailureFactor*failureProbability
-	} else {
-		cost *= 1 + failureFactor*s.failureRate
+		factor = 1 + onceFailureFactor*failureProbability
 	}
 	if s.stopping {
-		cost *= stoppingFactor
+		factor *= stoppingFactor
 	}
-	if c.home.Zone != f.config.Zone {
-		cost *= zoneFactor
+	return factor
+}
+
+// reportPace reports whether a candidate reports the pace of its target.
+func (b *choiceBuffers) reportPace() bool {
+	for i := range b.candidates {
+		if b.candidates[i].stats.reportsPace {
+			return true
+		}
 	}
-	return cost * (1 + jitter*rand.Float64())
+	return false
 }
 
 // zoneHasCapacity reports whether a home in the node's own zone is healthy and has spare
@@ -274,10 +346,17 @@
 	if kind != routetable.AtMostOnce {
 		return latency
 	}
+	return max(latency, s.cautiousLatency(median))
+}
+
+// cautiousLatency returns the higher of the estimates that follow from the latencies of other routes
+// and from this node's pending calls, zero if there are none. Calls of a target that is slow on
+// other routes, or that has not answered for long, may miss their deadline.
+func (s *homeStats) cautiousLatency(median time.Duration) time.Duration {
 	if s.slowness > slowHomeRatio {
-		latency = max(latency, time.Duration(float64(median)*s.slowness))
+		return max(time.Duration(float64(median)*s.slowness), s.pendingLatency)
 	}
-	return max(latency, s.pendingLatency)
+	return s.pendingLatency
 }
 
 // lateProbability estimates, from the usual latency, the probability that a call does not
--- a/internal/forward/choose_test.go
+++ b/internal/forward/choose_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lugspur/lugspur/internal/pace"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/routetable"
 	"github.com/lugspur/lugspur/internal/shed"
@@ -233,3 +234,35 @@
 	}
 	assert.Equal(t, lowerMedian([]float64(nil)), 0.0)
 }
+
+// TestChoiceByPace guards against a slow home that is not avoided, one that is avoided after its
+// pace has expired or its target was replaced, and a node of the previous build, which reports no
+// pace, that counts as idle or fast.
+func TestChoiceByPace(t *testing.T) {
+	now := time.Now()
+	f := &Forwarder{config: Config{Zone: "z"}, now: func() time.Time { return now }, directory: directoryOf(t, []string{"paced", "previous"})}
+	paced, previous := f.homes.state("paced"), f.homes.state("previous")
+	chosen := func(kind routetable.Kind) choice {
+		return f.choose(&request{route: &routetable.Route{Name: "read", Kind: kind}, service: "s", deadline: now.Add(time.Hour)})
+	}
+	report := func(percentOfUsual int, pacedLatency time.Duration, previousCalls int) {
+		paced.recordLoad("read", peering.Load{Limit: 10, Latency: pacedLatency, Pace: pace.Reading{Percent: percentOfUsual}}, 0, now)
+		previous.recordLoad("read", peering.Load{Limit: 10, InFlight: previousCalls, Latency: 100 * time.Millisecond}, 0, now)
+	}
+	for range 20 {
+		report(400, 50*time.Millisecond, 0)
+		assert.Equal(t, chosen(routetable.Repeatable).home.Address, "previous", "200 ms are expected at the other")
+		assert.Equal(t, chosen(routetable.AtMostOnce).latency, 100*time.Millisecond)
+		now = now.Add(pace.MaxAge)
+		assert.Equal(t, chosen(routetable.Repeatable).home.Address, "paced", "the pace has expired")
+		report(0, 50*time.Millisecond, 0)
+		assert.Equal(t, chosen(routetable.Repeatable).home.Address, "paced", "the target was replaced and reports no pace")
+		report(100, 130*time.Millisecond, 25)
+		assert.Equal(t, chosen(routetable.Repeatable).home.Address, "paced", "calls wait at the home of the previous build")
+		paced.suspect(now)
+		last := chosen(routetable.AtMostOnce)
+		assert.Equal(t, last.home.Address, "previous", "a suspected home gets no calls")
+		assert.Equal(t, last.latency, 260*time.Millisecond, "the wait counts for the deadline")
+		paced.markReachable(now)
+	}
+}
--- a/internal/forward/home.go
+++ b/internal/forward/home.go
@@ -22,6 +22,8 @@
 	nextCall uint64
 	load     peering.Load
 	loadAt   time.Time
+	// sentSinceLoad is the number of calls that began after loadAt.
+	sentSinceLoad int
 	// latencies holds the reported latencies by route.
 	latencies map[string]latencySample
 	// slowness is the ratio of the home's latency to the median of all homes, as a moving
@@ -87,9 +89,14 @@
 	s.nextCall++
 	s.inFlight[id] = cancel
 	s.pending[route] = s.pending[route].add(now)
+	s.sentSinceLoad++
+	loadAt := s.loadAt
 	return func() {
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
+		if s.loadAt.Equal(loadAt) {
+			s.sentSinceLoad--
+		}
 		delete(s.inFlight, id)
 		rest := s.pending[route].remove(now)
 		if rest.count == 0 {
--- a/internal/forward/home_stats.go
+++ b/internal/forward/home_stats.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"github.com/lugspur/lugspur/internal/pace"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/registry"
 	"github.com/lugspur/lugspur/internal/routetable"
@@ -85,6 +86,10 @@
 	// failureRate is the fraction of calls without a valid response, and errorRate the
 	// fraction of responses that report an error of the target itself.
 	failureRate, errorRate float64
+	// reportsPace is set if the home reports the pace of its target, and paced is what the choice
+	// by pace depends on, except the usual duration of a call.
+	reportsPace bool
+	paced       pace.Home
 }
 
 // observe sets what the choice of a home depends on from the state of the home. median is the
@@ -123,13 +128,24 @@
 	if now.Sub(s.slownessAt) < maxAge {
 		stats.slowness = s.slowness
 	}
+	stats.paced = s.pacedLocked(limit, loadAge)
 	if loadAge < maxAge {
 		stats.failureRate = float64(s.load.FailurePercent) / percent
 		stats.errorRate = float64(s.load.ErrorPercent) / percent
+		stats.reportsPace = s.load.Pace.Known()
 	}
 	return stats
 }
 
+// pacedLocked returns what the choice by pace depends on, except the usual duration of a call.
+func (s *homeState) pacedLocked(limit int, loadAge time.Duration) pace.Home {
+	home := pace.Home{Limit: limit, Pending: len(s.inFlight), Age: loadAge, Factor: s.load.Pace.Factor(loadAge)}
+	if loadAge < loadMaxAge {
+		home.Reported, home.Sent = s.load.InFlight+s.load.Queued, s.sentSinceLoad
+	}
+	return home
+}
+
 // isStopping reports whether the home has recently reported that it is about to stop.
 func (s *homeState) isStopping(now time.Time) bool {
 	s.mutex.Lock()
@@ -155,6 +171,7 @@
 	}
 	s.load = load
 	s.loadAt = now
+	s.sentSinceLoad = 0
 }
 
 func (s *homeState) updateSlowness(latency, median time.Duration, now time.Time) {
