--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -135,7 +135,8 @@
 	}
 	baselineErrorRate := buffers.medianErrorRate()
 	zoneFactor := crossZoneFactor
-	if len(q.excluded) == 0 && f.zoneHasCapacity(candidates, now) {
+	byPace := buffers.reportPace()
+	if !byPace && len(q.excluded) == 0 && f.zoneHasCapacity(candidates, now) {
 		zoneFactor = f.crossZoneFactorOf(q.route)
 	}
 	candidates, paused := q.withRoom(candidates)
@@ -145,7 +146,7 @@
 		stats.failureRate += excessErrorRate * (1 - stats.failureRate)
 	}
 	var best, fallback choice
-	if buffers.reportPace() {
+	if byPace {
 		best, fallback = f.earliestCompletion(q, candidates, median, now)
 	} else {
 		best, fallback = f.lowestCost(q, candidates, median, zoneFactor, now)
--- a/internal/forward/home.go
+++ b/internal/forward/home.go
@@ -95,7 +95,7 @@
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
 		if s.loadAt.Equal(loadAt) {
-			s.sentSinceLoad--
+			s.sentSinceLoad = max(s.sentSinceLoad-1, 0)
 		}
 		delete(s.inFlight, id)
 		rest := s.pending[route].remove(now)
