Choosing a home keeps the list of states of a service

A choice still looked up the state of each home by its address, copied an empty announcement for each home and prepared the choice by pace also for services without one. The states of a service are now looked up once for each list of the directory, announcements only if there are any, and the inputs of the choice by pace only for that choice. The result is the same.

--- a/internal/forward/announced.go
+++ b/internal/forward/announced.go
@@ -36,9 +36,12 @@
 // maxAnnouncedTargets bounds the targets; the one that was updated longest ago is dropped first.
 const maxAnnouncedTargets = 4096
 
+// any reports whether anything is known of any target.
+func (t *announcedTargets) any() bool { return t.count.Load() > 0 }
+
 // get returns what is known of an incarnation.
 func (t *announcedTargets) get(instance string) (announcedTarget, bool) {
-	if t.count.Load() == 0 {
+	if !t.any() {
 		return announcedTarget{}, false
 	}
 	t.mutex.Lock()
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/lugspur/lugspur/internal/criticality"
 	"github.com/lugspur/lugspur/internal/pace"
 	"github.com/lugspur/lugspur/internal/registry"
 	"github.com/lugspur/lugspur/internal/routetable"
@@ -67,8 +68,6 @@
 
 // choiceBuffers are slices that a choice needs, reused by later choices.
 type choiceBuffers struct {
-	homes      []*registry.Home
-	states     []*homeState
 	candidates []candidate
 	latencies  []time.Duration
 	errorRates []float64
@@ -79,8 +78,6 @@
 // release returns the buffers to the pool. It clears them, so that they refer to no homes that
 // have left.
 func (b *choiceBuffers) release() {
-	clear(b.homes)
-	clear(b.states)
 	clear(b.candidates)
 	choiceBuffersPool.Put(b)
 }
@@ -89,27 +86,32 @@
 // excluded nor rejected the request, and whose targets are not leaving. The result is valid until
 // the buffers are released. usual is the usual latency of the route, zero if unknown.
 func (f *Forwarder) candidates(q *request, now time.Time, buffers *choiceBuffers) (candidates []candidate, usual time.Duration) {
-	buffers.homes = buffers.homes[:0]
-	for _, home := range f.directory.Homes(q.service) {
-		if !containsHome(q.excluded, home) && !containsHome(q.rejected, home) {
-			buffers.homes = append(buffers.homes, home)
+	homes := f.directory.Homes(q.service)
+	states, usual := f.homes.statesOf(q.service, homes, q.route.Name)
+	buffers.candidates = slices.Grow(buffers.candidates[:0], len(homes))
+	for i, home := range homes {
+		if containsHome(q.excluded, home) || containsHome(q.rejected, home) {
+			continue
 		}
-	}
-	buffers.states, usual = f.homes.appendStates(buffers.states[:0], buffers.homes, q.route.Name)
-	buffers.candidates = slices.Grow(buffers.candidates[:0], len(buffers.homes))
-	for i, home := range buffers.homes {
-		announced, _ := f.announced.get(home.Instance)
-		if announced.Leaving {
+		c := candidate{home: home, state: states[i], rateLimited: home.RateLimit != nil}
+		if f.announced.any() && !c.applyAnnouncements(&f.announced, q.rank.Level, now) {
 			continue
 		}
-		buffers.candidates = append(buffers.candidates, candidate{home: home, state: buffers.states[i]})
-		c := &buffers.candidates[len(buffers.candidates)-1]
-		c.rateLimited, c.paused = announced.Rate.Limited || home.RateLimit != nil, announced.pausedFor(q.rank.Level, now)
-		c.observe(q.route, usual, now)
+		buffers.candidates = append(buffers.candidates, c)
+		buffers.candidates[len(buffers.candidates)-1].observe(q.route, usual, now)
 	}
 	return buffers.candidates, usual
 }
 
+// applyAnnouncements sets what follows from the announcements of the home's target. It returns false
+// if the target is leaving.
+func (c *candidate) applyAnnouncements(targets *announcedTargets, level criticality.Level, now time.Time) bool {
+	announced, _ := targets.get(c.home.Instance)
+	c.rateLimited = c.rateLimited || announced.Rate.Limited
+	c.paused = announced.pausedFor(level, now)
+	return !announced.Leaving
+}
+
 // choice is the home that a request is offered to next.
 type choice struct {
 	home *registry.Home
@@ -188,7 +190,7 @@
 	remaining := q.deadline.Sub(now)
 	for i := range candidates {
 		c := &candidates[i]
-		estimate := c.stats.estimate(median, q.route.Kind)
+		estimate := c.estimate(median, q.route.Kind, now)
 		risk := c.stats.riskFactor(q.route.Kind, estimate.Time(), remaining)
 		c.latency = estimate.Time()
 		added := pace.Candidate{Index: i, Estimate: estimate, Risk: risk, OtherZone: c.home.Zone != f.config.Zone, Random: rand.Float64()}
@@ -211,11 +213,12 @@
 
 // estimate returns the expected time that a call takes at the home at its current pace. For a
 // request that must not run twice it is at least as long as the other known estimates.
-func (s *homeStats) estimate(median time.Duration, kind routetable.Kind) pace.Estimate {
-	s.paced.Usual = expectedLatency(s, median, routetable.Repeatable)
-	estimate := s.paced.Estimate()
+func (c *candidate) estimate(median time.Duration, kind routetable.Kind, now time.Time) pace.Estimate {
+	home := c.state.paced(c.home, now)
+	home.Usual = expectedLatency(&c.stats, median, routetable.Repeatable)
+	estimate := home.Estimate()
 	if kind == routetable.AtMostOnce {
-		estimate.Duration = max(estimate.Duration, s.cautiousLatency(median)-estimate.Wait)
+		estimate.Duration = max(estimate.Duration, c.stats.cautiousLatency(median)-estimate.Wait)
 	}
 	return estimate
 }
--- a/internal/forward/home.go
+++ b/internal/forward/home.go
@@ -67,6 +67,8 @@
 	// maxTrackedRoutes limits the number of routes with latencies of one home, and of
 	// routes with statistics over all homes.
 	maxTrackedRoutes = 256
+	// maxTrackedServices limits the number of services with a list of states.
+	maxTrackedServices = 256
 )
 
 // usable reports whether the home may be chosen. A suspected home may be chosen again only
@@ -209,6 +211,8 @@
 type homeTable struct {
 	mutex  sync.Mutex
 	states map[string]*homeState
+	// services holds the states of the homes of services; a removed state empties it.
+	services map[string]serviceHomes
 	// routes holds statistics over all homes, by route.
 	routes map[string]routeStats
 }
@@ -273,15 +277,42 @@
 	return s
 }
 
-// appendStates appends the states of the homes to the slice and returns the usual latency of the
-// route, zero if unknown. It locks the table once for all of them.
-func (t *homeTable) appendStates(states []*homeState, homes []*registry.Home, route string) ([]*homeState, time.Duration) {
+// serviceHomes holds the states of the homes of a service, in the order of the directory's list.
+// Both slices are never modified.
+type serviceHomes struct {
+	homes  []*registry.Home
+	states []*homeState
+}
+
+// isFor reports whether the list is the one for which the states were looked up.
+func (l *serviceHomes) isFor(homes []*registry.Home) bool {
+	return len(l.homes) == len(homes) && len(homes) > 0 && &l.homes[0] == &homes[0]
+}
+
+// statesOf returns the states of a service's homes, as listed by the directory, and the usual
+// latency of the route, zero if unknown. The states must not be modified. They are looked up again
+// only when the directory has another list.
+func (t *homeTable) statesOf(service string, homes []*registry.Home, route string) ([]*homeState, time.Duration) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	for _, home := range homes {
-		states = append(states, t.stateLocked(home.Address))
+	list := t.services[service]
+	if !list.isFor(homes) {
+		list = t.lookUpLocked(service, homes)
+	}
+	return list.states, t.routes[route].latency
+}
+
+// lookUpLocked looks up the states of a service's homes and keeps them.
+func (t *homeTable) lookUpLocked(service string, homes []*registry.Home) serviceHomes {
+	list := serviceHomes{homes: homes, states: make([]*homeState, len(homes))}
+	for i, home := range homes {
+		list.states[i] = t.stateLocked(home.Address)
+	}
+	if t.services == nil || len(t.services) >= maxTrackedServices {
+		t.services = make(map[string]serviceHomes)
 	}
-	return states, t.routes[route].latency
+	t.services[service] = list
+	return list
 }
 
 // find returns the state of a home, or nil if there is none.
@@ -302,6 +333,7 @@
 	for address, state := range t.states {
 		if !isListed[address] && state.idle() {
 			delete(t.states, address)
+			t.services = nil
 		}
 	}
 }
--- a/internal/forward/home_stats.go
+++ b/internal/forward/home_stats.go
@@ -86,10 +86,8 @@
 	// failureRate is the fraction of calls without a valid response, and errorRate the
 	// fraction of responses that report an error of the target itself.
 	failureRate, errorRate float64
-	// reportsPace is set if the home reports the pace of its target, and paced is what the choice
-	// by pace depends on, except the usual duration of a call.
+	// reportsPace is set if the home reports the pace of its target.
 	reportsPace bool
-	paced       pace.Home
 }
 
 // observe sets what the choice of a home depends on from the state of the home. median is the
@@ -104,10 +102,7 @@
 }
 
 func (s *homeState) statsLocked(home *registry.Home, route *routetable.Route, median time.Duration, now time.Time) homeStats {
-	limit := max(home.Slots, 1)
-	if s.load.Limit > 0 {
-		limit = s.load.Limit
-	}
+	limit := s.limitLocked(home)
 	busy := len(s.inFlight)
 	loadAge := now.Sub(s.loadAt)
 	if loadAge < loadMaxAge {
@@ -128,7 +123,6 @@
 	if now.Sub(s.slownessAt) < maxAge {
 		stats.slowness = s.slowness
 	}
-	stats.paced = s.pacedLocked(limit, loadAge)
 	if loadAge < maxAge {
 		stats.failureRate = float64(s.load.FailurePercent) / percent
 		stats.errorRate = float64(s.load.ErrorPercent) / percent
@@ -137,13 +131,24 @@
 	return stats
 }
 
-// pacedLocked returns what the choice by pace depends on, except the usual duration of a call.
-func (s *homeState) pacedLocked(limit int, loadAge time.Duration) pace.Home {
-	home := pace.Home{Limit: limit, Pending: len(s.inFlight), Age: loadAge, Factor: s.load.Pace.Factor(loadAge)}
-	if loadAge < loadMaxAge {
-		home.Reported, home.Sent = s.load.InFlight+s.load.Queued, s.sentSinceLoad
+// limitLocked returns the number of calls that the home runs at the same time.
+func (s *homeState) limitLocked(home *registry.Home) int {
+	if s.load.Limit > 0 {
+		return s.load.Limit
+	}
+	return max(home.Slots, 1)
+}
+
+// paced returns what the choice by pace depends on, except the usual duration of a call.
+func (s *homeState) paced(home *registry.Home, now time.Time) pace.Home {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	age := now.Sub(s.loadAt)
+	paced := pace.Home{Limit: s.limitLocked(home), Pending: len(s.inFlight), Age: age, Factor: s.load.Pace.Factor(age)}
+	if age < loadMaxAge {
+		paced.Reported, paced.Sent = s.load.InFlight+s.load.Queued, s.sentSinceLoad
 	}
-	return home
+	return paced
 }
 
 // isStopping reports whether the home has recently reported that it is about to stop.
