--- a/internal/forward/home_test.go
+++ b/internal/forward/home_test.go
@@ -108,3 +108,17 @@
 	}
 	return nil
 }
+
+// TestChoiceFollowsRemovedState guards against a choice by the state of a home that was removed from
+// the table: what is learned of the home later would be ignored.
+func TestChoiceFollowsRemovedState(t *testing.T) {
+	now := time.Now()
+	f := &Forwarder{config: Config{Zone: "z"}, now: func() time.Time { return now }, directory: directoryOf(t, []string{"failed", "well"})}
+	q := &request{route: &routetable.Route{Name: "read"}, service: "s", deadline: now.Add(time.Hour)}
+	f.choose(q)
+	f.homes.prune([]string{"well"})
+	f.homes.state("failed").suspect(now)
+	for range 20 {
+		assert.Equal(t, f.choose(q).home.Address, "well")
+	}
+}
