--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -4,8 +4,11 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
+	"github.com/lugspur/lugspur/internal/criticality"
+	"github.com/lugspur/lugspur/internal/pace"
 	"github.com/lugspur/lugspur/internal/registry"
 	"github.com/lugspur/lugspur/internal/routetable"
 )
@@ -53,31 +56,60 @@
 	home  *registry.Home
 	state *homeState
 	stats homeStats
+	// latency is the expected latency of a call, set by the choice by pace.
+	latency time.Duration
+	// usable and unavailable are those of the state at the time of the choice.
+	usable, unavailable bool
 	// rateLimited reports whether the home's target announced a rate limit, and paused is the
 	// time until the limit is expected to leave room for the request.
 	rateLimited bool
 	paused      time.Duration
 }
 
-// candidates returns the homes of the request's service that have neither been excluded nor
-// rejected the request, and whose targets are not leaving.
-func (f *Forwarder) candidates(q *request, now time.Time) []candidate {
+// choiceBuffers are slices that a choice needs, reused by later choices.
+type choiceBuffers struct {
+	candidates []candidate
+	latencies  []time.Duration
+	errorRates []float64
+}
+
+var choiceBuffersPool = sync.Pool{New: func() any { return new(choiceBuffers) }}
+
+// release returns the buffers to the pool. It clears them, so that they refer to no homes that
+// have left.
+func (b *choiceBuffers) release() {
+	clear(b.candidates)
+	choiceBuffersPool.Put(b)
+}
+
+// candidates fills the buffers with the homes of the request's service that have neither been
+// excluded nor rejected the request, and whose targets are not leaving. The result is valid until
+// the buffers are released. usual is the usual latency of the route, zero if unknown.
+func (f *Forwarder) candidates(q *request, now time.Time, buffers *choiceBuffers) (candidates []candidate, usual time.Duration) {
 	homes := f.directory.Homes(q.service)
-	candidates := make([]candidate, 0, len(homes))
-	median := f.homes.statsOf(q.route.Name).latency
-	for _, home := range homes {
+	states, usual := f.homes.statesOf(q.service, homes, q.route.Name)
+	buffers.candidates = slices.Grow(buffers.candidates[:0], len(homes))
+	for i, home := range homes {
 		if containsHome(q.excluded, home) || containsHome(q.rejected, home) {
 			continue
 		}
-		announced, _ := f.announced.get(home.Instance)
-		if announced.Leaving {
+		c := candidate{home: home, state: states[i], rateLimited: home.RateLimit != nil}
+		if f.announced.any() && !c.applyAnnouncements(&f.announced, q.rank.Level, now) {
 			continue
 		}
-		state := f.homes.state(home.Address)
-		candidates = append(candidates, candidate{home: home, state: state, stats: state.stats(home, q.route, median, now),
-			rateLimited: announced.Rate.Limited || home.RateLimit != nil, paused: announced.pausedFor(q.rank.Level, now)})
+		buffers.candidates = append(buffers.candidates, c)
+		buffers.candidates[len(buffers.candidates)-1].observe(q.route, usual, now)
 	}
-	return candidates
+	return buffers.candidates, usual
+}
+
+// applyAnnouncements sets what follows from the announcements of the home's target. It returns false
+// if the target is leaving.
+func (c *candidate) applyAnnouncements(targets *announcedTargets, level criticality.Level, now time.Time) bool {
+	announced, _ := targets.get(c.home.Instance)
+	c.rateLimited = c.rateLimited || announced.Rate.Limited
+	c.paused = announced.pausedFor(level, now)
+	return !announced.Leaving
 }
 
 // choice is the home that a request is offered to next.
@@ -96,40 +128,99 @@
 // request, and are not chosen while the limit leaves no room.
 func (f *Forwarder) choose(q *request) choice {
 	now := f.now()
-	var best, fallback choice
-	least, leastFallback := math.Inf(1), math.Inf(1)
-	candidates := f.candidates(q, now)
-	median := medianLatency(candidates)
-	if median > 0 {
+	buffers := choiceBuffersPool.Get().(*choiceBuffers)
+	defer buffers.release()
+	candidates, usual := f.candidates(q, now, buffers)
+	median := buffers.medianLatency()
+	if median > 0 && median != usual {
 		f.homes.setLatency(q.route.Name, median)
 	}
-	baselineErrorRate := medianErrorRate(candidates)
+	baselineErrorRate := buffers.medianErrorRate()
 	zoneFactor := crossZoneFactor
-	if len(q.excluded) == 0 && f.zoneHasCapacity(candidates, now) {
+	byPace := buffers.reportPace()
+	if !byPace && len(q.excluded) == 0 && f.zoneHasCapacity(candidates, now) {
 		zoneFactor = f.crossZoneFactorOf(q.route)
 	}
-	candidates, paused := q.withRoom(candidates, now)
-	for _, c := range candidates {
-		excessErrorRate := max(c.stats.errorRate-baselineErrorRate, 0)
-		c.stats.failureRate += excessErrorRate * (1 - c.stats.failureRate)
-		latency := expectedLatency(c.stats, median, q.route.Kind)
-		cost := f.cost(q, c, latency, q.deadline.Sub(now), zoneFactor)
+	candidates, paused := q.withRoom(candidates)
+	for i := range candidates {
+		stats := &candidates[i].stats
+		excessErrorRate := max(stats.errorRate-baselineErrorRate, 0)
+		stats.failureRate += excessErrorRate * (1 - stats.failureRate)
+	}
+	var best, fallback choice
+	if byPace {
+		best, fallback = f.earliestCompletion(q, candidates, median, now)
+	} else {
+		best, fallback = f.lowestCost(q, candidates, median, zoneFactor, now)
+	}
+	if best.home == nil && paused > 0 {
+		return choice{paused: paused}
+	}
+	if best.home == nil && len(q.excluded) == 0 {
+		return fallback
+	}
+	return best
+}
+
+// lowestCost returns the usable candidate with the lowest cost, and the suspected one with the
+// lowest cost.
+func (f *Forwarder) lowestCost(q *request, candidates []candidate, median time.Duration, zoneFactor float64, now time.Time) (best, fallback choice) {
+	least, leastFallback := math.Inf(1), math.Inf(1)
+	remaining := q.deadline.Sub(now)
+	for i := range candidates {
+		c := &candidates[i]
+		latency := expectedLatency(&c.stats, median, q.route.Kind)
+		cost := f.cost(q, c, latency, remaining, zoneFactor)
 		switch {
-		case c.state.usable(c.home, now):
+		case c.usable:
 			if cost < least {
 				best, least = choice{home: c.home, latency: latency}, cost
 			}
-		case cost < leastFallback && !c.state.isUnavailable(c.home, now):
+		case cost < leastFallback && !c.unavailable:
 			fallback, leastFallback = choice{home: c.home, latency: latency}, cost
 		}
 	}
-	if best.home == nil && paused > 0 {
-		return choice{paused: paused}
+	return best, fallback
+}
+
+// earliestCompletion returns the usable candidate at which a call is expected to complete first
+// at the current pace of targets, and the same of the suspected candidates.
+func (f *Forwarder) earliestCompletion(q *request, candidates []candidate, median time.Duration, now time.Time) (best, fallback choice) {
+	var usable, suspected pace.Selection
+	remaining := q.deadline.Sub(now)
+	for i := range candidates {
+		c := &candidates[i]
+		estimate := c.estimate(median, q.route.Kind, now)
+		risk := c.stats.riskFactor(q.route.Kind, estimate.Time(), remaining)
+		c.latency = estimate.Time()
+		added := pace.Candidate{Index: i, Estimate: estimate, Risk: risk, OtherZone: c.home.Zone != f.config.Zone, Random: rand.Float64()}
+		switch {
+		case c.usable:
+			usable.Add(added)
+		case !c.unavailable:
+			suspected.Add(added)
+		}
 	}
-	if best.home == nil && len(q.excluded) == 0 {
-		return fallback
+	distance := pace.Distance(q.route.Objective)
+	if i, found := usable.Best(distance); found {
+		best = choice{home: candidates[i].home, latency: candidates[i].latency}
 	}
-	return best
+	if i, found := suspected.Best(distance); found {
+		fallback = choice{home: candidates[i].home, latency: candidates[i].latency}
+	}
+	return best, fallback
+}
+
+// estimate returns the expected time that a call takes at the home at its current pace. For a
+// request that must not run twice it is at least as long as the other known estimates.
+func (c *candidate) estimate(median time.Duration, kind routetable.Kind, now time.Time) pace.Estimate {
+	home := c.state.paced(c.home, now)
+	home.Usual = expectedLatency(&c.stats, median, routetable.Repeatable)
+	estimate := home.Estimate()
+	if kind == routetable.AtMostOnce {
+		estimate.Duration = max(estimate.Duration, c.stats.cautiousLatency(median)-estimate.Wait)
+	}
+	return estimate
 }
 
 const (
@@ -145,7 +236,7 @@
 // homes without a limit take precedence. A nested call is offered to a home without room if
 // there is no other: homes must see all nested calls, because the thresholds that they
 // report for the calling routes depend on it.
-func (q *request) withRoom(candidates []candidate, now time.Time) (withRoom []candidate, paused time.Duration) {
+func (q *request) withRoom(candidates []candidate) (withRoom []candidate, paused time.Duration) {
 	if !slices.ContainsFunc(candidates, isRateLimited) {
 		return candidates, 0
 	}
@@ -159,7 +250,7 @@
 		case c.rateLimited && q.rateRefusals >= maxLimitedRefusals:
 			continue
 		}
-		unlimited = unlimited || !c.rateLimited && c.state.usable(c.home, now)
+		unlimited = unlimited || !c.rateLimited && c.usable
 		withRoom = append(withRoom, c)
 	}
 	switch {
@@ -186,32 +277,49 @@
 // cost returns the expected cost of a call at the home, in seconds of latency. The cost
 // grows with occupancy and failure rate and is multiplied by zoneFactor for a home in
 // another zone.
-func (f *Forwarder) cost(q *request, c candidate, latency, remaining time.Duration, zoneFactor float64) float64 {
-	s := c.stats
+func (f *Forwarder) cost(q *request, c *candidate, latency, remaining time.Duration, zoneFactor float64) float64 {
+	s := &c.stats
 	cost := latency.Seconds() * (1 + belowKneeCost*min(s.occupancy, kneeOccupancy))
 	if s.occupancy > kneeOccupancy {
 		cost *= 1 + aboveKneeCost*(s.occupancy-kneeOccupancy)/(1-kneeOccupancy)
 	}
-	if q.route.Kind == routetable.AtMostOnce {
+	cost *= s.riskFactor(q.route.Kind, latency, remaining)
+	if c.home.Zone != f.config.Zone {
+		cost *= zoneFactor
+	}
+	return cost * (1 + jitter*rand.Float64())
+}
+
+// riskFactor returns the factor by which a call at the home costs more because it may fail or miss
+// its deadline, or because the home is about to stop.
+func (s *homeStats) riskFactor(kind routetable.Kind, latency, remaining time.Duration) float64 {
+	factor := 1 + failureFactor*s.failureRate
+	if kind == routetable.AtMostOnce {
 		failureProbability := 1 - (1-s.failureRate)*(1-lateProbability(latency, remaining))
-		cost *= 1 + onceFailureFactor*failureProbability
-	} else {
-		cost *= 1 + failureFactor*s.failureRate
+		factor = 1 + onceFailureFactor*failureProbability
 	}
 	if s.stopping {
-		cost *= stoppingFactor
+		factor *= stoppingFactor
 	}
-	if c.home.Zone != f.config.Zone {
-		cost *= zoneFactor
+	return factor
+}
+
+// reportPace reports whether a candidate reports the pace of its target.
+func (b *choiceBuffers) reportPace() bool {
+	for i := range b.candidates {
+		if b.candidates[i].stats.reportsPace {
+			return true
+		}
 	}
-	return cost * (1 + jitter*rand.Float64())
+	return false
 }
 
 // zoneHasCapacity reports whether a home in the node's own zone is healthy and has spare
 // capacity. Otherwise crossZoneFactor is not increased by the response size.
 func (f *Forwarder) zoneHasCapacity(candidates []candidate, now time.Time) bool {
-	for _, c := range candidates {
-		s := c.stats
+	for i := range candidates {
+		c := &candidates[i]
+		s := &c.stats
 		if c.paused == 0 && c.home.Zone == f.config.Zone && s.occupancy < spareOccupancy && s.failureRate < lowFailureRate && !s.stopping && c.state.usable(c.home, now) {
 			return true
 		}
@@ -233,7 +341,7 @@
 // must not run twice it is the highest of the known estimates. For other requests, which can
 // be retried elsewhere, estimates from few calls are left out, because their noise would
 // make the load distribution less even.
-func expectedLatency(s homeStats, median time.Duration, kind routetable.Kind) time.Duration {
+func expectedLatency(s *homeStats, median time.Duration, kind routetable.Kind) time.Duration {
 	median = max(median, time.Millisecond)
 	latency := s.latency
 	if latency == 0 {
@@ -242,10 +350,17 @@
 	if kind != routetable.AtMostOnce {
 		return latency
 	}
+	return max(latency, s.cautiousLatency(median))
+}
+
+// cautiousLatency returns the higher of the estimates that follow from the latencies of other routes
+// and from this node's pending calls, zero if there are none. Calls of a target that is slow on
+// other routes, or that has not answered for long, may miss their deadline.
+func (s *homeStats) cautiousLatency(median time.Duration) time.Duration {
 	if s.slowness > slowHomeRatio {
-		latency = max(latency, time.Duration(float64(median)*s.slowness))
+		return max(time.Duration(float64(median)*s.slowness), s.pendingLatency)
 	}
-	return max(latency, s.pendingLatency)
+	return s.pendingLatency
 }
 
 // lateProbability estimates, from the usual latency, the probability that a call does not
--- a/internal/forward/home.go
+++ b/internal/forward/home.go
@@ -22,6 +22,8 @@
 	nextCall uint64
 	load     peering.Load
 	loadAt   time.Time
+	// sentSinceLoad is the number of calls that began after loadAt.
+	sentSinceLoad int
 	// latencies holds the reported latencies by route.
 	latencies map[string]latencySample
 	// slowness is the ratio of the home's latency to the median of all homes, as a moving
@@ -65,6 +67,8 @@
 	// maxTrackedRoutes limits the number of routes with latencies of one home, and of
 	// routes with statistics over all homes.
 	maxTrackedRoutes = 256
+	// maxTrackedServices limits the number of services with a list of states.
+	maxTrackedServices = 256
 )
 
 // usable reports whether the home may be chosen. A suspected home may be chosen again only
@@ -72,10 +76,7 @@
 func (s *homeState) usable(home *registry.Home, now time.Time) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.unavailableRevision == uint64(home.Revision) && now.Before(s.unavailableUntil) {
-		return false
-	}
-	return s.suspicion.backoff == 0
+	return !s.unavailableLocked(home, now) && s.suspicion.backoff == 0
 }
 
 // begin records a call of the route that waits for the home. The returned function must be
@@ -90,9 +91,14 @@
 	s.nextCall++
 	s.inFlight[id] = cancel
 	s.pending[route] = s.pending[route].add(now)
+	s.sentSinceLoad++
+	loadAt := s.loadAt
 	return func() {
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
+		if s.loadAt.Equal(loadAt) {
+			s.sentSinceLoad = max(s.sentSinceLoad-1, 0)
+		}
 		delete(s.inFlight, id)
 		rest := s.pending[route].remove(now)
 		if rest.count == 0 {
@@ -205,6 +211,8 @@
 type homeTable struct {
 	mutex  sync.Mutex
 	states map[string]*homeState
+	// services holds the states of the homes of services; a removed state empties it.
+	services map[string]serviceHomes
 	// routes holds statistics over all homes, by route.
 	routes map[string]routeStats
 }
@@ -253,6 +261,11 @@
 func (t *homeTable) state(address string) *homeState {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	return t.stateLocked(address)
+}
+
+// stateLocked returns the state of a home and creates it if necessary. The caller holds the mutex.
+func (t *homeTable) stateLocked(address string) *homeState {
 	if t.states == nil {
 		t.states = make(map[string]*homeState)
 	}
@@ -264,6 +277,44 @@
 	return s
 }
 
+// serviceHomes holds the states of the homes of a service, in the order of the directory's list.
+// Both slices are never modified.
+type serviceHomes struct {
+	homes  []*registry.Home
+	states []*homeState
+}
+
+// isFor reports whether the list is the one for which the states were looked up.
+func (l *serviceHomes) isFor(homes []*registry.Home) bool {
+	return len(l.homes) == len(homes) && len(homes) > 0 && &l.homes[0] == &homes[0]
+}
+
+// statesOf returns the states of a service's homes, as listed by the directory, and the usual
+// latency of the route, zero if unknown. The states must not be modified. They are looked up again
+// only when the directory has another list.
+func (t *homeTable) statesOf(service string, homes []*registry.Home, route string) ([]*homeState, time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	list := t.services[service]
+	if !list.isFor(homes) {
+		list = t.lookUpLocked(service, homes)
+	}
+	return list.states, t.routes[route].latency
+}
+
+// lookUpLocked looks up the states of a service's homes and keeps them.
+func (t *homeTable) lookUpLocked(service string, homes []*registry.Home) serviceHomes {
+	list := serviceHomes{homes: homes, states: make([]*homeState, len(homes))}
+	for i, home := range homes {
+		list.states[i] = t.stateLocked(home.Address)
+	}
+	if t.services == nil || len(t.services) >= maxTrackedServices {
+		t.services = make(map[string]serviceHomes)
+	}
+	t.services[service] = list
+	return list
+}
+
 // find returns the state of a home, or nil if there is none.
 func (t *homeTable) find(address string) *homeState {
 	t.mutex.Lock()
@@ -282,6 +333,7 @@
 	for address, state := range t.states {
 		if !isListed[address] && state.idle() {
 			delete(t.states, address)
+			t.services = nil
 		}
 	}
 }
@@ -296,9 +348,8 @@
 	return states
 }
 
-func (s *homeState) isUnavailable(home *registry.Home, now time.Time) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+// unavailableLocked reports whether the home reported that it has no available target.
+func (s *homeState) unavailableLocked(home *registry.Home, now time.Time) bool {
 	return s.unavailableRevision == uint64(home.Revision) && now.Before(s.unavailableUntil)
 }
 
