peering: replies report runs that failed for lack of capacity

A home that receives a failed call's reply can't tell whether the call lacked capacity two hops further down. Reply.NoRoom (key 13, omitted if false) passes this up the chain, and Reason.LacksCapacity names the refusals that mean it. A node of the previous build sends no such field, which reads as false.

--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -61,8 +61,8 @@
 	// Retried reports whether the request, or one of its ancestors in the call chain, was
 	// sent to a target before.
 	Retried bool
-	// PriorCalls is the number of calls of the same kind that the calling request made before
-	// this one.
+	// PriorCalls is the number of calls that were made before this one: by the calling request
+	// to the same route or, where requests are admitted as a whole, by the whole request.
 	PriorCalls int
 	// OfferIndex is the index, starting at zero, of this attempt among those of the
 	// request's entry node to have a home run it.
@@ -202,6 +202,9 @@
 	// TargetError reports whether the response reports a failure of the target itself: no
 	// call that the request made had failed before.
 	TargetError bool
+	// NoRoom reports whether the run failed because a call that it made failed for lack of
+	// capacity. Nodes that don't report it send false.
+	NoRoom bool
 	// Digests state up to which store revision the home's replicas are complete.
 	Digests []replica.Digest
 }
@@ -262,6 +265,12 @@
 	return r == NoTarget || r == TargetLeaving || r == Stopping || r == Misdirected
 }
 
+// LacksCapacity reports whether the call was refused because the home had too little capacity
+// for it in time.
+func (r Reason) LacksCapacity() bool {
+	return r == QueueFull || r == Evicted || r == QueueTimeout || r == WouldMissDeadline
+}
+
 // MayHaveReachedTarget reports whether the call reached a target or may have.
 func (r *Reply) MayHaveReachedTarget() bool {
 	if r.Outcome == Refused {
--- a/internal/peering/wire.go
+++ b/internal/peering/wire.go
@@ -90,6 +90,7 @@
 	Epochs           []uint32     `cbor:"12,keyasint,omitempty"`
 	DocumentVersions []uint64     `cbor:"11,keyasint,omitempty"`
 	Crashes          int          `cbor:"10,keyasint,omitempty"`
+	NoRoom           bool         `cbor:"13,keyasint,omitempty"`
 }
 
 // wireLoad is the encoded form of a Load. The latency is in units of latencyUnit.
@@ -180,7 +181,7 @@
 	load := &reply.Load
 	return encode(&wireReply{
 		Outcome: reply.Outcome, Reason: reply.Reason, Status: reply.Status, Header: c.encodeHeader(reply.Header), Body: reply.Body,
-		RetryAfter: reply.RetryAfter.Milliseconds(), Crashes: reply.Crashes, TargetError: reply.TargetError, Digests: encodeDigests(reply.Digests), Epochs: encodeEpochs(reply.Digests), DocumentVersions: encodeDocumentVersions(reply.Digests),
+		RetryAfter: reply.RetryAfter.Milliseconds(), Crashes: reply.Crashes, TargetError: reply.TargetError, NoRoom: reply.NoRoom, Digests: encodeDigests(reply.Digests), Epochs: encodeEpochs(reply.Digests), DocumentVersions: encodeDocumentVersions(reply.Digests),
 		Load: wireLoad{
 			InFlight: load.InFlight, Queued: load.Queued, Limit: load.Limit, Latency: int64(load.Latency / latencyUnit),
 			ShedOffset: shed.None - min(load.Threshold, shed.None), FailurePercent: load.FailurePercent, Stopping: load.Stopping, ErrorPercent: load.ErrorPercent,
@@ -202,7 +203,7 @@
 	load := &w.Load
 	return &Reply{
 		Outcome: w.Outcome, Reason: w.Reason, Status: w.Status, Header: header, Body: w.Body, RetryAfter: milliseconds(w.RetryAfter),
-		Crashes: w.Crashes, TargetError: w.TargetError, Digests: decodeDigests(w.Digests, w.Epochs, w.DocumentVersions),
+		Crashes: w.Crashes, TargetError: w.TargetError, NoRoom: w.NoRoom, Digests: decodeDigests(w.Digests, w.Epochs, w.DocumentVersions),
 		Load: Load{
 			InFlight: load.InFlight, Queued: load.Queued, Limit: load.Limit, Latency: time.Duration(load.Latency) * latencyUnit,
 			Threshold: shed.None - min(load.ShedOffset, shed.None), FailurePercent: load.FailurePercent, Stopping: load.Stopping, ErrorPercent: load.ErrorPercent,
--- a/internal/peering/wire_test.go
+++ b/internal/peering/wire_test.go
@@ -27,7 +27,7 @@
 
 func fullReply() *Reply {
 	return &Reply{Outcome: Answered, Reason: QueueTimeout, Status: 200, Header: http.Header{"X-Signature": {"3e1b.07.5a2.600.0.c9f2a4d1"}, "Content-Type": {"text/plain"}}, Body: []byte("ok"),
-		RetryAfter: 150 * time.Millisecond, Crashes: 3, TargetError: true, Digests: fullCall().Digests,
+		RetryAfter: 150 * time.Millisecond, Crashes: 3, TargetError: true, NoRoom: true, Digests: fullCall().Digests,
 		Load: Load{InFlight: 12, Queued: 3, Limit: 19, Latency: 22340 * time.Microsecond, Threshold: 7, FailurePercent: 4, Stopping: true, ErrorPercent: 5, CallsPerRequest: 10, RetryBudgetLow: true,
 			Target: TargetAnnouncement{Instance: "i-1@7", Rate: targetrate.Announcement{Limited: true}}, Room: 150 * time.Millisecond}}
 }
@@ -120,7 +120,7 @@
 	call.Method, call.Body, call.Header, call.Retried = "GET", nil, nil, false
 	call.Target = TargetAnnouncement{}
 	reply := fullReply()
-	reply.Reason, reply.RetryAfter, reply.TargetError, reply.Body = "", 0, false, nil
+	reply.Reason, reply.RetryAfter, reply.TargetError, reply.NoRoom, reply.Body = "", 0, false, false, nil
 	reply.Load = Load{InFlight: 12, Queued: 3, Limit: 19, Latency: 22340 * time.Microsecond, Threshold: shed.None}
 	callBytes, replyBytes := len(testCodec.encodeCall(call)), len(testCodec.encodeReply(reply))
 	t.Logf("call %d bytes, reply %d bytes", callBytes, replyBytes)
