Homes admit requests whose calls find capacity

With shortage.zone-losses of 1 or more, a home now computes a threshold for each route whose runs make calls (internal/completion) and reports it with its load, so that entry nodes refuse requests that would fail later in their chain.

- The entry node of a nested call reports each failed call with its cause.
Lack of capacity is the last refusal by a queue, or a reply with NoRoom; rejections by targets, denied retries, waits for a suspect's lock and callers that disconnected are not.
- The home counts each run that made calls, unless its caller left, and sets NoRoom on the reply to one that failed for lack of capacity.
- PriorCalls counts the calls of the whole request, so that queues prefer requests that have progressed further.
- Metrics lugspur_runs_total and lugspur_route_threshold_ratio; admission-changed lines name the route.

Without the setting nothing changes but the counting of calls by request.

Tests: causes of failed calls, results of runs and the reported threshold by table, nothing reported unless enabled.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -124,7 +124,7 @@
 	ShardChanged:          {"shard-changed", stateChange, "this node acquired (outcome held) or lost (outcome lost) the shard count of tenants' rate limits; reason says why"},
 	PolicyFailed:          {"policy-failed", stateChange, "the route's policy could not be evaluated; its fallback result applies"},
 	LimitChanged:          {"limit-changed", stateChange, "count is the new concurrency limit of the local target"},
-	AdmissionChanged:      {"admission-changed", stateChange, "count is the shed threshold as a percentage of all ranks; reason is the queueing delay that caused the change"},
+	AdmissionChanged:      {"admission-changed", stateChange, "count is the shed threshold as a percentage of all ranks, or that of route if it is set; reason is the queueing delay, or the share of runs without capacity, that caused the change"},
 	RequestAnswered:       {"request-answered", success, "a response of a target was returned to the caller"},
 	RequestRefused:        {"request-refused", refusal, "the request was refused without having run; wait is the retry delay"},
 	RequestFailed:         {"request-failed", failure, "the request failed and may have run"},
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -36,6 +36,8 @@
 	calls []*peering.Call
 	// failedCallParents are the IDs of the requests that made failed calls.
 	failedCallParents []string
+	// failureCauses are the causes of these failures.
+	failureCauses []guard.FailureCause
 	// parentContext is canceled when the running request is abandoned.
 	parentContext context.Context
 	reply         func(ctx context.Context, call *peering.Call) *peering.Reply
@@ -48,8 +50,11 @@
 	return h.reply(ctx, call)
 }
 
+// runningPriorCalls is the number of calls that the running request has made.
+const runningPriorCalls = 5
+
 func (h *fakeHome) Running(id string) (guard.Running, bool) {
-	return guard.Running{Route: "parent", Rank: criticality.RankOf(7), Context: h.runningContext()}, id == "running"
+	return guard.Running{Route: "parent", Rank: criticality.RankOf(7), Context: h.runningContext(), PriorCalls: runningPriorCalls}, id == "running"
 }
 
 // runningContext returns the context of the running request.
@@ -64,10 +69,11 @@
 
 func (h *fakeHome) CountCall(string, string) int { return 1 }
 
-func (h *fakeHome) RecordCallFailure(id string) {
+func (h *fakeHome) RecordCallFailure(id string, cause guard.FailureCause) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.failedCallParents = append(h.failedCallParents, id)
+	h.failureCauses = append(h.failureCauses, cause)
 }
 
 func (h *fakeHome) count() int {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -111,8 +111,8 @@
 	// CountCall counts a call of the route that a running request makes, and returns the
 	// number of such calls so far.
 	CountCall(id, route string) int
-	// RecordCallFailure records that a call made by a running request failed.
-	RecordCallFailure(id string)
+	// RecordCallFailure records that a call made by a running request failed, and why.
+	RecordCallFailure(id string, cause guard.FailureCause)
 }
 
 // Peers sends calls and pings to other nodes.
@@ -313,6 +313,9 @@
 	// lastReason the reason why that offer was not successful.
 	lastHome   string
 	lastReason peering.Reason
+	// lastNoRoom is set if the reply to that offer reports that the run failed for lack of
+	// capacity, and budgetDenied if the retry budget did not allow another offer.
+	lastNoRoom, budgetDenied bool
 }
 
 // ServeHTTP serves one request.
@@ -337,7 +340,7 @@
 	}
 	reply, failure := f.run(ctx, q)
 	if q.nested && (failure != nil || reply.Status >= http.StatusMultipleChoices) {
-		f.local.RecordCallFailure(q.parent)
+		f.local.RecordCallFailure(q.parent, q.failureCause(r.Context(), reply))
 	}
 	switch {
 	case r.Context().Err() != nil:
@@ -350,6 +353,21 @@
 	}
 }
 
+// failureCause returns why the nested call failed. The reply is nil if no home answered it.
+func (q *request) failureCause(ctx context.Context, reply *peering.Reply) guard.FailureCause {
+	lacksCapacity := q.lastNoRoom || q.lastReason.LacksCapacity() && !q.isSuspect()
+	switch {
+	case ctx.Err() != nil, q.parentContext.Err() != nil, q.budgetDenied:
+		return guard.OtherFailure
+	case reply != nil:
+		lacksCapacity = reply.NoRoom
+	}
+	if lacksCapacity {
+		return guard.NoCapacity
+	}
+	return guard.OtherFailure
+}
+
 func (f *Forwarder) problem(reason problem.Reason, executed problem.Executed, step, detail string) *problem.Problem {
 	return problem.New(reason, executed, step, f.config.Node, detail)
 }
--- a/internal/guard/exchange.go
+++ b/internal/guard/exchange.go
@@ -64,7 +64,7 @@
 	g.countSent(call)
 	response, err := inc.pool.Exchange(ctx, g.targetCall(inc, call, remainingMillis, started))
 	ended := g.now()
-	callFailed := finish(err == nil, ended)
+	calls := finish(err == nil, ended)
 	duration := ended.Sub(started)
 	if err != nil {
 		permit.Release(limit.Sample{Outcome: limit.Failure})
@@ -78,6 +78,7 @@
 				}
 			}
 		}
+		g.recordRun(call, reply, calls, started)
 		inc.stats.recordEnd(call.Route, reply, duration, ended)
 		if reply.Reason == peering.ConnectFailed {
 			g.recordReachability(inc, false)
@@ -88,7 +89,8 @@
 	inc.crashDetector.recordResponse(ended)
 	g.recordReachability(inc, true)
 	reply := g.replyForResponse(response)
-	reply.TargetError = isTargetFailure(reply) && !callFailed
+	reply.TargetError = isTargetFailure(reply) && !calls.failed
+	g.recordRun(call, reply, calls, started)
 	if reply.Outcome == peering.Answered {
 		g.recordAnswered(screened, call, ended)
 	}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -15,6 +15,7 @@
 
 	"github.com/lugspur/lugspur/internal/callheader"
 	"github.com/lugspur/lugspur/internal/clock"
+	"github.com/lugspur/lugspur/internal/completion"
 	"github.com/lugspur/lugspur/internal/ending"
 	"github.com/lugspur/lugspur/internal/eventlog"
 	"github.com/lugspur/lugspur/internal/fingerprint"
@@ -57,6 +58,10 @@
 	// OnLeaving is called once with each incarnation that announces in a response that it is
 	// leaving; it may be nil.
 	OnLeaving func(registry.Incarnation)
+	// WholeRequests enables the admission of whole requests: requests whose calls lack
+	// capacity are refused where they enter (package completion), and queues prefer calls of
+	// requests that have made most calls.
+	WholeRequests bool
 	// Observer receives the outcomes of calls; it may be nil.
 	Observer Observer
 }
@@ -83,6 +88,11 @@
 	CallFinished(outcome peering.Outcome, reason peering.Reason, queueTime, targetTime time.Duration)
 	// CallSent records a call that is sent to the target.
 	CallSent(kind SendKind)
+	// RunFinished records a finished run that made downstream calls.
+	RunFinished(route string, result completion.Result)
+	// RouteThreshold records the lowest rank key of the route that is refused so that started
+	// requests complete, shed.None if none is.
+	RouteThreshold(route string, threshold uint16)
 }
 
 // Guard admits calls to the target. It is safe for concurrent use.
@@ -100,7 +110,10 @@
 	running          runningTable
 	suspectLock      suspectLock
 	answered         answeredSet
-	mutex            sync.Mutex
+	// completion holds the thresholds of routes whose requests make calls, nil if
+	// Config.WholeRequests is not set.
+	completion *completion.Controller
+	mutex      sync.Mutex
 }
 
 // incarnation is the state of one target process, from its registration until another
@@ -123,7 +136,11 @@
 
 // New returns a guard without a target, which refuses all calls.
 func New(config Config, log *eventlog.Log, now func() time.Time) *Guard {
-	return &Guard{config: config, log: log, now: now}
+	g := &Guard{config: config, log: log, now: now}
+	if config.WholeRequests {
+		g.completion = completion.New(now)
+	}
+	return g
 }
 
 // SetTarget applies the current registration of the local target.
@@ -242,7 +259,7 @@
 		Queued:          stats.Queued,
 		Limit:           stats.Limit,
 		Latency:         inc.stats.latency(route, g.now()),
-		Threshold:       min(inc.shedding.Threshold(), inc.announcements.shedding.Threshold(), downstream.Threshold),
+		Threshold:       min(inc.shedding.Threshold(), inc.announcements.shedding.Threshold(), g.routeThreshold(route), downstream.Threshold),
 		FailurePercent:  inc.stats.failurePercent(),
 		ErrorPercent:    inc.stats.errorPercent(),
 		CallsPerRequest: downstream.CallsPerRequest,
--- a/internal/guard/running.go
+++ b/internal/guard/running.go
@@ -22,15 +22,33 @@
 	Retried bool
 	// Context is canceled when the caller of the request no longer waits for the response.
 	Context context.Context
+	// PriorCalls is the number of calls that the whole request, over all routes and depths,
+	// has made so far, as far as this node knows. It is zero unless Config.WholeRequests is set.
+	PriorCalls int
 }
 
+// FailureCause is why a downstream call failed.
+type FailureCause uint8
+
+// Causes of failed downstream calls.
+const (
+	// OtherFailure is any cause but lack of capacity.
+	OtherFailure FailureCause = iota
+	// NoCapacity means that a queue refused, evicted or delayed the call, or one of its own
+	// downstream calls, for too long.
+	NoCapacity
+)
+
 // runningRequest is a request at the target and the downstream calls that it has made.
 type runningRequest struct {
 	Running
 	// calls counts the downstream calls of the request by route.
 	calls map[string]int
-	// callFailed is set if one of these calls failed.
-	callFailed bool
+	// callCount is the number of these calls.
+	callCount int
+	// callFailed is set if one of these calls failed, and lackedCapacity if that was for lack
+	// of capacity.
+	callFailed, lackedCapacity bool
 	// cancelContext cancels Context.
 	cancelContext context.CancelFunc
 	// call is the request, and cancelExchange cancels its exchange with the target.
@@ -78,10 +96,16 @@
 	abandoned abandonedSet
 }
 
+// downstreamCalls is what is known of the downstream calls of a request when its exchange
+// with the target ends.
+type downstreamCalls struct {
+	made, failed, lackedCapacity bool
+}
+
 // begin adds a request that is sent to the target. The returned function must be called
-// when the exchange ends, with or without a response. It removes the request and reports
-// whether a downstream call of the request failed.
-func (t *runningTable) begin(call *peering.Call, cancelExchange context.CancelCauseFunc) func(answered bool, now time.Time) (callFailed bool) {
+// when the exchange ends, with or without a response. It removes the request and returns
+// the results of its downstream calls.
+func (t *runningTable) begin(call *peering.Call, cancelExchange context.CancelCauseFunc) func(answered bool, now time.Time) downstreamCalls {
 	ctx, cancel := context.WithCancel(context.Background())
 	request := &runningRequest{
 		Running:        Running{Route: call.Route, Rank: criticality.RankOf(call.Rank), Retried: call.Retried, Context: ctx},
@@ -96,7 +120,7 @@
 	}
 	t.requests[call.RequestID] = request
 	t.abandoned.remove(call.RequestID)
-	return func(answered bool, now time.Time) bool {
+	return func(answered bool, now time.Time) downstreamCalls {
 		t.mutex.Lock()
 		defer t.mutex.Unlock()
 		if !answered {
@@ -106,7 +130,7 @@
 		if t.requests[call.RequestID] == request {
 			delete(t.requests, call.RequestID)
 		}
-		return request.callFailed
+		return downstreamCalls{made: request.callCount > 0, failed: request.callFailed, lackedCapacity: request.lackedCapacity}
 	}
 }
 
@@ -133,7 +157,11 @@
 	if !found {
 		return Running{}, false
 	}
-	return request.Running, true
+	running := request.Running
+	if g.config.WholeRequests {
+		running.PriorCalls = request.call.PriorCalls + request.callCount
+	}
+	return running, true
 }
 
 // Abandoned reports whether the exchange of a request with the target recently ended
@@ -157,16 +185,18 @@
 		request.calls = make(map[string]int)
 	}
 	request.calls[route]++
+	request.callCount++
 	return request.calls[route]
 }
 
 // RecordCallFailure records that a downstream call of a request at the target failed, so
 // that a failure of the request isn't attributed to the target.
-func (g *Guard) RecordCallFailure(id string) {
+func (g *Guard) RecordCallFailure(id string, cause FailureCause) {
 	g.running.mutex.Lock()
 	defer g.running.mutex.Unlock()
 	if request, found := g.running.requests[id]; found {
 		request.callFailed = true
+		request.lackedCapacity = request.lackedCapacity || cause == NoCapacity
 	}
 }
 
@@ -197,6 +227,7 @@
 
 // updateThreshold updates the threshold and returns the one that was logged last.
 func (g *Guard) updateThreshold(logged uint16) uint16 {
+	g.updateRouteThresholds()
 	inc := g.current.Load()
 	if inc == nil {
 		return logged
--- a/internal/sidecar/metrics_test.go
+++ b/internal/sidecar/metrics_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lugspur/lugspur/internal/completion"
 	"github.com/lugspur/lugspur/internal/forward"
 	"github.com/lugspur/lugspur/internal/guard"
 	"github.com/lugspur/lugspur/internal/peering"
@@ -44,6 +45,8 @@
 	n.metrics.RequestFinished("r", 200, "", time.Second)
 	n.metrics.CallFinished(peering.Answered, "", time.Millisecond, time.Second)
 	n.metrics.CallSent(guard.FirstSend)
+	n.metrics.RunFinished("r", completion.Whole)
+	n.metrics.RouteThreshold("r", 0)
 	n.metrics.countRefusedHeartbeat(registry.RefusedSlots)
 	n.metrics.BudgetCounted("s", forward.FirstSent, "")
 	n.storeCalls.CallEnded(purposeRecords, "list", "done")
