completion: a load that begins at once is not refused almost whole

Now a third of what arrives is admitted at least, and for 500 ms the threshold rises if more runs complete than it admits; of completed runs it admits 0.85 in place of 0.9.

TestFirstFailuresRefuseTwoThirds fails without the change.

--- a/internal/completion/controller_test.go
+++ b/internal/completion/controller_test.go
@@ -234,6 +234,24 @@
 	}
 }
 
+// TestFirstFailuresRefuseTwoThirds guards against a home that refuses nearly all requests at the
+// start of a load, when runs have failed before any could have completed.
+func TestFirstFailuresRefuseTwoThirds(t *testing.T) {
+	m := &model{}
+	home := New(m.clock)
+	tick := func(result Result) uint16 {
+		for key := range uint16(30) {
+			home.Record("r", result, m.clock())
+			home.Observe("r", criticality.RankOf(200+key))
+		}
+		m.now += interval
+		return home.Tick()[0].Threshold
+	}
+	threshold := tick(NoRoom)
+	assert.Assert(t, threshold > 207 && threshold < 212, "%d", threshold)
+	assert.Assert(t, tick(Whole) > threshold, "runs that began before show the capacity")
+}
+
 func TestRoutesAreBoundedAndForgotten(t *testing.T) {
 	m := &model{}
 	home := New(m.clock)
--- a/internal/completion/doc.go
+++ b/internal/completion/doc.go
@@ -22,13 +22,13 @@
 // Microservices", SoCC 2018): it is derived from a histogram of arrivals by rank. The rate to
 // admit follows CUBIC (Ha, Rhee, Xu, "CUBIC: A New TCP-Friendly High-Speed TCP Variant", SIGOPS
 // 2008). When more than a twentieth of the recent runs fail for lack of capacity, it becomes
-// nine tenths of the rate at which runs complete. Then it grows with each tick, first slowly and
-// then faster, until nothing is refused.
+// 0.85 of the rate at which runs complete, but not less than a third of what arrives. Then it
+// grows with each tick, first slowly and then faster, until nothing is refused.
 //
 // Two delays determine the constants. A threshold takes about half a second to reach the nodes
-// that refuse, so failures of runs that began before do not lower it again. A run that was
-// admitted in excess fails only after one of its calls has waited for its maximum time, so the
-// rate must hardly grow for 2 s.
+// that refuse, so failures of runs that began before do not lower it again, while their
+// completion shows the capacity. A run that was admitted in excess fails only after one of its
+// calls has waited for its maximum time, so the rate must hardly grow for 2 s.
 //
 // The decision is local to a home. Thresholds reach the nodes where requests enter with
 // replies, like those of the homes' queues (package pressure).
--- a/internal/completion/route.go
+++ b/internal/completion/route.go
@@ -22,7 +22,10 @@
 	rateTimeConstant = 600 * time.Millisecond
 	// capacityShare is the admitted rate, as a share of the rate of completed runs, after too
 	// many failures. The rest serves calls that already wait.
-	capacityShare = 0.9
+	capacityShare = 0.85
+	// minArrivalShare is the least admitted rate after too many failures, as a share of what
+	// arrives. At the start of a load, the first runs fail before any could have completed.
+	minArrivalShare = 0.33
 	// settleTime is the time in which a threshold reaches most nodes where requests enter.
 	settleTime = 500 * time.Millisecond
 	// growth is the coefficient of the growth of the admitted rate: the rate grows by this
@@ -138,26 +141,34 @@
 
 // nextThreshold returns the threshold that follows from the results. After too many failures,
 // fewer requests are admitted than complete, so that those that were admitted in excess find
-// capacity as well. Otherwise the admitted rate grows, first slowly and then faster.
+// capacity as well. Until that has taken effect, the runs that began before show the capacity.
+// From then on the admitted rate grows, first slowly and then faster.
 func (r *route) nextThreshold(threshold uint16) uint16 {
 	switch {
 	case r.exceeded():
 		r.calmTicks = 0
 		r.noRoom, r.ended = 0, 0
 		r.settledAt.Store(int64(r.tickedAt.Sub(r.created) + settleTime))
-		r.admitted = capacityShare * r.capacity
+		r.admitted = max(capacityShare*r.capacity, minArrivalShare*sum(r.rates[:threshold]))
 	case threshold == shed.None:
 		return shed.None
+	case r.settling():
+		r.admitted = max(r.admitted, capacityShare*r.capacity)
 	default:
 		r.calmTicks++
-		r.admitted = max(r.admitted, minAdmittedShare*r.total()) * (1 + growth*float64(r.calmTicks*r.calmTicks))
+		r.admitted = max(r.admitted, minAdmittedShare*sum(r.rates[:])) * (1 + growth*float64(r.calmTicks*r.calmTicks))
 	}
 	return r.thresholdFor(r.admitted)
 }
 
-func (r *route) total() float64 {
+// settling reports whether the last lowered threshold is not yet in effect at most nodes.
+func (r *route) settling() bool {
+	return int64(r.tickedAt.Sub(r.created)) < r.settledAt.Load()
+}
+
+func sum(rates []float64) float64 {
 	total := 0.0
-	for _, rate := range r.rates {
+	for _, rate := range rates {
 		total += rate
 	}
 	return total
