--- a/internal/completion/controller.go
+++ b/internal/completion/controller.go
@@ -33,6 +33,9 @@
 	idleTime = time.Minute
 	// minLoggedChange is the minimum change of a threshold, in ranks, that is worth a log line.
 	minLoggedChange = criticality.CohortCount / 4
+	// minLogInterval is the minimum time between two log lines on one route. Thresholds of homes
+	// with few runs change by more than minLoggedChange several times a second.
+	minLogInterval = time.Second
 )
 
 // Controller holds the thresholds of the routes of one home. It is safe for concurrent use.
@@ -78,7 +81,8 @@
 	Threshold uint16
 	// NoRoomShare is the share of recent runs that failed for lack of capacity, from 0 to 1.
 	NoRoomShare float64
-	// Notable reports whether the threshold differs much from that of the last notable state.
+	// Notable reports whether the threshold differs much from that of the last notable state, at
+	// least a second ago.
 	Notable bool
 }
 
--- a/internal/completion/controller_test.go
+++ b/internal/completion/controller_test.go
@@ -252,6 +252,14 @@
 	assert.Assert(t, tick(Whole) > threshold, "runs that began before show the capacity")
 }
 
+func TestLogLinesAreBounded(t *testing.T) {
+	r := newRoute(epoch)
+	assert.Assert(t, r.isNotable(100, epoch.Add(interval)))
+	assert.Assert(t, !r.isNotable(300, epoch.Add(2*interval)), "within a second")
+	assert.Assert(t, r.isNotable(300, epoch.Add(interval+minLogInterval)))
+	assert.Assert(t, !r.isNotable(310, epoch.Add(time.Minute)), "a small change")
+}
+
 func TestRoutesAreBoundedAndForgotten(t *testing.T) {
 	m := &model{}
 	home := New(m.clock)
--- a/internal/completion/route.go
+++ b/internal/completion/route.go
@@ -60,8 +60,9 @@
 	admitted float64
 	// calmTicks counts the ticks since the admitted rate was lowered.
 	calmTicks int
-	// logged is the threshold of the last notable state.
-	logged uint16
+	// logged is the threshold of the last notable state, which was at loggedAt.
+	logged   uint16
+	loggedAt time.Time
 }
 
 func newRoute(now time.Time) *route {
@@ -90,11 +91,17 @@
 		threshold = r.nextThreshold(threshold)
 		r.threshold.Store(uint32(threshold))
 	}
-	notable := max(threshold, r.logged)-min(threshold, r.logged) >= minLoggedChange
-	if notable {
-		r.logged = threshold
+	return State{Threshold: threshold, NoRoomShare: share, Notable: r.isNotable(threshold, now)}
+}
+
+// isNotable reports whether the threshold is worth a log line, and assumes that it is logged.
+func (r *route) isNotable(threshold uint16, now time.Time) bool {
+	change := max(threshold, r.logged) - min(threshold, r.logged)
+	if change < minLoggedChange || now.Sub(r.loggedAt) < minLogInterval {
+		return false
 	}
-	return State{Threshold: threshold, NoRoomShare: share, Notable: notable}
+	r.logged, r.loggedAt = threshold, now
+	return true
 }
 
 // average moves a moving average of a rate towards the count in the elapsed time.
