--- a/internal/sidecar/metrics_test.go
+++ b/internal/sidecar/metrics_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lugspur/lugspur/internal/completion"
 	"github.com/lugspur/lugspur/internal/forward"
 	"github.com/lugspur/lugspur/internal/guard"
 	"github.com/lugspur/lugspur/internal/pace"
@@ -46,6 +47,8 @@
 	n.metrics.CallFinished(peering.Answered, "", time.Millisecond, time.Second)
 	n.metrics.CallSent(guard.FirstSend)
 	n.metrics.LoadReported(pace.WithPace)
+	n.metrics.RunFinished("r", completion.Whole)
+	n.metrics.RouteThreshold("r", 0)
 	n.metrics.countRefusedHeartbeat(registry.RefusedSlots)
 	n.metrics.BudgetCounted("s", forward.FirstSent, "")
 	n.storeCalls.CallEnded(purposeRecords, "list", "done")
