Clock, peering, forward: fewer readings of the clock for each call

WithTimeout read the clock twice, the client of peers twice at the start of a call, and the forwarder twice for an offer.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -153,9 +153,13 @@
 // If the process was stalled when the deadline passed, the context ends LateDeadlineGrace after the
 // process continues, so that data that arrived meanwhile can still be read.
 func (c *Clock) WithDeadline(parent context.Context, at time.Time) (context.Context, context.CancelFunc) {
+	return c.withDeadline(parent, at, at.Sub(c.Now()))
+}
+
+// withDeadline is WithDeadline for a deadline that is the remaining time from now.
+func (c *Clock) withDeadline(parent context.Context, at time.Time, remaining time.Duration) (context.Context, context.CancelFunc) {
 	d := &deadline{clock: c, at: at}
 	d.attach(parent)
-	remaining := at.Sub(c.Now())
 	if remaining <= 0 {
 		d.cancel(context.DeadlineExceeded)
 		return d, func() {}
--- a/internal/clock/system.go
+++ b/internal/clock/system.go
@@ -24,7 +24,7 @@
 
 // WithTimeout is like WithDeadline with a deadline after the timeout from now.
 func WithTimeout(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
-	return System.WithDeadline(parent, Now().Add(timeout))
+	return System.withDeadline(parent, Now().Add(timeout), timeout)
 }
 
 // Expired reports whether a context ended because its deadline passed.
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -242,12 +242,13 @@
 	if announced, known := f.announced.get(home.Instance); known {
 		call.Target = announced.TargetAnnouncement
 	}
-	call.Remaining = q.deadline.Sub(f.now())
+	now := f.now()
+	call.Remaining = q.deadline.Sub(now)
 	if call.Remaining <= 0 {
 		return &peering.Reply{Outcome: peering.Refused, Reason: peering.DeadlinePassed}
 	}
 	if home.Address == f.config.Address {
-		done := state.begin(q.route.Name, nil, f.now())
+		done := state.begin(q.route.Name, nil, now)
 		defer done()
 		// The local home adds headers for its target.
 		call.Header = q.call.Header.Clone()
--- a/internal/peering/client.go
+++ b/internal/peering/client.go
@@ -87,7 +87,7 @@
 	if c.antiEntropy != nil {
 		call.Digests = c.antiEntropy.Digests()
 	}
-	response, err := c.callWithResumption(ctx, address, call)
+	response, err := c.callWithResumption(ctx, address, call, sentAt)
 	if err != nil {
 		return nil, err
 	}
@@ -101,13 +101,12 @@
 	return reply, nil
 }
 
-// callWithResumption sends the call and resumes it over a new connection each time the
-// connection goes silent. The silence timeout doubles with each resumption, because a
-// stalled home is silent as well. If the home's process is unknown, there is no silence
-// timeout: a resumption could reach a later process, which has no record of whether an
+// callWithResumption sends the call, which started at the given time, and resumes it over a new
+// connection each time the connection goes silent. The silence timeout doubles with each
+// resumption, because a stalled home is silent as well. If the home's process is unknown, there is
+// no silence timeout: a resumption could reach a later process, which has no record of whether an
 // earlier one ran the call.
-func (c *Client) callWithResumption(ctx context.Context, address string, call *Call) (*transport.Response, error) {
-	started := clock.Now()
+func (c *Client) callWithResumption(ctx context.Context, address string, call *Call, started time.Time) (*transport.Response, error) {
 	remaining := call.Remaining
 	exchange := &transport.Call{Method: http.MethodPost, Host: peerHost, RequestURI: callPath}
 	if call.Process != 0 {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -5,8 +5,9 @@
 // written at most once, and a failure reports whether any of it may have reached the
 // target, so that retrying is always the caller's decision.
 //
-// net/http encodes the headers of calls and parses responses. Its Transport is not used,
-// because it retries calls by itself and passes each exchange through two more goroutines
+// net/http encodes the headers of calls and parses responses, except for the replies of peers,
+// whose header has a fixed form (Call.PlainResponseBytes). Its Transport is not used, because it
+// retries calls by itself and passes each exchange through two more goroutines
 // (docs/decisions/0003-transport.md).
 package transport
 
