Clock, transport: watch the context of an exchange without allocations

Each exchange allocated a registration and a function that stops it, and an idle connection kept the function and with it the contexts of its last exchange. A connection now has a reusable clock.Watch, which refers to nothing while the connection is idle.

--- a/internal/clock/context_test.go
+++ b/internal/clock/context_test.go
@@ -151,3 +151,34 @@
 		awaitEnd(t, parent)
 	}
 }
+
+// TestWatch covers the results of Stop and the reuse of a Watch, for contexts of this package and
+// of package context.
+func TestWatch(t *testing.T) {
+	for name, newContext := range derive() {
+		t.Run(name, func(t *testing.T) {
+			var watch Watch
+			assert.Assert(t, !watch.Stop(), "there is no watch")
+			called := make(chan struct{}, 2)
+			run := func() { called <- struct{}{} }
+			for range 3 {
+				ctx, cancel := newContext(t.Context())
+				watch.Start(ctx, run)
+				assert.Assert(t, watch.Stop())
+				assert.Assert(t, !watch.Stop(), "stopped twice")
+				assert.Assert(t, watch.registration.owner == nil && watch.stopOther == nil, "an idle watch must not keep the context")
+				cancel(nil)
+			}
+			ctx, cancel := newContext(t.Context())
+			watch.Start(ctx, run)
+			cancel(nil)
+			<-called
+			assert.Assert(t, !watch.Stop(), "the function has been called")
+			var late Watch
+			late.Start(ctx, run)
+			<-called
+			assert.Assert(t, !late.Stop())
+			assert.Equal(t, len(called), 0)
+		})
+	}
+}
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -39,9 +39,8 @@
 	peerKeepAlive time.Duration
 	// readDeadline is the read deadline, zero for none.
 	readDeadline time.Time
-	// stopContextWatch unregisters the callback of closeOnDone. It returns false if the
-	// callback has already been started.
-	stopContextWatch func() bool
+	// contextWatch closes the socket when the context of the exchange ends.
+	contextWatch clock.Watch
 	// closeSocket closes the socket.
 	closeSocket func()
 	// rawSocket and probe are used by isOpen; probe stores in quiet whether the socket is open
@@ -115,7 +114,7 @@
 
 // closeOnDone closes the socket when the context ends.
 func (c *connection) closeOnDone(ctx context.Context) {
-	c.stopContextWatch = clock.AfterFunc(ctx, c.closeSocket)
+	c.contextWatch.Start(ctx, c.closeSocket)
 }
 
 // maxInterim bounds the interim responses (1xx) before a final response.
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -135,7 +135,7 @@
 // detach removes an open connection from the pool. Closing the result resets the
 // connection, which drops undelivered bytes.
 func (p *Pool) detach(c *connection) io.Closer {
-	c.stopContextWatch()
+	c.contextWatch.Stop()
 	p.releaseSlot()
 	return &resetCloser{c.socket}
 }
@@ -157,7 +157,7 @@
 // release returns a connection to the pool after a complete exchange.
 func (p *Pool) release(c *connection, response *http.Response) {
 	c.peerKeepAlive = keepAliveTimeout(response.Header)
-	if response.Close || !c.stopContextWatch() || c.reader.Buffered() > 0 || !p.pushIdle(c) {
+	if response.Close || !c.contextWatch.Stop() || c.reader.Buffered() > 0 || !p.pushIdle(c) {
 		p.discard(c)
 		return
 	}
@@ -202,7 +202,7 @@
 
 // discard closes a connection that cannot be reused, for example after a failed exchange.
 func (p *Pool) discard(c *connection) {
-	c.stopContextWatch()
+	c.contextWatch.Stop()
 	_ = c.socket.Close()
 	p.releaseSlot()
 }
