Policy: keep ranks that depend on few variables

The rank of each request was evaluated by the virtual machine, with seven allocations for the variables that it reads by reflection. A rank that reads nothing but the tenant, its priority and that of the route, as the default does, is now kept in a table of at most 1,024 results. All others are evaluated for each request as before.

--- a/internal/policy/compile.go
+++ b/internal/policy/compile.go
@@ -14,12 +14,15 @@
 	"github.com/expr-lang/expr/vm"
 )
 
-// Program is a compiled policy. It is immutable and safe for concurrent use.
+// Program is a compiled policy. It is safe for concurrent use.
 type Program struct {
 	admit  expression
 	rank   expression
 	retry  expression
 	refuse expression
+	// ranks holds results of the rank expression; nil if these depend on other variables than
+	// rankVariables.
+	ranks *rankTable
 }
 
 // expression is a compiled expression. A single literal is stored as its value
@@ -27,6 +30,8 @@
 type expression struct {
 	program *vm.Program
 	literal any
+	// rankVariablesOnly is set if the program reads no variables but rankVariables.
+	rankVariablesOnly bool
 }
 
 // defaultProgram returns the compiled default expressions, which all policies
@@ -81,6 +86,9 @@
 	if len(faults) > 0 {
 		return nil, &CompileError{Faults: faults}
 	}
+	if program.rank.rankVariablesOnly {
+		program.ranks = &rankTable{}
+	}
 	return program, nil
 }
 
@@ -118,7 +126,7 @@
 	if err != nil {
 		return expression{}, []Fault{libraryFault(specification, text, err)}
 	}
-	return expression{program: program}, nil
+	return expression{program: program, rankVariablesOnly: dependsOnRankVariables(root)}, nil
 }
 
 // parse returns the root of the expression's syntax tree, which has at most
--- a/internal/policy/evaluate.go
+++ b/internal/policy/evaluate.go
@@ -77,6 +77,21 @@
 // Rank returns the call's criticality, on an error the lowest one. An empty
 // result means "sheddable-plus".
 func (p *Program) Rank(call Call) (criticality.Level, error) {
+	if p.ranks == nil || call.oversized() {
+		return p.evaluateRank(call)
+	}
+	variables := rankVariablesOf(&call)
+	if level, found := p.ranks.get(variables); found {
+		return level, nil
+	}
+	level, err := p.evaluateRank(call)
+	if err == nil {
+		p.ranks.put(variables, level)
+	}
+	return level, err
+}
+
+func (p *Program) evaluateRank(call Call) (criticality.Level, error) {
 	result, err := p.rank.run(ExpressionRank, &call, nil, nil)
 	if err != nil {
 		return criticality.Sheddable, err
