--- a/internal/completion/controller.go
+++ b/internal/completion/controller.go
@@ -87,14 +87,15 @@
 }
 
 // Tick updates the thresholds and returns the states of all routes. It must be called at a
-// constant interval of 50 to 250 ms.
-func (c *Controller) Tick() []State {
+// constant interval of 50 to 250 ms. short reports whether a service that requests of the route
+// call refuses some of its calls at present.
+func (c *Controller) Tick(short func(route string) bool) []State {
 	now := c.now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	states := make([]State, 0, len(c.routes))
 	for name, r := range c.routes {
-		state := r.tick(now)
+		state := r.tick(now, short(name))
 		state.Route = name
 		states = append(states, state)
 		if now.Sub(r.usedAt) >= idleTime {
--- a/internal/completion/controller_test.go
+++ b/internal/completion/controller_test.go
@@ -25,6 +25,10 @@
 
 var epoch = time.Unix(1000, 0)
 
+func short(string) bool { return true }
+
+func spare(string) bool { return false }
+
 // kind is a kind of request whose calls of the last service run one after another.
 type kind struct {
 	level   criticality.Level
@@ -88,7 +92,7 @@
 		}
 		for _, home := range m.homes {
 			if m.now%interval == 0 {
-				home.Tick()
+				home.Tick(short)
 			}
 			for i := range kinds {
 				m.lowest = min(m.lowest, home.Threshold(strconv.Itoa(i)))
@@ -220,7 +224,7 @@
 			home.Observe("r", criticality.RankOf(200+key))
 		}
 		m.now += interval
-		home.Tick()
+		home.Tick(short)
 	}
 	assert.Assert(t, home.Threshold("r") < 210)
 	m.table.Report("r", "killed", pressure.Level{Threshold: 100}, 10)
@@ -229,7 +233,7 @@
 	assert.Equal(t, m.table.Threshold("r"), home.Threshold("r"))
 	for home.Threshold("r") < shed.None {
 		m.now += interval
-		home.Tick()
+		home.Tick(short)
 		assert.Assert(t, m.now < 20*time.Second)
 	}
 }
@@ -245,13 +249,30 @@
 			home.Observe("r", criticality.RankOf(200+key))
 		}
 		m.now += interval
-		return home.Tick()[0].Threshold
+		return home.Tick(short)[0].Threshold
 	}
 	threshold := tick(NoRoom)
 	assert.Assert(t, threshold > 207 && threshold < 212, "%d", threshold)
 	assert.Assert(t, tick(Whole) > threshold, "runs that began before show the capacity")
 }
 
+// TestBurstThatIsOverRefusesNothing guards against requests that are refused for seconds after a
+// burst of failures, although the called services have capacity again.
+func TestBurstThatIsOverRefusesNothing(t *testing.T) {
+	m := &model{}
+	home := New(m.clock)
+	for tick := range 20 {
+		for key := range uint16(30) {
+			home.Record("r", map[bool]Result{true: NoRoom, false: Whole}[tick == 0], m.clock())
+			home.Observe("r", criticality.RankOf(200+key))
+		}
+		m.now += interval
+		home.Tick(spare)
+		assert.Assert(t, tick > 0 || home.Threshold("r") < shed.None)
+	}
+	assert.Equal(t, home.Threshold("r"), shed.None)
+}
+
 func TestLogLinesAreBounded(t *testing.T) {
 	r := newRoute(epoch)
 	assert.Assert(t, r.isNotable(100, epoch.Add(interval)))
@@ -267,10 +288,10 @@
 		home.Record(strconv.Itoa(i), NoRoom, m.clock())
 	}
 	m.now += interval
-	states := home.Tick()
+	states := home.Tick(short)
 	assert.Equal(t, len(states), maxRoutes)
 	assert.Equal(t, states[0].Threshold, shed.None, "a single run does not decide")
 	m.now += idleTime
-	home.Tick()
-	assert.Equal(t, len(home.Tick()), 0)
+	home.Tick(short)
+	assert.Equal(t, len(home.Tick(short)), 0)
 }
--- a/internal/completion/doc.go
+++ b/internal/completion/doc.go
@@ -23,7 +23,9 @@
 // admit follows CUBIC (Ha, Rhee, Xu, "CUBIC: A New TCP-Friendly High-Speed TCP Variant", SIGOPS
 // 2008). When more than a twentieth of the recent runs fail for lack of capacity, it becomes
 // 0.85 of the rate at which runs complete, but not less than a third of what arrives. Then it
-// grows with each tick, first slowly and then faster, until nothing is refused.
+// grows with each tick, first slowly and then faster, until nothing is refused. If no called
+// service refuses calls any more, it grows by a quarter with each tick: a burst that is over
+// needs no caution.
 //
 // Two delays determine the constants. A threshold takes about half a second to reach the nodes
 // that refuse, so failures of runs that began before do not lower it again, while their
--- a/internal/completion/route.go
+++ b/internal/completion/route.go
@@ -32,6 +32,9 @@
 	// share times the square of the number of ticks since it was lowered. It thus stays close
 	// to the capacity for 2 s, in which failures of the admitted runs become known.
 	growth = 1e-5
+	// spareGrowth is the factor by which the admitted rate grows with each tick while no called
+	// service is short.
+	spareGrowth = 1.25
 	// minAdmittedShare is the least share of all arrivals from which the admitted rate grows.
 	minAdmittedShare = 0.02
 	// minThreshold admits the most important ranks in any case.
@@ -81,14 +84,14 @@
 	r.results[result].Add(1)
 }
 
-func (r *route) tick(now time.Time) State {
+func (r *route) tick(now time.Time, short bool) State {
 	share, threshold := 0.0, uint16(r.threshold.Load())
 	if elapsed := now.Sub(r.tickedAt); elapsed > 0 {
 		r.tickedAt = now
 		r.countResults(now, elapsed)
 		r.countArrivals(elapsed, threshold)
 		share = r.noRoomShare()
-		threshold = r.nextThreshold(threshold)
+		threshold = r.nextThreshold(threshold, short)
 		r.threshold.Store(uint32(threshold))
 	}
 	return State{Threshold: threshold, NoRoomShare: share, Notable: r.isNotable(threshold, now)}
@@ -149,8 +152,9 @@
 // nextThreshold returns the threshold that follows from the results. After too many failures,
 // fewer requests are admitted than complete, so that those that were admitted in excess find
 // capacity as well. Until that has taken effect, the runs that began before show the capacity.
-// From then on the admitted rate grows, first slowly and then faster.
-func (r *route) nextThreshold(threshold uint16) uint16 {
+// From then on the admitted rate grows, first slowly and then faster, or quickly if no called
+// service is short any more: the failures may have come from a burst that is over.
+func (r *route) nextThreshold(threshold uint16, short bool) uint16 {
 	switch {
 	case r.exceeded():
 		r.calmTicks = 0
@@ -161,6 +165,8 @@
 		return shed.None
 	case r.settling():
 		r.admitted = max(r.admitted, capacityShare*r.capacity)
+	case !short:
+		r.admitted = max(r.admitted, minAdmittedShare*sum(r.rates[:])) * spareGrowth
 	default:
 		r.calmTicks++
 		r.admitted = max(r.admitted, minAdmittedShare*sum(r.rates[:])) * (1 + growth*float64(r.calmTicks*r.calmTicks))
--- a/internal/guard/whole_requests.go
+++ b/internal/guard/whole_requests.go
@@ -60,7 +60,7 @@
 	if g.completion == nil {
 		return
 	}
-	for _, state := range g.completion.Tick() {
+	for _, state := range g.completion.Tick(g.callsShortService) {
 		if g.config.Observer != nil {
 			g.config.Observer.RouteThreshold(state.Route, state.Threshold)
 		}
@@ -75,3 +75,9 @@
 		Count:  int(state.Threshold) * percent / criticality.RankCount,
 		Reason: fmt.Sprintf("%.0f%% of runs lack capacity", state.NoRoomShare*percent)})
 }
+
+// callsShortService reports whether a service that requests of the route call refuses some of
+// its calls, according to the thresholds that this node received with replies.
+func (g *Guard) callsShortService(route string) bool {
+	return g.config.Downstream(route).Threshold < shed.None
+}
