--- a/internal/forward/receive.go
+++ b/internal/forward/receive.go
@@ -103,7 +103,7 @@
 		Rank:       q.rank.Key(),
 		AtMostOnce: q.route.Kind != routetable.Repeatable,
 		Nested:     q.nested,
-		PriorCalls: max(q.callNumber-1, parent.PriorCalls, 0),
+		PriorCalls: max(q.callNumber-1, 0),
 		Retried:    parent.Retried,
 		MaxWait:    f.maxWait(q),
 	}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -60,8 +60,7 @@
 	// leaving; it may be nil.
 	OnLeaving func(registry.Incarnation)
 	// WholeRequests enables the admission of whole requests: requests whose calls lack
-	// capacity are refused where they enter (package completion), and queues prefer calls of
-	// requests that have made most calls.
+	// capacity are refused where they enter (package completion).
 	WholeRequests bool
 	// Observer receives the outcomes of calls; it may be nil.
 	Observer Observer
--- a/internal/guard/running.go
+++ b/internal/guard/running.go
@@ -22,9 +22,6 @@
 	Retried bool
 	// Context is canceled when the caller of the request no longer waits for the response.
 	Context context.Context
-	// PriorCalls is the number of calls that the whole request, over all routes and depths,
-	// has made so far, as far as this node knows. It is zero unless Config.WholeRequests is set.
-	PriorCalls int
 }
 
 // FailureCause is why a downstream call failed.
@@ -157,11 +154,7 @@
 	if !found {
 		return Running{}, false
 	}
-	running := request.Running
-	if g.config.WholeRequests {
-		running.PriorCalls = request.call.PriorCalls + request.callCount
-	}
-	return running, true
+	return request.Running, true
 }
 
 // Abandoned reports whether the exchange of a request with the target recently ended
--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -63,8 +63,8 @@
 	// Retried reports whether the request, or one of its ancestors in the call chain, was
 	// sent to a target before.
 	Retried bool
-	// PriorCalls is the number of calls that were made before this one: by the calling request
-	// to the same route or, where requests are admitted as a whole, by the whole request.
+	// PriorCalls is the number of calls of the same kind that the calling request made before
+	// this one.
 	PriorCalls int
 	// OfferIndex is the index, starting at zero, of this attempt among those of the
 	// request's entry node to have a home run it.
