Test of suspects: a request is open before it counts as arrived

The test's target counted a request as arrived before it counted it as open, and the maximum of open requests by a load and a store: the test could let the target respond, and one request end, before the other one was open.

--- a/internal/guard/crash_test.go
+++ b/internal/guard/crash_test.go
@@ -47,9 +47,13 @@
 }
 
 func (c *crashingTarget) serve(w http.ResponseWriter, r *http.Request) {
-	c.arrived.Add(1)
+	c.mutex.Lock()
 	c.maxOpen.Store(max(c.maxOpen.Load(), c.open.Add(1)))
+	c.mutex.Unlock()
 	defer c.open.Add(-1)
+	// A request that has arrived must already be open: the test lets the target respond once all
+	// requests have arrived.
+	c.arrived.Add(1)
 	select {
 	case <-c.respond:
 	case <-r.Context().Done():
