Soak: decisions for shortage, and targets that report their pace

The soak knew none of the new parts. Its targets now report their load with the pace of their work (one report of 50 malformed), and its nodes are told to tolerate the loss of a zone, unless -zone-losses is 0. TestSoakWithDecisionsForShortage plays two seeds at twice the usual rate: no promise broken.

--- a/lab/platformstub/announcements.go
+++ b/lab/platformstub/announcements.go
@@ -1,6 +1,7 @@
 package platformstub
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 )
@@ -62,3 +63,19 @@
 	defer t.mutex.Unlock()
 	t.announcements = append([]RateAnnouncement(nil), announcements...)
 }
+
+// malformedReportEvery is the number of load reports of which one is malformed.
+const malformedReportEvery = 50
+
+// setLoadReport adds the report of the target's load: running and waiting requests, slots, and
+// the service time in percent of the usual one.
+func (t *Target) setLoadReport(header http.Header, faults TargetFaults, count uint64) {
+	if !t.ReportsPace {
+		return
+	}
+	pace := fmt.Sprint(100 * (t.ServiceTime + faults.Delay) / t.ServiceTime)
+	if isNth(malformedReportEvery, count) {
+		pace = "NaN"
+	}
+	header.Set("Lugspur-Server-Load", fmt.Sprintf("%d,0,%d,%s", t.running.Load(), targetSlots, pace))
+}
--- a/lab/platformstub/target.go
+++ b/lab/platformstub/target.go
@@ -25,6 +25,9 @@
 	StartedAt int64
 	// ServiceTime is the service time of each request.
 	ServiceTime time.Duration
+	// ReportsPace makes responses report the target's load with its pace, which follows
+	// TargetFaults.Delay. Every malformedReportEvery-th report is malformed.
+	ReportsPace bool
 	// Nested are the calls that the target makes while it runs a request; if one fails, so
 	// does the request.
 	Nested NestedCalls
@@ -44,6 +47,7 @@
 	requests          uint64
 	runs              []Run
 	arrivals          []Arrival
+	running           atomic.Int64
 	server            *http.Server
 	stop              context.CancelFunc
 }
@@ -135,12 +139,15 @@
 		return
 	}
 	t.recordRun(r, id)
+	t.running.Add(1)
+	defer t.running.Add(-1)
 	select {
 	case <-time.After(t.ServiceTime + faults.Delay):
 	case <-r.Context().Done():
 		return
 	}
 	t.setAnnouncements(w.Header())
+	t.setLoadReport(w.Header(), faults, count)
 	if faults.CrashPrefix != "" && strings.HasPrefix(r.URL.Path, faults.CrashPrefix) {
 		t.crash()
 		panic(http.ErrAbortHandler)
--- a/lab/soak/command.go
+++ b/lab/soak/command.go
@@ -39,6 +39,8 @@
 	maxMachines = 24
 	maxRate     = 500
 	maxDuration = time.Hour
+	// maxZoneLosses is the highest number that the nodes' settings accept.
+	maxZoneLosses = 16
 )
 
 // SetFlags defines the command's flags.
@@ -50,6 +52,7 @@
 	flags.DurationVar(&c.config.Duration, "duration", time.Minute, "`time` during which faults are injected")
 	flags.IntVar(&c.config.Restores, "restores", 2, "`number` of restores of the store from a backup")
 	flags.IntVar(&c.config.Announcements, "announcements", 4, "`number` of times that a target announces a rate limit or that it is leaving")
+	flags.IntVar(&c.config.ZoneLosses, "zone-losses", 1, "`number` of zones whose loss the nodes are told to tolerate; 0 disables the decisions for shortage")
 	flags.Float64Var(&c.config.Rate, "rate", 40, "requests per `second` of each machine's callers")
 }
 
@@ -81,6 +84,9 @@
 	if !(c.config.Rate > 0 && c.config.Rate <= maxRate) {
 		return fmt.Errorf("rate must be greater than 0 and at most %d", maxRate)
 	}
+	if c.config.ZoneLosses < 0 || c.config.ZoneLosses > maxZoneLosses {
+		return fmt.Errorf("zone-losses must be between 0 and %d", maxZoneLosses)
+	}
 	if c.config.Duration <= 0 || c.config.Duration > maxDuration {
 		return fmt.Errorf("duration must be greater than 0 and at most %s", maxDuration)
 	}
--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -48,7 +48,7 @@
 // machine is a node process, its target and the proxies on its connections.
 type machine struct {
 	name, zone, service       string
-	number                    int
+	number, zoneLosses        int
 	program                   string
 	settingsPath, logPath     string
 	callAddress, readyAddress string
@@ -105,11 +105,12 @@
 
 func (d *deployment) addMachine(index int) error {
 	m := &machine{
-		name:    fmt.Sprintf("machine-%d", index),
-		number:  index,
-		zone:    zones[index%len(zones)],
-		service: services[index/len(zones)%len(services)],
-		program: d.config.Program,
+		name:       fmt.Sprintf("machine-%d", index),
+		number:     index,
+		zone:       zones[index%len(zones)],
+		service:    services[index/len(zones)%len(services)],
+		program:    d.config.Program,
+		zoneLosses: d.config.ZoneLosses,
 	}
 	m.settingsPath = filepath.Join(d.config.Directory, m.name+".toml")
 	m.logPath = filepath.Join(d.config.Directory, m.name+".log")
@@ -162,7 +163,9 @@
 grace-seconds = %g
 [tenants]
 revoke-seconds = %g
-`, m.name, m.zone, m.service, m.targetProxy.Address(), m.storeProxy.Address(), m.callAddress, peers, m.peerProxy.Address(), m.readyAddress, m.heartbeatAddress, gracePeriod.Seconds(), revokeBound.Seconds())
+[shortage]
+zone-losses = %d
+`, m.name, m.zone, m.service, m.targetProxy.Address(), m.storeProxy.Address(), m.callAddress, peers, m.peerProxy.Address(), m.readyAddress, m.heartbeatAddress, gracePeriod.Seconds(), revokeBound.Seconds(), m.zoneLosses)
 }
 
 func (m *machine) startNode() error {
@@ -190,6 +193,7 @@
 		Address:     m.targetAddress,
 		Control:     m.heartbeatAddress,
 		Zone:        m.zone,
+		ReportsPace: m.zoneLosses > 0,
 		ServiceTime: minServiceTime * time.Duration(1+m.number%serviceTimeSpread),
 		OnCrash:     func() { time.AfterFunc(targetRestartDelay, m.onTargetCrash) },
 	}
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -33,6 +33,9 @@
 	Restores int
 	// Announcements is how often a target announces a rate limit or that it is leaving.
 	Announcements int
+	// ZoneLosses is the number of zones whose loss the nodes are told to tolerate. If it is not
+	// zero, they make the decisions for shortage, and targets report their pace.
+	ZoneLosses int
 }
 
 // Phases of a run.
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -50,6 +50,14 @@
 	}
 }
 
+// TestSoakWithDecisionsForShortage enables the decisions for shortage of capacity while targets
+// report their pace, at a rate at which slow targets leave too little capacity.
+func TestSoakWithDecisionsForShortage(t *testing.T) {
+	for _, seed := range []uint64{5101, 5102} {
+		runSoak(t, soak.Config{Machines: 6, Seed: seed, Duration: 12 * time.Second, Rate: 80, Announcements: 2, ZoneLosses: 1})
+	}
+}
+
 // runSoak runs a soak test, which must report no breach.
 func runSoak(t *testing.T, config soak.Config) {
 	t.Helper()
