Pace: a pace near zero does not spoil the latency of a route

The home divides the duration of a call by the factor that the target's pace stands for. One report of 1e-20 percent made the factor 0 and the latency of the route -2562047h for good, so that entry nodes avoided the home. The factor is at least 0.1 now. Found in review; TestTinyPaceDoesNotSpoilLatency failed before.

--- a/internal/guard/target_stats_test.go
+++ b/internal/guard/target_stats_test.go
@@ -143,3 +143,22 @@
 		assert.Equal(t, stats.currentLatency("r", now).Round(time.Millisecond), duration)
 	}
 }
+
+// TestTinyPaceDoesNotSpoilLatency guards against one report of a pace near zero that makes the
+// latency of a route infinite, so that entry nodes avoid the home for good.
+func TestTinyPaceDoesNotSpoilLatency(t *testing.T) {
+	stats := targetStats{pace: &pace.Tracker{}}
+	now := startTime
+	for i := range 100 {
+		percentOfUsual := 100.0
+		if i == 50 {
+			percentOfUsual = 1e-20
+		}
+		stats.recordStart("r", now)
+		now = now.Add(50 * time.Millisecond)
+		stats.pace.Observe(pace.Report{Kind: pace.WithPace, Percent: percentOfUsual}, now)
+		stats.recordEnd("r", &peering.Reply{Outcome: peering.Answered}, 50*time.Millisecond, now)
+		latency := stats.latency("r", now)
+		assert.Assert(t, latency > 0 && latency < 150*time.Millisecond, "%s", latency)
+	}
+}
--- a/internal/pace/reading.go
+++ b/internal/pace/reading.go
@@ -33,6 +33,10 @@
 	return factor(float64(r.Percent), r.Age+sinceReceived)
 }
 
+// minFactor is the least factor. A lower one would let a single sample, divided by it, raise the
+// latency of a home beyond all deadlines.
+const minFactor = 0.1
+
 // factor weights the deviation of a pace from the usual one by its age, linearly from its whole
 // at the age zero to nothing at MaxAge.
 func factor(percent float64, age time.Duration) float64 {
@@ -40,5 +44,5 @@
 		return 1
 	}
 	weight := 1 - float64(max(age, 0))/float64(MaxAge)
-	return 1 + weight*(percent/Usual-1)
+	return max(1+weight*(percent/Usual-1), minFactor)
 }
