Placement: the wait at a home does not count for the deadline

Requests that must not run twice are refused if no home is likely to answer in time. Only the duration counts now, as without a pace.

--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -192,7 +192,7 @@
 		c := &candidates[i]
 		estimate := c.estimate(median, q.route.Kind, now)
 		risk := c.stats.riskFactor(q.route.Kind, estimate.Time(), remaining)
-		c.latency = estimate.Time()
+		c.latency = c.durationBound(estimate, median, q.route.Kind)
 		added := pace.Candidate{Index: i, Estimate: estimate, Risk: risk, OtherZone: c.home.Zone != f.config.Zone, Random: rand.Float64()}
 		switch {
 		case c.usable:
@@ -223,6 +223,16 @@
 	return estimate
 }
 
+// durationBound returns the expected duration of a call at the home once it has a slot. It decides
+// whether the call would miss its deadline: the wait does not count, because a queue orders calls
+// by rank, so that an important one may not have to wait.
+func (c *candidate) durationBound(estimate pace.Estimate, median time.Duration, kind routetable.Kind) time.Duration {
+	if kind == routetable.AtMostOnce {
+		return max(estimate.Duration, c.stats.cautiousLatency(median))
+	}
+	return estimate.Duration
+}
+
 const (
 	// maxLimitedRefusals is the number of refusals because of rate limits after which a request
 	// is offered only to homes whose targets are not known to have one.
