Whole requests: a short deadline is no lack of capacity at the entry node

A nested call that no idle home could answer in time was counted as failed for lack of capacity. Without a wait in the estimate, such a refusal says nothing about capacity. Found in review.

--- a/internal/forward/failure_cause_test.go
+++ b/internal/forward/failure_cause_test.go
@@ -12,8 +12,7 @@
 
 // TestCauseOfFailedCall covers the cause that a nested call reports to the home of its parent.
 // Rejections by targets must not count as lack of capacity, or a fault of targets would make
-// homes refuse requests that would not complete anyway. The calls carry the number of calls of
-// the whole request.
+// homes refuse requests that would not complete anyway.
 func TestCauseOfFailedCall(t *testing.T) {
 	withoutRoom := func(reply func(context.Context, *peering.Call) *peering.Reply) func(context.Context, *peering.Call) *peering.Reply {
 		return func(ctx context.Context, call *peering.Call) *peering.Reply {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -48,7 +48,6 @@
 			break
 		}
 		if f.wouldMissDeadline(q, next) {
-			q.recordMissedDeadline()
 			return nil, f.refusal(q, problem.Overloaded, "run", "no home is likely to answer in time", missedDeadlineDelay)
 		}
 		if failure := f.spendRetryBudget(q); failure != nil {
@@ -170,14 +169,6 @@
 	return q.route.Kind == routetable.AtMostOnce && q.attempts == 0 && next.latency > q.deadline.Sub(f.now())
 }
 
-// recordMissedDeadline records that the request is refused because of its deadline, unless it
-// was offered to a home before, whose reason for refusing it counts.
-func (q *request) recordMissedDeadline() {
-	if q.offers == 0 {
-		q.lastReason = peering.WouldMissDeadline
-	}
-}
-
 func (q *request) recordRetryAfter(delay time.Duration) {
 	if delay > 0 && (q.retryAfter == 0 || delay < q.retryAfter) {
 		q.retryAfter = delay
