--- a/internal/clock/context.go
+++ b/internal/clock/context.go
@@ -197,6 +197,8 @@
 	} else {
 		c.first = r.next
 	}
+	// A removed registration that is still referenced must not keep its neighbors alive.
+	r.previous, r.next = nil, nil
 	return true
 }
 
--- a/internal/clock/context_test.go
+++ b/internal/clock/context_test.go
@@ -109,6 +109,12 @@
 		cancelChild()
 	}
 	assert.Assert(t, parent.(*cancelContext).first == nil)
+	older, cancelOlder := WithCancelCause(parent)
+	_, cancelYounger := WithCancelCause(parent)
+	cancelOlder(nil)
+	cancelYounger(nil)
+	link := &older.(*cancelContext).link
+	assert.Assert(t, link.previous == nil && link.next == nil, "an ended child keeps no siblings alive")
 }
 
 // TestContextsStartNoGoroutines guards against children of package context that are watched by a
--- a/internal/peering/wire_test.go
+++ b/internal/peering/wire_test.go
@@ -72,6 +72,21 @@
 	}
 }
 
+// TestReplyInheritsNothing guards against pooled encoded forms that keep fields of an earlier
+// reply, which a later one omits.
+func TestReplyInheritsNothing(t *testing.T) {
+	bare := &Reply{Outcome: Failed}
+	want, err := testCodec.decodeReply(testCodec.encodeReply(bare))
+	assert.NilError(t, err)
+	for range 100 {
+		_, err := testCodec.decodeReply(testCodec.encodeReply(fullReply()))
+		assert.NilError(t, err)
+		reply, err := testCodec.decodeReply(testCodec.encodeReply(bare))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, reply, want)
+	}
+}
+
 func TestIDsAndAddressesRoundTrip(t *testing.T) {
 	ids := rapid.OneOf(rapid.String(), rapid.StringMatching(`[0-9a-f.]{0,40}`), rapid.StringMatching(`([0-9a-f]{16}\.){0,4}[0-9a-f]{16}`))
 	rapid.Check(t, func(r *rapid.T) {
--- a/internal/transport/plain_test.go
+++ b/internal/transport/plain_test.go
@@ -67,6 +67,19 @@
 	}
 }
 
+// TestPlainResponseHasNoHeader guards against a plain response that is read like any other, which
+// would cost the processor time that reading it apart saves.
+func TestPlainResponseHasNoHeader(t *testing.T) {
+	const plain = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+	for _, raw := range []string{plain, "HTTP/1.1 102 Processing\r\n\r\n" + plain} {
+		call := getCall()
+		call.PlainResponseBytes = plainLimit
+		response, err := newRawTarget(t, respondWith(raw, false)).pool(t, nil).Exchange(t.Context(), call)
+		assert.NilError(t, err)
+		assert.Assert(t, response.Header == nil)
+	}
+}
+
 // TestSurplusBytesAfterPlainResponseCloseConnection guards against the reuse of a connection on
 // which more than the response was received.
 func TestSurplusBytesAfterPlainResponseCloseConnection(t *testing.T) {
