--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -129,7 +129,7 @@
 		Quarantine:     n.quarantine,
 		OnRateLimit:    func(i registry.Incarnation, a targetrate.Announcement) { n.registrar.SetRateLimit(i, a) },
 		OnLeaving:      n.handleTargetLeaving,
-		WholeRequests:  settings.Shortage.Expected(),
+		WholeRequests:  settings.Shortage.WholeRequests,
 		Observer:       n.metrics,
 	}, n.log, clock.Now)
 	n.registrar = registry.NewRegistrar(registry.RegistrarConfig{
--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -165,7 +165,8 @@
 revoke-seconds = %g
 [shortage]
 zone-losses = %d
-`, m.name, m.zone, m.service, m.targetProxy.Address(), m.storeProxy.Address(), m.callAddress, peers, m.peerProxy.Address(), m.readyAddress, m.heartbeatAddress, gracePeriod.Seconds(), revokeBound.Seconds(), m.zoneLosses)
+whole-requests = %t
+`, m.name, m.zone, m.service, m.targetProxy.Address(), m.storeProxy.Address(), m.callAddress, peers, m.peerProxy.Address(), m.readyAddress, m.heartbeatAddress, gracePeriod.Seconds(), revokeBound.Seconds(), m.zoneLosses, m.zoneLosses > 0)
 }
 
 func (m *machine) startNode() error {
