Return places: none after the objective of the route

Callers have 5 s left and return after up to 1.67 s; the objective is 1.5 s. These requests had a place, were admitted before new ones and could not meet their objective any more.

The latest place is now the one from which the request still meets its route's objective at the usual latency. TestNoPlaceAfterTheObjective failed to compile before (new field) and guards the bound.

--- a/internal/forward/return_place.go
+++ b/internal/forward/return_place.go
@@ -34,10 +34,11 @@
 		return f.refusal(q, problem.Overloaded, "admit", detail, shedDelay)
 	}
 	reserved := f.places.Reserve(returnplace.Request{
-		Content:  q.content,
-		Route:    q.route.Name,
-		Level:    q.rank.Level,
-		Deadline: f.callerDeadline(q, header),
+		Content:     q.content,
+		Route:       q.route.Name,
+		Level:       q.rank.Level,
+		Deadline:    f.callerDeadline(q, header),
+		UsefulUntil: f.usefulUntil(q),
 	}, f.now())
 	failure := f.refusal(q, problem.Overloaded, "admit", detail, reserved.Delay)
 	reserved = f.places.Move(reserved, failure.RetryDelay)
@@ -52,6 +53,15 @@
 	return fmt.Sprintf("place in %d ms", r.Delay.Milliseconds())
 }
 
+// usefulUntil returns the latest time at which the request may return and, at the usual latency of
+// its route, still meet its objective; zero if the route has none.
+func (f *Forwarder) usefulUntil(q *request) time.Time {
+	if q.route.Objective <= 0 {
+		return time.Time{}
+	}
+	return q.arrived.Add(q.route.Objective - f.homes.statsOf(q.route.Name).latency)
+}
+
 // callerDeadline returns the time until which the caller waits for an answer. It may be later
 // than the deadline of the request, because a route's timeout bounds each try of its own.
 func (f *Forwarder) callerDeadline(q *request, header http.Header) time.Time {
--- a/internal/returnplace/schedule.go
+++ b/internal/returnplace/schedule.go
@@ -46,6 +46,20 @@
 	Level   criticality.Level
 	// Deadline is the time until which the caller waits for an answer, retries included.
 	Deadline time.Time
+	// UsefulUntil is the latest time at which the request may return and still meet its latency
+	// objective. The zero value means that there is no such limit.
+	UsefulUntil time.Time
+}
+
+// latestPlace returns the time of the latest place that is of use to the caller: it must not wait
+// for more than its share of the remaining time, and a request that returns too late to meet its
+// objective would take capacity from one that still can.
+func (q *Request) latestPlace(now time.Time) time.Time {
+	latest := now.Add(min((q.Deadline.Sub(now)-transitTime)/deadlineDivisor, MaxAhead))
+	if !q.UsefulUntil.IsZero() && q.UsefulUntil.Before(latest) {
+		return q.UsefulUntil
+	}
+	return latest
 }
 
 // Reservation is the result of asking for a place.
@@ -124,7 +138,7 @@
 	}
 	level := &tracked.levels[q.Level]
 	at := level.nextPlace(slot, now)
-	latest := now.Add(min((q.Deadline.Sub(now)-transitTime)/deadlineDivisor, MaxAhead))
+	latest := q.latestPlace(now)
 	if at.After(latest) || s.table.full() {
 		return s.noPlace(at.Sub(now))
 	}
--- a/internal/returnplace/schedule_test.go
+++ b/internal/returnplace/schedule_test.go
@@ -107,6 +107,20 @@
 	}
 }
 
+// TestNoPlaceAfterTheObjective guards against requests that return too late for their objective and
+// take the capacity of requests that would have met theirs.
+func TestNoPlaceAfterTheObjective(t *testing.T) {
+	s := New(start)
+	admit(s, 40, start)
+	request := refused(sample, start)
+	request.UsefulUntil = start.Add(260 * ms)
+	assert.Equal(t, s.Reserve(request, start).Delay, 200*ms)
+	assert.Equal(t, s.Reserve(request, start).Delay, 250*ms)
+	assert.Assert(t, !s.Reserve(request, start).Given)
+	request.UsefulUntil = time.Time{}
+	assert.Assert(t, s.Reserve(request, start).Given)
+}
+
 // TestPlaceMovesToToldDelay guards against callers that return when they are told and find
 // that their place is at another time.
 func TestPlaceMovesToToldDelay(t *testing.T) {
