Peering: fields for shortages, costs of requests and alternatives of calls

Nodes need to pass on which homes are short of capacity, what a request uses of each service, and where a queued call would complete earlier. The fields use new CBOR keys and are omitted if empty, so that nodes of the previous build ignore them and a missing field means unknown. Malformed entries are dropped. The size of a typical call and reply is unchanged (TestEnvelopeSize, same bounds).

--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -11,12 +11,14 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/lugspur/lugspur/internal/downstream"
 	"github.com/lugspur/lugspur/internal/fingerprint"
 	"github.com/lugspur/lugspur/internal/pace"
 	"github.com/lugspur/lugspur/internal/quarantine"
 	"github.com/lugspur/lugspur/internal/ratelimit"
 	"github.com/lugspur/lugspur/internal/registry"
 	"github.com/lugspur/lugspur/internal/replica"
+	"github.com/lugspur/lugspur/internal/shortage"
 	"github.com/lugspur/lugspur/internal/targetrate"
 )
 
@@ -81,6 +83,11 @@
 	// Target is what the caller knows of the announcements of the home's target. A home
 	// that was restarted may not know them.
 	Target TargetAnnouncement
+	// WantCost asks the home for the costs of the route's requests.
+	WantCost bool
+	// Alternative is the time within which the caller expects the call to complete at another
+	// home. The home may give the call back if it would complete much later; zero forbids it.
+	Alternative time.Duration
 	// From is the address of the calling node. Digests state up to which store revision
 	// its replicas are complete.
 	From    string
@@ -209,6 +216,12 @@
 	// NoRoom reports whether the run failed because a call that it made failed for lack of
 	// capacity. Nodes that don't report it send false.
 	NoRoom bool
+	// Shortages are reports on homes that are or recently were short of capacity, which the
+	// home created or received from other nodes.
+	Shortages []shortage.Report
+	// Costs is what one request of the call's route uses of each service; empty if it was not
+	// asked for or is unknown.
+	Costs []downstream.Cost
 	// Digests state up to which store revision the home's replicas are complete.
 	Digests []replica.Digest
 }
@@ -233,6 +246,9 @@
 	// QueueTimeout: the call waited its maximum time for a slot, or for a lock under which it
 	// may run alone.
 	QueueTimeout Reason = "waited"
+	// EarlierElsewhere: the queued call would complete much earlier at the home that the caller
+	// names as its alternative.
+	EarlierElsewhere Reason = "earlier-elsewhere"
 	// RateLimited: the rate limit that the target announced was reached.
 	RateLimited Reason = "rate-limited"
 	// TargetFull: the target itself refused the call.
--- a/internal/peering/wire.go
+++ b/internal/peering/wire.go
@@ -75,6 +75,8 @@
 	// call is not resumed.
 	ResumedProcess   uint32       `cbor:"19,keyasint,omitempty"`
 	Target           *wireTarget  `cbor:"24,keyasint,omitempty"`
+	WantCost         bool         `cbor:"25,keyasint,omitempty"`
+	Alternative      int64        `cbor:"26,keyasint,omitempty"`
 	From             wireAddress  `cbor:"15,keyasint,omitempty"`
 	Digests          []wireDigest `cbor:"16,keyasint,omitempty"`
 	Epochs           []uint32     `cbor:"23,keyasint,omitempty"`
@@ -96,6 +98,9 @@
 	DocumentVersions []uint64     `cbor:"11,keyasint,omitempty"`
 	Crashes          int          `cbor:"10,keyasint,omitempty"`
 	NoRoom           bool         `cbor:"13,keyasint,omitempty"`
+
+	Shortages []wireShortage `cbor:"14,keyasint,omitempty"`
+	Costs     []wireCost     `cbor:"15,keyasint,omitempty"`
 }
 
 // wireLoad is the encoded form of a Load. The latency is in units of latencyUnit.
@@ -178,7 +183,8 @@
 		Service: call.Service, RequestID: wireID(call.RequestID), Method: encodeMethod(call.Method), URI: call.URI, Host: call.Host,
 		Header: c.encodeHeader(call.Header), Body: call.Body, Remaining: call.Remaining.Milliseconds(), Caller: call.Caller, Route: call.Route,
 		Rank: call.Rank, MaxWait: call.MaxWait.Milliseconds(), Nested: call.Nested, Retried: call.Retried, PriorCalls: call.PriorCalls,
-		Attempt: call.OfferIndex, AtMostOnce: call.AtMostOnce, Crashes: call.Crashes, ResumedProcess: resumedProcessOf(call), Target: encodeTarget(&call.Target), From: wireAddress(call.From), Digests: encodeDigests(call.Digests), Epochs: encodeEpochs(call.Digests), DocumentVersions: encodeDocumentVersions(call.Digests),
+		Attempt: call.OfferIndex, AtMostOnce: call.AtMostOnce, Crashes: call.Crashes, ResumedProcess: resumedProcessOf(call), Target: encodeTarget(&call.Target),
+		WantCost: call.WantCost, Alternative: call.Alternative.Milliseconds(), From: wireAddress(call.From), Digests: encodeDigests(call.Digests), Epochs: encodeEpochs(call.Digests), DocumentVersions: encodeDocumentVersions(call.Digests),
 	}
 	encodeInto(buffer, w)
 }
@@ -203,7 +209,8 @@
 	return &Call{
 		Service: w.Service, RequestID: string(w.RequestID), Method: decodeMethod(w.Method), URI: w.URI, Host: w.Host, Header: header, Body: w.Body,
 		Remaining: milliseconds(w.Remaining), Caller: w.Caller, Route: w.Route, Rank: w.Rank, MaxWait: milliseconds(w.MaxWait), Nested: w.Nested,
-		Retried: w.Retried, PriorCalls: w.PriorCalls, OfferIndex: w.Attempt, AtMostOnce: w.AtMostOnce, Crashes: w.Crashes, Process: w.ResumedProcess, Resumed: w.ResumedProcess != 0, Target: decodeTarget(w.Target), From: string(w.From), Digests: decodeDigests(w.Digests, w.Epochs, w.DocumentVersions),
+		Retried: w.Retried, PriorCalls: w.PriorCalls, OfferIndex: w.Attempt, AtMostOnce: w.AtMostOnce, Crashes: w.Crashes, Process: w.ResumedProcess, Resumed: w.ResumedProcess != 0, Target: decodeTarget(w.Target),
+		WantCost: w.WantCost, Alternative: max(milliseconds(w.Alternative), 0), From: string(w.From), Digests: decodeDigests(w.Digests, w.Epochs, w.DocumentVersions),
 	}, nil
 }
 
@@ -213,7 +220,8 @@
 	defer freeReply(w)
 	*w = wireReply{
 		Outcome: reply.Outcome, Reason: reply.Reason, Status: reply.Status, Header: c.encodeHeader(reply.Header), Body: reply.Body,
-		RetryAfter: reply.RetryAfter.Milliseconds(), Crashes: reply.Crashes, TargetError: reply.TargetError, NoRoom: reply.NoRoom, Digests: encodeDigests(reply.Digests), Epochs: encodeEpochs(reply.Digests), DocumentVersions: encodeDocumentVersions(reply.Digests),
+		RetryAfter: reply.RetryAfter.Milliseconds(), Crashes: reply.Crashes, TargetError: reply.TargetError, NoRoom: reply.NoRoom,
+		Shortages: encodeShortages(reply.Shortages), Costs: encodeCosts(reply.Costs), Digests: encodeDigests(reply.Digests), Epochs: encodeEpochs(reply.Digests), DocumentVersions: encodeDocumentVersions(reply.Digests),
 		Load: wireLoad{
 			InFlight: load.InFlight, Queued: load.Queued, Limit: load.Limit, Latency: int64(load.Latency / latencyUnit),
 			ShedOffset: shed.None - min(load.Threshold, shed.None), FailurePercent: load.FailurePercent, Stopping: load.Stopping, ErrorPercent: load.ErrorPercent,
@@ -238,7 +246,8 @@
 	load := &w.Load
 	return &Reply{
 		Outcome: w.Outcome, Reason: w.Reason, Status: w.Status, Header: header, Body: w.Body, RetryAfter: milliseconds(w.RetryAfter),
-		Crashes: w.Crashes, TargetError: w.TargetError, NoRoom: w.NoRoom, Digests: decodeDigests(w.Digests, w.Epochs, w.DocumentVersions),
+		Crashes: w.Crashes, TargetError: w.TargetError, NoRoom: w.NoRoom,
+		Shortages: decodeShortages(w.Shortages), Costs: decodeCosts(w.Costs), Digests: decodeDigests(w.Digests, w.Epochs, w.DocumentVersions),
 		Load: Load{
 			InFlight: load.InFlight, Queued: load.Queued, Limit: load.Limit, Latency: time.Duration(load.Latency) * latencyUnit,
 			Threshold: shed.None - min(load.ShedOffset, shed.None), FailurePercent: load.FailurePercent, Stopping: load.Stopping, ErrorPercent: load.ErrorPercent,
--- a/internal/peering/wire_test.go
+++ b/internal/peering/wire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"net/http"
 	"reflect"
 	"strings"
@@ -11,9 +12,11 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/lugspur/lugspur/internal/downstream"
 	"github.com/lugspur/lugspur/internal/pace"
 	"github.com/lugspur/lugspur/internal/replica"
 	"github.com/lugspur/lugspur/internal/shed"
+	"github.com/lugspur/lugspur/internal/shortage"
 	"github.com/lugspur/lugspur/internal/store"
 	"github.com/lugspur/lugspur/internal/targetrate"
 )
@@ -23,13 +26,15 @@
 	return &Call{Service: "prices", RequestID: "cbfed4665665238d.96c6f396bb9a3a42.bbf4b50146973c51.b6524dcef0b56046", Method: "POST", URI: "/list/7?x=%20y", Host: "prices.example",
 		Header: http.Header{"Content-Type": {"text/plain"}, "X-Custom": {"a", "b"}}, Body: []byte{0, 1, 2}, Remaining: 2345 * time.Millisecond, Caller: "cards",
 		Route: "price-list", Rank: 300, MaxWait: 180 * time.Millisecond, Nested: true, Retried: true, PriorCalls: 3, OfferIndex: 2, AtMostOnce: true, Crashes: 2, Process: 9, Resumed: true, From: "10.1.0.34:8560",
-		Target:  TargetAnnouncement{Instance: "i-1@7", Rate: targetrate.Announcement{Limited: true, Rate: 6.8}, Leaving: true},
+		Target: TargetAnnouncement{Instance: "i-1@7", Rate: targetrate.Announcement{Limited: true, Rate: 6.8}, Leaving: true}, WantCost: true, Alternative: 75 * time.Millisecond,
 		Digests: []replica.Digest{{Revision: 1234, Age: 45 * time.Millisecond}, {Revision: 1250, Age: -1}}}
 }
 
 func fullReply() *Reply {
 	return &Reply{Outcome: Answered, Reason: QueueTimeout, Status: 200, Header: http.Header{"X-Signature": {"3e1b.07.5a2.600.0.c9f2a4d1"}, "Content-Type": {"text/plain"}}, Body: []byte("ok"),
 		RetryAfter: 150 * time.Millisecond, Crashes: 3, TargetError: true, NoRoom: true, Digests: fullCall().Digests,
+		Shortages: []shortage.Report{{Service: "prices", Home: "10.1.0.35:8560", Threshold: 130, Weight: 61, Age: 40 * time.Millisecond}, {Service: "prices", Home: "10.1.0.36:8560", Threshold: shed.None, Weight: 61}},
+		Costs:     []downstream.Cost{{Service: "prices", Calls: 8.25, SlotTime: 240 * time.Millisecond}, {Service: "cards", Calls: 1}},
 		Load: Load{InFlight: 12, Queued: 3, Limit: 19, Latency: 22340 * time.Microsecond, Threshold: 7, FailurePercent: 4, Stopping: true, ErrorPercent: 5, CallsPerRequest: 10, RetryBudgetLow: true,
 			Target: TargetAnnouncement{Instance: "i-1@7", Rate: targetrate.Announcement{Limited: true}}, Room: 150 * time.Millisecond, Pace: pace.Reading{Percent: 250, Age: 30 * time.Millisecond}}}
 }
@@ -72,6 +77,20 @@
 	}
 }
 
+// TestMalformedShortagesAndCostsAreDropped guards against values that would be taken for capacity or for
+// a lack of it.
+func TestMalformedShortagesAndCostsAreDropped(t *testing.T) {
+	for _, malformed := range []wireShortage{{Home: "a", Weight: 1}, {Service: "s", Weight: 1}, {Service: "s", Home: "a"}, {Service: "s", Home: "a", Weight: -1},
+		{Service: "s", Home: "a", Weight: 1, ShedOffset: shed.None + 1}, {Service: "s", Home: "a", Weight: 1, Age: -1}, {Service: "s", Home: "a", Weight: 1, Age: math.MaxInt64}} {
+		valid := wireShortage{Service: "s", Home: "b", Weight: 1}
+		assert.Equal(t, len(decodeShortages([]wireShortage{malformed, valid})), 1, "%+v", malformed)
+	}
+	assert.Equal(t, len(decodeShortages(make([]wireShortage, 1000))), 0)
+	for _, malformed := range []wireCost{{Calls: 1}, {Service: "s"}, {Service: "s", Calls: -1}, {Service: "s", Calls: math.MaxInt64}, {Service: "s", Calls: 1, SlotTime: -1}, {Service: "s", Calls: 1, SlotTime: math.MaxInt64}} {
+		assert.Equal(t, len(decodeCosts([]wireCost{malformed, {Service: "s", Calls: 1}})), 1, "%+v", malformed)
+	}
+}
+
 // TestReplyInheritsNothing guards against pooled encoded forms that keep fields of an earlier
 // reply, which a later one omits.
 func TestReplyInheritsNothing(t *testing.T) {
@@ -151,9 +170,10 @@
 	)
 	call := fullCall()
 	call.Method, call.Body, call.Header, call.Retried = "GET", nil, nil, false
-	call.Target = TargetAnnouncement{}
+	call.Target, call.WantCost, call.Alternative = TargetAnnouncement{}, false, 0
 	reply := fullReply()
 	reply.Reason, reply.RetryAfter, reply.TargetError, reply.NoRoom, reply.Body = "", 0, false, false, nil
+	reply.Shortages, reply.Costs = nil, nil
 	reply.Load = Load{InFlight: 12, Queued: 3, Limit: 19, Latency: 22340 * time.Microsecond, Threshold: shed.None}
 	callBytes, replyBytes := len(encodedCall(call)), len(testCodec.encodeReply(reply))
 	t.Logf("call %d bytes, reply %d bytes", callBytes, replyBytes)
