Crash detection: a response to an earlier call is no sign of life

Cause: after a broken call the node probes its target. If the connection is refused, the target counts as crashed, unless it has responded since the call broke. A response that the target wrote before its crash lies in the buffer of its connection and may be read after the broken call. The crash was then not reported, the request's count of crashes did not rise, and one more target crashed.

Only responses to calls that were sent after the break now count, for the decision, for revoking it and for the reachability of the target: a crashed target cannot receive such a call.

Before: the new test fails in each run.

--- a/internal/guard/crash.go
+++ b/internal/guard/crash.go
@@ -42,22 +42,29 @@
 	broken []brokenCall
 	// probeDone is closed when the running probe ends; nil if none is running.
 	probeDone chan struct{}
-	// lastResponse is the time of the most recent response.
-	lastResponse time.Time
-	crashed      bool
+	// aliveAt is the latest time at which a call was sent that the target answered.
+	aliveAt time.Time
+	// crashed is set if the target crashed, at crashedAt or shortly before.
+	crashed   bool
+	crashedAt time.Time
 	// exempted holds the open requests that are not suspects of this crash.
 	exempted map[fingerprint.Fingerprint]bool
 }
 
-// recordResponse records a response. If the target was marked as crashed, the mark was wrong
-// and is removed: the target had refused the probe's connection for lack of capacity.
-func (d *crashDetector) recordResponse(now time.Time) {
+// recordResponse records the response to a call that was sent at the given time. It reports
+// whether the target is not marked as crashed. The mark was wrong and is removed if the call was
+// sent after the crash: the target had refused the probe's connection for lack of capacity. A
+// response to an earlier call may have been written before the crash and read only now.
+func (d *crashDetector) recordResponse(sentAt time.Time) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.lastResponse = now
-	if d.crashed {
+	if sentAt.After(d.aliveAt) {
+		d.aliveAt = sentAt
+	}
+	if d.crashed && sentAt.After(d.crashedAt) {
 		d.crashed, d.exempted = false, nil
 	}
+	return !d.crashed
 }
 
 // addBroken records a broken call and drops those older than brokenCallRetention.
@@ -70,12 +77,23 @@
 	}
 }
 
-// takeSuspects marks the target as crashed and returns and clears the broken calls that are
-// suspects. Requests that were answered recently are not.
+// markCrashed marks the target as crashed, at the given time or shortly before. It reports whether
+// the target was not marked before.
+func (d *crashDetector) markCrashed(at time.Time) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.crashed {
+		return false
+	}
+	d.crashed, d.crashedAt = true, at
+	return true
+}
+
+// takeSuspects returns and clears the broken calls that are suspects. Requests that were answered
+// recently are not.
 func (d *crashDetector) takeSuspects(answered *answeredSet) []quarantine.Call {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.crashed = true
 	var suspects []quarantine.Call
 	for _, call := range d.broken {
 		if !d.exempt(call.Fingerprint, answered) {
@@ -143,11 +161,11 @@
 	return d.crashed
 }
 
-// respondedSince reports whether the target has answered a call after the given time.
-func (d *crashDetector) respondedSince(since time.Time) bool {
+// aliveAfter reports whether the target has answered a call that was sent after the given time.
+func (d *crashDetector) aliveAfter(at time.Time) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.lastResponse.After(since)
+	return d.aliveAt.After(at)
 }
 
 // handleBrokenCall records a broken call and reports whether the target crashed while running
@@ -171,26 +189,26 @@
 	return inc.crashDetector.hasCrashed()
 }
 
-// probeTarget checks whether the target still accepts connections. It reports a crash if the
-// target refuses them and has answered no call since the given time.
-func (g *Guard) probeTarget(inc *incarnation, since time.Time) {
+// probeTarget checks whether the target still accepts connections after a call broke at the given
+// time. It reports a crash if the target refuses them and has answered no call sent since.
+func (g *Guard) probeTarget(inc *incarnation, brokenAt time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	select {
 	case <-time.After(crashProbeDelay):
 	case <-ctx.Done():
 	}
-	if !inc.crashDetector.hasCrashed() && (!errors.Is(inc.pool.Probe(ctx), syscall.ECONNREFUSED) || inc.crashDetector.respondedSince(since)) {
+	if !inc.crashDetector.hasCrashed() && (!errors.Is(inc.pool.Probe(ctx), syscall.ECONNREFUSED) || inc.crashDetector.aliveAfter(brokenAt)) {
 		return
 	}
-	g.reportCrash(inc, "connection refused")
+	g.reportCrash(inc, brokenAt, "connection refused")
 }
 
 // reportCrash logs the crash of a target, once per target, and reports the suspects to the
-// quarantine.
-func (g *Guard) reportCrash(inc *incarnation, reason string) {
-	firstReport := !inc.crashDetector.hasCrashed()
+// quarantine. The target crashed at the given time or shortly before.
+func (g *Guard) reportCrash(inc *incarnation, at time.Time, reason string) {
 	brokenCount := inc.crashDetector.brokenCount()
+	firstReport := inc.crashDetector.markCrashed(at)
 	suspects := inc.crashDetector.takeSuspects(&g.answered)
 	if firstReport {
 		inc.reachability.markUnreachable(g.now())
@@ -205,6 +223,6 @@
 // started to drain.
 func (g *Guard) handleReplacement(old *incarnation) {
 	if !old.draining.Load() {
-		g.reportCrash(old, "another target took its place")
+		g.reportCrash(old, g.now(), "another target took its place")
 	}
 }
--- a/internal/guard/crash_test.go
+++ b/internal/guard/crash_test.go
@@ -146,6 +146,60 @@
 	})
 }
 
+// startTargetWithLastResponse starts a target that crashes when it receives /deadly, and responds
+// a millisecond later to the request that it received before, like a response that is still
+// buffered at the crash. The channel is closed when the first request has arrived.
+func startTargetWithLastResponse(t *testing.T) (address string, arrived <-chan struct{}) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	received, crashed := make(chan struct{}), make(chan struct{})
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/deadly" {
+			_ = listener.Close()
+			close(crashed)
+			panic(http.ErrAbortHandler)
+		}
+		close(received)
+		<-crashed
+		time.Sleep(time.Millisecond)
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		w.Header().Set("X-Signature", "sig")
+		w.Header().Set("Connection", "close")
+	})}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String(), received
+}
+
+// TestResponseWrittenBeforeCrashIsNoSignOfLife guards against a crash that is not reported: a
+// response that was written before the crash and read after the broken call counted as a sign of
+// life, so that the query of death crashed one more target.
+func TestResponseWrittenBeforeCrashIsNoSignOfLife(t *testing.T) {
+	address, arrived := startTargetWithLastResponse(t)
+	g := newTestGuard(address)
+	other := runAll(g, newCallTo("a", "/other"))
+	<-arrived
+	reply := g.Run(context.Background(), newCallTo("b", "/deadly"))
+	assert.Equal(t, reply.Reason, peering.TargetCrashed)
+	assert.Equal(t, reply.Crashes, 1)
+	assert.Equal(t, (<-other).Outcome, peering.Answered)
+	assert.Equal(t, quarantineStateOf(g, "/deadly").Crashes, 1)
+	assert.Equal(t, g.Run(context.Background(), newCallTo("c", "/c")).Reason, peering.NoTarget, "the response does not make the target reachable")
+}
+
+// TestLaterResponseRevokesCrash guards against a target that stays marked as crashed although it
+// lives: it may have refused the probe's connection for lack of capacity.
+func TestLaterResponseRevokesCrash(t *testing.T) {
+	var detector crashDetector
+	broken := time.Now()
+	detector.markCrashed(broken)
+	assert.Assert(t, !detector.recordResponse(broken.Add(-time.Millisecond)) && detector.hasCrashed(), "the call was sent before the crash")
+	assert.Assert(t, detector.recordResponse(broken.Add(time.Millisecond)) && !detector.hasCrashed())
+	assert.Assert(t, detector.recordResponse(broken.Add(-time.Millisecond)), "the target is not marked as crashed")
+	assert.Assert(t, detector.aliveAfter(broken) && !detector.aliveAfter(broken.Add(time.Millisecond)))
+}
+
 // TestReplacementTargetRevealsCrash covers a target that crashes and whose replacement
 // accepts connections at the same address before the probe, so that the probe succeeds. The
 // crash must be reported when the replacement registers.
--- a/internal/guard/exchange.go
+++ b/internal/guard/exchange.go
@@ -86,8 +86,9 @@
 		return reply
 	}
 	defer response.Close()
-	inc.crashDetector.recordResponse(ended)
-	g.recordReachability(inc, true)
+	if inc.crashDetector.recordResponse(started) {
+		g.recordReachability(inc, true)
+	}
 	reply := g.replyForResponse(response)
 	reply.TargetError = isTargetFailure(reply) && !calls.failed
 	g.recordRun(call, reply, calls, started)
