Registry: notices of started targets while the store is unavailable

Cause: nodes learn homes only from the store and from copies of it. They held the departure of the previous target, and the start of its replacement was in no copy. Not even the node beside a target used it.

A node now applies each change of its own target to its directory at once, and sends it to all peers if the store is unavailable and its own copy does not show the change. A notice holds the latest stored revision that its node knows and a sequence number, by which late and repeated ones are recognized. A home that was marked unavailable is tried again after a notice, as after a new record.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -29,6 +29,7 @@
 	RecordRewritten
 	DepartureHeard
 	DepartureUntold
+	StartSent
 	ConfigurationTaken
 	ConfigurationRejected
 	TargetChanged
@@ -102,6 +103,7 @@
 	RecordRewritten:       {"record-rewritten", stateChange, "a record of the node, or its knowledge about target, was lost when the store was restored from a backup, and is written again; outcome is the result"},
 	DepartureHeard:        {"departure-heard", stateChange, "a peer reported, before the store did, that target, the local target of the node at peer, is leaving"},
 	DepartureUntold:       {"departure-untold", stateChange, "the node at peer could not be notified that its local target, target, has left; reason is the error"},
+	StartSent:             {"start-sent", stateChange, "the state of the local target, target, was sent to count peers because the store is unavailable; reason is the error of one that it could not be sent to"},
 	ConfigurationTaken:    {"configuration-taken", stateChange, "configuration version became active; previous is the version before, peer the source"},
 	ConfigurationRejected: {"configuration-rejected", stateChange, "a configuration from peer was rejected; reason says why"},
 	TargetChanged:         {"target-changed", stateChange, "the local target is now in state outcome, or stopped accepting connections (unreachable) or accepts them again (reachable); version is the sequence number of its heartbeat"},
--- a/internal/forward/home.go
+++ b/internal/forward/home.go
@@ -39,7 +39,9 @@
 	// it has no available target. The home is skipped until unavailableUntil or until its
 	// record changes.
 	unavailableRevision uint64
-	unavailableUntil    time.Time
+	// unavailableNotice is the sequence number of the notice that the record was known from then.
+	unavailableNotice uint64
+	unavailableUntil  time.Time
 }
 
 // latencySample is a latency that the home reported.
@@ -169,7 +171,7 @@
 func (s *homeState) markUnavailable(home *registry.Home, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.unavailableRevision = uint64(home.Revision)
+	s.unavailableRevision, s.unavailableNotice = uint64(home.Revision), home.NoticeSequence
 	s.unavailableUntil = now.Add(unavailablePeriod)
 }
 
@@ -350,7 +352,8 @@
 
 // unavailableLocked reports whether the home reported that it has no available target.
 func (s *homeState) unavailableLocked(home *registry.Home, now time.Time) bool {
-	return s.unavailableRevision == uint64(home.Revision) && now.Before(s.unavailableUntil)
+	unchanged := s.unavailableRevision == uint64(home.Revision) && s.unavailableNotice == home.NoticeSequence
+	return unchanged && now.Before(s.unavailableUntil)
 }
 
 // suspect marks the home as suspected and logs it if it was not suspected before.
--- a/internal/registry/departure_replication.go
+++ b/internal/registry/departure_replication.go
@@ -21,12 +21,14 @@
 	peerTimeout = 150 * time.Millisecond
 )
 
-// Peers is the transport for departures between nodes.
+// Peers is the transport for departures and starts of targets between nodes.
 type Peers struct {
 	// Addresses returns the addresses of all nodes, possibly including this one.
 	Addresses func() []string
 	// Notify sends a departure to the node at an address.
 	Notify func(ctx context.Context, address string, departure Departure) error
+	// NotifyStart sends a notice of a target's start to the node at an address; nil sends none.
+	NotifyStart func(ctx context.Context, address string, notice StartNotice) error
 }
 
 // replicateDeparture sends a departure to peers and returns once enough of them hold it, or all
--- a/internal/registry/departures.go
+++ b/internal/registry/departures.go
@@ -109,6 +109,13 @@
 	return true
 }
 
+// isKnown reports whether an incarnation is known to have departed.
+func (d *departures) isKnown(instance string) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.byInstance[instance] != nil
+}
+
 // isReplicated reports whether peers hold a departure.
 func (d *departures) isReplicated(departure Departure) bool {
 	d.mutex.Lock()
--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -20,8 +20,14 @@
 	Record
 	// Revision is the store revision of the record.
 	Revision store.Revision
+	// NoticeSequence is the sequence number of the notice that the home is known from; zero if it
+	// is known from the store.
+	NoticeSequence uint64
 	// LapsedAt is when the record disappeared; zero while it is present.
 	LapsedAt time.Time
+	// previousProcess is the process that Process replaced by a notice. Late notices of it are
+	// ignored.
+	previousProcess uint32
 }
 
 // lapsedRetention is how long a home is kept after its record disappeared. A live node that
@@ -65,6 +71,52 @@
 	d.publish()
 }
 
+// Sources of notices in logs.
+const (
+	sourceLocal  = "local target"
+	sourceNotice = "notice of its node"
+)
+
+// ApplyStart applies a notice of this node or of a peer, and reports whether it was newer than
+// what was known. Only homes with a stored record are updated, so that notices don't change the
+// number of homes or the ordering of nodes.
+func (d *Directory) ApplyStart(notice StartNotice) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	key := d.prefix + notice.Record.Address
+	known, source := d.homes[key], sourceNotice
+	if notice.Record.Address == d.ownAddress {
+		source = sourceLocal
+	}
+	if known == nil || (source == sourceNotice && !notice.supersedes(known)) {
+		return false
+	}
+	home := known.withNotice(&notice)
+	d.homes[key] = home
+	d.logChange(home, source)
+	d.publish()
+	return true
+}
+
+// withNotice returns the home after a notice that is newer than it.
+func (h *Home) withNotice(notice *StartNotice) *Home {
+	updated := &Home{Record: notice.Record, Revision: max(h.Revision, notice.Base), NoticeSequence: notice.Sequence, LapsedAt: h.LapsedAt, previousProcess: h.previousProcess}
+	if h.Process != notice.Record.Process {
+		updated.previousProcess = h.Process
+	}
+	if h.Instance == updated.Instance {
+		// An incarnation that is leaving never becomes ready again.
+		updated.State = max(h.State, updated.State)
+	}
+	return updated
+}
+
+// logChange logs the state of a home that a record or a notice changed.
+func (d *Directory) logChange(home *Home, source string) {
+	d.log.Record(eventlog.Event{Kind: eventlog.HomeChanged, Peer: home.Address, Service: home.Service, Target: home.Instance,
+		Outcome: home.State.String(), Reason: source, Version: uint64(home.Revision.Number())})
+}
+
 // Run removes homes whose record has lapsed, until the context ends.
 func (d *Directory) Run(ctx context.Context) {
 	ticker := time.NewTicker(lapsedRetention / 2)
@@ -142,9 +194,9 @@
 		// An incarnation that is leaving never becomes ready again.
 		record.State = max(record.State, known.State)
 	}
-	d.homes[entry.Key] = &Home{Record: record, Revision: entry.Revision}
-	d.log.Record(eventlog.Event{Kind: eventlog.HomeChanged, Peer: record.Address, Service: record.Service, Target: record.Instance,
-		Outcome: record.State.String(), Reason: source, Version: uint64(entry.Revision.Number())})
+	home := &Home{Record: record, Revision: entry.Revision}
+	d.homes[entry.Key] = home
+	d.logChange(home, source)
 }
 
 // keepKnown keeps the known state of a home when the store was restored from a backup and shows
--- a/internal/registry/publisher.go
+++ b/internal/registry/publisher.go
@@ -276,6 +276,13 @@
 	p.written = revision
 }
 
+// writtenRevision returns the revision of this process's latest write, zero if there is none.
+func (p *publisher) writtenRevision() store.Revision {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.written
+}
+
 // refresh reads the entry under the key. It does not set synced: an equal value under an
 // earlier lease would disappear with that lease, so only a write under the current lease
 // counts.
--- a/internal/registry/registrar.go
+++ b/internal/registry/registrar.go
@@ -32,8 +32,14 @@
 	// Position returns the node's position in an ordering of all nodes, false if it has none; it
 	// may be nil.
 	Position func() (int, bool)
-	// Peers is used to notify other nodes of departures. Its zero value notifies none.
+	// Peers is used to notify other nodes of departures and starts. Its zero value notifies none.
 	Peers Peers
+	// StoreReachable reports whether the store answered this process's latest call; nil means that
+	// it always does.
+	StoreReachable func() bool
+	// OnStart is called with notices of the local target and of peers' targets, and reports
+	// whether the notice was new; it may be nil.
+	OnStart func(notice StartNotice) bool
 }
 
 // Stores holds one store client for each purpose.
@@ -53,6 +59,7 @@
 	// target waits for such writes.
 	foregroundWriter, backgroundWriter *departureWriter
 	departures                         *departures
+	starts                             *starts
 
 	mutex  sync.Mutex
 	target Target
@@ -85,10 +92,17 @@
 		config.Peers.Addresses = func() []string { return nil }
 		config.Peers.Notify = func(context.Context, string, Departure) error { return nil }
 	}
+	if config.StoreReachable == nil {
+		config.StoreReachable = func() bool { return true }
+	}
+	if config.OnStart == nil {
+		config.OnStart = func(StartNotice) bool { return false }
+	}
 	r := &Registrar{config: config, log: log, now: now, departed: make(map[Incarnation]bool), replaced: make(map[Incarnation]bool),
 		latestStart: make(map[string]int64), leaving: make(map[string]leavingTarget), recoveryDone: make(chan struct{})}
 	r.publisher = newPublisher(stores.Record, config.Epoch, config.HomesPrefix+config.Address, log, now)
 	r.departures = newDepartures(config.Address, config.Position, now, r.rewriteDeparture, r.notifyHome)
+	r.starts = newStarts(startsConfig{ownAddress: config.Address, peers: config.Peers, reachable: config.StoreReachable, written: r.publisher.writtenRevision, log: log, now: now})
 	r.foregroundWriter = newDepartureWriter(stores.Departure, config.Epoch, now)
 	r.backgroundWriter = newDepartureWriter(stores.Departure, config.Epoch, now)
 	return r
@@ -99,6 +113,7 @@
 func (r *Registrar) Run(ctx context.Context) {
 	go r.recoverState(ctx)
 	go r.departures.run(ctx)
+	go r.starts.run(ctx)
 	r.publisher.run(ctx)
 }
 
@@ -127,6 +142,7 @@
 		r.log.Record(eventlog.Event{Kind: eventlog.RecordRejected, Peer: entry.Key, Reason: err.Error()})
 		record = Record{}
 	}
+	r.starts.observe(entry.Revision, &record)
 	r.publisher.observe(entry, &record, r.config.Process)
 }
 
@@ -360,4 +376,7 @@
 	}
 	r.rate.published = target.RateLimit
 	r.publisher.publish(record)
+	if notice, changed := r.starts.update(record); changed {
+		r.config.OnStart(notice)
+	}
 }
--- a/internal/registry/registrar_departures.go
+++ b/internal/registry/registrar_departures.go
@@ -166,4 +166,5 @@
 	position, _ := r.config.Position()
 	r.publisher.delayWrites(time.Duration(position) * rewriteSpacing)
 	r.departures.rewriteOwn()
+	r.starts.handleStoreRestored()
 }
