Peering, sidecar: transport for notices of started targets

Notices are sent to the new path /3/s. Messages above 4 KiB or with missing fields are rejected with 400 (TestStartNoticeReachesPeer). The circuit breaker of the store starts the sending.

--- a/internal/peering/client.go
+++ b/internal/peering/client.go
@@ -191,6 +191,13 @@
 	return err
 }
 
+// SendStart sends the peer a notice of a target that started while the store could not be written.
+// Peers of versions without such notices answer with status 404.
+func (c *Client) SendStart(ctx context.Context, address string, notice registry.StartNotice) error {
+	_, err := c.exchange(ctx, address, &transport.Call{Method: http.MethodPost, Host: peerHost, RequestURI: startPath, Body: encode(notice)})
+	return err
+}
+
 // decodeError returns the error for a reply that cannot be decoded.
 func decodeError(address string, err error) *Error {
 	return &Error{Sent: true, cause: fmt.Errorf("read reply from %s: %w", address, err)}
--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -34,6 +34,8 @@
 	permitPath = "/3/t"
 	// departurePath receives notices of targets that leave.
 	departurePath = "/3/d"
+	// startPath receives notices of targets that started while the store could not be written.
+	startPath = "/3/s"
 )
 
 // Call is a request that a node forwards to a home.
@@ -123,6 +125,12 @@
 	HandleDeparture(departure registry.Departure)
 }
 
+// StartHandler handles peers' notices of targets that started while the store could not be
+// written.
+type StartHandler interface {
+	HandleStart(notice registry.StartNotice)
+}
+
 // PermitIssuer issues permits under tenants' limits.
 type PermitIssuer interface {
 	Issue(request *ratelimit.PermitRequest) *ratelimit.Grant
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/lugspur/lugspur/internal/registry"
 	"github.com/lugspur/lugspur/internal/replica"
 	"github.com/lugspur/lugspur/internal/store"
 	"github.com/lugspur/lugspur/internal/store/memory"
@@ -107,6 +108,28 @@
 		Load: Load{InFlight: 1, Limit: 3, Latency: time.Millisecond, Threshold: 7, Stopping: true}, Digests: digestsAt(5)})
 }
 
+// startRecorder records the notices of started targets that it receives.
+type startRecorder struct{ notices []registry.StartNotice }
+
+func (r *startRecorder) HandleStart(notice registry.StartNotice) {
+	r.notices = append(r.notices, notice)
+}
+
+// TestStartNoticeReachesPeer guards against notices that a peer cannot decode, against incomplete
+// ones, and against a peer without notices that appears to have received one.
+func TestStartNoticeReachesPeer(t *testing.T) {
+	recorder := &startRecorder{}
+	server := httptest.NewServer(Handler(ServerConfig{Starts: recorder, MaxMessageBytes: testMaxBytes}))
+	t.Cleanup(server.Close)
+	client, _, oldPeer := startClientAndHome(t)
+	address := strings.TrimPrefix(server.URL, "http://")
+	notice := registry.StartNotice{Record: registry.Record{Instance: "i@5", Service: "s", Address: "a", State: registry.Ready, Process: 7}, Base: store.NewRevision(2, 3), Sequence: 4}
+	assert.NilError(t, client.SendStart(t.Context(), address, notice))
+	assert.DeepEqual(t, recorder.notices, []registry.StartNotice{notice})
+	assert.ErrorContains(t, client.SendStart(t.Context(), address, registry.StartNotice{}), "400")
+	assert.ErrorContains(t, client.SendStart(t.Context(), oldPeer, notice), "404")
+}
+
 func TestCancellationReachesHome(t *testing.T) {
 	client, home, address := startClientAndHome(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -27,9 +27,10 @@
 type ServerConfig struct {
 	Home        Home
 	AntiEntropy AntiEntropy
-	// Quarantine, Departures and Permits may be nil.
+	// Quarantine, Departures, Starts and Permits may be nil.
 	Quarantine QuarantineHandler
 	Departures DepartureHandler
+	Starts     StartHandler
 	Permits    PermitIssuer
 	Codec      *Codec
 	// MaxMessageBytes bounds the size of a message.
@@ -57,6 +58,9 @@
 	if s.Departures != nil {
 		mux.HandleFunc("POST "+departurePath, s.serveDeparture)
 	}
+	if s.Starts != nil {
+		mux.HandleFunc("POST "+startPath, s.serveStart)
+	}
 	if s.Permits != nil {
 		mux.HandleFunc("POST "+permitPath, s.servePermits)
 	}
@@ -172,6 +176,25 @@
 	writeResponse(w, nil)
 }
 
+// maxStartNoticeBytes is the maximum size of a notice of a started target. Records have a few
+// hundred bytes.
+const maxStartNoticeBytes = 4 << 10
+
+func (s *server) serveStart(w http.ResponseWriter, r *http.Request) {
+	content, err := readBody(r, min(maxStartNoticeBytes, s.MaxMessageBytes))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	var notice registry.StartNotice
+	if err := cbor.Unmarshal(content, &notice); err != nil || notice.Validate() != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.Starts.HandleStart(notice)
+	writeResponse(w, nil)
+}
+
 func (s *server) servePermits(w http.ResponseWriter, r *http.Request) {
 	content, err := readBody(r, s.MaxMessageBytes)
 	if err != nil {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -143,7 +143,9 @@
 		Records:          n.awaitRecords,
 		Epoch:            n.epochs.Current,
 		Position:         n.directory.Position,
-		Peers:            registry.Peers{Addresses: n.directory.Addresses, Notify: n.sendDeparture},
+		Peers:            registry.Peers{Addresses: n.directory.Addresses, Notify: n.sendDeparture, NotifyStart: n.sendStart},
+		StoreReachable:   n.storeBreaker.Reachable,
+		OnStart:          n.directory.ApplyStart,
 		FirstStart:       settings.FirstStart,
 	}, n.registrarStores(), n.log, clock.Now)
 	n.codec = peering.NewCodec(platform.Headers().Signature)
@@ -170,6 +172,10 @@
 	return n.peers.SendDeparture(ctx, address, departure)
 }
 
+func (n *Node) sendStart(ctx context.Context, address string, notice registry.StartNotice) error {
+	return n.peers.SendStart(ctx, address, notice)
+}
+
 // handleTargetLeaving handles the local target's announcement, in a response, that it is leaving.
 func (n *Node) handleTargetLeaving(incarnation registry.Incarnation) {
 	n.running.Go(func() { n.registrar.TargetLeaving(context.Background(), incarnation) })
--- a/internal/sidecar/replicas.go
+++ b/internal/sidecar/replicas.go
@@ -73,7 +73,7 @@
 	n.epochs = epoch.NewTracker()
 	n.epochs.OnChange(n.handleEpochChange)
 	n.store = platform.NewStore(n.settings.Store, recordsWatchTimeout, n.storeCalls, n.epochs)
-	n.storeBreaker = reachability.NewCircuitBreaker(n.probePauseLimit, storeEventLogger{n.log}, clock.Now)
+	n.storeBreaker = reachability.NewCircuitBreaker(n.probePauseLimit, storeObserver{n}, clock.Now)
 }
 
 // handleEpochChange handles a restore of the store from a backup.
@@ -163,18 +163,20 @@
 
 var _ peering.AntiEntropy = (*replica.AntiEntropy)(nil)
 
-// storeEventLogger logs when the store becomes unreachable and reachable again.
-type storeEventLogger struct{ log *eventlog.Log }
+// storeObserver logs when the store becomes unreachable and reachable again, and tells the
+// registrar of an outage.
+type storeObserver struct{ node *Node }
 
 // storePeer identifies the store in log events.
 const storePeer = "store"
 
 // StoreLost implements reachability.Observer.
-func (g storeEventLogger) StoreLost(cause error) {
-	g.log.Record(eventlog.Event{Kind: eventlog.DependencyLost, Peer: storePeer, Reason: fmt.Sprint(cause)})
+func (o storeObserver) StoreLost(cause error) {
+	o.node.registrar.HandleStoreLost()
+	o.node.log.Record(eventlog.Event{Kind: eventlog.DependencyLost, Peer: storePeer, Reason: fmt.Sprint(cause)})
 }
 
 // StoreRegained implements reachability.Observer.
-func (g storeEventLogger) StoreRegained(after time.Duration) {
-	g.log.Record(eventlog.Event{Kind: eventlog.DependencyRegained, Peer: storePeer, Age: after})
+func (o storeObserver) StoreRegained(after time.Duration) {
+	o.node.log.Record(eventlog.Event{Kind: eventlog.DependencyRegained, Peer: storePeer, Age: after})
 }
