Shortage: apply thresholds by service where requests enter

Entry nodes learn of a shortage at the end of a call chain through one weighted vote per hop, for which half of the homes' reports are missing at the start of a burst. Meanwhile requests are started whose calls find no capacity.

Homes now report their own threshold with its weight and age in replies, and nodes pass the newest reports of other homes on in theirs. Homes learn from complete runs which services a request needs, and report it when asked. An entry node refuses a request if three quarters of the weight of a service that it needs refuse its rank. Enabled by [shortage] zone-losses; without it the tables are nil, and replies and decisions are as before.

The effect on a deployment is not measured yet.

--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -66,6 +66,8 @@
 
 func (h *fakeHome) CountCall(string, string) int { return 1 }
 
+func (h *fakeHome) RecordCallSent(string, string, string) {}
+
 func (h *fakeHome) RecordCallFailure(id string, cause guard.FailureCause) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -18,6 +18,7 @@
 	"github.com/lugspur/lugspur/internal/clock"
 	"github.com/lugspur/lugspur/internal/content"
 	"github.com/lugspur/lugspur/internal/criticality"
+	"github.com/lugspur/lugspur/internal/downstream"
 	"github.com/lugspur/lugspur/internal/ending"
 	"github.com/lugspur/lugspur/internal/eventlog"
 	"github.com/lugspur/lugspur/internal/fairshare"
@@ -34,6 +35,7 @@
 	"github.com/lugspur/lugspur/internal/returnplace"
 	"github.com/lugspur/lugspur/internal/routepolicy"
 	"github.com/lugspur/lugspur/internal/routetable"
+	"github.com/lugspur/lugspur/internal/shortage"
 )
 
 // Config holds the settings of a forwarder.
@@ -74,6 +76,10 @@
 	Levels *pressure.Table
 	// Places gives refused requests a time to return; nil means that none is given.
 	Places *returnplace.Schedule
+	// Shortages holds the thresholds of services, and Costs the services that requests of a
+	// route need; nil means that requests are refused because of their route's threshold only.
+	Shortages *shortage.Table
+	Costs     *downstream.Table
 	// FairShares assigns the cohorts of tenants' requests; nil derives them from request IDs.
 	FairShares *fairshare.Estimator
 	Peers      Peers
@@ -118,6 +124,8 @@
 	// CountCall counts a call of the route that a running request makes, and returns the
 	// number of such calls so far.
 	CountCall(id, route string) int
+	// RecordCallSent records the service to which a call of a running request is sent.
+	RecordCallSent(id, route, service string)
 	// RecordCallFailure records that a call made by a running request failed, and why.
 	RecordCallFailure(id string, cause guard.FailureCause)
 }
@@ -158,6 +166,8 @@
 	policies   *routepolicy.Holder
 	levels     *pressure.Table
 	places     *returnplace.Schedule
+	shortages  *shortage.Table
+	costs      *downstream.Table
 	fairShares *fairshare.Estimator
 	quarantine Quarantine
 	keys       Keys
@@ -194,6 +204,8 @@
 		policies:   dependencies.Policies,
 		levels:     dependencies.Levels,
 		places:     dependencies.Places,
+		shortages:  dependencies.Shortages,
+		costs:      dependencies.Costs,
 		fairShares: dependencies.FairShares,
 		quarantine: dependencies.Quarantine,
 		keys:       dependencies.Keys,
--- a/internal/forward/receive.go
+++ b/internal/forward/receive.go
@@ -169,12 +169,13 @@
 		return
 	}
 	expected := max(f.levels.ExpectedCalls(q.parentRoute, q.route.Name), q.callNumber)
+	f.local.RecordCallSent(q.parent, q.route.Name, q.service)
 	f.levels.RecordCalls(q.parentRoute, q.route.Name, pressure.CallStats{Count: q.callNumber, RetryBudgetLow: !f.budget(q.service).HasHeadroom(expected)})
 }
 
 // admit ranks a request that enters at this node. It refuses the request if the policy does
-// not admit it, or if its rank is shed further down the call chain and it doesn't return to a
-// place. A nested call keeps the rank of its parent and is always admitted.
+// not admit it, or if its rank is shed further down the call chain, or by a service that it needs,
+// and it doesn't return to a place. A nested call keeps the rank of its parent and is always admitted.
 func (f *Forwarder) admit(q *request, header http.Header) *problem.Problem {
 	if q.nested {
 		return nil
@@ -183,12 +184,11 @@
 		return f.problem(problem.NotAdmitted, problem.ExecutedNo, "admit", "the policy does not admit the request")
 	}
 	q.rank = f.rankOf(q)
-	threshold := f.levels.Threshold(q.route.Name)
-	if f.takePlace(q) || q.rank.Key() < threshold {
+	limit := f.admissionLimitOf(q.route)
+	if f.takePlace(q) || q.rank.Key() < limit.threshold {
 		return nil
 	}
-	detail := fmt.Sprintf("the chain of calls has no room: rank %d, threshold %d", q.rank.Key(), threshold)
-	return f.refuseWithPlace(q, header, detail)
+	return f.refuseWithPlace(q, header, fmt.Sprintf("%s: rank %d, threshold %d", limit, q.rank.Key(), limit.threshold))
 }
 
 // timeoutOf returns the timeout of the route, or the default if it has none, limited by the
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -233,6 +233,7 @@
 	if announced, known := f.announced.get(home.Instance); known {
 		call.Target = announced.TargetAnnouncement
 	}
+	call.WantCost = f.costs.Wanted(q.route.Name, q.service)
 	now := f.now()
 	call.Remaining = q.deadline.Sub(now)
 	if call.Remaining <= 0 {
@@ -295,6 +296,8 @@
 func (f *Forwarder) recordReply(q *request, home *registry.Home, state *homeState, reply *peering.Reply) {
 	f.markReachable(state)
 	f.recordAnnouncement(q, home, reply)
+	f.shortages.Merge(reply.Shortages)
+	f.costs.Merge(q.route.Name, q.service, reply.Costs)
 	state.recordLoad(q.route.Name, reply.Load, f.homes.statsOf(q.route.Name).latency, f.now())
 	if reply.Outcome == peering.Refused && reply.Reason.HomeUnavailable() {
 		// A home that accepts no requests has no capacity, so its shed thresholds no longer
--- a/internal/guard/exchange.go
+++ b/internal/guard/exchange.go
@@ -91,6 +91,7 @@
 	reply := g.replyForResponse(response)
 	reply.TargetError = isTargetFailure(reply) && !calls.failed
 	g.recordRun(call, reply, calls, started)
+	g.recordCosts(inc, call, reply, calls, duration, ended)
 	if reply.Outcome == peering.Answered {
 		g.recordAnswered(screened, call, ended)
 	}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -16,6 +16,7 @@
 	"github.com/lugspur/lugspur/internal/callheader"
 	"github.com/lugspur/lugspur/internal/clock"
 	"github.com/lugspur/lugspur/internal/completion"
+	"github.com/lugspur/lugspur/internal/downstream"
 	"github.com/lugspur/lugspur/internal/ending"
 	"github.com/lugspur/lugspur/internal/eventlog"
 	"github.com/lugspur/lugspur/internal/fingerprint"
@@ -26,6 +27,7 @@
 	"github.com/lugspur/lugspur/internal/registry"
 	"github.com/lugspur/lugspur/internal/scheduler"
 	"github.com/lugspur/lugspur/internal/shed"
+	"github.com/lugspur/lugspur/internal/shortage"
 	"github.com/lugspur/lugspur/internal/targetrate"
 	"github.com/lugspur/lugspur/internal/transport"
 )
@@ -62,6 +64,10 @@
 	// WholeRequests enables the admission of whole requests: requests whose calls lack
 	// capacity are refused where they enter (package completion).
 	WholeRequests bool
+	// Shortages holds the reports on shortages that replies carry, and Costs what requests use of
+	// each service. They are nil unless the deployment must expect shortage.
+	Shortages *shortage.Table
+	Costs     *downstream.Table
 	// Observer receives the outcomes of calls; it may be nil.
 	Observer Observer
 }
@@ -130,6 +136,8 @@
 	shedding      *shed.Controller
 	crashDetector crashDetector
 	draining      atomic.Bool
+	// slots is the number of slots of the latest registration.
+	slots atomic.Int64
 	// name is the name of the incarnation. announcements are shared with an earlier state of
 	// the same incarnation.
 	name          string
@@ -196,7 +204,7 @@
 func (g *Guard) newIncarnation(target registry.Target) *incarnation {
 	limit := &fixedLimit{}
 	limit.set(g.limitFor(target))
-	return &incarnation{
+	inc := &incarnation{
 		target:        target,
 		name:          target.Incarnation().String(),
 		announcements: newAnnouncements(),
@@ -212,10 +220,13 @@
 			KeepAlive:            targetKeepAlive,
 		}),
 	}
+	inc.slots.Store(int64(target.Slots))
+	return inc
 }
 
 // updateLimit adjusts the concurrency limit to the slots of a renewed registration.
 func (g *Guard) updateLimit(inc *incarnation, target registry.Target) {
+	inc.slots.Store(int64(target.Slots))
 	newLimit := g.limitFor(target)
 	if inc.limit.Limit() == newLimit {
 		return
@@ -262,7 +273,7 @@
 		Queued:          stats.Queued,
 		Limit:           stats.Limit,
 		Latency:         inc.stats.latency(route, g.now()),
-		Threshold:       min(inc.shedding.Threshold(), inc.announcements.shedding.Threshold(), g.routeThreshold(route), downstream.Threshold),
+		Threshold:       min(inc.ownThreshold(), g.routeThreshold(route), downstream.Threshold),
 		FailurePercent:  inc.stats.failurePercent(),
 		ErrorPercent:    inc.stats.errorPercent(),
 		CallsPerRequest: downstream.CallsPerRequest,
@@ -281,6 +292,7 @@
 	reply, times := g.run(ctx, call, started)
 	reply.Load = g.Load(call.Route)
 	g.addRateLimit(&reply.Load, call)
+	g.addShortages(reply, call)
 	g.logReply(call, reply, started)
 	if g.config.Observer != nil {
 		g.config.Observer.CallFinished(reply.Outcome, reply.Reason, times.queueTime, times.targetTime)
--- a/internal/guard/running.go
+++ b/internal/guard/running.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lugspur/lugspur/internal/criticality"
+	"github.com/lugspur/lugspur/internal/downstream"
 	"github.com/lugspur/lugspur/internal/eventlog"
 	"github.com/lugspur/lugspur/internal/fingerprint"
 	"github.com/lugspur/lugspur/internal/peering"
@@ -43,6 +44,8 @@
 	calls map[string]int
 	// callCount is the number of these calls.
 	callCount int
+	// sent counts the downstream calls by route and service.
+	sent []downstream.Call
 	// callFailed is set if one of these calls failed, and lackedCapacity if that was for lack
 	// of capacity.
 	callFailed, lackedCapacity bool
@@ -97,6 +100,8 @@
 // with the target ends.
 type downstreamCalls struct {
 	made, failed, lackedCapacity bool
+	// sent counts the calls by route and service.
+	sent []downstream.Call
 }
 
 // begin adds a request that is sent to the target. The returned function must be called
@@ -127,7 +132,7 @@
 		if t.requests[call.RequestID] == request {
 			delete(t.requests, call.RequestID)
 		}
-		return downstreamCalls{made: request.callCount > 0, failed: request.callFailed, lackedCapacity: request.lackedCapacity}
+		return downstreamCalls{made: request.callCount > 0, failed: request.callFailed, lackedCapacity: request.lackedCapacity, sent: request.sent}
 	}
 }
 
@@ -182,6 +187,27 @@
 	return request.calls[route]
 }
 
+// RecordCallSent records that a request at the target makes a call of the route which is sent to
+// homes of the service.
+func (g *Guard) RecordCallSent(id, route, service string) {
+	if g.config.Costs == nil {
+		return
+	}
+	g.running.mutex.Lock()
+	defer g.running.mutex.Unlock()
+	request, found := g.running.requests[id]
+	if !found {
+		return
+	}
+	for i := range request.sent {
+		if request.sent[i].Route == route && request.sent[i].Service == service {
+			request.sent[i].Count++
+			return
+		}
+	}
+	request.sent = append(request.sent, downstream.Call{Route: route, Service: service, Count: 1})
+}
+
 // RecordCallFailure records that a downstream call of a request at the target failed, so
 // that a failure of the request isn't attributed to the target.
 func (g *Guard) RecordCallFailure(id string, cause FailureCause) {
@@ -223,6 +249,7 @@
 	g.updateRouteThresholds()
 	inc := g.current.Load()
 	if inc == nil {
+		g.config.Shortages.SetLocal(shed.None, 0)
 		return logged
 	}
 	inc.announcements.tickShedding(g.now())
@@ -234,6 +261,7 @@
 		Overloaded: stats.Overloaded,
 		Served:     stats.Served,
 	})
+	g.config.Shortages.SetLocal(inc.ownThreshold(), int(inc.slots.Load()))
 	threshold := inc.shedding.Threshold()
 	if max(threshold, logged)-min(threshold, logged) < minLoggedChange {
 		return logged
--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -40,6 +40,7 @@
 	mutex          sync.Mutex
 	homes          map[string]*Home
 	homesByService atomic.Pointer[map[string][]*Home]
+	weights        atomic.Pointer[map[string]int]
 	addresses      atomic.Pointer[[]string]
 	// position is this node's position among all nodes, negative if it has no record.
 	position atomic.Int64
@@ -109,6 +110,10 @@
 // must not be modified.
 func (d *Directory) Homes(service string) []*Home { return (*d.homesByService.Load())[service] }
 
+// Weights returns the total number of slots of each service's homes. The result must not be
+// modified.
+func (d *Directory) Weights() map[string]int { return *d.weights.Load() }
+
 // Count returns the number of homes with a ready target.
 func (d *Directory) Count() int {
 	count := 0
@@ -178,6 +183,7 @@
 // too long.
 func (d *Directory) publish() {
 	homesByService := make(map[string][]*Home)
+	weights := make(map[string]int)
 	addresses := make([]string, 0, len(d.homes))
 	for key, home := range d.homes {
 		if d.expired(home) {
@@ -187,9 +193,11 @@
 		addresses = append(addresses, home.Address)
 		if home.State == Ready {
 			homesByService[home.Service] = append(homesByService[home.Service], home)
+			weights[home.Service] += home.Slots
 		}
 	}
 	d.homesByService.Store(&homesByService)
+	d.weights.Store(&weights)
 	sortByHash(addresses)
 	d.addresses.Store(&addresses)
 	d.position.Store(int64(slices.Index(addresses, d.ownAddress)))
--- a/internal/sidecar/metrics_test.go
+++ b/internal/sidecar/metrics_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lugspur/lugspur/internal/completion"
+	"github.com/lugspur/lugspur/internal/downstream"
 	"github.com/lugspur/lugspur/internal/forward"
 	"github.com/lugspur/lugspur/internal/guard"
 	"github.com/lugspur/lugspur/internal/pace"
@@ -29,19 +30,26 @@
 	return answer.Body.String()
 }
 
-func newTestNode(t *testing.T) *Node {
+func newTestNode(t *testing.T) *Node { return newTestNodeWith(t, func(*Settings) {}) }
+
+// newTestNodeWith returns a node with changed settings.
+func newTestNodeWith(t *testing.T, change func(*Settings)) *Node {
 	t.Helper()
 	settings, err := Parse([]byte(renderTemplate(t)))
 	assert.NilError(t, err)
+	change(&settings)
 	node, err := New(settings, io.Discard)
 	assert.NilError(t, err)
 	return node
 }
 
 // TestEveryMetricIsDocumented checks that docs/METRICS.md lists exactly the metrics that a
-// node serves.
+// node serves if all parts are enabled.
 func TestEveryMetricIsDocumented(t *testing.T) {
-	n := newTestNode(t)
+	n := newTestNodeWith(t, func(s *Settings) { s.Shortage.ZoneLosses = 1 })
+	n.shortages.SetHomes("s", 10)
+	n.costs.Merge("r", "s", []downstream.Cost{{Service: "s", Calls: 1}})
+	n.costs.Merge("r", "split", []downstream.Cost{{Service: "s", Calls: 1}})
 	n.metrics.TenantChecked("tenant", "")
 	n.metrics.RequestFinished("r", 200, "", time.Second)
 	n.metrics.CallFinished(peering.Answered, "", time.Millisecond, time.Second)
@@ -86,16 +94,13 @@
 	assert.Assert(t, !strings.Contains(text, `call_target_seconds_count{outcome="refused"}`), "a refused call must not count as time at the target")
 }
 
-// TestPlacesAreGivenOnlyIfShortageIsExpected checks the switch, and that the metric exists in
-// both cases.
-func TestPlacesAreGivenOnlyIfShortageIsExpected(t *testing.T) {
+// TestShortagePartsAreEnabledOnlyIfExpected checks the switch of return places and of thresholds by
+// service, and that the metric of places exists in both cases.
+func TestShortagePartsAreEnabledOnlyIfExpected(t *testing.T) {
 	for zoneLosses, expected := range []bool{false, true} {
-		settings, err := Parse([]byte(renderTemplate(t)))
-		assert.NilError(t, err)
-		settings.Shortage.ZoneLosses = zoneLosses
-		n, err := New(settings, io.Discard)
-		assert.NilError(t, err)
+		n := newTestNodeWith(t, func(s *Settings) { s.Shortage.ZoneLosses = zoneLosses })
 		assert.Equal(t, n.places != nil, expected)
+		assert.Equal(t, n.shortages != nil && n.costs != nil, expected)
 		assert.Assert(t, strings.Contains(scrape(n), `lugspur_return_places_total{result="none-left"} 0`))
 	}
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -14,6 +14,7 @@
 	"github.com/lugspur/lugspur/internal/apikey"
 	"github.com/lugspur/lugspur/internal/clock"
 	"github.com/lugspur/lugspur/internal/configfeed"
+	"github.com/lugspur/lugspur/internal/downstream"
 	"github.com/lugspur/lugspur/internal/eventlog"
 	"github.com/lugspur/lugspur/internal/fingerprint"
 	"github.com/lugspur/lugspur/internal/forward"
@@ -26,6 +27,7 @@
 	"github.com/lugspur/lugspur/internal/returnplace"
 	"github.com/lugspur/lugspur/internal/routepolicy"
 	"github.com/lugspur/lugspur/internal/routetable"
+	"github.com/lugspur/lugspur/internal/shortage"
 	"github.com/lugspur/lugspur/internal/store/epoch"
 	"github.com/lugspur/lugspur/internal/store/reachability"
 	"github.com/lugspur/lugspur/internal/targetrate"
@@ -90,7 +92,10 @@
 	policySources routepolicy.Sources
 	pressure      *pressure.Table
 	// places is nil unless the deployment must expect shortage.
-	places     *returnplace.Schedule
+	places *returnplace.Schedule
+	// shortages and costs are nil unless the deployment must expect shortage.
+	shortages  *shortage.Table
+	costs      *downstream.Table
 	quarantine *quarantine.Quarantine
 	limits     tenantLimits
 	forwarder  *forward.Forwarder
@@ -116,6 +121,7 @@
 	n.createLimits()
 	n.pressure = pressure.New(clock.Now)
 	n.createPlaces()
+	n.createShortages()
 	n.quarantine = n.newQuarantine()
 	n.guard = guard.New(guard.Config{
 		Service:        settings.Service,
@@ -130,6 +136,8 @@
 		OnRateLimit:    func(i registry.Incarnation, a targetrate.Announcement) { n.registrar.SetRateLimit(i, a) },
 		OnLeaving:      n.handleTargetLeaving,
 		WholeRequests:  settings.Shortage.WholeRequests,
+		Shortages:      n.shortages,
+		Costs:          n.costs,
 		Observer:       n.metrics,
 	}, n.log, clock.Now)
 	n.registrar = registry.NewRegistrar(registry.RegistrarConfig{
@@ -225,6 +233,8 @@
 		Policies:   n.policies,
 		Levels:     n.pressure,
 		Places:     n.places,
+		Shortages:  n.shortages,
+		Costs:      n.costs,
 		FairShares: n.limits.fairShares,
 		Quarantine: n.quarantine,
 		Keys:       apikey.NewChecker(n.routes, configfeed.NewFreshness(n.feed, n.replicas.configuration), n.settings.Tenants.revocationTime()),
@@ -291,10 +301,14 @@
 
 // backgroundTasks returns the functions that run in the background while the node serves.
 func (n *Node) backgroundTasks() []func(context.Context) {
-	return []func(context.Context){
+	tasks := []func(context.Context){
 		n.replicas.configurationSyncer.Run, n.replicas.recordsSyncer.Run, n.replicas.antiEntropy.Run, n.replicas.verifier.Run,
 		n.releaseConfiguration, n.directory.Run, n.registrar.Run, n.guard.RunShedding, n.forwarder.Run, n.storeCalls.run, n.quarantine.Run, n.limits.shardManager.Run,
 	}
+	if n.shortages != nil {
+		tasks = append(tasks, n.watchShortages)
+	}
+	return tasks
 }
 
 // acceptsService reports whether targets may register for a service: the active
