--- a/internal/downstream/table.go
+++ b/internal/downstream/table.go
@@ -24,9 +24,9 @@
 	runWeight = 1.0 / 16
 	// negligibleCalls is the mean number of calls below which a called route is dropped.
 	negligibleCalls = 0.005
-	// minNeededCalls is the mean number of calls from which a route needs a service. Requests of a
-	// route that mostly do without the service must not be refused because of it.
-	minNeededCalls = 0.5
+	// minNeededShare is the share of requests from which a route needs a service. Requests of a route
+	// that mostly do without the service must not be refused because of it.
+	minNeededShare = 0.5
 )
 
 // Call is the number of calls of one route and service that a run made.
@@ -59,10 +59,10 @@
 	usedAt   time.Time
 }
 
-// meanCalls is the mean number of calls of a route and service.
+// meanCalls is the mean number of calls of a route and service, and the share of runs that made any.
 type meanCalls struct {
 	key
-	count float64
+	count, share float64
 }
 
 // learnedCosts is what a home of a route reported.
@@ -106,20 +106,22 @@
 	r.slotTime += weight * (slotTime.Seconds() - r.slotTime)
 	for i := range r.calls {
 		r.calls[i].count *= 1 - weight
+		r.calls[i].share *= 1 - weight
 	}
 	for _, c := range calls {
-		r.add(key{c.Route, c.Service}, weight*float64(c.Count))
+		r.add(meanCalls{key{c.Route, c.Service}, weight * float64(c.Count), weight})
 	}
 	r.calls = slices.DeleteFunc(r.calls, func(m meanCalls) bool { return m.count < negligibleCalls })
 }
 
-func (r *runAverages) add(called key, count float64) {
-	index := slices.IndexFunc(r.calls, func(m meanCalls) bool { return m.key == called })
+func (r *runAverages) add(called meanCalls) {
+	index := slices.IndexFunc(r.calls, func(m meanCalls) bool { return m.key == called.key })
 	switch {
 	case index >= 0:
-		r.calls[index].count += count
+		r.calls[index].count += called.count
+		r.calls[index].share += called.share
 	case len(r.calls) < maxCalledRoutes:
-		r.calls = append(r.calls, meanCalls{called, count})
+		r.calls = append(r.calls, called)
 	}
 }
 
@@ -136,28 +138,35 @@
 	if averages == nil {
 		return nil
 	}
-	costs := []Cost{{Service: t.service, Calls: 1, SlotTime: seconds(averages.slotTime)}}
+	costs := []Cost{{Service: t.service, Calls: 1, SlotTime: seconds(averages.slotTime), Share: 1}}
 	for _, called := range averages.calls {
 		learned := t.learned[called.key]
 		if learned == nil || len(learned.costs) == 0 {
-			costs = addCost(costs, Cost{Service: called.service, Calls: called.count})
+			costs = addCost(costs, Cost{Service: called.service, Calls: called.count, Share: called.share})
 			continue
 		}
 		for _, c := range learned.costs {
-			costs = addCost(costs, Cost{Service: c.Service, Calls: called.count * c.Calls, SlotTime: time.Duration(called.count * float64(c.SlotTime))})
+			costs = addCost(costs, called.times(c))
 		}
 	}
 	return costs
 }
 
+// times returns the cost of the calls, given that of one call.
+func (m *meanCalls) times(c Cost) Cost {
+	return Cost{Service: c.Service, Calls: m.count * c.Calls, SlotTime: time.Duration(m.count * float64(c.SlotTime)), Share: m.share * c.Share}
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// addCost adds to the cost of a service. A further service is left out if there are MaxServices.
+// addCost adds to the cost of a service. The share is at least that of either part; it is not known
+// how many requests use both. A further service is left out if there are MaxServices.
 func addCost(costs []Cost, added Cost) []Cost {
 	for i := range costs {
 		if costs[i].Service == added.Service {
 			costs[i].Calls += added.Calls
 			costs[i].SlotTime += added.SlotTime
+			costs[i].Share = max(costs[i].Share, added.Share)
 			return costs
 		}
 	}
@@ -217,7 +226,7 @@
 	learned.costs, learned.at = costs, now
 	needed := make([]string, 0, len(costs))
 	for _, c := range costs {
-		if c.Calls >= minNeededCalls {
+		if c.Share >= minNeededShare {
 			needed = append(needed, c.Service)
 		}
 	}
--- a/internal/peering/wire_shortage.go
+++ b/internal/peering/wire_shortage.go
@@ -25,9 +25,12 @@
 	// Calls is in hundredths, and SlotTime in units of slotTimeUnit.
 	Calls    int64 `cbor:"2,keyasint"`
 	SlotTime int64 `cbor:"3,keyasint,omitempty"`
+	// Share is in percent; zero if unknown.
+	Share int64 `cbor:"4,keyasint,omitempty"`
 }
 
 const (
+	percent      = 100
 	callsPerUnit = 100
 	slotTimeUnit = 100 * time.Microsecond
 	// maxCostCalls and maxSlotTime bound decoded costs.
@@ -35,13 +38,14 @@
 	maxSlotTime  = time.Hour
 )
 
+// encodeShortages rounds ages up, so that a report doesn't become younger by being relayed.
 func encodeShortages(reports []shortage.Report) []wireShortage {
 	if len(reports) == 0 {
 		return nil
 	}
 	encoded := make([]wireShortage, len(reports))
 	for i, r := range reports {
-		encoded[i] = wireShortage{Service: r.Service, Home: wireAddress(r.Home), ShedOffset: shed.None - min(r.Threshold, shed.None), Weight: r.Weight, Age: r.Age.Milliseconds()}
+		encoded[i] = wireShortage{Service: r.Service, Home: wireAddress(r.Home), ShedOffset: shed.None - min(r.Threshold, shed.None), Weight: r.Weight, Age: (r.Age + time.Millisecond - 1).Milliseconds()}
 	}
 	return encoded
 }
@@ -67,7 +71,7 @@
 	}
 	encoded := make([]wireCost, len(costs))
 	for i, c := range costs {
-		encoded[i] = wireCost{Service: c.Service, Calls: int64(math.Round(c.Calls * callsPerUnit)), SlotTime: int64(c.SlotTime / slotTimeUnit)}
+		encoded[i] = wireCost{Service: c.Service, Calls: int64(math.Round(c.Calls * callsPerUnit)), SlotTime: int64(c.SlotTime / slotTimeUnit), Share: int64(math.Round(c.Share * percent))}
 	}
 	return encoded
 }
@@ -79,7 +83,7 @@
 		if w.Calls > maxCostCalls*callsPerUnit || w.SlotTime > int64(maxSlotTime/slotTimeUnit) {
 			continue
 		}
-		cost := downstream.Cost{Service: w.Service, Calls: float64(w.Calls) / callsPerUnit, SlotTime: time.Duration(w.SlotTime) * slotTimeUnit}
+		cost := downstream.Cost{Service: w.Service, Calls: float64(w.Calls) / callsPerUnit, SlotTime: time.Duration(w.SlotTime) * slotTimeUnit, Share: float64(w.Share) / percent}
 		if cost.Valid() {
 			costs = append(costs, cost)
 		}
--- a/internal/peering/wire_test.go
+++ b/internal/peering/wire_test.go
@@ -34,7 +34,7 @@
 	return &Reply{Outcome: Answered, Reason: QueueTimeout, Status: 200, Header: http.Header{"X-Signature": {"3e1b.07.5a2.600.0.c9f2a4d1"}, "Content-Type": {"text/plain"}}, Body: []byte("ok"),
 		RetryAfter: 150 * time.Millisecond, Crashes: 3, TargetError: true, NoRoom: true, Digests: fullCall().Digests,
 		Shortages: []shortage.Report{{Service: "prices", Home: "10.1.0.35:8560", Threshold: 130, Weight: 61, Age: 40 * time.Millisecond}, {Service: "prices", Home: "10.1.0.36:8560", Threshold: shed.None, Weight: 61}},
-		Costs:     []downstream.Cost{{Service: "prices", Calls: 8.25, SlotTime: 240 * time.Millisecond}, {Service: "cards", Calls: 1}},
+		Costs:     []downstream.Cost{{Service: "prices", Calls: 8.25, SlotTime: 240 * time.Millisecond, Share: 0.75}, {Service: "cards", Calls: 1}},
 		Load: Load{InFlight: 12, Queued: 3, Limit: 19, Latency: 22340 * time.Microsecond, Threshold: 7, FailurePercent: 4, Stopping: true, ErrorPercent: 5, CallsPerRequest: 10, RetryBudgetLow: true,
 			Target: TargetAnnouncement{Instance: "i-1@7", Rate: targetrate.Announcement{Limited: true}}, Room: 150 * time.Millisecond, Pace: pace.Reading{Percent: 250, Age: 30 * time.Millisecond}}}
 }
@@ -86,7 +86,7 @@
 		assert.Equal(t, len(decodeShortages([]wireShortage{malformed, valid})), 1, "%+v", malformed)
 	}
 	assert.Equal(t, len(decodeShortages(make([]wireShortage, 1000))), 0)
-	for _, malformed := range []wireCost{{Calls: 1}, {Service: "s"}, {Service: "s", Calls: -1}, {Service: "s", Calls: math.MaxInt64}, {Service: "s", Calls: 1, SlotTime: -1}, {Service: "s", Calls: 1, SlotTime: math.MaxInt64}} {
+	for _, malformed := range []wireCost{{Calls: 1}, {Service: "s"}, {Service: "s", Calls: -1}, {Service: "s", Calls: math.MaxInt64}, {Service: "s", Calls: 1, SlotTime: -1}, {Service: "s", Calls: 1, Share: 101}, {Service: "s", Calls: 1, Share: -1}, {Service: "s", Calls: 1, SlotTime: math.MaxInt64}} {
 		assert.Equal(t, len(decodeCosts([]wireCost{malformed, {Service: "s", Calls: 1}})), 1, "%+v", malformed)
 	}
 }
