Forward: newer thresholds of services replace the older one of the route

A route's threshold passes the homes of the chain one after another, and each keeps it for up to 1.5 s.

An entry node now ignores it if all homes in the call tree report what lies behind them, and homes with three quarters of the weight of a needed service have reported their state within 1.5 s. In a mixed deployment, with unknown costs, or with admission of whole requests, it applies as before. Homes whose target leaves report no shortage, because the directory no longer counts their weight.

--- a/internal/downstream/table.go
+++ b/internal/downstream/table.go
@@ -70,6 +70,9 @@
 	costs []Cost
 	// needed are the services that most requests need.
 	needed []string
+	// complete is set if the slot time of each service is known, so that no home in the call tree is
+	// known to be of a previous build.
+	complete bool
 	// at is when the figures were received, askedAt when they were last asked for; zero if never.
 	at, askedAt, usedAt time.Time
 }
@@ -225,7 +228,9 @@
 	}
 	learned.costs, learned.at = costs, now
 	needed := make([]string, 0, len(costs))
+	learned.complete = true
 	for _, c := range costs {
+		learned.complete = learned.complete && c.SlotTime > 0
 		if c.Share >= minNeededShare {
 			needed = append(needed, c.Service)
 		}
@@ -268,20 +273,21 @@
 }
 
 // Services returns the services that most requests of the route need if the service serves it; nil if
-// unknown. The result must not be modified.
-func (t *Table) Services(route, service string) []string {
+// unknown. The result must not be modified. complete reports whether all homes in the call tree report
+// what lies behind them.
+func (t *Table) Services(route, service string) (needed []string, complete bool) {
 	if t == nil {
-		return nil
+		return nil, false
 	}
 	now := t.now()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	learned := t.learned[key{route, service}]
 	if learned == nil {
-		return nil
+		return nil, false
 	}
 	learned.use(now)
-	return learned.needed
+	return learned.needed, learned.complete
 }
 
 // Learned calls visit with the reported cost of each route and service.
--- a/internal/downstream/table_test.go
+++ b/internal/downstream/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -74,6 +75,14 @@
 	assert.Assert(t, cost.SlotTime >= slotTime*9/10 && cost.SlotTime <= slotTime*11/10, "%+v", cost)
 }
 
+// assertNeeded checks the services that the entry node considers necessary.
+func assertNeeded(t *testing.T, m *mesh, route, service string, complete bool, services ...string) {
+	t.Helper()
+	needed, known := m.nodes["entry"].Services(route, service)
+	assert.Equal(t, strings.Join(needed, " "), strings.Join(services, " "))
+	assert.Equal(t, known, complete)
+}
+
 // TestCostsOfAChain guards against figures that leave out a part of the call tree.
 func TestCostsOfAChain(t *testing.T) {
 	m := newMesh()
@@ -85,7 +94,7 @@
 	}{"a": {1, 35 * time.Millisecond}, "b": {1, 30 * time.Millisecond}, "c": {2, 50 * time.Millisecond}, "d": {8, 160 * time.Millisecond}} {
 		assertCost(t, costs[service], want.calls, want.slotTime)
 	}
-	assert.DeepEqual(t, m.nodes["entry"].Services("a", "a"), []string{"a", "b", "c", "d"})
+	assertNeeded(t, m, "a", "a", true, "a", "b", "c", "d")
 }
 
 // TestChangesAreFollowed guards against figures of a former configuration: a service that is replaced, at
@@ -93,15 +102,15 @@
 func TestChangesAreFollowed(t *testing.T) {
 	m := newMesh()
 	m.requests("a", "a", time.Second)
-	assert.Equal(t, len(m.nodes["entry"].Services("renamed", "a")), 0)
+	assertNeeded(t, m, "renamed", "a", false)
 	assertCost(t, m.requests("renamed", "a", time.Second)["d"], 8, 160*time.Millisecond)
 	m.nodes["d2"] = &node{Table: New("d2", func() time.Time { return m.now }), slotTime: 5 * time.Millisecond}
 	m.nodes["c"].calls = []Call{{"d", "d2", 4}}
 	assertCost(t, m.requests("renamed", "a", 1500*time.Millisecond)["d2"], 8, 40*time.Millisecond)
 	m.nodes["b2"] = &node{Table: New("b2", func() time.Time { return m.now }), slotTime: 5 * time.Millisecond}
-	assert.Equal(t, len(m.nodes["entry"].Services("renamed", "b2")), 0, "the route has moved to a service without figures")
+	assertNeeded(t, m, "renamed", "b2", false)
 	m.requests("renamed", "b2", time.Second)
-	assert.DeepEqual(t, m.nodes["entry"].Services("renamed", "b2"), []string{"b2"})
+	assertNeeded(t, m, "renamed", "b2", true, "b2")
 }
 
 // TestNodesOfThePreviousBuild guards against conclusions from missing figures.
@@ -111,6 +120,7 @@
 	costs := m.requests("a", "a", time.Second)
 	assert.Equal(t, len(costs), 3, "what lies behind c is unknown")
 	assertCost(t, costs["c"], 2, 0)
+	assertNeeded(t, m, "a", "a", false, "a", "b", "c")
 }
 
 // TestRareCallsAreNotNeeded guards against refusals of requests because of a service that only few
@@ -124,7 +134,7 @@
 		}
 		m.requests("a", "a", 10*time.Millisecond)
 	}
-	assert.DeepEqual(t, m.nodes["entry"].Services("a", "a"), []string{"a"})
+	assertNeeded(t, m, "a", "a", true, "a")
 }
 
 // TestRoutesAreBounded guards against state that grows with the number of routes, and against figures
@@ -139,8 +149,8 @@
 		entry.Merge(route, "a", []Cost{{Service: "a", Calls: 1, Share: 1}})
 	}
 	assert.Equal(t, len(entry.learned)+len(entry.runs), 2*maxRoutes)
-	assert.Equal(t, len(entry.Services("0", "a")), 1)
+	assertNeeded(t, m, "0", "a", false, "a")
 	m.now = m.now.Add(unusedAge)
-	assert.Equal(t, len(entry.Services("0", "a")), 0)
+	assertNeeded(t, m, "0", "a", false)
 	assert.Assert(t, entry.Wanted("new", "a"))
 }
--- a/internal/forward/admission_limit.go
+++ b/internal/forward/admission_limit.go
@@ -22,35 +22,50 @@
 }
 
 // admissionLimitOf returns the lower of the route's own threshold and those of the services that its
-// requests need.
+// requests need. The route's own threshold passes one home after another and may be some seconds old,
+// so that it counts only if the services' thresholds don't show the whole state.
 func (f *Forwarder) admissionLimitOf(route *routetable.Route) admissionLimit {
 	limit := admissionLimit{threshold: f.levels.Threshold(route.Name)}
 	if !f.shortages.Active() {
 		return limit
 	}
-	if needed := f.neededServicesLimit(route); needed.threshold < limit.threshold {
+	needed, whole := f.routeNeedsLimit(route)
+	if needed.threshold < limit.threshold || whole && !f.config.RouteThresholds {
 		return needed
 	}
 	return limit
 }
 
-// neededServicesLimit returns the lowest threshold of the services that requests of the route need.
-// Requests of a split route are refused only if they would be whichever service serves them.
-func (f *Forwarder) neededServicesLimit(route *routetable.Route) admissionLimit {
-	highest, found := admissionLimit{threshold: shed.None}, false
+// routeNeedsLimit returns the lowest threshold of the services that requests of the route need, and
+// whether it shows the whole state. Requests of a split route are refused only if they would be
+// whichever service serves them.
+func (f *Forwarder) routeNeedsLimit(route *routetable.Route) (limit admissionLimit, whole bool) {
+	limit, whole = admissionLimit{threshold: shed.None}, true
+	first := true
 	for i := range route.Services {
 		if route.Services[i].Weight <= 0 {
 			continue
 		}
-		lowest := admissionLimit{threshold: shed.None}
-		for _, service := range f.costs.Services(route.Name, route.Services[i].Name) {
-			if threshold := f.shortages.Threshold(service); threshold < lowest.threshold {
-				lowest = admissionLimit{threshold, service}
-			}
+		lowest, lowestWhole := f.serviceNeedsLimit(route.Name, route.Services[i].Name)
+		if first || lowest.threshold > limit.threshold {
+			limit = lowest
 		}
-		if !found || lowest.threshold > highest.threshold {
-			highest, found = lowest, true
+		first, whole = false, whole && lowestWhole
+	}
+	return limit, whole
+}
+
+// serviceNeedsLimit is routeNeedsLimit for requests that one service serves. The thresholds show the
+// whole state if all homes in the call tree report, and those of at least one service have done so
+// recently.
+func (f *Forwarder) serviceNeedsLimit(route, service string) (limit admissionLimit, whole bool) {
+	limit = admissionLimit{threshold: shed.None}
+	needed, complete := f.costs.Services(route, service)
+	for _, name := range needed {
+		if threshold := f.shortages.Threshold(name); threshold < limit.threshold {
+			limit = admissionLimit{threshold, name}
 		}
+		whole = whole || complete && f.shortages.Covered(name)
 	}
-	return highest
+	return limit, whole
 }
--- a/internal/forward/admission_limit_test.go
+++ b/internal/forward/admission_limit_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/lugspur/lugspur/internal/downstream"
 	"github.com/lugspur/lugspur/internal/peering"
+	"github.com/lugspur/lugspur/internal/pressure"
 	"github.com/lugspur/lugspur/internal/routetable"
 	"github.com/lugspur/lugspur/internal/shed"
 	"github.com/lugspur/lugspur/internal/shortage"
@@ -57,3 +58,27 @@
 	f.forwarder.costs.Merge("r", "y", []downstream.Cost{{Service: "y", Calls: 1, Share: 1}})
 	assert.Equal(t, f.forwarder.admissionLimitOf(route), admissionLimit{200, "y"})
 }
+
+// TestOlderRouteThresholdIsReplaced guards against thresholds of routes that hold on to a shortage after its
+// end, and against dropping them where homes don't report, or derive them from other things.
+func TestOlderRouteThresholdIsReplaced(t *testing.T) {
+	f := newFixture(t, replyOK)
+	f.forwarder.costs = downstream.New("caller", time.Now)
+	f.levels.Report("r", "home", pressure.Level{Threshold: 50}, 10)
+	route := &routetable.Route{Name: "r", Services: []routetable.WeightedService{{Name: "x", Weight: 1}}}
+	cost := downstream.Cost{Service: "x", Calls: 1, Share: 1}
+	for _, step := range []struct {
+		slotTime time.Duration
+		weight   int
+		always   bool
+		limit    uint16
+	}{{time.Millisecond, 7, false, 50}, {0, 8, false, 50}, {time.Millisecond, 8, true, 50}, {time.Millisecond, 8, false, shed.None}} {
+		cost.SlotTime = step.slotTime
+		f.forwarder.costs.Merge("r", "x", []downstream.Cost{cost})
+		f.forwarder.shortages = shortage.New("caller", "here", time.Now)
+		f.forwarder.shortages.SetHomes("x", 10)
+		f.forwarder.shortages.Merge([]shortage.Report{{Service: "x", Home: "h", Threshold: shed.None, Weight: step.weight}})
+		f.forwarder.config.RouteThresholds = step.always
+		assert.Equal(t, f.forwarder.admissionLimitOf(route).threshold, step.limit, "%+v", step)
+	}
+}
--- a/internal/guard/running.go
+++ b/internal/guard/running.go
@@ -275,7 +275,7 @@
 		Overloaded: stats.Overloaded,
 		Served:     stats.Served,
 	})
-	g.config.Shortages.SetLocal(inc.ownThreshold(), int(inc.slots.Load()))
+	g.config.Shortages.SetLocal(inc.ownThreshold(), inc.shortageWeight())
 	threshold := inc.shedding.Threshold()
 	if max(threshold, logged)-min(threshold, logged) < minLoggedChange {
 		return logged
--- a/internal/guard/shortage.go
+++ b/internal/guard/shortage.go
@@ -13,6 +13,15 @@
 	return min(inc.shedding.Threshold(), inc.announcements.shedding.Threshold())
 }
 
+// shortageWeight returns the weight of the target in reports on shortages: its slots, or none once it
+// leaves, because the directory no longer counts it.
+func (inc *incarnation) shortageWeight() int {
+	if inc.draining.Load() {
+		return 0
+	}
+	return int(inc.slots.Load())
+}
+
 // addShortages adds the reports on shortages to a reply, and the costs of the call's route if the
 // caller asked for them.
 func (g *Guard) addShortages(reply *peering.Reply, call *peering.Call) {
--- a/internal/shortage/table.go
+++ b/internal/shortage/table.go
@@ -17,6 +17,9 @@
 	// that circulate between nodes would stay young. It is half of the interval at which homes create
 	// reports.
 	minNewer = 50 * time.Millisecond
+	// coveredShare is the share of the weight of a service's homes whose reports show its whole state. It
+	// is that which must refuse a rank.
+	coveredShare = shed.DefaultRefuseShare
 	// maxHomes is the maximum number of homes with a report.
 	maxHomes = 1024
 )
@@ -32,8 +35,10 @@
 
 	mutex   sync.Mutex
 	reports map[string]storedReport
-	// weights is the total weight of the homes of each service.
+	// weights is the total weight of the homes of each service, and covered the services of which
+	// homes with coveredShare of it have reported within MaxAge.
 	weights map[string]int
+	covered map[string]bool
 	// shortUntil is the time until which the local home reports its threshold.
 	shortUntil time.Time
 	version    uint64
@@ -64,6 +69,7 @@
 		thresholds: shed.NewTable(shed.TableConfig{Expiry: MaxAge}),
 		reports:    make(map[string]storedReport),
 		weights:    make(map[string]int),
+		covered:    make(map[string]bool),
 	}
 }
 
@@ -77,6 +83,7 @@
 		t.weights[service] = totalWeight
 	}
 	t.thresholds.SetWeight(service, float64(totalWeight))
+	t.updateCovered()
 }
 
 // SetLocal creates a report of the local home. It is called at every update of the home's threshold,
@@ -92,6 +99,7 @@
 	if threshold < shed.None {
 		t.shortUntil = now.Add(MaxAge)
 	}
+	defer t.updateCovered()
 	if weight <= 0 || !now.Before(t.shortUntil) {
 		return
 	}
@@ -107,29 +115,35 @@
 	now := t.now()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	stored := false
 	for _, r := range reports {
-		t.merge(r, now)
+		stored = t.merge(r, now) || stored
+	}
+	if stored {
+		t.updateCovered()
 	}
 }
 
-func (t *Table) merge(r Report, now time.Time) {
+// merge reports whether the report was stored.
+func (t *Table) merge(r Report, now time.Time) bool {
 	if r.Home == t.home {
-		return
+		return false
 	}
 	known, found := t.reports[r.Home]
 	if !r.Valid() || t.weights[r.Service] == 0 || !found && len(t.reports) >= maxHomes {
 		t.counts.Ignored++
-		return
+		return false
 	}
 	received := storedReport{r, now.Add(-r.Age)}
 	received.Age = 0
 	if found && received.createdAt.Sub(known.createdAt) < minNewer {
-		return
+		return false
 	}
 	if found && known.Service != r.Service {
 		t.thresholds.Remove(known.Service, r.Home)
 	}
 	t.store(received, now)
+	return true
 }
 
 // store replaces the report of a home and updates the threshold of the service.
@@ -152,6 +166,33 @@
 	t.active.Store(len(t.reports) > 0)
 }
 
+// updateCovered determines the covered services. Expired reports count until the next update of the
+// local threshold removes them.
+func (t *Table) updateCovered() {
+	clear(t.covered)
+	if len(t.reports) == 0 {
+		return
+	}
+	reported := make(map[string]int)
+	for _, r := range t.reports {
+		reported[r.Service] += r.Weight
+	}
+	for service, weight := range reported {
+		t.covered[service] = float64(weight) >= coveredShare*float64(t.weights[service])
+	}
+}
+
+// Covered reports whether the reports of the service's homes show its whole state: homes with three
+// quarters of the weight have reported recently, whether they refuse ranks or have stopped to.
+func (t *Table) Covered(service string) bool {
+	if !t.Active() {
+		return false
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.covered[service] && t.weights[service] > 0
+}
+
 // Active reports whether there may be a service with a threshold.
 func (t *Table) Active() bool { return t != nil && t.active.Load() }
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -225,6 +225,7 @@
 		},
 		WaitShare:       n.settings.Queue.ObjectiveShare,
 		NestedWaitShare: n.settings.Queue.InnerObjectiveShare,
+		RouteThresholds: n.settings.Shortage.WholeRequests,
 		ParentOf:        platform.ParentRequestID,
 	}, forward.Dependencies{
 		Routes:     n.routes,
