Shortage: documentation, smaller reports, removal with the last home

An entry now omits the service if it is that of the entry before; TestEnvelopeSize bounds the four entries to 100 bytes.

Reports on a service are removed with its last home, and policies see the threshold that applies to the request.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -130,7 +130,7 @@
 	AdmissionChanged:        {"admission-changed", stateChange, "count is the shed threshold as a percentage of all ranks, or that of route if it is set; reason is the queueing delay, or the share of runs without capacity, that caused the change"},
 	ServiceThresholdChanged: {"service-threshold-changed", stateChange, "requests that need service are refused where they enter if their rank is at or above count, a percentage of all ranks, according to the reports of its homes; 100 refuses none"},
 	RequestAnswered:         {"request-answered", success, "a response of a target was returned to the caller"},
-	RequestRefused:          {"request-refused", refusal, "the request was refused without having run; wait is the retry delay, and reason names its return place if such places are given"},
+	RequestRefused:          {"request-refused", refusal, "the request was refused without having run; wait is the retry delay, and reason names the service without room, if that is why, and its return place if such places are given"},
 	RequestFailed:           {"request-failed", failure, "the request failed and may have run"},
 	RequestRetried:          {"request-retried", refusal, "the request is sent to another home; reason says why the previous home did not serve it"},
 	RequestAbandoned:        {"request-abandoned", refusal, "the caller disconnected before the response"},
--- a/internal/forward/policy.go
+++ b/internal/forward/policy.go
@@ -38,7 +38,7 @@
 // the time after which free capacity is expected.
 func (f *Forwarder) loadOf(q *request, freeIn time.Duration) policy.Load {
 	load := policy.Load{FreeIn: freeIn.Seconds()}
-	if threshold := f.levels.Threshold(q.route.Name); threshold < shed.None {
+	if threshold := f.admissionLimitOf(q.route).threshold; threshold < shed.None {
 		load.ShedLevel = criticality.RankOf(threshold).Level.String()
 	}
 	return load
--- a/internal/peering/wire_shortage.go
+++ b/internal/peering/wire_shortage.go
@@ -1,6 +1,7 @@
 package peering
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -11,7 +12,8 @@
 
 // wireShortage is the encoded form of a shortage.Report. The age is in milliseconds.
 type wireShortage struct {
-	Service string      `cbor:"1,keyasint"`
+	// Service is empty if it is that of the entry before.
+	Service string      `cbor:"1,keyasint,omitempty"`
 	Home    wireAddress `cbor:"2,keyasint"`
 	// ShedOffset is shed.None minus the threshold, as in wireLoad.
 	ShedOffset uint16 `cbor:"3,keyasint,omitempty"`
@@ -45,7 +47,11 @@
 	}
 	encoded := make([]wireShortage, len(reports))
 	for i, r := range reports {
-		encoded[i] = wireShortage{Service: r.Service, Home: wireAddress(r.Home), ShedOffset: shed.None - min(r.Threshold, shed.None), Weight: r.Weight, Age: (r.Age + time.Millisecond - 1).Milliseconds()}
+		service := r.Service
+		if i > 0 && service == reports[i-1].Service {
+			service = ""
+		}
+		encoded[i] = wireShortage{Service: service, Home: wireAddress(r.Home), ShedOffset: shed.None - min(r.Threshold, shed.None), Weight: r.Weight, Age: (r.Age + time.Millisecond - 1).Milliseconds()}
 	}
 	return encoded
 }
@@ -53,11 +59,13 @@
 // decodeShortages returns the valid reports, at most shortage.MaxReports.
 func decodeShortages(encoded []wireShortage) []shortage.Report {
 	var reports []shortage.Report
+	service := ""
 	for _, w := range encoded[:min(len(encoded), shortage.MaxReports)] {
+		service = cmp.Or(w.Service, service)
 		if w.ShedOffset > shed.None || w.Age < 0 || w.Age > shortage.MaxAge.Milliseconds() {
 			continue
 		}
-		report := shortage.Report{Service: w.Service, Home: string(w.Home), Threshold: shed.None - w.ShedOffset, Weight: w.Weight, Age: milliseconds(w.Age)}
+		report := shortage.Report{Service: service, Home: string(w.Home), Threshold: shed.None - w.ShedOffset, Weight: w.Weight, Age: milliseconds(w.Age)}
 		if report.Valid() {
 			reports = append(reports, report)
 		}
--- a/internal/peering/wire_test.go
+++ b/internal/peering/wire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"math"
 	"net/http"
 	"reflect"
@@ -176,6 +177,11 @@
 	reply.Shortages, reply.Costs = nil, nil
 	reply.Load = Load{InFlight: 12, Queued: 3, Limit: 19, Latency: 22340 * time.Microsecond, Threshold: shed.None}
 	callBytes, replyBytes := len(encodedCall(call)), len(testCodec.encodeReply(reply))
+	for i := range shortage.MaxReports {
+		reply.Shortages = append(reply.Shortages, shortage.Report{Service: "observations", Home: fmt.Sprintf("10.1.0.%d:8560", 34+i), Threshold: 130, Weight: 61, Age: 340 * time.Millisecond})
+	}
+	shortageBytes := len(testCodec.encodeReply(reply)) - replyBytes
+	assert.Assert(t, shortageBytes <= 100, "%d bytes for a shortage", shortageBytes)
 	t.Logf("call %d bytes, reply %d bytes", callBytes, replyBytes)
 	assert.Assert(t, callBytes <= maxCallBytes, "%d", callBytes)
 	assert.Assert(t, replyBytes <= maxReplyBytes, "%d", replyBytes)
--- a/internal/shortage/table.go
+++ b/internal/shortage/table.go
@@ -74,18 +74,29 @@
 }
 
 // SetHomes sets the total weight of a service's homes according to the directory; zero if it has
-// none. Reports on services without homes are ignored.
+// none. Reports on services without homes are ignored and removed.
 func (t *Table) SetHomes(service string, totalWeight int) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	delete(t.weights, service)
 	if totalWeight > 0 {
 		t.weights[service] = totalWeight
+	} else {
+		t.removeReports(service)
 	}
 	t.thresholds.SetWeight(service, float64(totalWeight))
 	t.updateCovered()
 }
 
+func (t *Table) removeReports(service string) {
+	for home, r := range t.reports {
+		if r.Service == service {
+			delete(t.reports, home)
+			t.thresholds.Remove(service, home)
+		}
+	}
+}
+
 // SetLocal creates a report of the local home. It is called at every update of the home's threshold,
 // and creates none unless the home refuses ranks or did so within MaxAge.
 func (t *Table) SetLocal(threshold uint16, weight int) {
--- a/internal/shortage/table_test.go
+++ b/internal/shortage/table_test.go
@@ -73,6 +73,7 @@
 	tables[3].SetHomes("s", 20)
 	assert.Equal(t, tables[3].Threshold("s"), uint16(300))
 	tables[3].SetHomes("s", 0)
+	assert.Equal(t, tables[3].Threshold("s"), shed.None)
 	tables[3].Merge([]Report{{Service: "s", Home: "5", Threshold: 200, Weight: 10}})
 	assert.Equal(t, tables[3].Counts().Ignored, uint64(1))
 }
--- a/internal/sidecar/metrics_test.go
+++ b/internal/sidecar/metrics_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	"github.com/lugspur/lugspur/internal/completion"
@@ -20,6 +21,10 @@
 	"github.com/lugspur/lugspur/internal/pace"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/registry"
+	"github.com/lugspur/lugspur/internal/shed"
+	"github.com/lugspur/lugspur/internal/shortage"
+	"github.com/lugspur/lugspur/internal/store"
+	"github.com/lugspur/lugspur/platform"
 )
 
 var metricLine = regexp.MustCompile(`(?m)^# TYPE (lugspur_[a-z_]+) `)
@@ -105,6 +110,28 @@
 	}
 }
 
+// TestDirectoryWeighsReports guards against thresholds of services whose homes are not applied from the
+// directory, or remain after the homes are gone.
+func TestDirectoryWeighsReports(t *testing.T) {
+	n := newTestNodeWith(t, func(s *Settings) { s.Shortage.ZoneLosses = 1 })
+	report := []shortage.Report{{Service: "s", Home: "h", Threshold: 300, Weight: 10}}
+	key := platform.HomesPrefix + "h"
+	record, err := cbor.Marshal(registry.Record{Instance: "i", Service: "s", Address: "h", Slots: 10, State: registry.Ready})
+	assert.NilError(t, err)
+	n.shortages.Merge(report)
+	n.directory.ApplyChanges([]store.Entry{{Key: key, Value: record, Revision: 1}}, "store")
+	applied := n.applyWeights(nil)
+	assert.Equal(t, n.shortages.Threshold("s"), shed.None, "the service had no homes")
+	n.shortages.Merge(report)
+	assert.Equal(t, n.shortages.Threshold("s"), uint16(300))
+	record, err = cbor.Marshal(registry.Record{Instance: "i", Service: "s", Address: "h", Slots: 10, State: registry.Draining})
+	assert.NilError(t, err)
+	n.directory.ApplyChanges([]store.Entry{{Key: key, Value: record, Revision: 2}}, "store")
+	n.applyWeights(applied)
+	n.shortages.Merge(report)
+	assert.Equal(t, n.shortages.Counts().Ignored, uint64(2))
+}
+
 // TestStoreCallsAreCountedOnce checks that each store call is counted once in the metrics
 // and reported in one log event.
 func TestStoreCallsAreCountedOnce(t *testing.T) {
