--- a/internal/shortage/table.go
+++ b/internal/shortage/table.go
@@ -1,6 +1,7 @@
 package shortage
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -223,6 +224,7 @@
 			count = t.insert(chosen[:], count, r)
 		}
 	}
+	buffer = slices.Grow(buffer, count)
 	for _, r := range chosen[:count] {
 		if r.Home != t.home {
 			t.counts.Relayed++
