Guard: keep rates of readmitted ranks at rate limits too

Where thresholds by service are enabled, the threshold of a target's rate limit oscillated between 0.25 and 1 of all ranks: requests with several calls reach their full rate only after they were readmitted for a while. The controller of the rate limit now uses the settle time of that of the queue.

--- a/internal/guard/announcements.go
+++ b/internal/guard/announcements.go
@@ -33,8 +33,8 @@
 	leaving   bool
 }
 
-func newAnnouncements() *announcements {
-	return &announcements{shedding: shed.NewController(rateShedConfig)}
+func newAnnouncements(config shed.Config) *announcements {
+	return &announcements{shedding: shed.NewController(config)}
 }
 
 // setMalformed reports whether the text of a malformed rate limit is new.
@@ -201,9 +201,15 @@
 	a.shedding.Tick(now, state)
 }
 
-// rateShedConfig lets hardly more calls through than the rate limit admits: unlike calls in a
-// queue, those beyond it are refused.
-var rateShedConfig = shed.Config{Floor: shedFloor, QueueShare: 0.01}
+// rateShedConfig returns the configuration of the controller of the rate limit. It lets hardly more
+// calls through than the limit admits: unlike calls in a queue, those beyond it are refused.
+func (g *Guard) rateShedConfig() shed.Config {
+	config := shed.Config{Floor: shedFloor, QueueShare: 0.01}
+	if g.config.Shortages != nil {
+		config.SettleTime = fastShedConfig.SettleTime
+	}
+	return config
+}
 
 // targetAnnouncement returns what peers need to know of the target's announcements.
 func (inc *incarnation) targetAnnouncement() peering.TargetAnnouncement {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -207,7 +207,7 @@
 	inc := &incarnation{
 		target:        target,
 		name:          target.Incarnation().String(),
-		announcements: newAnnouncements(),
+		announcements: newAnnouncements(g.rateShedConfig()),
 		limit:         limit,
 		shedding:      shed.NewController(g.shedConfig()),
 		scheduler:     scheduler.New(scheduler.Config{MaxQueue: g.config.MaxQueue, MaxWait: g.config.MaxWait, ByRank: true}, limit, g.now),
