Peering: slot times are rounded up

Zero means that a slot time is unknown, and a service with requests shorter than 0.1 ms would have kept the older thresholds of routes in force.

--- a/internal/downstream/cost.go
+++ b/internal/downstream/cost.go
@@ -10,7 +10,7 @@
 	Service string
 	// Calls is the mean number of calls.
 	Calls float64
-	// SlotTime is the mean time for which slots are occupied.
+	// SlotTime is the mean time for which slots are occupied; zero if unknown.
 	SlotTime time.Duration
 	// Share is the share of requests that use the service at all, up to 1; zero if unknown. It
 	// doesn't follow from Calls: a tenth of the requests may make ten calls each.
--- a/internal/peering/wire_shortage.go
+++ b/internal/peering/wire_shortage.go
@@ -73,13 +73,14 @@
 	return reports
 }
 
+// encodeCosts rounds slot times up, because zero means that they are unknown.
 func encodeCosts(costs []downstream.Cost) []wireCost {
 	if len(costs) == 0 {
 		return nil
 	}
 	encoded := make([]wireCost, len(costs))
 	for i, c := range costs {
-		encoded[i] = wireCost{Service: c.Service, Calls: int64(math.Round(c.Calls * callsPerUnit)), SlotTime: int64(c.SlotTime / slotTimeUnit), Share: int64(math.Round(c.Share * percent))}
+		encoded[i] = wireCost{Service: c.Service, Calls: int64(math.Round(c.Calls * callsPerUnit)), SlotTime: int64((c.SlotTime + slotTimeUnit - 1) / slotTimeUnit), Share: int64(math.Round(c.Share * percent))}
 	}
 	return encoded
 }
