--- a/internal/guard/burst_simulation_test.go
+++ b/internal/guard/burst_simulation_test.go
@@ -41,7 +41,7 @@
 	started, arrived, until time.Duration
 }
 
-// burstHome is a home of the last service. Its queue was short until shortUntil.
+// burstHome is a home of the last service. No call had waited for more than 20 ms until shortUntil.
 type burstHome struct {
 	speed          float64
 	controller     *shed.Controller
@@ -89,8 +89,9 @@
 
 func (b *burst) clock() time.Time { return time.Unix(1000, 0).Add(b.now) }
 
-func (b *burst) inBurst(at, from time.Duration) bool {
-	return at >= burstBegin+from && at < burstBegin+b.length
+// inBurst reports whether a time is in the burst, after its first part.
+func (b *burst) inBurst(at, first time.Duration) bool {
+	return at >= burstBegin+first && at < burstBegin+b.length
 }
 
 func (b *burst) arrive(k *burstKind) {
--- a/internal/guard/shortage_test.go
+++ b/internal/guard/shortage_test.go
@@ -21,7 +21,7 @@
 func TestRepliesReportCostsAndShortages(t *testing.T) {
 	var g *Guard
 	status, made := http.StatusOK, 4
-	address := startRawTarget(t, func(connection net.Conn, request *http.Request) {
+	config := newTestGuard(startRawTarget(t, func(connection net.Conn, request *http.Request) {
 		id := request.Header.Get("X-Id")
 		for range made {
 			g.RecordCallSent(id, "next", "last")
@@ -30,29 +30,25 @@
 			g.RecordCallFailure(id, NoCapacity)
 		}
 		fmt.Fprintf(connection, "HTTP/1.1 %d Status\r\nX-Id: %s\r\nX-Signature: s\r\nContent-Length: 0\r\n\r\n", status, id)
-	})
-	config := newTestGuard(address).config
-	config.Shortages = shortage.New(config.Service, "here", time.Now)
-	config.Costs = downstream.New(config.Service, time.Now)
+	})).config
+	config.Shortages, config.Costs = shortage.New(config.Service, "here", time.Now), downstream.New(config.Service, time.Now)
+	config.Shortages.SetHomes("last", 10)
 	g = New(config, nil, time.Now)
 	g.SetTarget(newTarget(registry.Ready, 2))
-	run := func() *peering.Reply {
+	var reply *peering.Reply
+	for _, run := range []struct{ status, made int }{{200, 4}, {500, 2}, {404, 0}, {200, 2}} {
+		status, made = run.status, run.made
 		call := newCall("a")
 		call.WantCost = true
-		return g.Run(context.Background(), call)
-	}
-	assert.Equal(t, len(run().Shortages), 0)
-	for _, failing := range []struct{ status, made int }{{500, 2}, {404, 0}, {200, 2}} {
-		status, made = failing.status, failing.made
-		costs := run().Costs
-		assert.Equal(t, len(costs), 2)
-		assert.Equal(t, costs[1].Calls, 4.0)
+		reply = g.Run(context.Background(), call)
+		assert.Equal(t, len(reply.Costs), 2)
+		assert.Equal(t, reply.Costs[1].Calls, 4.0)
+		assert.Equal(t, len(reply.Shortages), 0)
 	}
 	g.config.Shortages.SetLocal(300, 2)
-	g.config.Shortages.SetHomes("last", 10)
 	g.config.Shortages.Merge([]shortage.Report{{Service: "last", Home: "other", Threshold: 200, Weight: 10}})
-	reports := run().Shortages
-	assert.Equal(t, len(reports), 2)
-	assert.Equal(t, reports[0].Home, "here")
-	assert.Equal(t, reports[1].Home, "other")
+	reply = g.Run(context.Background(), newCall("a"))
+	assert.Equal(t, len(reply.Shortages), 2)
+	assert.Equal(t, reply.Shortages[0].Home, "here")
+	assert.Equal(t, reply.Shortages[1].Home, "other")
 }
