--- a/internal/peering/wire_shortage.go
+++ b/internal/peering/wire_shortage.go
@@ -1,6 +1,7 @@
 package peering
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -11,7 +12,8 @@
 
 // wireShortage is the encoded form of a shortage.Report. The age is in milliseconds.
 type wireShortage struct {
-	Service string      `cbor:"1,keyasint"`
+	// Service is empty if it is that of the entry before.
+	Service string      `cbor:"1,keyasint,omitempty"`
 	Home    wireAddress `cbor:"2,keyasint"`
 	// ShedOffset is shed.None minus the threshold, as in wireLoad.
 	ShedOffset uint16 `cbor:"3,keyasint,omitempty"`
@@ -25,9 +27,12 @@
 	// Calls is in hundredths, and SlotTime in units of slotTimeUnit.
 	Calls    int64 `cbor:"2,keyasint"`
 	SlotTime int64 `cbor:"3,keyasint,omitempty"`
+	// Share is in percent; zero if unknown.
+	Share int64 `cbor:"4,keyasint,omitempty"`
 }
 
 const (
+	percent      = 100
 	callsPerUnit = 100
 	slotTimeUnit = 100 * time.Microsecond
 	// maxCostCalls and maxSlotTime bound decoded costs.
@@ -35,13 +40,18 @@
 	maxSlotTime  = time.Hour
 )
 
+// encodeShortages rounds ages up, so that a report doesn't become younger by being relayed.
 func encodeShortages(reports []shortage.Report) []wireShortage {
 	if len(reports) == 0 {
 		return nil
 	}
 	encoded := make([]wireShortage, len(reports))
 	for i, r := range reports {
-		encoded[i] = wireShortage{Service: r.Service, Home: wireAddress(r.Home), ShedOffset: shed.None - min(r.Threshold, shed.None), Weight: r.Weight, Age: r.Age.Milliseconds()}
+		service := r.Service
+		if i > 0 && service == reports[i-1].Service {
+			service = ""
+		}
+		encoded[i] = wireShortage{Service: service, Home: wireAddress(r.Home), ShedOffset: shed.None - min(r.Threshold, shed.None), Weight: r.Weight, Age: (r.Age + time.Millisecond - 1).Milliseconds()}
 	}
 	return encoded
 }
@@ -49,11 +59,13 @@
 // decodeShortages returns the valid reports, at most shortage.MaxReports.
 func decodeShortages(encoded []wireShortage) []shortage.Report {
 	var reports []shortage.Report
+	service := ""
 	for _, w := range encoded[:min(len(encoded), shortage.MaxReports)] {
+		service = cmp.Or(w.Service, service)
 		if w.ShedOffset > shed.None || w.Age < 0 || w.Age > shortage.MaxAge.Milliseconds() {
 			continue
 		}
-		report := shortage.Report{Service: w.Service, Home: string(w.Home), Threshold: shed.None - w.ShedOffset, Weight: w.Weight, Age: milliseconds(w.Age)}
+		report := shortage.Report{Service: service, Home: string(w.Home), Threshold: shed.None - w.ShedOffset, Weight: w.Weight, Age: milliseconds(w.Age)}
 		if report.Valid() {
 			reports = append(reports, report)
 		}
@@ -61,13 +73,14 @@
 	return reports
 }
 
+// encodeCosts rounds slot times up, because zero means that they are unknown.
 func encodeCosts(costs []downstream.Cost) []wireCost {
 	if len(costs) == 0 {
 		return nil
 	}
 	encoded := make([]wireCost, len(costs))
 	for i, c := range costs {
-		encoded[i] = wireCost{Service: c.Service, Calls: int64(math.Round(c.Calls * callsPerUnit)), SlotTime: int64(c.SlotTime / slotTimeUnit)}
+		encoded[i] = wireCost{Service: c.Service, Calls: int64(math.Round(c.Calls * callsPerUnit)), SlotTime: int64((c.SlotTime + slotTimeUnit - 1) / slotTimeUnit), Share: int64(math.Round(c.Share * percent))}
 	}
 	return encoded
 }
@@ -79,7 +92,7 @@
 		if w.Calls > maxCostCalls*callsPerUnit || w.SlotTime > int64(maxSlotTime/slotTimeUnit) {
 			continue
 		}
-		cost := downstream.Cost{Service: w.Service, Calls: float64(w.Calls) / callsPerUnit, SlotTime: time.Duration(w.SlotTime) * slotTimeUnit}
+		cost := downstream.Cost{Service: w.Service, Calls: float64(w.Calls) / callsPerUnit, SlotTime: time.Duration(w.SlotTime) * slotTimeUnit, Share: float64(w.Share) / percent}
 		if cost.Valid() {
 			costs = append(costs, cost)
 		}
--- a/internal/sidecar/metrics_test.go
+++ b/internal/sidecar/metrics_test.go
@@ -11,14 +11,20 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	"github.com/lugspur/lugspur/internal/completion"
+	"github.com/lugspur/lugspur/internal/downstream"
 	"github.com/lugspur/lugspur/internal/forward"
 	"github.com/lugspur/lugspur/internal/guard"
 	"github.com/lugspur/lugspur/internal/pace"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/registry"
+	"github.com/lugspur/lugspur/internal/shed"
+	"github.com/lugspur/lugspur/internal/shortage"
+	"github.com/lugspur/lugspur/internal/store"
+	"github.com/lugspur/lugspur/platform"
 )
 
 var metricLine = regexp.MustCompile(`(?m)^# TYPE (lugspur_[a-z_]+) `)
@@ -29,19 +35,26 @@
 	return answer.Body.String()
 }
 
-func newTestNode(t *testing.T) *Node {
+func newTestNode(t *testing.T) *Node { return newTestNodeWith(t, func(*Settings) {}) }
+
+// newTestNodeWith returns a node with changed settings.
+func newTestNodeWith(t *testing.T, change func(*Settings)) *Node {
 	t.Helper()
 	settings, err := Parse([]byte(renderTemplate(t)))
 	assert.NilError(t, err)
+	change(&settings)
 	node, err := New(settings, io.Discard)
 	assert.NilError(t, err)
 	return node
 }
 
 // TestEveryMetricIsDocumented checks that docs/METRICS.md lists exactly the metrics that a
-// node serves.
+// node serves if all parts are enabled.
 func TestEveryMetricIsDocumented(t *testing.T) {
-	n := newTestNode(t)
+	n := newTestNodeWith(t, func(s *Settings) { s.Shortage.ZoneLosses = 1 })
+	n.shortages.SetHomes("s", 10)
+	n.costs.Merge("r", "s", []downstream.Cost{{Service: "s", Calls: 1}})
+	n.costs.Merge("r", "split", []downstream.Cost{{Service: "s", Calls: 1}})
 	n.metrics.TenantChecked("tenant", "")
 	n.metrics.RequestFinished("r", 200, "", time.Second)
 	n.metrics.CallFinished(peering.Answered, "", time.Millisecond, time.Second)
@@ -86,20 +99,39 @@
 	assert.Assert(t, !strings.Contains(text, `call_target_seconds_count{outcome="refused"}`), "a refused call must not count as time at the target")
 }
 
-// TestPlacesAreGivenOnlyIfShortageIsExpected checks the switch, and that the metric exists in
-// both cases.
-func TestPlacesAreGivenOnlyIfShortageIsExpected(t *testing.T) {
+// TestShortagePartsAreEnabledOnlyIfExpected checks the switch of return places and of thresholds by
+// service, and that the metric of places exists in both cases.
+func TestShortagePartsAreEnabledOnlyIfExpected(t *testing.T) {
 	for zoneLosses, expected := range []bool{false, true} {
-		settings, err := Parse([]byte(renderTemplate(t)))
-		assert.NilError(t, err)
-		settings.Shortage.ZoneLosses = zoneLosses
-		n, err := New(settings, io.Discard)
-		assert.NilError(t, err)
+		n := newTestNodeWith(t, func(s *Settings) { s.Shortage.ZoneLosses = zoneLosses })
 		assert.Equal(t, n.places != nil, expected)
+		assert.Equal(t, n.shortages != nil && n.costs != nil, expected)
 		assert.Assert(t, strings.Contains(scrape(n), `lugspur_return_places_total{result="none-left"} 0`))
 	}
 }
 
+// TestDirectoryWeighsReports guards against thresholds of services whose homes are not applied from the
+// directory, or remain after the homes are gone.
+func TestDirectoryWeighsReports(t *testing.T) {
+	n := newTestNodeWith(t, func(s *Settings) { s.Shortage.ZoneLosses = 1 })
+	report := []shortage.Report{{Service: "s", Home: "h", Threshold: 300, Weight: 10}}
+	key := platform.HomesPrefix + "h"
+	record, err := cbor.Marshal(registry.Record{Instance: "i", Service: "s", Address: "h", Slots: 10, State: registry.Ready})
+	assert.NilError(t, err)
+	n.shortages.Merge(report)
+	n.directory.ApplyChanges([]store.Entry{{Key: key, Value: record, Revision: 1}}, "store")
+	applied := n.applyWeights(nil)
+	assert.Equal(t, n.shortages.Threshold("s"), shed.None, "the service had no homes")
+	n.shortages.Merge(report)
+	assert.Equal(t, n.shortages.Threshold("s"), uint16(300))
+	record, err = cbor.Marshal(registry.Record{Instance: "i", Service: "s", Address: "h", Slots: 10, State: registry.Draining})
+	assert.NilError(t, err)
+	n.directory.ApplyChanges([]store.Entry{{Key: key, Value: record, Revision: 2}}, "store")
+	n.applyWeights(applied)
+	n.shortages.Merge(report)
+	assert.Equal(t, n.shortages.Counts().Ignored, uint64(2))
+}
+
 // TestStoreCallsAreCountedOnce checks that each store call is counted once in the metrics
 // and reported in one log event.
 func TestStoreCallsAreCountedOnce(t *testing.T) {
