Pace, scheduler: give queued calls back that complete much earlier elsewhere

A call that waits in a home's queue stays there, even if the target has become slow and another home would run it at once. pace.Selection now knows the expected time at the next best home, and pace.Returns decides which waiting calls a home gives back: those that would complete later than there by more than 20 ms plus half of that time, the last ones first, at most half (rounded up) in any 100 ms. The scheduler refuses them with EarlierElsewhere under its lock, so that they never get a permit. Nothing changes for requests without an alternative.

--- a/internal/pace/doc.go
+++ b/internal/pace/doc.go
@@ -14,4 +14,10 @@
 // duration and distance. The entry node chooses the home where it is least. This is the
 // "minimum completion time" heuristic of Ibarra and Kim ("Heuristic Algorithms for Scheduling
 // Independent Tasks on Nonidentical Processors", 1977), applied to each call on arrival.
+//
+// Calls that already wait are moved too. The entry node sends the expected time at the best home but
+// the chosen one with the call. Returns reviews the queue of a home and gives calls back that would
+// complete much earlier there (jockeying with a threshold, Zhao and
+// Grassmann, "The Shortest Queue Model with Jockeying", 1990). Inputs are the queue in the order of service, the limit and
+// the current pace; the time elsewhere is as old as the wait of the call, and is not used from MaxAge.
 package pace
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -1,6 +1,7 @@
 package pace
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -123,3 +124,47 @@
 	assert.Equal(t, Distance(20*ms), 2*ms)
 	assert.Equal(t, Distance(0), 2*ms)
 }
+
+// TestCallsThatAreGivenBack guards against calls that are given back without need or twice in a row,
+// and against an order that gives back the next call first.
+func TestCallsThatAreGivenBack(t *testing.T) {
+	const usual, elsewhere = 40 * time.Millisecond, 60 * time.Millisecond
+	now := time.Unix(1000, 0)
+	waiting := func(count int, call Queued) []Queued { return slices.Repeat([]Queued{call}, count) }
+	for name, c := range map[string]struct {
+		calls    []Queued
+		factor   float64
+		expected []int
+	}{
+		"last ones first":         {waiting(4, Queued{Usual: usual, Alternative: elsewhere}), 5, []int{3, 2}},
+		"a single one":            {waiting(1, Queued{Usual: usual, Alternative: elsewhere}), 5, []int{0}},
+		"only those that gain":    {waiting(8, Queued{Usual: usual, Alternative: elsewhere}), 1, []int{7}},
+		"within the margin":       {waiting(7, Queued{Usual: usual, Alternative: elsewhere}), 1, nil},
+		"no alternative":          {waiting(4, Queued{Usual: usual}), 5, nil},
+		"alternative is too old":  {waiting(4, Queued{Usual: usual, Alternative: elsewhere, Waited: MaxAge}), 5, nil},
+		"duration is not known":   {waiting(4, Queued{Alternative: elsewhere}), 5, nil},
+		"the same queue, nowhere": {waiting(40, Queued{Usual: usual, Alternative: 10 * usual}), 1, nil},
+	} {
+		var returns Returns
+		assert.Check(t, returns.Due(now) && !returns.Due(now.Add(time.Millisecond)), name)
+		selected := returns.Select(c.calls, 4, c.factor, now)
+		assert.Check(t, slices.Equal(selected, c.expected), "%s: %v", name, selected)
+		rest := c.calls[:len(c.calls)-len(selected)]
+		assert.Equal(t, len(returns.Select(rest, 4, c.factor, now.Add(ReturnInterval-1))), 0, name)
+	}
+}
+
+// TestAlternativeIsNextBestHome guards against an alternative that is the selected home itself, or
+// that lies in another zone without counting the distance.
+func TestAlternativeIsNextBestHome(t *testing.T) {
+	for _, c := range []struct {
+		own, other []int
+		expected   int
+	}{{[]int{40}, nil, 0}, {[]int{40, 60, 50}, nil, 50}, {[]int{40, 60}, []int{45}, 50}, {[]int{40, 60}, []int{58, 70}, 60}, {[]int{80}, []int{40, 50}, 55}, {nil, []int{40, 50}, 55}} {
+		var s Selection
+		for i, ms := range slices.Concat(c.own, c.other) {
+			s.Add(Candidate{Index: i, Estimate: Estimate{Duration: time.Duration(ms) * time.Millisecond}, Risk: 1, OtherZone: i >= len(c.own)})
+		}
+		assert.Equal(t, s.Alternative(5*time.Millisecond).Round(time.Microsecond), time.Duration(c.expected)*time.Millisecond)
+	}
+}
--- a/internal/pace/selection.go
+++ b/internal/pace/selection.go
@@ -1,6 +1,9 @@
 package pace
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// distanceShare is the share of a route's objective that stands for the distance to another
@@ -44,6 +47,9 @@
 	index int
 	// cost is the cost of the candidate, and time the expected time of a call there.
 	cost, time float64
+	// next is the candidate with the lowest cost but one.
+	hasNext            bool
+	nextCost, nextTime float64
 	// earliest is the least expected time at any of the candidates.
 	earliest float64
 }
@@ -56,8 +62,12 @@
 	}
 	time := c.Estimate.Time().Seconds() * c.Risk
 	cost := (time + c.Estimate.Crowding.Seconds()*c.Risk) * (1 + spread*c.Random)
-	if !group.found || cost < group.cost {
+	switch {
+	case !group.found || cost < group.cost:
+		group.hasNext, group.nextCost, group.nextTime = group.found, group.cost, group.time
 		group.index, group.cost, group.time = c.Index, cost, time
+	case !group.hasNext || cost < group.nextCost:
+		group.hasNext, group.nextCost, group.nextTime = true, cost, time
 	}
 	if !group.found || time < group.earliest {
 		group.earliest = time
@@ -69,8 +79,35 @@
 // another zone is selected only if the call completes there earlier by more than the distance.
 // Neither randomness nor crowding makes a call leave the zone.
 func (s *Selection) Best(distance time.Duration) (index int, found bool) {
-	if s.other.found && (!s.own.found || s.other.time+distance.Seconds() < s.own.earliest) {
+	if s.leavesZone(distance) {
 		return s.other.index, true
 	}
 	return s.own.index, s.own.found
 }
+
+func (s *Selection) leavesZone(distance time.Duration) bool {
+	return s.other.found && (!s.own.found || s.other.time+distance.Seconds() < s.own.earliest)
+}
+
+// Alternative returns the expected time of the call at the best candidate but the selected one,
+// including the distance; zero if there is none.
+func (s *Selection) Alternative(distance time.Duration) time.Duration {
+	least := math.Inf(1)
+	consider := func(found bool, time float64) {
+		if found {
+			least = min(least, time)
+		}
+	}
+	if s.leavesZone(distance) {
+		consider(s.own.found, s.own.time)
+		consider(s.other.hasNext, s.other.nextTime+distance.Seconds())
+	} else {
+		consider(s.own.hasNext, s.own.nextTime)
+		consider(s.other.found, s.other.time+distance.Seconds())
+	}
+	if math.IsInf(least, 1) {
+		return 0
+	}
+	// Whole milliseconds are sent, and zero would mean that there is no alternative.
+	return max(time.Duration(least*float64(time.Second)), time.Millisecond)
+}
--- a/internal/scheduler/config.go
+++ b/internal/scheduler/config.go
@@ -35,6 +35,8 @@
 	// consist of many calls, some requests then complete and others fail entirely,
 	// instead of each request losing some of its calls.
 	ByRank bool
+	// Factor returns the factor by which calls currently take longer than usual; nil means 1.
+	Factor func(now time.Time) float64
 	// FirstInFirstOut serves calls in order of arrival and evicts none. It is the
 	// baseline for measuring the priority queue; late calls are still dropped.
 	FirstInFirstOut bool
--- a/internal/scheduler/doc.go
+++ b/internal/scheduler/doc.go
@@ -42,4 +42,10 @@
 // loses one: its oldest while overloaded, its newest otherwise. An arrival of
 // that same level competes by the same rule, with itself counted, so that a
 // caller with few waiters displaces one with many.
+//
+// # Giving back
+//
+// A waiter whose request names an alternative is refused with EarlierElsewhere if it would complete
+// much earlier there. Package pace decides this from the queue in the order of service, the limit and
+// the current pace of the target.
 package scheduler
--- a/internal/scheduler/permit.go
+++ b/internal/scheduler/permit.go
@@ -36,6 +36,7 @@
 	s.updateServiceTime(sample, now)
 	s.inFlight--
 	s.dispatch(now)
+	s.giveBack(now)
 }
 
 // Cancel returns an unused permit. Nothing was sent to the target, so neither the
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -48,6 +48,8 @@
 type queue struct {
 	levels [criticality.LevelCount]levelQueue
 	length int
+	// movable is the number of waiters that may be given back.
+	movable int
 	// byRank orders the waiters of a level by their rank.
 	byRank bool
 }
@@ -55,12 +57,18 @@
 func (q *queue) push(w *waiter) {
 	q.levels[w.level].push(w)
 	q.length++
+	if w.request.Alternative > 0 {
+		q.movable++
+	}
 	w.queued = true
 }
 
 func (q *queue) remove(w *waiter) {
 	q.levels[w.level].remove(w)
 	q.length--
+	if w.request.Alternative > 0 {
+		q.movable--
+	}
 	w.queued = false
 }
 
--- a/internal/scheduler/refusal.go
+++ b/internal/scheduler/refusal.go
@@ -20,9 +20,11 @@
 	Overloaded
 	// Closed: this node stopped being the target's home.
 	Closed
+	// EarlierElsewhere: the call would complete much earlier within its Request.Alternative.
+	EarlierElsewhere
 )
 
-var reasonNames = [...]string{"queue-full", "evicted", "deadline", "overloaded", "closed"}
+var reasonNames = [...]string{"queue-full", "evicted", "deadline", "overloaded", "closed", "earlier-elsewhere"}
 
 // String returns the reason's name as used in metrics and problem documents.
 func (r Reason) String() string {
@@ -37,7 +39,7 @@
 type Refusal struct {
 	// Reason is why the call was refused.
 	Reason Reason
-	// RetryAfter is the suggested delay before a retry; zero for Closed.
+	// RetryAfter is the suggested delay before a retry; zero for Closed and EarlierElsewhere.
 	RetryAfter time.Duration
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -9,6 +9,7 @@
 	"github.com/lugspur/lugspur/internal/clock"
 	"github.com/lugspur/lugspur/internal/criticality"
 	"github.com/lugspur/lugspur/internal/limit"
+	"github.com/lugspur/lugspur/internal/pace"
 )
 
 // Limiter is the concurrency limit in front of which calls queue.
@@ -36,6 +37,11 @@
 	Caller uint64
 	// MaxWait is the longest time that this call waits; zero means the scheduler's bound.
 	MaxWait time.Duration
+	// Usual is the duration of the call at the usual pace of the target, zero if unknown.
+	Usual time.Duration
+	// Alternative is the time within which the call is expected to complete elsewhere; zero means
+	// that it must not be refused with EarlierElsewhere.
+	Alternative time.Duration
 }
 
 // Stats is a snapshot of a scheduler.
@@ -67,6 +73,7 @@
 	inFlight    int
 	served      uint64
 	serviceTime serviceTime
+	returns     pace.Returns
 	// aboveSince is when the queueing delay exceeded Config.Target; zero while it does not.
 	aboveSince time.Time
 	closed     bool
@@ -189,6 +196,7 @@
 	}
 	s.queue.push(w)
 	s.dispatch(now)
+	s.giveBack(now)
 	return w, nil
 }
 
