--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -88,6 +88,9 @@
 	CallFinished(outcome peering.Outcome, reason peering.Reason, queueTime, targetTime time.Duration)
 	// CallSent records a call that is sent to the target.
 	CallSent(kind SendKind)
+	// CallGivenBack records a queued call that is given back because it would complete much
+	// earlier elsewhere.
+	CallGivenBack(service string)
 	// LoadReported records a load report of the target.
 	LoadReported(kind pace.Kind)
 	// RunFinished records a finished run that made downstream calls.
@@ -196,13 +199,12 @@
 func (g *Guard) newIncarnation(target registry.Target) *incarnation {
 	limit := &fixedLimit{}
 	limit.set(g.limitFor(target))
-	return &incarnation{
+	inc := &incarnation{
 		target:        target,
 		name:          target.Incarnation().String(),
 		announcements: newAnnouncements(),
 		limit:         limit,
 		shedding:      shed.NewController(shedConfig),
-		scheduler:     scheduler.New(scheduler.Config{MaxQueue: g.config.MaxQueue, MaxWait: g.config.MaxWait, ByRank: true}, limit, g.now),
 		pool: transport.NewPool(transport.Config{
 			Address:              g.config.Address,
 			MaxConnections:       g.config.MaxConnections(),
@@ -212,6 +214,8 @@
 			KeepAlive:            targetKeepAlive,
 		}),
 	}
+	inc.scheduler = scheduler.New(scheduler.Config{MaxQueue: g.config.MaxQueue, MaxWait: g.config.MaxWait, ByRank: true, Factor: inc.paceFactor}, limit, g.now)
+	return inc
 }
 
 // updateLimit adjusts the concurrency limit to the slots of a renewed registration.
--- a/internal/guard/running.go
+++ b/internal/guard/running.go
@@ -226,6 +226,7 @@
 		return logged
 	}
 	inc.announcements.tickShedding(g.now())
+	inc.scheduler.Review()
 	stats := inc.scheduler.Stats()
 	inc.shedding.Tick(g.now(), shed.State{
 		InFlight:   stats.InFlight,
--- a/internal/guard/whole_requests_test.go
+++ b/internal/guard/whole_requests_test.go
@@ -26,6 +26,8 @@
 
 func (c *runCounter) CallSent(SendKind) {}
 
+func (c *runCounter) CallGivenBack(string) {}
+
 func (c *runCounter) LoadReported(pace.Kind) {}
 
 func (c *runCounter) RunFinished(_ string, result completion.Result) { c.runs[result]++ }
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -42,6 +42,7 @@
 	duration          *prometheus.HistogramVec
 	calls             *prometheus.CounterVec
 	callsSent         *prometheus.CounterVec
+	callsGivenBack    *prometheus.CounterVec
 	loadReports       *prometheus.CounterVec
 	zoneExits         prometheus.Counter
 	budgetEvents      *prometheus.CounterVec
@@ -86,6 +87,11 @@
 			Name:      "calls_sent_total",
 			Help:      "Calls that were sent to the target beside the node, by kind: first, nested or retry.",
 		}, []string{"kind"}),
+		callsGivenBack: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace,
+			Name:      "calls_given_back_total",
+			Help:      "Queued calls that were given back because they would complete much earlier at another home, by service.",
+		}, []string{"service"}),
 		loadReports: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace,
 			Name:      "target_load_reports_total",
@@ -136,7 +142,7 @@
 		tenants: newTenantCounter(),
 		routes:  make(map[string]bool),
 	}
-	m.registry.MustRegister(m.tenants.requests, m.requests, m.duration, m.calls, m.callsSent, m.loadReports, m.zoneExits, m.budgetEvents, m.heartbeatRefusals, m.queueTime, m.targetTime, m.stallTime, m.runs, m.routeThreshold, &eventCollector{log: log})
+	m.registry.MustRegister(m.tenants.requests, m.requests, m.duration, m.calls, m.callsSent, m.callsGivenBack, m.loadReports, m.zoneExits, m.budgetEvents, m.heartbeatRefusals, m.queueTime, m.targetTime, m.stallTime, m.runs, m.routeThreshold, &eventCollector{log: log})
 	return m
 }
 
@@ -204,6 +210,9 @@
 // CallSent counts a call that is sent to the target.
 func (m *metrics) CallSent(kind guard.SendKind) { m.callsSent.WithLabelValues(kind.String()).Inc() }
 
+// CallGivenBack counts a queued call that is given back.
+func (m *metrics) CallGivenBack(service string) { m.callsGivenBack.WithLabelValues(service).Inc() }
+
 // LoadReported counts a load report of the target.
 func (m *metrics) LoadReported(kind pace.Kind) { m.loadReports.WithLabelValues(kind.String()).Inc() }
 
--- a/internal/sidecar/metrics_test.go
+++ b/internal/sidecar/metrics_test.go
@@ -46,6 +46,7 @@
 	n.metrics.RequestFinished("r", 200, "", time.Second)
 	n.metrics.CallFinished(peering.Answered, "", time.Millisecond, time.Second)
 	n.metrics.CallSent(guard.FirstSend)
+	n.metrics.CallGivenBack("s")
 	n.metrics.LoadReported(pace.WithPace)
 	n.metrics.RunFinished("r", completion.Whole)
 	n.metrics.RouteThreshold("r", 0)
