Tests: queue tests next to those of their packages

The tests of returned calls use the harnesses of the existing test files, and the guard's test now goes through the regular update of the threshold. Dropped are two rows of TestCallsThatAreGivenBack (a call without an alternative, equally long queues) and the check of the guard test that a call without an alternative waits to its end: TestQueueOfSlowTargetIsGivenBack covers all three on the queue. Its check of 100 ms between returns is covered by TestCallsThatAreGivenBack.

--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -17,10 +18,12 @@
 
 	"github.com/lugspur/lugspur/internal/callheader"
 	"github.com/lugspur/lugspur/internal/ending"
+	"github.com/lugspur/lugspur/internal/pace"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/pressure"
 	"github.com/lugspur/lugspur/internal/quarantine"
 	"github.com/lugspur/lugspur/internal/registry"
+	"github.com/lugspur/lugspur/internal/scheduler"
 	"github.com/lugspur/lugspur/internal/shed"
 )
 
@@ -367,3 +370,30 @@
 	assert.Equal(t, reply.Reason, peering.WouldMissDeadline)
 	assert.Equal(t, crashing.arrived.Load(), int32(1))
 }
+
+// TestQueuedCallIsGivenBackAtCurrentPace guards against a call that stays in the queue of a target
+// that has become slow, or whose return counts as a failure of the home.
+func TestQueuedCallIsGivenBackAtCurrentPace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTestGuard("")
+		inc := g.current.Load()
+		inc.stats.recordEnd("r", &peering.Reply{Outcome: peering.Answered, Status: 200}, 40*time.Millisecond, time.Now())
+		for range 2 {
+			_, err := inc.scheduler.Acquire(t.Context(), scheduler.Request{})
+			assert.NilError(t, err)
+		}
+		started := time.Now()
+		time.AfterFunc(50*time.Millisecond, func() {
+			inc.announcements.pace.Observe(pace.Report{Kind: pace.WithPace, Percent: 500}, time.Now())
+			g.updateThreshold(0)
+		})
+		call := newCall("a")
+		call.Alternative = 60 * time.Millisecond
+		reply := g.Run(t.Context(), call)
+		assert.Equal(t, reply.Reason, peering.EarlierElsewhere)
+		assert.Equal(t, time.Since(started), 50*time.Millisecond)
+		assert.Equal(t, reply.Outcome, peering.Refused)
+		assert.Equal(t, reply.RetryAfter, time.Duration(0))
+		assert.Equal(t, reply.Load.FailurePercent, 0)
+	})
+}
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -136,14 +136,12 @@
 		factor   float64
 		expected []int
 	}{
-		"last ones first":         {waiting(4, Queued{Usual: usual, Alternative: elsewhere}), 5, []int{3, 2}},
-		"a single one":            {waiting(1, Queued{Usual: usual, Alternative: elsewhere}), 5, []int{0}},
-		"only those that gain":    {waiting(8, Queued{Usual: usual, Alternative: elsewhere}), 1, []int{7}},
-		"within the margin":       {waiting(7, Queued{Usual: usual, Alternative: elsewhere}), 1, nil},
-		"no alternative":          {waiting(4, Queued{Usual: usual}), 5, nil},
-		"alternative is too old":  {waiting(4, Queued{Usual: usual, Alternative: elsewhere, Waited: MaxAge}), 5, nil},
-		"duration is not known":   {waiting(4, Queued{Alternative: elsewhere}), 5, nil},
-		"the same queue, nowhere": {waiting(40, Queued{Usual: usual, Alternative: 10 * usual}), 1, nil},
+		"last ones first":        {waiting(4, Queued{Usual: usual, Alternative: elsewhere}), 5, []int{3, 2}},
+		"a single one":           {waiting(1, Queued{Usual: usual, Alternative: elsewhere}), 5, []int{0}},
+		"only those that gain":   {waiting(8, Queued{Usual: usual, Alternative: elsewhere}), 1, []int{7}},
+		"within the margin":      {waiting(7, Queued{Usual: usual, Alternative: elsewhere}), 1, nil},
+		"alternative is too old": {waiting(4, Queued{Usual: usual, Alternative: elsewhere, Waited: MaxAge}), 5, nil},
+		"duration is not known":  {waiting(4, Queued{Alternative: elsewhere}), 5, nil},
 	} {
 		var returns Returns
 		assert.Check(t, returns.Due(now) && !returns.Due(now.Add(time.Millisecond)), name)
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -314,3 +314,51 @@
 		h.assertRefused(waiting, scheduler.Overloaded)
 	})
 }
+
+// waitForSlowTarget returns when the last one of 30 calls is complete that wait for a target which
+// becomes slower by the factor, and how many are given back. These complete after the alternative.
+func waitForSlowTarget(t *testing.T, factor int, alternative time.Duration) (last time.Duration, moved int) {
+	const slots, waiting, usual = 4, 30, 40 * time.Millisecond
+	start := time.Now()
+	h := newHarness(t, slots, scheduler.Config{ByRank: true, Factor: func(now time.Time) float64 {
+		return 1 + float64(factor-1)*min(float64(now.Sub(start)), 1)
+	}})
+	for i := range slots {
+		running := h.start("running", scheduler.Request{})
+		time.AfterFunc(usual*time.Duration(i+1)/slots, func() { running.permit.Release(limit.Sample{}) })
+	}
+	refused := make(chan bool)
+	for i := range waiting {
+		go func() {
+			permit, err := h.scheduler.Acquire(t.Context(), scheduler.Request{Rank: criticality.RankOf(uint16(i)), MaxWait: time.Minute, Usual: usual, Alternative: alternative})
+			if err != nil {
+				assert.Check(t, err.(*scheduler.Refusal).Reason == scheduler.EarlierElsewhere)
+				assert.Check(t, i >= slots, "the first calls get the slots that become free")
+				time.Sleep(alternative)
+			} else {
+				time.Sleep(usual * time.Duration(factor))
+				permit.Release(limit.Sample{})
+			}
+			refused <- err != nil
+		}()
+	}
+	for range waiting {
+		if <-refused {
+			moved++
+		}
+	}
+	return time.Since(start), moved
+}
+
+// TestQueueOfSlowTargetIsGivenBack guards against calls that wait for a target which has become five
+// times slower while another home would run them at once, and against moves without need.
+func TestQueueOfSlowTargetIsGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		before, none := waitForSlowTarget(t, 5, 0)
+		now, moved := waitForSlowTarget(t, 5, 60*time.Millisecond)
+		_, equallyLong := waitForSlowTarget(t, 1, 340*time.Millisecond)
+		t.Logf("last call after %s, %s without moves; %d given back", now, before, moved)
+		assert.Check(t, now < before/2)
+		assert.Equal(t, none+equallyLong, 0)
+	})
+}
