Forward: offer calls that homes give back to the next home

The entry node names the expected time at the next best home with each call that it chooses a home for by pace, and accepts once that the home gives the call back. The offer then counts neither for maxOffers nor for max-attempts, and the charge of a retry is kept for the next offer, or refunded if there is none. The next home may not give the call back. If no other home takes it, the first one becomes eligible again, where the call waits to its end. Attempts stay numbered by all offers, because homes identify exchanges by the number.

Without a pace nothing is sent and nothing changes. A home that gives a call back without permission counts as any refusal.

--- a/internal/forward/budget_simulation_test.go
+++ b/internal/forward/budget_simulation_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/lugspur/lugspur/internal/criticality"
 	"github.com/lugspur/lugspur/internal/guard"
+	"github.com/lugspur/lugspur/internal/pace"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/pressure"
 	"github.com/lugspur/lugspur/internal/registry"
@@ -279,3 +280,76 @@
 		}
 	}
 }
+
+// movingPeers are homes that give back calls, if they may, and then reply with the reason, or
+// answer if it is empty.
+type movingPeers struct {
+	*budgetSimulation
+	// always is set if the homes give back calls that they must not.
+	always bool
+	delay  time.Duration
+	reason peering.Reason
+	calls  []peering.Call
+	homes  []string
+}
+
+func (p *movingPeers) Call(_ context.Context, address string, call *peering.Call) (*peering.Reply, error) {
+	p.calls = append(p.calls, *call)
+	p.homes = append(p.homes, address)
+	p.now = p.now.Add(p.delay)
+	reply := &peering.Reply{Outcome: peering.Refused, Reason: p.reason, Load: peering.Load{Limit: 20, Threshold: shed.None}}
+	switch {
+	case p.always || call.Alternative > 0:
+		reply.Reason = peering.EarlierElsewhere
+	case p.reason == "":
+		reply.Outcome, reply.Status = peering.Answered, http.StatusOK
+	}
+	return reply, nil
+}
+
+// TestCallThatIsGivenBack guards against a call that is given back twice, that costs an offer or the
+// retry budget, or that is lost because all other homes refuse it; and against moves without a pace.
+func TestCallThatIsGivenBack(t *testing.T) {
+	for name, c := range map[string]struct {
+		always, retried bool
+		delay           time.Duration
+		reason          peering.Reason
+		pace            int
+		kind            routetable.Kind
+		calls           int
+		spent           float64
+	}{
+		"must not run twice":              {pace: 100, kind: routetable.AtMostOnce, calls: 2},
+		"a retry is charged once":         {pace: 100, retried: true, calls: 2, spent: 1},
+		"a retry that nobody runs":        {pace: 100, retried: true, reason: peering.QueueFull, calls: 4},
+		"too late for the next home":      {pace: 100, retried: true, kind: routetable.AtMostOnce, delay: 990 * time.Millisecond, calls: 1},
+		"all refuse, the first one again": {pace: 100, reason: peering.QueueFull, calls: 4},
+		"home does not keep to the rule":  {pace: 100, always: true, calls: 4},
+		"no home reports a pace":          {calls: 1},
+	} {
+		s := newBudgetSimulation(t, 1, 1)
+		peers, f := &movingPeers{budgetSimulation: s, always: c.always, delay: c.delay, reason: c.reason}, s.nodes[0]
+		f.peers = peers
+		for range 100 {
+			f.budget("price").CountRequest()
+		}
+		for _, home := range s.directory.Homes("price") {
+			load := peering.Load{Limit: 20, Latency: 20 * time.Millisecond, Pace: pace.Reading{Percent: c.pace}}
+			f.homes.state(home.Address).recordLoad("price", load, 0, s.now)
+		}
+		q := &request{id: "1", service: "price", deadline: s.now.Add(time.Second), call: &peering.Call{RequestID: "1", Route: "price", Retried: c.retried},
+			route: &routetable.Route{Name: "price", Kind: c.kind, Attempts: 3, Services: []routetable.WeightedService{{Name: "price", Weight: 1}}}}
+		q.policyCall = f.policyCallOf(q, httptest.NewRequest(http.MethodGet, "http://a.example/x", nil))
+		balance := f.budget("price").Balance()
+		_, failure := f.run(context.Background(), q)
+		assert.Equal(t, failure == nil, c.reason == "" && !c.always && c.delay == 0, name)
+		assert.Equal(t, len(peers.calls), c.calls, name)
+		assert.Equal(t, math.Round(balance-f.budget("price").Balance()), c.spent, name)
+		assert.Equal(t, q.countedOffers(), len(peers.calls)-1+1-min(c.pace, 1), name)
+		assert.Check(t, len(peers.homes) < 2 || peers.homes[0] != peers.homes[1], name)
+		for i, call := range peers.calls {
+			assert.Equal(t, call.OfferIndex, i, "homes identify exchanges by it")
+			assert.Equal(t, call.Alternative > 0, i == 0 && c.pace > 0, name)
+		}
+	}
+}
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -117,6 +117,8 @@
 	home *registry.Home
 	// latency is the expected latency of a call there.
 	latency time.Duration
+	// alternative is the expected time of a call at the next best home, zero if it is unknown.
+	alternative time.Duration
 	// paused is set if there is no home because of rate limits: the time until one of them is
 	// expected to leave room.
 	paused time.Duration
@@ -203,7 +205,7 @@
 	}
 	distance := pace.Distance(q.route.Objective)
 	if i, found := usable.Best(distance); found {
-		best = choice{home: candidates[i].home, latency: candidates[i].latency}
+		best = choice{home: candidates[i].home, latency: candidates[i].latency, alternative: usable.Alternative(distance)}
 	}
 	if i, found := suspected.Best(distance); found {
 		fallback = choice{home: candidates[i].home, latency: candidates[i].latency}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -309,6 +309,7 @@
 	excluded, rejected []*registry.Home
 	// rateRefusals counts the offers that were refused because of a target's rate limit.
 	rateRefusals int
+	move         callMove
 	// errorReply is the last response that reports an error of the target itself.
 	errorReply *peering.Reply
 	rank       criticality.Rank
--- a/internal/forward/pace_simulation_test.go
+++ b/internal/forward/pace_simulation_test.go
@@ -42,6 +42,9 @@
 	slowShare float64
 	// withPace is set if homes report their pace, so that nodes choose by it.
 	withPace bool
+	// withMoves is set if homes give calls back, and moved the number of these calls.
+	withMoves bool
+	moved     int
 	// times are the times that calls spent at homes. excess is the number of calls by which the demand of
 	// zones exceeded their current capacity.
 	times                   []time.Duration
@@ -55,15 +58,23 @@
 	zone           int
 	speed, percent float64
 	running        int
-	queue          []func()
+	queue          []pacedCall
+	returns        pace.Returns
 	latency        float64
 }
 
+// pacedCall is a call that waits at a home, which runs it or gives it back.
+type pacedCall struct {
+	pace.Queued
+	arrived       time.Time
+	run, giveBack func()
+}
+
 // measurePlacement returns a simulation whose figures cover the time after a start.
-func measurePlacement(t *testing.T, seed uint64, withPace bool, slowShare float64, demand func(int, time.Duration) float64) *paceSimulation {
+func measurePlacement(t *testing.T, seed uint64, withPace, withMoves bool, slowShare float64, demand func(int, time.Duration) float64) *paceSimulation {
 	t.Helper()
 	s := &paceSimulation{eventLoop: eventLoop{now: time.Unix(1000, 0)}, start: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1)), homes: make(map[string]*pacedHome),
-		withPace: withPace, slowShare: slowShare, demand: demand, route: &routetable.Route{Name: "read", Kind: routetable.Repeatable, Objective: time.Second / 2}}
+		withPace: withPace, withMoves: withMoves, slowShare: slowShare, demand: demand, route: &routetable.Route{Name: "read", Kind: routetable.Repeatable, Objective: time.Second / 2}}
 	clock := func() time.Time { return s.now }
 	directory := registry.NewDirectory("homes/", "", nil, clock)
 	for i := range paceZones * paceHomesPerZone {
@@ -80,7 +91,7 @@
 	s.nextPhase()
 	s.countExcess()
 	s.run(2 * time.Second)
-	s.times, s.calls, s.refused, s.crossed, s.excess = nil, 0, 0, 0, 0
+	s.times, s.calls, s.refused, s.crossed, s.moved, s.excess = nil, 0, 0, 0, 0, 0
 	s.run(8 * time.Second)
 	return s
 }
@@ -124,11 +135,13 @@
 
 // offer sends the request to the home that the node chooses, and to another one after a refusal.
 func (s *paceSimulation) offer(node *Forwarder, q *request) {
-	if q.offers == maxOffers {
+	if q.countedOffers() == maxOffers {
 		s.refused++
 		return
 	}
-	chosen := node.choose(q).home
+	next := node.choose(q)
+	chosen := next.home
+	q.setAlternative(next)
 	if chosen.Zone != node.config.Zone {
 		s.crossed++
 	}
@@ -149,38 +162,63 @@
 			}
 		})
 	}
-	s.after(paceDelay, func() { s.arrive(home, reply) })
+	s.after(paceDelay, func() { s.arrive(home, q, reply) })
 }
 
 // arrive refuses, queues or runs a call at a home.
-func (s *paceSimulation) arrive(home *pacedHome, reply func(ran bool)) {
+func (s *paceSimulation) arrive(home *pacedHome, q *request, reply func(ran bool)) {
 	if len(home.queue) >= paceMaxQueue {
 		reply(false)
 		return
 	}
-	arrived := s.now
-	home.queue = append(home.queue, func() {
+	if q.arrived.IsZero() {
+		q.arrived = s.now
+	}
+	giveBack := func() {
+		s.moved++
+		q.move = callMove{givenBack: true}
+		reply(false)
+	}
+	home.queue = append(home.queue, pacedCall{Queued: pace.Queued{Alternative: q.move.alternative}, arrived: s.now, giveBack: giveBack, run: func() {
 		home.running++
 		seconds := paceUsual.Seconds() / home.speed * (0.7 + 0.6*s.random.Float64()) * home.percent / pace.Usual
 		s.after(time.Duration(seconds*float64(time.Second)), func() {
 			home.running--
-			s.times = append(s.times, s.now.Sub(arrived))
+			s.times = append(s.times, s.now.Sub(q.arrived))
 			if s.withPace {
 				seconds *= pace.Usual / home.percent
 			}
 			home.latency += (seconds - home.latency) / 16
 			home.startNext()
+			s.review(home)
 			reply(true)
 		})
-	})
+	}})
 	home.startNext()
+	s.review(home)
+}
+
+// review lets the home give calls back.
+func (s *paceSimulation) review(home *pacedHome) {
+	if !s.withMoves || len(home.queue) == 0 || !home.returns.Due(s.now) {
+		return
+	}
+	var calls []pace.Queued
+	for _, call := range home.queue {
+		call.Usual, call.Waited = time.Duration(home.latency*float64(time.Second)), s.now.Sub(call.arrived)
+		calls = append(calls, call.Queued)
+	}
+	for _, i := range home.returns.Select(calls, paceSlots, home.percent/pace.Usual, s.now) {
+		home.queue[i].giveBack()
+		home.queue = slices.Delete(home.queue, i, i+1)
+	}
 }
 
 func (h *pacedHome) startNext() {
 	if len(h.queue) > 0 && h.running < paceSlots {
 		next := h.queue[0]
 		h.queue = h.queue[1:]
-		next()
+		next.run()
 	}
 }
 
@@ -191,16 +229,21 @@
 }
 
 // TestPlacementAvoidsSlowHomes guards against calls that queue at homes which are slow for a moment,
-// and against traffic between zones while no zone is short. The demand is 0.9 of the capacity that
+// against traffic between zones while no zone is short, and against moves of waiting calls that make
+// them later. The demand is 0.9 of the capacity that
 // the slow homes leave.
 func TestPlacementAvoidsSlowHomes(t *testing.T) {
 	const slowShare = 0.15
 	available := 1 - slowShare*(1-float64(pace.Usual)/paceSlowPercent)
 	demand := func(int, time.Duration) float64 { return 0.9 * available }
 	for seed := range uint64(2) {
-		undisturbed, previous, byPace := measurePlacement(t, seed, true, 0, demand), measurePlacement(t, seed, false, slowShare, demand), measurePlacement(t, seed, true, slowShare, demand)
+		undisturbed, previous, byPace := measurePlacement(t, seed, true, false, 0, demand), measurePlacement(t, seed, false, false, slowShare, demand), measurePlacement(t, seed, true, false, slowShare, demand)
+		withMoves := measurePlacement(t, seed, true, true, slowShare, demand)
 		usual, before, now := undisturbed.percentile99(), previous.percentile99(), byPace.percentile99()
 		t.Logf("99th percentiles: %s undisturbed, %s previous choice, %s by pace; of %d calls %d and %d left the zone", usual, before, now, byPace.calls, previous.crossed, byPace.crossed)
+		t.Logf("with moves: 99th percentile %s, %d calls moved, %d left the zone", withMoves.percentile99(), withMoves.moved, withMoves.crossed)
+		assert.Check(t, withMoves.percentile99() <= now)
+		assert.Equal(t, withMoves.refused, 0)
 		assert.Check(t, now-usual < (before-usual)/2)
 		assert.Check(t, byPace.crossed <= previous.crossed)
 		assert.Equal(t, byPace.refused, 0)
@@ -213,7 +256,7 @@
 // of phase with the others.
 func TestOnlyExcessLeavesZone(t *testing.T) {
 	for _, average := range []float64{0.6, 0.75, 0.9} {
-		s := measurePlacement(t, 1, true, 0, func(zone int, elapsed time.Duration) float64 {
+		s := measurePlacement(t, 1, true, false, 0, func(zone int, elapsed time.Duration) float64 {
 			return average * (1 + 0.55*math.Sin(2*math.Pi*(elapsed.Seconds()/15+float64(zone)/paceZones)))
 		})
 		t.Logf("demand %v: of %d calls %d left the zone, excess %.0f", average, s.calls, s.crossed, s.excess)
--- a/internal/forward/policy.go
+++ b/internal/forward/policy.go
@@ -46,7 +46,7 @@
 
 // outcomeOf returns the outcome of the request so far that is available to policies.
 func (q *request) outcomeOf() policy.Outcome {
-	outcome := policy.Outcome{Executed: policy.ExecutedNo, Attempt: q.offers}
+	outcome := policy.Outcome{Executed: policy.ExecutedNo, Attempt: q.countedOffers()}
 	if q.attempts > 0 {
 		outcome.Executed = policy.ExecutedUnknown
 	}
--- a/internal/forward/retry.go
+++ b/internal/forward/retry.go
@@ -85,7 +85,7 @@
 // spendRetryBudget charges the next offer to the retry budget if it is a retry. It returns
 // the final problem of the request if the budget does not allow the retry.
 func (f *Forwarder) spendRetryBudget(q *request) *problem.Problem {
-	if !q.isRetry() {
+	if !q.isRetry() || q.move.takeCharge() {
 		return nil
 	}
 	charge, ok := f.budget(q.service).Spend(f.urgency(q))
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -32,6 +32,7 @@
 		f.observer.BudgetCounted(q.service, FirstSent, "")
 	}
 	reply, failure := f.tryHomes(ctx, q)
+	f.refundMove(q)
 	if failure != nil && q.errorReply != nil {
 		return q.errorReply, nil
 	}
@@ -40,7 +41,7 @@
 
 // tryHomes offers the request to one home after another.
 func (f *Forwarder) tryHomes(ctx context.Context, q *request) (*peering.Reply, *problem.Problem) {
-	for q.offers-q.rateRefusals < maxOffers && q.rateRefusals < maxRateRefusals {
+	for q.countedOffers()-q.rateRefusals < maxOffers && q.rateRefusals < maxRateRefusals {
 		next := f.nextChoice(q)
 		home := next.home
 		if home == nil {
@@ -58,7 +59,11 @@
 		}
 		q.lastHome = home.Address
 		q.offers++
+		q.setAlternative(next)
 		reply := f.offer(ctx, q, home)
+		if f.takeBack(q, home, reply) {
+			continue
+		}
 		f.recordArrival(q, reply)
 		if reply.Outcome != peering.Refused {
 			q.attempts++
@@ -110,21 +115,20 @@
 	if reply.Reason == peering.RateLimited {
 		q.rateRefusals++
 	}
-	return q.offers-q.rateRefusals <= f.maxRetries(q) && !(q.isSuspect() && reply.Reason == peering.QueueTimeout)
+	return q.countedOffers()-q.rateRefusals <= f.maxRetries(q) && !(q.isSuspect() && reply.Reason == peering.QueueTimeout)
 }
 
 // nextChoice returns the home that the request is offered to next. If no other is left,
 // homes whose targets rejected the request become eligible again, because targets may reject
-// requests at random.
+// requests at random, and so does a home that gave it back.
 func (f *Forwarder) nextChoice(q *request) choice {
 	if q.isSuspect() {
 		return f.chooseByRendezvousHash(q)
 	}
 	next := f.choose(q)
-	if next.home != nil || len(q.rejected) == 0 {
+	if next.home != nil || !q.readmit() {
 		return next
 	}
-	q.rejected = nil
 	return f.choose(q)
 }
 
@@ -229,6 +233,7 @@
 	call := *q.call
 	call.Retried = q.isRetry()
 	call.OfferIndex = q.offers - 1
+	call.Alternative = q.move.alternative
 	call.Process = home.Process
 	if announced, known := f.announced.get(home.Instance); known {
 		call.Target = announced.TargetAnnouncement
