--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -94,6 +94,9 @@
 	CallFinished(outcome peering.Outcome, reason peering.Reason, queueTime, targetTime time.Duration)
 	// CallSent records a call that is sent to the target.
 	CallSent(kind SendKind)
+	// CallGivenBack records a queued call that is given back because it would complete much
+	// earlier elsewhere.
+	CallGivenBack(service string)
 	// LoadReported records a load report of the target.
 	LoadReported(kind pace.Kind)
 	// RunFinished records a finished run that made downstream calls.
@@ -210,7 +213,6 @@
 		announcements: newAnnouncements(g.rateShedConfig()),
 		limit:         limit,
 		shedding:      shed.NewController(g.shedConfig()),
-		scheduler:     scheduler.New(scheduler.Config{MaxQueue: g.config.MaxQueue, MaxWait: g.config.MaxWait, ByRank: true}, limit, g.now),
 		pool: transport.NewPool(transport.Config{
 			Address:              g.config.Address,
 			MaxConnections:       g.config.MaxConnections(),
@@ -221,6 +223,7 @@
 		}),
 	}
 	inc.slots.Store(int64(target.Slots))
+	inc.scheduler = scheduler.New(scheduler.Config{MaxQueue: g.config.MaxQueue, MaxWait: g.config.MaxWait, ByRank: true, Factor: inc.paceFactor}, limit, g.now)
 	return inc
 }
 
