Refusals: no formatting for dropped log lines, fewer allocations per response

The reason of a refusal's event is joined with its detail only when the event is written; under load most are dropped. Details of refusals with places are joined once and without fmt. Problem responses set their headers from one array of values, and the type of a document is a constant of its reason. Documents, headers and log lines are unchanged.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -153,11 +153,12 @@
 	Route, Service, Target, Peer string
 	// Fingerprint identifies the content of a request. It is the same for all attempts.
 	Fingerprint string
-	// Reason is the decisive input, Outcome the result.
-	Reason, Outcome string
-	Status          int
-	Attempt         int
-	Count           int
+	// Reason is the decisive input, Outcome the result. Detail is appended to the reason of events
+	// that are written, so that dropped ones cost no formatting.
+	Reason, Detail, Outcome string
+	Status                  int
+	Attempt                 int
+	Count                   int
 	// Version and Previous are the numbers of configurations, records, leases or heartbeats.
 	Version, Previous uint64
 	// Age is the age of the decisive input, Wait a retry delay, and Duration the time that
--- a/internal/eventlog/log.go
+++ b/internal/eventlog/log.go
@@ -201,6 +201,14 @@
 	l.entry.WithTime(r.at).WithFields(fieldsOf(&r.event)).Info(r.event.Kind.String())
 }
 
+// fullReason returns the reason with its detail.
+func (e *Event) fullReason() string {
+	if e.Detail == "" {
+		return e.Reason
+	}
+	return e.Reason + ": " + e.Detail
+}
+
 // fieldsOf returns the non-zero fields of the event.
 func fieldsOf(e *Event) logrus.Fields {
 	fields := make(logrus.Fields, 8)
@@ -225,7 +233,7 @@
 	text("target", e.Target)
 	text("peer", e.Peer)
 	text("fingerprint", e.Fingerprint)
-	text("reason", e.Reason)
+	text("reason", e.fullReason())
 	text("outcome", e.Outcome)
 	number("status", uint64(e.Status))
 	number("attempt", uint64(e.Attempt))
--- a/internal/eventlog/log_test.go
+++ b/internal/eventlog/log_test.go
@@ -18,7 +18,7 @@
 	for kind := range kindCount {
 		var out bytes.Buffer
 		log := New(Config{}, "node-1", &out, time.Now)
-		log.Record(Event{Kind: kind, Request: "r1", Route: "route", Service: "s", Target: "t", Peer: "p", Reason: "why",
+		log.Record(Event{Kind: kind, Request: "r1", Route: "route", Service: "s", Target: "t", Peer: "p", Reason: "why", Detail: "exactly",
 			Outcome: "done", Status: 503, Attempt: 2, Count: 3, Version: 7, Previous: 6,
 			Age: time.Second, Wait: 2 * time.Second, Duration: 3 * time.Second})
 		canceled, cancel := context.WithCancel(context.Background())
@@ -29,6 +29,7 @@
 		assert.Equal(t, line["msg"], kind.String())
 		assert.Equal(t, line["node"], "node-1")
 		assert.Equal(t, line["request"], "r1")
+		assert.Equal(t, line["reason"], "why: exactly")
 		assert.Equal(t, line["age_ms"], 1000.0)
 		assert.Equal(t, line["wait_ms"], 2000.0)
 		assert.Equal(t, line["version"], 7.0)
--- a/internal/forward/receive.go
+++ b/internal/forward/receive.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -187,7 +186,7 @@
 	if f.takePlace(q) || q.rank.Key() < threshold {
 		return nil
 	}
-	detail := fmt.Sprintf("the chain of calls has no room: rank %d, threshold %d", q.rank.Key(), threshold)
+	detail := "the chain of calls has no room: rank " + strconv.Itoa(int(q.rank.Key())) + ", threshold " + strconv.Itoa(int(threshold))
 	return f.refuseWithPlace(q, header, detail)
 }
 
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -37,7 +37,7 @@
 	failure.Write(w)
 	duration := f.now().Sub(q.arrived)
 	event := eventlog.Event{Kind: eventlog.RequestRefused, Request: q.id, Service: q.service, Peer: q.lastHome, Status: failure.Status, Attempt: q.attempts,
-		Reason: string(failure.Reason) + ": " + failure.Detail, Wait: failure.RetryDelay, Duration: duration, Version: uint64(f.routes.Version())}
+		Reason: string(failure.Reason), Detail: failure.Detail, Wait: failure.RetryDelay, Duration: duration, Version: uint64(f.routes.Version())}
 	if q.route != nil {
 		event.Route = q.route.Name
 	}
--- a/internal/forward/return_place.go
+++ b/internal/forward/return_place.go
@@ -1,8 +1,8 @@
 package forward
 
 import (
-	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/lugspur/lugspur/internal/problem"
@@ -40,9 +40,9 @@
 		Deadline:    f.callerDeadline(q, header),
 		UsefulUntil: f.usefulUntil(q),
 	}, f.now())
-	failure := f.refusal(q, problem.Overloaded, "admit", detail, reserved.Delay)
+	failure := f.refusal(q, problem.Overloaded, "admit", "", reserved.Delay)
 	reserved = f.places.Move(reserved, failure.RetryDelay)
-	failure.Detail += ", " + describePlace(reserved)
+	failure.Detail = detail + ", " + describePlace(reserved)
 	return failure
 }
 
@@ -50,7 +50,7 @@
 	if !r.Given {
 		return "no place"
 	}
-	return fmt.Sprintf("place in %d ms", r.Delay.Milliseconds())
+	return "place in " + strconv.FormatInt(r.Delay.Milliseconds(), 10) + " ms"
 }
 
 // usefulUntil returns the latest time at which the request may return and, at the usual latency of
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -121,12 +121,29 @@
 // typePrefix is the prefix of the type member of every document.
 const typePrefix = "urn:lugspur:problem:"
 
+// documentTypes are the type members of the documents of all reasons.
+var documentTypes = func() map[Reason]string {
+	types := make(map[Reason]string, len(statuses))
+	for reason := range statuses {
+		types[reason] = typePrefix + string(reason)
+	}
+	return types
+}()
+
+func (r Reason) documentType() string {
+	if known, ok := documentTypes[r]; ok {
+		return known
+	}
+	return typePrefix + string(r)
+}
+
 // New returns a problem that arose in the given step at the given peer.
 func New(reason Reason, executed Executed, step, peer, detail string) *Problem {
+	status := reason.Status()
 	return &Problem{
-		Type:     typePrefix + string(reason),
-		Title:    http.StatusText(reason.Status()),
-		Status:   reason.Status(),
+		Type:     reason.documentType(),
+		Title:    http.StatusText(status),
+		Status:   status,
 		Detail:   detail,
 		Executed: executed,
 		Step:     step,
@@ -166,21 +183,31 @@
 // Write writes the problem as the HTTP response to a call.
 func (p *Problem) Write(w http.ResponseWriter) {
 	header := w.Header()
-	header.Set("Content-Type", ContentType)
-	header.Set("Cache-Control", "no-store")
-	header.Set(ExecutedHeader, string(p.Executed))
-	if p.RetryAfterSeconds > 0 {
-		header.Set("Retry-After", strconv.Itoa(p.RetryAfterSeconds))
-	}
-	if p.RetryDelay > 0 {
-		header.Set("Retry-After", strconv.FormatFloat(p.RetryDelay.Seconds(), 'f', 3, 64))
-	}
 	body := p.Document()
-	header.Set("Content-Length", strconv.Itoa(len(body)))
+	// The names are canonical, so that http.Header.Set is not needed. One array holds the values.
+	values := [...]string{ContentType, "no-store", string(p.Executed), strconv.Itoa(len(body)), p.retryAfter()}
+	header["Content-Type"] = values[0:1:1]
+	header["Cache-Control"] = values[1:2:2]
+	header[ExecutedHeader] = values[2:3:3]
+	header["Content-Length"] = values[3:4:4]
+	if values[4] != "" {
+		header["Retry-After"] = values[4:5:5]
+	}
 	w.WriteHeader(p.Status)
 	_, _ = w.Write(body)
 }
 
+// retryAfter returns the value of the Retry-After header, empty if there is none.
+func (p *Problem) retryAfter() string {
+	switch {
+	case p.RetryDelay > 0:
+		return strconv.FormatFloat(p.RetryDelay.Seconds(), 'f', 3, 64)
+	case p.RetryAfterSeconds > 0:
+		return strconv.Itoa(p.RetryAfterSeconds)
+	}
+	return ""
+}
+
 // Document returns the JSON problem document.
 func (p *Problem) Document() []byte {
 	document, err := json.Marshal(p)
--- a/internal/problem/problem_test.go
+++ b/internal/problem/problem_test.go
@@ -26,6 +26,7 @@
 	assert.Equal(t, response.Header.Get("Content-Type"), ContentType)
 	assert.Equal(t, response.Header.Get(ExecutedHeader), "no")
 	assert.Equal(t, response.Header.Get("Retry-After"), "2")
+	assert.Equal(t, response.Header.Get("Cache-Control"), "no-store")
 	assert.Equal(t, response.Header.Get("Content-Length"), strconv.Itoa(recorder.Body.Len()))
 
 	parsed, err := Parse(recorder.Body.Bytes())
