Calls at the home: fewer contexts and allocations

The context that calls of a running request watch is created by its first call, and these watch it through package clock. The run of a call is derived from its caller's context instead of a detached one that is canceled when the caller's ends; a resumption still joins and cancels it as before. The four header values for the target are parts of one array.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -351,7 +351,7 @@
 	ctx, cancel := clock.WithTimeout(r.Context(), q.deadline.Sub(f.now()))
 	defer cancel()
 	if q.nested {
-		defer context.AfterFunc(q.parentContext, cancel)()
+		defer clock.AfterFunc(q.parentContext, cancel)()
 	}
 	reply, failure := f.run(ctx, q)
 	if q.nested && (failure != nil || reply.Status >= http.StatusMultipleChoices) {
--- a/internal/guard/exchange.go
+++ b/internal/guard/exchange.go
@@ -126,10 +126,12 @@
 	if header == nil {
 		header = make(http.Header)
 	}
-	header[names.RequestID] = []string{call.RequestID}
-	header[names.DeadlineMillis] = []string{strconv.FormatInt(remainingMillis, 10)}
-	header[names.Caller] = []string{call.Caller}
-	header[names.ExpectInstance] = []string{inc.target.ID}
+	// One array holds the values. Their capacity of one makes later appends copy them.
+	values := [...]string{call.RequestID, strconv.FormatInt(remainingMillis, 10), call.Caller, inc.target.ID}
+	header[names.RequestID] = values[0:1:1]
+	header[names.DeadlineMillis] = values[1:2:2]
+	header[names.Caller] = values[2:3:3]
+	header[names.ExpectInstance] = values[3:4:4]
 	return &transport.Call{
 		Method:     call.Method,
 		Host:       call.Host,
--- a/internal/guard/running.go
+++ b/internal/guard/running.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/lugspur/lugspur/internal/clock"
 	"github.com/lugspur/lugspur/internal/criticality"
 	"github.com/lugspur/lugspur/internal/eventlog"
 	"github.com/lugspur/lugspur/internal/fingerprint"
@@ -46,7 +47,7 @@
 	// callFailed is set if one of these calls failed, and lackedCapacity if that was for lack
 	// of capacity.
 	callFailed, lackedCapacity bool
-	// cancelContext cancels Context.
+	// cancelContext cancels Context. Both are nil until the request makes a call.
 	cancelContext context.CancelFunc
 	// call is the request, and cancelExchange cancels its exchange with the target.
 	call           *peering.Call
@@ -103,10 +104,8 @@
 // when the exchange ends, with or without a response. It removes the request and returns
 // the results of its downstream calls.
 func (t *runningTable) begin(call *peering.Call, cancelExchange context.CancelCauseFunc) func(answered bool, now time.Time) downstreamCalls {
-	ctx, cancel := context.WithCancel(context.Background())
 	request := &runningRequest{
-		Running:        Running{Route: call.Route, Rank: criticality.RankOf(call.Rank), Retried: call.Retried, Context: ctx},
-		cancelContext:  cancel,
+		Running:        Running{Route: call.Route, Rank: criticality.RankOf(call.Rank), Retried: call.Retried},
 		call:           call,
 		cancelExchange: cancelExchange,
 	}
@@ -122,7 +121,7 @@
 		defer t.mutex.Unlock()
 		if !answered {
 			t.abandoned.add(call.RequestID, now)
-			request.cancelContext()
+			request.abandon()
 		}
 		if t.requests[call.RequestID] == request {
 			delete(t.requests, call.RequestID)
@@ -131,6 +130,21 @@
 	}
 }
 
+// abandon cancels the context if there is one. The table's mutex must be held.
+func (r *runningRequest) abandon() {
+	if r.cancelContext != nil {
+		r.cancelContext()
+	}
+}
+
+// running returns the request with its context. The table's mutex must be held.
+func (r *runningRequest) running() Running {
+	if r.Context == nil {
+		r.Context, r.cancelContext = clock.WithCancel(context.Background())
+	}
+	return r.Running
+}
+
 // errQuarantined is the cancellation cause of running requests that are quarantined.
 var errQuarantined = errors.New(string(peering.Quarantined))
 
@@ -154,7 +168,7 @@
 	if !found {
 		return Running{}, false
 	}
-	return request.Running, true
+	return request.running(), true
 }
 
 // Abandoned reports whether the exchange of a request with the target recently ended
--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -96,20 +96,18 @@
 		// The process that first received the call may have run it.
 		return s.encode(&Reply{Outcome: Failed, Reason: ExchangeBroken}), true
 	}
-	runCtx, cancel := clock.WithCancel(context.WithoutCancel(ctx))
-	exchange, mustRun := s.exchanges.open(call, cancel)
-	if !mustRun {
-		cancel()
-		cancel = func() { s.exchanges.cancel(exchange) }
-	}
 	// The call is canceled when any of its waiting callers disconnects.
-	defer context.AfterFunc(ctx, cancel)()
+	runCtx, cancel := clock.WithCancel(ctx)
+	exchange, mustRun := s.exchanges.open(call, cancel)
 	if mustRun {
 		defer cancel()
 		reply = s.encode(s.Home.Run(runCtx, call))
 		s.exchanges.finish(exchange, reply)
 		return reply, true
 	}
+	cancel()
+	cancel = func() { s.exchanges.cancel(exchange) }
+	defer context.AfterFunc(ctx, cancel)()
 	select {
 	case <-exchange.done:
 	case <-ctx.Done():
