Sidecar: no context lookup per request to track connections

The connection of a request was looked up through all contexts of the request to mark it as used. That is only needed while a connection without a request is open.

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -108,13 +108,20 @@
 // handler returns a handler that marks the connection of each request as used.
 func (t *connectionTracker) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if tracked, known := r.Context().Value(connectionKey{}).(*trackedConnection); known {
-			t.markUsed(tracked)
+		if t.unused.Load() > 0 {
+			t.markRequest(r)
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// markRequest marks the connection of a request as used.
+func (t *connectionTracker) markRequest(r *http.Request) {
+	if tracked, known := r.Context().Value(connectionKey{}).(*trackedConnection); known {
+		t.markUsed(tracked)
+	}
+}
+
 func (t *connectionTracker) markUsed(tracked *trackedConnection) {
 	if !tracked.used.Load() && tracked.used.CompareAndSwap(false, true) {
 		t.unused.Add(-1)
