Peering: read replies into pooled buffers

A reply was read into a new slice, from which decoding copies the content. A test overwrites messages after decoding.

--- a/internal/peering/client.go
+++ b/internal/peering/client.go
@@ -1,6 +1,7 @@
 package peering
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -87,7 +88,10 @@
 	if c.antiEntropy != nil {
 		call.Digests = c.antiEntropy.Digests()
 	}
-	response, err := c.callWithResumption(ctx, address, call, sentAt)
+	// The content of the reply is copied from the message.
+	received := newBuffer()
+	defer freeBuffer(received)
+	response, err := c.callWithResumption(ctx, address, call, sentAt, received)
 	if err != nil {
 		return nil, err
 	}
@@ -105,10 +109,10 @@
 // connection each time the connection goes silent. The silence timeout doubles with each
 // resumption, because a stalled home is silent as well. If the home's process is unknown, there is
 // no silence timeout: a resumption could reach a later process, which has no record of whether an
-// earlier one ran the call.
-func (c *Client) callWithResumption(ctx context.Context, address string, call *Call, started time.Time) (*transport.Response, error) {
+// earlier one ran the call. The reply is read into the buffer.
+func (c *Client) callWithResumption(ctx context.Context, address string, call *Call, started time.Time, received *bytes.Buffer) (*transport.Response, error) {
 	remaining := call.Remaining
-	exchange := &transport.Call{Method: http.MethodPost, Host: peerHost, RequestURI: callPath}
+	exchange := &transport.Call{Method: http.MethodPost, Host: peerHost, RequestURI: callPath, BodyBuffer: received}
 	if call.Process != 0 {
 		exchange.SilenceTimeout = silenceTimeout
 	}
--- a/internal/peering/wire_benchmark_test.go
+++ b/internal/peering/wire_benchmark_test.go
@@ -1,7 +1,10 @@
 package peering
 
 import (
+	"bytes"
+	"context"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -23,6 +26,33 @@
 		Digests: benchmarkCall().Digests}
 }
 
+// pageHome answers each call at once with a body of 4 KiB.
+type pageHome struct{}
+
+// Run returns the reply.
+func (pageHome) Run(context.Context, *Call) *Reply {
+	reply := benchmarkReply()
+	reply.Body = page
+	return reply
+}
+
+var page = bytes.Repeat([]byte("x"), 4<<10)
+
+// BenchmarkCall measures sequential calls with a reply of 4 KiB, at both nodes.
+func BenchmarkCall(b *testing.B) {
+	server := httptest.NewServer(Handler(ServerConfig{Home: pageHome{}, AntiEntropy: replica.NewAntiEntropy(replica.AntiEntropyConfig{Now: time.Now}), Codec: testCodec, MaxMessageBytes: testMaxBytes, Process: testProcess}))
+	b.Cleanup(server.Close)
+	client := NewClient(ClientConfig{MaxMessageBytes: testMaxBytes, DialTimeout: time.Second, UserTimeout: time.Second, IdleTimeout: time.Minute, MaxIdle: 4, Address: callerAddress, Codec: testCodec})
+	call := benchmarkCall()
+	b.ReportAllocs()
+	for b.Loop() {
+		reply, err := client.Call(b.Context(), server.Listener.Addr().String(), call)
+		if err != nil || len(reply.Body) != len(page) {
+			b.Fatal(err)
+		}
+	}
+}
+
 // BenchmarkCodec measures the encoding and the decoding of a typical call and its reply.
 func BenchmarkCodec(b *testing.B) {
 	call, reply := benchmarkCall(), benchmarkReply()
--- a/internal/peering/wire_test.go
+++ b/internal/peering/wire_test.go
@@ -106,6 +106,23 @@
 	}
 }
 
+// TestDecodedMessagesAreCopies guards against decoded calls and replies that refer to the pooled
+// buffer of the message, which is overwritten by the next one.
+func TestDecodedMessagesAreCopies(t *testing.T) {
+	encodedReply, encodedCall := testCodec.encodeReply(fullReply()), encodedCall(fullCall())
+	reply, err := testCodec.decodeReply(encodedReply)
+	assert.NilError(t, err)
+	call, err := testCodec.decodeCall(encodedCall)
+	assert.NilError(t, err)
+	for _, message := range [][]byte{encodedReply, encodedCall} {
+		for i := range message {
+			message[i] = 0xff
+		}
+	}
+	assert.DeepEqual(t, reply, fullReply())
+	assert.DeepEqual(t, call, fullCall())
+}
+
 func TestIDsAndAddressesRoundTrip(t *testing.T) {
 	ids := rapid.OneOf(rapid.String(), rapid.StringMatching(`[0-9a-f.]{0,40}`), rapid.StringMatching(`([0-9a-f]{16}\.){0,4}[0-9a-f]{16}`))
 	rapid.Check(t, func(r *rapid.T) {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -13,6 +13,7 @@
 package transport
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -119,6 +120,9 @@
 	PlainResponseBytes int64
 	// SilenceTimeout overrides Config.SilenceTimeout for this call unless it is zero.
 	SilenceTimeout time.Duration
+	// BodyBuffer, unless it is nil, holds the bytes of Response.Body if the response has a
+	// Content-Length. They are valid until the buffer is used again.
+	BodyBuffer *bytes.Buffer
 }
 
 // Response is a target's response. If Remainder is nil, Body is complete.
@@ -231,7 +235,7 @@
 		}
 		httpResponse.Close = true
 	}
-	response.Body, err = readUpTo(httpResponse.Body, httpResponse.ContentLength, p.config.MaxBuffered)
+	response.Body, err = readUpTo(httpResponse.Body, httpResponse.ContentLength, p.config.MaxBuffered, call.BodyBuffer)
 	switch {
 	case err != nil:
 		p.discard(c)
@@ -300,12 +304,13 @@
 }
 
 // readUpTo reads the whole body, or limit+1 bytes of a longer one. A negative length
-// means that the length is unknown.
-func readUpTo(body io.Reader, length, limit int64) ([]byte, error) {
+// means that the length is unknown. A body of known length is read into the buffer unless that is
+// nil.
+func readUpTo(body io.Reader, length, limit int64, buffer *bytes.Buffer) ([]byte, error) {
 	if length < 0 {
 		return io.ReadAll(io.LimitReader(body, limit+1))
 	}
-	content := make([]byte, min(length, limit+1))
+	content := allocate(buffer, int(min(length, limit+1)))
 	if _, err := io.ReadFull(body, content); err != nil {
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
@@ -315,6 +320,16 @@
 	return content, nil
 }
 
+// allocate returns a slice of the size, which is part of the buffer unless that is nil.
+func allocate(buffer *bytes.Buffer, size int) []byte {
+	if buffer == nil {
+		return make([]byte, size)
+	}
+	buffer.Reset()
+	buffer.Grow(size)
+	return buffer.AvailableBuffer()[:size]
+}
+
 // remainder reads the bytes after the buffered part of a large response.
 type remainder struct {
 	pool       *Pool
