Transport: failures without stack traces

Each failed exchange built an error with a stack trace and a map of attributes, also for calls that were canceled, which are frequent under overload and are not logged. Nothing in the repository reads the trace or the attributes. Failure now holds the step and the peer itself; its text is the same.

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -24,8 +24,6 @@
 	"slices"
 	"syscall"
 	"time"
-
-	"github.com/samber/oops"
 )
 
 // Config describes how to reach a target.
@@ -154,19 +152,20 @@
 	// SilentConnection is the connection if the target was silent for too long. It is left
 	// open, because closing it cancels the call at the target. The caller must close it.
 	SilentConnection io.Closer
-	cause            error
+	// step is what failed, and peer the target's address. The text is not formatted before it is
+	// needed: most failures under load are calls that were canceled, which are not logged.
+	step, peer string
+	cause      error
 }
 
-// Error returns the text of the cause, which names the step and the target.
-func (f *Failure) Error() string { return f.cause.Error() }
+// Error returns the text of the cause with the step and the target.
+func (f *Failure) Error() string { return f.step + " with " + f.peer + ": " + f.cause.Error() }
 
 // Unwrap returns the cause.
 func (f *Failure) Unwrap() error { return f.cause }
 
 func (p *Pool) failure(step string, sent, incomplete bool, err error) *Failure {
-	wrapped := oops.In("transport").With("step", step).With("peer", p.config.Address).
-		Wrapf(err, "%s with %s", step, p.config.Address)
-	return &Failure{Sent: sent, Incomplete: incomplete, cause: wrapped}
+	return &Failure{Sent: sent, Incomplete: incomplete, step: step, peer: p.config.Address, cause: err}
 }
 
 // Exchange sends the call and reads the response. Ending the context closes the
