--- a/internal/forward/receive.go
+++ b/internal/forward/receive.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -188,7 +187,8 @@
 	if f.takePlace(q) || q.rank.Key() < limit.threshold {
 		return nil
 	}
-	return f.refuseWithPlace(q, header, fmt.Sprintf("%s: rank %d, threshold %d", limit, q.rank.Key(), limit.threshold))
+	detail := limit.String() + ": rank " + strconv.Itoa(int(q.rank.Key())) + ", threshold " + strconv.Itoa(int(limit.threshold))
+	return f.refuseWithPlace(q, header, detail)
 }
 
 // timeoutOf returns the timeout of the route, or the default if it has none, limited by the
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -5,13 +5,15 @@
 // written at most once, and a failure reports whether any of it may have reached the
 // target, so that retrying is always the caller's decision.
 //
-// net/http encodes the headers of calls and parses responses, except for the replies of peers,
-// whose header has a fixed form (Call.PlainResponseBytes). Its Transport is not used, because it
-// retries calls by itself and passes each exchange through two more goroutines
+// net/http encodes the headers of calls and parses responses, except for two frequent forms: the
+// replies of peers, whose header is fixed (Call.PlainResponseBytes), and small responses with
+// nothing unusual in their header (parseResponse). Its Transport is not used, because it retries
+// calls by itself and passes each exchange through two more goroutines
 // (docs/decisions/0003-transport.md).
 package transport
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -22,8 +24,6 @@
 	"slices"
 	"syscall"
 	"time"
-
-	"github.com/samber/oops"
 )
 
 // Config describes how to reach a target.
@@ -118,6 +118,9 @@
 	PlainResponseBytes int64
 	// SilenceTimeout overrides Config.SilenceTimeout for this call unless it is zero.
 	SilenceTimeout time.Duration
+	// BodyBuffer, unless it is nil, holds the bytes of Response.Body if the response has a
+	// Content-Length. They are valid until the buffer is used again.
+	BodyBuffer *bytes.Buffer
 }
 
 // Response is a target's response. If Remainder is nil, Body is complete.
@@ -149,19 +152,20 @@
 	// SilentConnection is the connection if the target was silent for too long. It is left
 	// open, because closing it cancels the call at the target. The caller must close it.
 	SilentConnection io.Closer
-	cause            error
+	// step is what failed, and peer the target's address. The text is not formatted before it is
+	// needed: most failures under load are calls that were canceled, which are not logged.
+	step, peer string
+	cause      error
 }
 
-// Error returns the text of the cause, which names the step and the target.
-func (f *Failure) Error() string { return f.cause.Error() }
+// Error returns the text of the cause with the step and the target.
+func (f *Failure) Error() string { return f.step + " with " + f.peer + ": " + f.cause.Error() }
 
 // Unwrap returns the cause.
 func (f *Failure) Unwrap() error { return f.cause }
 
 func (p *Pool) failure(step string, sent, incomplete bool, err error) *Failure {
-	wrapped := oops.In("transport").With("step", step).With("peer", p.config.Address).
-		Wrapf(err, "%s with %s", step, p.config.Address)
-	return &Failure{Sent: sent, Incomplete: incomplete, cause: wrapped}
+	return &Failure{Sent: sent, Incomplete: incomplete, step: step, peer: p.config.Address, cause: err}
 }
 
 // Exchange sends the call and reads the response. Ending the context closes the
@@ -230,7 +234,7 @@
 		}
 		httpResponse.Close = true
 	}
-	response.Body, err = readUpTo(httpResponse.Body, httpResponse.ContentLength, p.config.MaxBuffered)
+	response.Body, err = readUpTo(httpResponse.Body, httpResponse.ContentLength, p.config.MaxBuffered, call.BodyBuffer)
 	switch {
 	case err != nil:
 		p.discard(c)
@@ -259,7 +263,7 @@
 // to other calls.
 func (p *Pool) awaitMatching(c *connection, call *Call, silenceTimeout time.Duration) (*http.Response, error) {
 	for range maxMismatched {
-		response, err := c.readHeader(call, p.config.MaxHeaderBytes, silenceTimeout)
+		response, err := c.readHeader(call, &p.config, silenceTimeout)
 		if err != nil {
 			return nil, err
 		}
@@ -299,12 +303,13 @@
 }
 
 // readUpTo reads the whole body, or limit+1 bytes of a longer one. A negative length
-// means that the length is unknown.
-func readUpTo(body io.Reader, length, limit int64) ([]byte, error) {
+// means that the length is unknown. A body of known length is read into the buffer unless that is
+// nil.
+func readUpTo(body io.Reader, length, limit int64, buffer *bytes.Buffer) ([]byte, error) {
 	if length < 0 {
 		return io.ReadAll(io.LimitReader(body, limit+1))
 	}
-	content := make([]byte, min(length, limit+1))
+	content := allocate(buffer, int(min(length, limit+1)))
 	if _, err := io.ReadFull(body, content); err != nil {
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
@@ -314,6 +319,16 @@
 	return content, nil
 }
 
+// allocate returns a slice of the size, which is part of the buffer unless that is nil.
+func allocate(buffer *bytes.Buffer, size int) []byte {
+	if buffer == nil {
+		return make([]byte, size)
+	}
+	buffer.Reset()
+	buffer.Grow(size)
+	return buffer.AvailableBuffer()[:size]
+}
+
 // remainder reads the bytes after the buffered part of a large response.
 type remainder struct {
 	pool       *Pool
