--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -49,13 +49,13 @@
 	probe     func(fd uintptr) bool
 	quiet     bool
 	// request, plain and plainBody are reused for each exchange: request holds the method for
-	// http.ReadResponse, plain and plainBody are the result of readPlain and readBuffered.
+	// http.ReadResponse, plain and plainBody are the result of readPlain.
 	request   http.Request
 	plain     http.Response
 	plainBody plainBody
 }
 
-// plainBody reads the body of a response that readPlain or readBuffered has read.
+// plainBody reads the body of a plain response.
 type plainBody struct{ io.LimitedReader }
 
 // Close does nothing: the connection is released by its pool.
@@ -123,8 +123,7 @@
 // readHeader reads the status and the header of the response to the call. The response's
 // body must be read before the next exchange. If the silence timeout is not zero, it
 // bounds the time between interim responses, and their number is not limited.
-func (c *connection) readHeader(call *Call, config *Config, silenceTimeout time.Duration) (*http.Response, error) {
-	maxBytes := config.MaxHeaderBytes
+func (c *connection) readHeader(call *Call, maxBytes int64, silenceTimeout time.Duration) (*http.Response, error) {
 	c.request.Method = call.Method
 	c.headerRemaining = maxBytes
 	for interim := 0; interim < maxInterim || silenceTimeout > 0; interim++ {
@@ -134,7 +133,7 @@
 		if err := c.startSilenceTimeout(silenceTimeout); err != nil {
 			return nil, err
 		}
-		response, err := c.readResponse(call, config.MaxBuffered)
+		response, err := c.readResponse(call)
 		switch {
 		case err != nil:
 			return nil, err
@@ -151,30 +150,16 @@
 }
 
 // readResponse reads the header of one response.
-func (c *connection) readResponse(call *Call, maxBuffered int64) (*http.Response, error) {
-	if err := c.awaitResponse(); err != nil {
-		return nil, err
-	}
+func (c *connection) readResponse(call *Call) (*http.Response, error) {
 	if call.PlainResponseBytes > 0 {
-		if response := c.readPlain(call.PlainResponseBytes); response != nil {
-			return response, nil
+		response, err := c.readPlain(call.PlainResponseBytes)
+		if response != nil || err != nil {
+			return response, err
 		}
 	}
-	if response := c.readBuffered(call.Method, maxBuffered); response != nil {
-		return response, nil
-	}
 	return http.ReadResponse(c.reader, &c.request)
 }
 
-// awaitResponse waits until the beginning of a response is buffered.
-func (c *connection) awaitResponse() error {
-	_, err := c.reader.Peek(1)
-	if errors.Is(err, io.EOF) {
-		return io.ErrUnexpectedEOF
-	}
-	return err
-}
-
 // plainHeaderPrefix is the beginning of a plain response, whose only header field is
 // Content-Length.
 const plainHeaderPrefix = "HTTP/1.1 200 OK\r\nContent-Length: "
@@ -182,17 +167,23 @@
 // readPlain reads the header of a plain response with a body of up to maxBody bytes. It returns
 // nil and reads nothing if the response is not plain or its header has not arrived completely.
 // The response has no Header and is valid until the next exchange.
-func (c *connection) readPlain(maxBody int64) *http.Response {
+func (c *connection) readPlain(maxBody int64) (*http.Response, error) {
+	if _, err := c.reader.Peek(1); err != nil {
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
+		return nil, err
+	}
 	// Peek cannot fail for bytes that are buffered.
 	received, _ := c.reader.Peek(c.reader.Buffered())
 	length, headerBytes := parsePlain(received)
 	if headerBytes == 0 || length > maxBody {
-		return nil
+		return nil, nil
 	}
 	_, _ = c.reader.Discard(headerBytes)
 	c.plainBody = plainBody{io.LimitedReader{R: c.reader, N: length}}
 	c.plain = http.Response{StatusCode: http.StatusOK, ContentLength: length, Body: &c.plainBody}
-	return &c.plain
+	return &c.plain, nil
 }
 
 // maxLengthDigits bounds the digits of a plain response's Content-Length, so that the number
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -5,10 +5,9 @@
 // written at most once, and a failure reports whether any of it may have reached the
 // target, so that retrying is always the caller's decision.
 //
-// net/http encodes the headers of calls and parses responses, except for two frequent forms: the
-// replies of peers, whose header is fixed (Call.PlainResponseBytes), and small responses with
-// nothing unusual in their header (parseResponse). Its Transport is not used, because it retries
-// calls by itself and passes each exchange through two more goroutines
+// net/http encodes the headers of calls and parses responses, except for the replies of peers,
+// whose header has a fixed form (Call.PlainResponseBytes). Its Transport is not used, because it
+// retries calls by itself and passes each exchange through two more goroutines
 // (docs/decisions/0003-transport.md).
 package transport
 
@@ -263,7 +262,7 @@
 // to other calls.
 func (p *Pool) awaitMatching(c *connection, call *Call, silenceTimeout time.Duration) (*http.Response, error) {
 	for range maxMismatched {
-		response, err := c.readHeader(call, &p.config, silenceTimeout)
+		response, err := c.readHeader(call, p.config.MaxHeaderBytes, silenceTimeout)
 		if err != nil {
 			return nil, err
 		}
