Shed: calls of started requests take capacity from new ones

Cause: when a threshold falls, requests of the ranks that it refuses have started and go on with their calls for up to a second. The controller left these calls out, so that it admitted the whole capacity to new requests on top of them, and the queue stayed full.

Change: where thresholds reach entry nodes quickly, the rate of calls that still arrive at refused ranks is deducted from the rate to admit. Other deployments keep the rate.

--- a/internal/guard/burst_simulation_test.go
+++ b/internal/guard/burst_simulation_test.go
@@ -169,26 +169,28 @@
 
 // TestBurstBeyondCapacity guards against thresholds that readmit too many ranks, again and again, so that
 // started runs fail. Applied after 100 ms, the configuration for slow propagation lets more than 2.5 times
-// as many runs fail. The plan's target, 0.05 of the runs, is not reached with all kinds.
+// as many runs fail. Less than a twentieth of the started runs may fail for lack of capacity.
 func TestBurstBeyondCapacity(t *testing.T) {
 	for _, c := range []struct {
 		name   string
 		kinds  []burstKind
 		length time.Duration
-		failed float64
 	}{
-		{"all kinds", []burstKind{{criticality.Critical, 1, 41, 120, 0.25, 1.7}, {criticality.CriticalPlus, 4, 30, 500, 0.25, 1.7}, {criticality.Sheddable, 8, 30, 500, 0.40, 1.7}}, 18 * time.Second, 0.09},
-		{"one kind", []burstKind{{criticality.Critical, 1, 31, 120, 0.30, 1}, {criticality.Sheddable, 4, 19, 500, 0.30, 2.4}, {criticality.SheddablePlus, 8, 19, 500, 0.25, 1}}, 6 * time.Second, 0.05},
+		{"all kinds", []burstKind{{criticality.Critical, 1, 41, 120, 0.25, 1.7}, {criticality.CriticalPlus, 4, 30, 500, 0.25, 1.7}, {criticality.Sheddable, 8, 30, 500, 0.40, 1.7}}, 18 * time.Second},
+		{"one kind", []burstKind{{criticality.Critical, 1, 31, 120, 0.30, 1}, {criticality.Sheddable, 4, 19, 500, 0.30, 2.4}, {criticality.SheddablePlus, 8, 19, 500, 0.25, 1}}, 6 * time.Second},
 	} {
-		failedShare := func(config shed.Config) float64 {
-			b := playBurst(config, c.kinds, c.length, 1)
-			failed := b.runs[false] / (b.runs[true] + b.runs[false])
-			t.Logf("%s: %.3f of the runs fail, %.3f of the capacity is used with %+v", c.name, failed, b.used, config)
-			assert.Assert(t, b.used >= 0.95)
-			assert.Equal(t, b.entry.Threshold("last"), shed.None, "the threshold ends with the burst")
+		failedShare := func(config shed.Config) (failed float64) {
+			const seeds = 3
+			for seed := range uint64(seeds) {
+				b := playBurst(config, c.kinds, c.length, seed)
+				failed += b.runs[false] / (b.runs[true] + b.runs[false]) / seeds
+				assert.Assert(t, b.used >= 0.95, "%.3f of the capacity is used", b.used)
+				assert.Equal(t, b.entry.Threshold("last"), shed.None, "the threshold ends with the burst")
+			}
+			t.Logf("%s: %.3f of the runs fail with %+v", c.name, failed, config)
 			return failed
 		}
 		failed := failedShare(fastShedConfig)
-		assert.Assert(t, failed < c.failed && failed*2.5 < failedShare(shed.Config{Floor: shedFloor}))
+		assert.Assert(t, failed < 0.05 && failed*2.5 < failedShare(shed.Config{Floor: shedFloor}))
 	}
 }
--- a/internal/guard/running.go
+++ b/internal/guard/running.go
@@ -244,10 +244,9 @@
 const shedFloor = 8
 
 // fastShedConfig is for thresholds that reach entry nodes within 200 ms. The queue is shorter and
-// corrected faster than where thresholds take more than a second, and SettleTime is about the duration
-// of requests with several calls. In the model of bursts (TestBurstBeyondCapacity), the share of started
-// runs that fail falls from 0.26 to 0.07 and from 0.16 to 0.03, while 0.98 of the capacity is used.
-var fastShedConfig = shed.Config{Floor: shedFloor, QueueShare: 0.1, DrainTime: 300 * time.Millisecond, SettleTime: 700 * time.Millisecond}
+// corrected faster than where thresholds take more than a second, SettleTime is about the duration of
+// requests with several calls, and calls of requests that started before a threshold fell count.
+var fastShedConfig = shed.Config{Floor: shedFloor, QueueShare: 0.1, DrainTime: 300 * time.Millisecond, SettleTime: 700 * time.Millisecond, DeductStarted: true}
 
 // shedConfig returns the configuration of the controller of the queue.
 func (g *Guard) shedConfig() shed.Config {
--- a/internal/shed/controller.go
+++ b/internal/shed/controller.go
@@ -61,6 +61,9 @@
 	// the rank make their calls one after another, so that the first calls don't show the rate.
 	// Zero lowers it at once.
 	SettleTime time.Duration
+	// DeductStarted deducts the calls that still arrive at ranks that are being shed from the rate
+	// to admit. Where thresholds take effect quickly, they are calls of requests that started before.
+	DeductStarted bool
 	// Floor is the lowest threshold ever set; ranks with a smaller key are always admitted. At least 1.
 	Floor uint16
 }
@@ -125,6 +128,8 @@
 	// capacity is the moving average of calls served per second while busy, zero if
 	// unknown.
 	capacity float64
+	// started is the moving average of arrivals per second at ranks that are being shed.
+	started float64
 }
 
 // NewController returns a controller whose threshold is None.
@@ -206,9 +211,11 @@
 	if state.utilization() < highUtilization {
 		decay = math.Exp2(-elapsed / c.config.ShedRateHalfLife.Seconds())
 	}
+	started := 0.0
 	for key := range c.rates {
 		rate := float64(c.arrivals[key].Swap(0)) / elapsed
 		if uint16(key) >= threshold {
+			started += rate
 			c.rates[key] *= decay
 			if c.shedAt != nil {
 				c.shedAt[key] = c.lastTick
@@ -220,6 +227,7 @@
 		}
 		c.rates[key] += weight * (rate - c.rates[key])
 	}
+	c.started += weight * (started - c.started)
 }
 
 // isSettling reports whether a rank was readmitted less than Config.SettleTime ago.
@@ -229,10 +237,13 @@
 
 // desiredRate returns the arrivals per second to admit to a busy target: the rate
 // that it serves, corrected so that the queue reaches its desired length within
-// Config.DrainTime.
+// Config.DrainTime, less the calls of requests that started before if so configured.
 func (c *Controller) desiredRate(state State) float64 {
 	desiredQueue := max(c.config.QueueShare*float64(state.Limit), 1)
 	correction := (desiredQueue - float64(state.Queued)) / c.config.DrainTime.Seconds()
+	if c.config.DeductStarted {
+		correction -= c.started
+	}
 	return min(max(c.capacity+correction, minRateShare*c.capacity), maxRateShare*c.capacity)
 }
 
--- a/internal/shed/doc.go
+++ b/internal/shed/doc.go
@@ -26,6 +26,8 @@
 //   - Where requests make several calls one after another, a readmitted rank reaches its
 //     rate only after as long as its requests take. Its rate may therefore be kept for
 //     Config.SettleTime; otherwise too many ranks are readmitted, again and again.
+//     Requests that started before the threshold fell go on with their calls. These take
+//     capacity as well, and may be deducted with Config.DeductStarted.
 //   - With spare capacity, the admitted arrivals may grow by 1/utilization, at most
 //     doubling each tick. The threshold thus returns to None as fast as the queue
 //     empties instead of by a small step each tick, which determines the recovery
