Settings: remove admission of whole requests

Cause: thresholds by service replace the part.

Thresholds of services replace those of routes as before with the setting off.

Run: go test of the tests of settings and admission limits in internal/forward and internal/sidecar; go vet of both and of lab/soak.

--- a/internal/forward/admission_limit.go
+++ b/internal/forward/admission_limit.go
@@ -30,7 +30,7 @@
 		return limit
 	}
 	needed, whole := f.routeNeedsLimit(route)
-	if needed.threshold < limit.threshold || whole && !f.config.RouteThresholds {
+	if needed.threshold < limit.threshold || whole {
 		return needed
 	}
 	return limit
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -54,9 +54,6 @@
 	// objective, and NestedWaitShare the same for nested calls, which are calls made by a
 	// running request.
 	WaitShare, NestedWaitShare float64
-	// RouteThresholds means that the thresholds of routes always apply, although those of the
-	// services that their requests need are newer, because homes derive them from other things too.
-	RouteThresholds bool
 	// ParentOf returns the ID of the request that made a call, and false if the ID of the
 	// call does not contain it.
 	ParentOf func(id string) (string, bool)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -135,7 +135,6 @@
 		Quarantine:     n.quarantine,
 		OnRateLimit:    func(i registry.Incarnation, a targetrate.Announcement) { n.registrar.SetRateLimit(i, a) },
 		OnLeaving:      n.handleTargetLeaving,
-		WholeRequests:  settings.Shortage.WholeRequests,
 		Shortages:      n.shortages,
 		Costs:          n.costs,
 		Observer:       n.metrics,
@@ -231,7 +230,6 @@
 		},
 		WaitShare:       n.settings.Queue.ObjectiveShare,
 		NestedWaitShare: n.settings.Queue.InnerObjectiveShare,
-		RouteThresholds: n.settings.Shortage.WholeRequests,
 		ParentOf:        platform.ParentRequestID,
 	}, forward.Dependencies{
 		Routes:     n.routes,
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -120,9 +120,6 @@
 	// zero, the deployment must expect to run with too little capacity, and the decisions for
 	// that case are enabled.
 	ZoneLosses int `toml:"zone-losses"`
-	// WholeRequests enables the admission of whole requests (docs/WHOLE-REQUESTS.md). It is
-	// independent of ZoneLosses.
-	WholeRequests bool `toml:"whole-requests"`
 }
 
 // Expected reports whether the deployment must expect to run with too little capacity.
