Guard: remove thresholds derived from completed runs

Cause: nothing enables admission of whole requests any more; thresholds by service replace it.

Change: package internal/completion, guard.Config.WholeRequests and internal/guard/whole_requests.go are removed, with the metrics lugspur_runs_total and lugspur_route_threshold_ratio, the route of admission-changed events and the operators' page. docs/design/whole-requests.md stays as a record and says so at its top; the other design pages say that the part was removed.

Tests that covered only the removed part are removed with it: TestStartedRequestsComplete, TestNoThresholdWithoutShortage, TestThresholdOfKilledHomeExpires, TestFirstFailuresRefuseTwoThirds, TestBurstThatIsOverRefusesNothing, TestLogLinesAreBounded and TestRoutesAreBoundedAndForgotten of internal/completion; TestRunsAreCountedByCause, TestRouteThresholdIsReported, TestRunsWithoutCallsAreNotCounted and TestNothingIsReportedUnlessEnabled of internal/guard. TestEveryMetricIsDocumented no longer sets the two metrics and still compares the page with all metrics served.

Run: go test of internal/guard, internal/eventlog and internal/sidecar.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -129,7 +129,7 @@
 	ShardChanged:            {"shard-changed", stateChange, "this node acquired (outcome held) or lost (outcome lost) the shard count of tenants' rate limits; reason says why"},
 	PolicyFailed:            {"policy-failed", stateChange, "the route's policy could not be evaluated; its fallback result applies"},
 	LimitChanged:            {"limit-changed", stateChange, "count is the new concurrency limit of the local target"},
-	AdmissionChanged:        {"admission-changed", stateChange, "count is the shed threshold as a percentage of all ranks, or that of route if it is set; reason is the queueing delay, or the share of runs without capacity, that caused the change"},
+	AdmissionChanged:        {"admission-changed", stateChange, "count is the shed threshold as a percentage of all ranks; reason is the queueing delay that caused the change"},
 	ServiceThresholdChanged: {"service-threshold-changed", stateChange, "requests that need service are refused where they enter if their rank is at or above count, a percentage of all ranks, according to the reports of its homes; 100 refuses none"},
 	RequestAnswered:         {"request-answered", success, "a response of a target was returned to the caller"},
 	RequestRefused:          {"request-refused", refusal, "the request was refused without having run; wait is the retry delay, and reason names the service without room, if that is why, and its return place if such places are given"},
--- a/internal/guard/exchange.go
+++ b/internal/guard/exchange.go
@@ -78,7 +78,6 @@
 				}
 			}
 		}
-		g.recordRun(call, reply, calls, started)
 		inc.stats.recordEnd(call.Route, reply, duration, ended)
 		if reply.Reason == peering.ConnectFailed {
 			g.recordReachability(inc, false)
@@ -91,7 +90,6 @@
 	}
 	reply := g.replyForResponse(response)
 	reply.TargetError = isTargetFailure(reply) && !calls.failed
-	g.recordRun(call, reply, calls, started)
 	g.recordCosts(inc, call, reply, calls, duration, ended)
 	if reply.Outcome == peering.Answered {
 		g.recordAnswered(screened, call, ended)
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -15,7 +15,6 @@
 
 	"github.com/lugspur/lugspur/internal/callheader"
 	"github.com/lugspur/lugspur/internal/clock"
-	"github.com/lugspur/lugspur/internal/completion"
 	"github.com/lugspur/lugspur/internal/downstream"
 	"github.com/lugspur/lugspur/internal/ending"
 	"github.com/lugspur/lugspur/internal/eventlog"
@@ -61,9 +60,6 @@
 	// OnLeaving is called once with each incarnation that announces in a response that it is
 	// leaving; it may be nil.
 	OnLeaving func(registry.Incarnation)
-	// WholeRequests enables the admission of whole requests: requests whose calls lack
-	// capacity are refused where they enter (package completion).
-	WholeRequests bool
 	// Shortages holds the reports on shortages that replies carry, and Costs what requests use of
 	// each service. They are nil unless the deployment must expect shortage.
 	Shortages *shortage.Table
@@ -99,11 +95,6 @@
 	CallGivenBack(service string)
 	// LoadReported records a load report of the target.
 	LoadReported(kind pace.Kind)
-	// RunFinished records a finished run that made downstream calls.
-	RunFinished(route string, result completion.Result)
-	// RouteThreshold records the lowest rank key of the route that is refused so that started
-	// requests complete, shed.None if none is.
-	RouteThreshold(route string, threshold uint16)
 }
 
 // Guard admits calls to the target. It is safe for concurrent use.
@@ -121,10 +112,7 @@
 	running          runningTable
 	suspectLock      suspectLock
 	answered         answeredSet
-	// completion holds the thresholds of routes whose requests make calls, nil if
-	// Config.WholeRequests is not set.
-	completion *completion.Controller
-	mutex      sync.Mutex
+	mutex            sync.Mutex
 }
 
 // incarnation is the state of one target process, from its registration until another
@@ -149,11 +137,7 @@
 
 // New returns a guard without a target, which refuses all calls.
 func New(config Config, log *eventlog.Log, now func() time.Time) *Guard {
-	g := &Guard{config: config, log: log, now: now}
-	if config.WholeRequests {
-		g.completion = completion.New(now)
-	}
-	return g
+	return &Guard{config: config, log: log, now: now}
 }
 
 // SetTarget applies the current registration of the local target.
@@ -276,7 +260,7 @@
 		Queued:          stats.Queued,
 		Limit:           stats.Limit,
 		Latency:         inc.stats.latency(route, g.now()),
-		Threshold:       min(inc.ownThreshold(), g.routeThreshold(route), downstream.Threshold),
+		Threshold:       min(inc.ownThreshold(), downstream.Threshold),
 		FailurePercent:  inc.stats.failurePercent(),
 		ErrorPercent:    inc.stats.errorPercent(),
 		CallsPerRequest: downstream.CallsPerRequest,
--- a/internal/guard/queue.go
+++ b/internal/guard/queue.go
@@ -15,7 +15,6 @@
 func (g *Guard) acquire(ctx context.Context, inc *incarnation, call *peering.Call, deadline time.Time) (*scheduler.Permit, *peering.Reply) {
 	rank := criticality.RankOf(call.Rank)
 	inc.shedding.Observe(rank)
-	g.observeRouteArrival(call.Route, rank)
 	permit, err := inc.scheduler.Acquire(ctx, scheduler.Request{
 		Rank:        rank,
 		PriorCalls:  call.PriorCalls,
--- a/internal/guard/running.go
+++ b/internal/guard/running.go
@@ -273,7 +273,6 @@
 
 // updateThreshold updates the threshold and returns the one that was logged last.
 func (g *Guard) updateThreshold(logged uint16) uint16 {
-	g.updateRouteThresholds()
 	inc := g.current.Load()
 	if inc == nil {
 		g.config.Shortages.SetLocal(shed.None, 0)
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -12,7 +12,6 @@
 	dto "github.com/prometheus/client_model/go"
 	"github.com/prometheus/common/expfmt"
 
-	"github.com/lugspur/lugspur/internal/completion"
 	"github.com/lugspur/lugspur/internal/eventlog"
 	"github.com/lugspur/lugspur/internal/forward"
 	"github.com/lugspur/lugspur/internal/guard"
@@ -20,7 +19,6 @@
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/problem"
 	"github.com/lugspur/lugspur/internal/registry"
-	"github.com/lugspur/lugspur/internal/shed"
 )
 
 const (
@@ -50,8 +48,6 @@
 	queueTime         *prometheus.HistogramVec
 	targetTime        *prometheus.HistogramVec
 	stallTime         prometheus.Counter
-	runs              *prometheus.CounterVec
-	routeThreshold    *prometheus.GaugeVec
 
 	tenants *tenantCounter
 
@@ -129,20 +125,10 @@
 			Name:      "process_stalled_seconds_total",
 			Help:      "Time for which the process stood still, without the first 0.15 s of each time.",
 		}),
-		runs: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: namespace,
-			Name:      "runs_total",
-			Help:      "Ended runs at the target beside the node that made calls, by route and result: whole, no-room or other.",
-		}, []string{"route", "result"}),
-		routeThreshold: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Namespace: namespace,
-			Name:      "route_threshold_ratio",
-			Help:      "Part of all ranks of the route that the home admits so that started requests complete; 1 refuses nothing.",
-		}, []string{"route"}),
 		tenants: newTenantCounter(),
 		routes:  make(map[string]bool),
 	}
-	m.registry.MustRegister(m.tenants.requests, m.requests, m.duration, m.calls, m.callsSent, m.callsGivenBack, m.loadReports, m.zoneExits, m.budgetEvents, m.heartbeatRefusals, m.queueTime, m.targetTime, m.stallTime, m.runs, m.routeThreshold, &eventCollector{log: log})
+	m.registry.MustRegister(m.tenants.requests, m.requests, m.duration, m.calls, m.callsSent, m.callsGivenBack, m.loadReports, m.zoneExits, m.budgetEvents, m.heartbeatRefusals, m.queueTime, m.targetTime, m.stallTime, &eventCollector{log: log})
 	return m
 }
 
@@ -219,18 +205,6 @@
 // ZoneLeft counts the choice of a home in another zone.
 func (m *metrics) ZoneLeft() { m.zoneExits.Inc() }
 
-// RunFinished counts a finished run that made downstream calls.
-func (m *metrics) RunFinished(route string, result completion.Result) {
-	m.runs.WithLabelValues(m.routeLabel(route), result.String()).Inc()
-}
-
-// RouteThreshold sets the threshold of a route. Routes without a label of their own have none.
-func (m *metrics) RouteThreshold(route string, threshold uint16) {
-	if label := m.routeLabel(route); label != otherRoute {
-		m.routeThreshold.WithLabelValues(label).Set(float64(threshold) / float64(shed.None))
-	}
-}
-
 // routeLabel returns the label for the route: its name, or otherRoute once there are
 // maxRouteLabels others.
 func (m *metrics) routeLabel(route string) string {
--- a/internal/sidecar/metrics_test.go
+++ b/internal/sidecar/metrics_test.go
@@ -14,7 +14,6 @@
 	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
-	"github.com/lugspur/lugspur/internal/completion"
 	"github.com/lugspur/lugspur/internal/downstream"
 	"github.com/lugspur/lugspur/internal/forward"
 	"github.com/lugspur/lugspur/internal/guard"
@@ -61,8 +60,6 @@
 	n.metrics.CallSent(guard.FirstSend)
 	n.metrics.CallGivenBack("s")
 	n.metrics.LoadReported(pace.WithPace)
-	n.metrics.RunFinished("r", completion.Whole)
-	n.metrics.RouteThreshold("r", 0)
 	n.metrics.countRefusedHeartbeat(registry.RefusedSlots)
 	n.metrics.BudgetCounted("s", forward.FirstSent, "")
 	n.storeCalls.CallEnded(purposeRecords, "list", "done")
