Guard: record failed calls without a cause

Cause: only the removed admission of whole requests distinguished lack of capacity from other causes.

RecordCallFailure records the failure alone, which TargetError, the statistics of targets and the costs of complete runs still use.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -126,8 +126,8 @@
 	CountCall(id, route string) int
 	// RecordCallSent records the service to which a call of a running request is sent.
 	RecordCallSent(id, route, service string)
-	// RecordCallFailure records that a call made by a running request failed, and why.
-	RecordCallFailure(id string, cause guard.FailureCause)
+	// RecordCallFailure records that a call made by a running request failed.
+	RecordCallFailure(id string)
 }
 
 // Peers sends calls and pings to other nodes.
@@ -341,9 +341,6 @@
 	// lastReason the reason why that offer was not successful.
 	lastHome   string
 	lastReason peering.Reason
-	// lastNoRoom is set if the reply to that offer reports that the run failed for lack of
-	// capacity, and budgetDenied if the retry budget did not allow another offer.
-	lastNoRoom, budgetDenied bool
 }
 
 // ServeHTTP serves one request.
@@ -368,7 +365,7 @@
 	}
 	reply, failure := f.run(ctx, q)
 	if q.nested && (failure != nil || reply.Status >= http.StatusMultipleChoices) {
-		f.local.RecordCallFailure(q.parent, q.failureCause(r.Context(), reply))
+		f.local.RecordCallFailure(q.parent)
 	}
 	switch {
 	case r.Context().Err() != nil:
@@ -381,21 +378,6 @@
 	}
 }
 
-// failureCause returns why the nested call failed. The reply is nil if no home answered it.
-func (q *request) failureCause(ctx context.Context, reply *peering.Reply) guard.FailureCause {
-	lacksCapacity := q.lastNoRoom || q.lastReason.LacksCapacity() && !q.isSuspect()
-	switch {
-	case ctx.Err() != nil, q.parentContext.Err() != nil, q.budgetDenied:
-		return guard.OtherFailure
-	case reply != nil:
-		lacksCapacity = reply.NoRoom
-	}
-	if lacksCapacity {
-		return guard.NoCapacity
-	}
-	return guard.OtherFailure
-}
-
 func (f *Forwarder) problem(reason problem.Reason, executed problem.Executed, step, detail string) *problem.Problem {
 	return problem.New(reason, executed, step, f.config.Node, detail)
 }
--- a/internal/forward/move.go
+++ b/internal/forward/move.go
@@ -46,7 +46,7 @@
 	}
 	q.move = callMove{givenBack: true, from: home, charged: q.isRetry()}
 	q.excluded = append(q.excluded, home)
-	q.lastReason, q.lastNoRoom = reply.Reason, false
+	q.lastReason = reply.Reason
 	f.logRetry(q)
 	return true
 }
--- a/internal/forward/retry.go
+++ b/internal/forward/retry.go
@@ -119,7 +119,6 @@
 // budgetProblem returns the problem for a request whose retry the budget does not allow.
 func (f *Forwarder) budgetProblem(q *request) *problem.Problem {
 	const detail = "no retry budget left"
-	q.budgetDenied = true
 	if q.attempts > 0 {
 		return f.problem(problem.TargetFailed, problem.ExecutedUnknown, "run", string(q.lastReason)+": "+detail)
 	}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -78,7 +78,7 @@
 			q.excluded = append(q.excluded, home)
 			continue
 		}
-		q.lastReason, q.lastNoRoom = reply.Reason, reply.NoRoom
+		q.lastReason = reply.Reason
 		q.recordCrashes(reply)
 		if failure := f.terminalProblem(ctx, q, reply); failure != nil {
 			return nil, failure
--- a/internal/guard/running.go
+++ b/internal/guard/running.go
@@ -26,30 +26,15 @@
 	Context context.Context
 }
 
-// FailureCause is why a downstream call failed.
-type FailureCause uint8
-
-// Causes of failed downstream calls.
-const (
-	// OtherFailure is any cause but lack of capacity.
-	OtherFailure FailureCause = iota
-	// NoCapacity means that a queue refused, evicted or delayed the call, or one of its own
-	// downstream calls, for too long.
-	NoCapacity
-)
-
 // runningRequest is a request at the target and the downstream calls that it has made.
 type runningRequest struct {
 	Running
 	// calls counts the downstream calls of the request by route.
 	calls map[string]int
-	// callCount is the number of these calls.
-	callCount int
 	// sent counts the downstream calls by route and service.
 	sent []downstream.Call
-	// callFailed is set if one of these calls failed, and lackedCapacity if that was for lack
-	// of capacity.
-	callFailed, lackedCapacity bool
+	// callFailed is set if one of these calls failed.
+	callFailed bool
 	// cancelContext cancels Context. Both are nil until the request makes a call.
 	cancelContext context.CancelFunc
 	// call is the request, and cancelExchange cancels its exchange with the target.
@@ -100,7 +85,8 @@
 // downstreamCalls is what is known of the downstream calls of a request when its exchange
 // with the target ends.
 type downstreamCalls struct {
-	made, failed, lackedCapacity bool
+	// failed is set if one of the calls failed.
+	failed bool
 	// sent counts the calls by route and service.
 	sent []downstream.Call
 }
@@ -131,7 +117,7 @@
 		if t.requests[call.RequestID] == request {
 			delete(t.requests, call.RequestID)
 		}
-		return downstreamCalls{made: request.callCount > 0, failed: request.callFailed, lackedCapacity: request.lackedCapacity, sent: request.sent}
+		return downstreamCalls{failed: request.callFailed, sent: request.sent}
 	}
 }
 
@@ -197,7 +183,6 @@
 		request.calls = make(map[string]int)
 	}
 	request.calls[route]++
-	request.callCount++
 	return request.calls[route]
 }
 
@@ -224,12 +209,11 @@
 
 // RecordCallFailure records that a downstream call of a request at the target failed, so
 // that a failure of the request isn't attributed to the target.
-func (g *Guard) RecordCallFailure(id string, cause FailureCause) {
+func (g *Guard) RecordCallFailure(id string) {
 	g.running.mutex.Lock()
 	defer g.running.mutex.Unlock()
 	if request, found := g.running.requests[id]; found {
 		request.callFailed = true
-		request.lackedCapacity = request.lackedCapacity || cause == NoCapacity
 	}
 }
 
--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -221,9 +221,6 @@
 	// TargetError reports whether the response reports a failure of the target itself: no
 	// call that the request made had failed before.
 	TargetError bool
-	// NoRoom reports whether the run failed because a call that it made failed for lack of
-	// capacity. Nodes that don't report it send false.
-	NoRoom bool
 	// Shortages are reports on homes that are or recently were short of capacity, which the
 	// home created or received from other nodes.
 	Shortages []shortage.Report
@@ -293,12 +290,6 @@
 	return r == NoTarget || r == TargetLeaving || r == Stopping || r == Misdirected
 }
 
-// LacksCapacity reports whether the call was refused because the home had too little capacity
-// for it in time.
-func (r Reason) LacksCapacity() bool {
-	return r == QueueFull || r == Evicted || r == QueueTimeout || r == WouldMissDeadline
-}
-
 // MayHaveReachedTarget reports whether the call reached a target or may have.
 func (r *Reply) MayHaveReachedTarget() bool {
 	if r.Outcome == Refused {
--- a/internal/peering/wire.go
+++ b/internal/peering/wire.go
@@ -97,7 +97,6 @@
 	Epochs           []uint32     `cbor:"12,keyasint,omitempty"`
 	DocumentVersions []uint64     `cbor:"11,keyasint,omitempty"`
 	Crashes          int          `cbor:"10,keyasint,omitempty"`
-	NoRoom           bool         `cbor:"13,keyasint,omitempty"`
 
 	Shortages []wireShortage `cbor:"14,keyasint,omitempty"`
 	Costs     []wireCost     `cbor:"15,keyasint,omitempty"`
@@ -220,7 +219,7 @@
 	defer freeReply(w)
 	*w = wireReply{
 		Outcome: reply.Outcome, Reason: reply.Reason, Status: reply.Status, Header: c.encodeHeader(reply.Header), Body: reply.Body,
-		RetryAfter: reply.RetryAfter.Milliseconds(), Crashes: reply.Crashes, TargetError: reply.TargetError, NoRoom: reply.NoRoom,
+		RetryAfter: reply.RetryAfter.Milliseconds(), Crashes: reply.Crashes, TargetError: reply.TargetError,
 		Shortages: encodeShortages(reply.Shortages), Costs: encodeCosts(reply.Costs), Digests: encodeDigests(reply.Digests), Epochs: encodeEpochs(reply.Digests), DocumentVersions: encodeDocumentVersions(reply.Digests),
 		Load: wireLoad{
 			InFlight: load.InFlight, Queued: load.Queued, Limit: load.Limit, Latency: int64(load.Latency / latencyUnit),
@@ -246,7 +245,7 @@
 	load := &w.Load
 	return &Reply{
 		Outcome: w.Outcome, Reason: w.Reason, Status: w.Status, Header: header, Body: w.Body, RetryAfter: milliseconds(w.RetryAfter),
-		Crashes: w.Crashes, TargetError: w.TargetError, NoRoom: w.NoRoom,
+		Crashes: w.Crashes, TargetError: w.TargetError,
 		Shortages: decodeShortages(w.Shortages), Costs: decodeCosts(w.Costs), Digests: decodeDigests(w.Digests, w.Epochs, w.DocumentVersions),
 		Load: Load{
 			InFlight: load.InFlight, Queued: load.Queued, Limit: load.Limit, Latency: time.Duration(load.Latency) * latencyUnit,
