Starts: notices carry the current record, and change before it is written

Found in review: a repeated notice carried the slots and the rate limit that the target had at its start, with the revision of a newer record, so that peers would ignore the stored one also after the outage. And a notice of the previous target could name the revision of the new target's record in the moment between the write and the change of the notice. The new test fails before the change.

--- a/internal/registry/registrar.go
+++ b/internal/registry/registrar.go
@@ -375,8 +375,10 @@
 		record.RateLimit = &target.RateLimit.Rate
 	}
 	r.rate.published = target.RateLimit
-	r.publisher.publish(record)
+	// The notice must change before the record is written: a notice of the previous target that names
+	// the revision of the new record would be taken for newer.
 	if notice, changed := r.starts.update(record); changed {
 		r.config.OnStart(notice)
 	}
+	r.publisher.publish(record)
 }
--- a/internal/registry/starts.go
+++ b/internal/registry/starts.go
@@ -69,6 +69,8 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.latest.Sequence > 0 && s.latest.Record.equivalent(&record) {
+		// Slots and the rate limit may have changed.
+		s.latest.Record = record
 		return StartNotice{}, false
 	}
 	s.latest = StartNotice{Record: record, Sequence: s.latest.Sequence + 1}
--- a/internal/registry/starts_test.go
+++ b/internal/registry/starts_test.go
@@ -263,3 +263,21 @@
 		assert.Check(t, notice.supersedes(c.known) == c.newer, c.name)
 	}
 }
+
+// TestRepeatedNoticeHasCurrentRecord guards against a notice that carries the slots and the rate limit that
+// the target had at its start. Peers would keep them beyond the outage, because the notice names the
+// revision of the newer record.
+func TestRepeatedNoticeHasCurrentRecord(t *testing.T) {
+	s := newStarts(startsConfig{reachable: func() bool { return false }, written: func() store.Revision { return 3 }, now: time.Now,
+		peers: Peers{Addresses: func() []string { return []string{"peer"} }, NotifyStart: func(context.Context, string, StartNotice) error { return nil }}})
+	rate := 6.8
+	started := Record{Instance: "i-1@7", Service: "s", Address: "home", State: Ready, Slots: 10, Process: 1}
+	limited := started
+	limited.Slots, limited.RateLimit = 20, &rate
+	_, changed := s.update(started)
+	assert.Assert(t, changed)
+	_, changed = s.update(limited)
+	assert.Assert(t, !changed, "the incarnation and its state are the same")
+	notice, _, _ := s.next()
+	assert.DeepEqual(t, notice, StartNotice{Record: limited, Base: 3, Sequence: 1})
+}
