Shortage: figures expire, few runs report nothing, partly reported services keep the route's threshold

A route of which no request is admitted asks nobody for its costs, so that it stayed refused because of a service that it no longer needed; figures are not used from an age of 5 s. A home that had just started reported the share of requests that need a service from its first run; it reports from 16 runs on. The threshold of a route was dropped if one of its needed services was covered and another only in part, as beside nodes of the previous build. A report heavier than its service is ignored, and an age is never negative.

--- a/internal/downstream/table.go
+++ b/internal/downstream/table.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// MinRuns is the number of complete runs of a route from which on a home reports its costs. The share of
+// requests that need a service doesn't follow from a few.
+const MinRuns = 16
+
 const (
 	// maxRoutes is the maximum number of routes, and maxCalledRoutes that of the routes that requests
 	// of one route call.
@@ -14,6 +18,9 @@
 	// refreshAge is the age from which figures are asked for again. A change behind several homes
 	// must pass each of them.
 	refreshAge = 500 * time.Millisecond
+	// maxAge is the age from which figures are not used. A route of which no request is admitted asks
+	// nobody, so that it must not be refused because of old figures for long.
+	maxAge = 5 * time.Second
 	// minAskInterval is the least time between two requests for the figures of one route.
 	minAskInterval = 250 * time.Millisecond
 	// unusedAge is the time without use after which a route's figures are dropped, and sweepInterval
@@ -129,7 +136,7 @@
 }
 
 // Costs returns what one request of a route that the local target serves uses of each service; nil if
-// no complete run is known. A called route whose homes report nothing counts without slot time and
+// fewer than MinRuns complete runs are known. A called route whose homes report nothing counts without slot time and
 // without what lies behind it.
 func (t *Table) Costs(route string) []Cost {
 	if t == nil {
@@ -137,14 +144,15 @@
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	now := t.now()
 	averages := t.runs[route]
-	if averages == nil {
+	if averages == nil || averages.count < MinRuns {
 		return nil
 	}
 	costs := []Cost{{Service: t.service, Calls: 1, SlotTime: seconds(averages.slotTime), Share: 1}}
 	for _, called := range averages.calls {
 		learned := t.learned[called.key]
-		if learned == nil || len(learned.costs) == 0 {
+		if learned == nil || !isRecent(learned.at, now, maxAge) {
 			costs = addCost(costs, Cost{Service: called.service, Calls: called.count, Share: called.share})
 			continue
 		}
@@ -287,6 +295,9 @@
 		return nil, false
 	}
 	learned.use(now)
+	if !isRecent(learned.at, now, maxAge) {
+		return nil, false
+	}
 	return learned.needed, learned.complete
 }
 
--- a/internal/downstream/table_test.go
+++ b/internal/downstream/table_test.go
@@ -131,6 +131,31 @@
 	m.assertNeeded("a", "a", true, "a")
 }
 
+// TestFewRunsReportNothing guards against refusals because of a service that the first of a home's requests
+// happened to call.
+func TestFewRunsReportNothing(t *testing.T) {
+	m := newMesh(t)
+	m.requests("a", "a", 1)
+	m.nodes["a"].calls = nil
+	m.requests("a", "a", MinRuns-2)
+	assert.Equal(t, len(m.nodes["a"].Costs("a")), 0)
+	m.requests("a", "a", 30)
+	m.assertNeeded("a", "a", false, "a")
+}
+
+// TestOldFiguresAreNotUsed guards against a route that is refused for ever because of a service that its
+// requests no longer need: while none of them is admitted, nobody is asked.
+func TestOldFiguresAreNotUsed(t *testing.T) {
+	m := newMesh(t)
+	m.requests("a", "a", 50)
+	for range 5 {
+		m.assertNeeded("a", "a", true, "a b c d")
+		m.now = m.now.Add(time.Second)
+	}
+	m.assertNeeded("a", "a", false, "")
+	assert.Assert(t, m.nodes["entry"].Wanted("a", "a"))
+}
+
 // TestRoutesAreBounded guards against state that grows with the number of routes, and against figures that
 // outlive a minute without use.
 func TestRoutesAreBounded(t *testing.T) {
--- a/internal/forward/admission_limit.go
+++ b/internal/forward/admission_limit.go
@@ -56,16 +56,19 @@
 }
 
 // serviceNeedsLimit is routeNeedsLimit for requests that one service serves. The thresholds show the
-// whole state if all homes in the call tree report, and those of at least one service have done so
-// recently.
+// whole state if all homes in the call tree report, those of at least one service have done so
+// recently, and no service is reported on by a part of its homes only.
 func (f *Forwarder) serviceNeedsLimit(route, service string) (limit admissionLimit, whole bool) {
 	limit = admissionLimit{threshold: shed.None}
 	needed, complete := f.costs.Services(route, service)
+	partly := false
 	for _, name := range needed {
 		if threshold := f.shortages.Threshold(name); threshold < limit.threshold {
 			limit = admissionLimit{threshold, name}
 		}
-		whole = whole || complete && f.shortages.Covered(name)
+		reported, covered := f.shortages.Coverage(name)
+		whole = whole || covered
+		partly = partly || reported && !covered
 	}
-	return limit, whole
+	return limit, complete && whole && !partly
 }
--- a/internal/forward/admission_limit_test.go
+++ b/internal/forward/admission_limit_test.go
@@ -80,3 +80,14 @@
 		assert.Equal(t, f.forwarder.admissionLimitOf(route), c.limit, c.name)
 	}
 }
+
+// TestPartOfHomesReports guards against dropping the threshold of a route that needs two services, one of
+// which has homes of the previous build.
+func TestPartOfHomesReports(t *testing.T) {
+	f := newShortageFixture(t, replyOK)
+	f.levels.Report("r", "home", pressure.Level{Threshold: 150}, 10)
+	f.forwarder.costs.Merge("r", "x", []downstream.Cost{{Service: "x", Calls: 1, Share: 1, SlotTime: 1}, {Service: "y", Calls: 1, Share: 1, SlotTime: 1}})
+	f.forwarder.shortages.Merge([]shortage.Report{{Service: "x", Home: "1", Threshold: shed.None, Weight: 10}, {Service: "y", Home: "2", Threshold: 100, Weight: 5}})
+	route := &routetable.Route{Name: "r", Services: []routetable.WeightedService{{Name: "x", Weight: 1}}}
+	assert.Equal(t, f.forwarder.admissionLimitOf(route).threshold, uint16(150))
+}
--- a/internal/guard/shortage_test.go
+++ b/internal/guard/shortage_test.go
@@ -36,6 +36,9 @@
 	g = New(config, nil, time.Now)
 	g.SetTarget(newTarget(registry.Ready, 2))
 	var reply *peering.Reply
+	for range downstream.MinRuns {
+		g.Run(context.Background(), newCall("a"))
+	}
 	for _, run := range []struct{ status, made int }{{200, 4}, {500, 2}, {404, 0}, {200, 2}} {
 		status, made = run.status, run.made
 		call := newCall("a")
--- a/internal/shortage/table.go
+++ b/internal/shortage/table.go
@@ -55,7 +55,8 @@
 // Counts are the numbers of reports by kind.
 type Counts struct {
 	// Own are the reports that the local home created, Relayed the reports of other homes that were
-	// added to replies, and Ignored the received ones that are invalid, expired, of a service without
+	// added to replies, and Ignored the received ones that are invalid, expired, heavier than their
+	// service, of a service without
 	// homes, or beyond the maximum number of homes.
 	Own, Relayed, Ignored uint64
 }
@@ -142,7 +143,7 @@
 		return false
 	}
 	known, found := t.reports[r.Home]
-	if !r.Valid() || t.weights[r.Service] == 0 || !found && len(t.reports) >= maxHomes {
+	if !r.Valid() || t.weights[r.Service] == 0 || r.Weight > t.weights[r.Service] || !found && len(t.reports) >= maxHomes {
 		t.counts.Ignored++
 		return false
 	}
@@ -194,15 +195,17 @@
 	}
 }
 
-// Covered reports whether the reports of the service's homes show its whole state: homes with three
-// quarters of the weight have reported recently, whether they refuse ranks or have stopped to.
-func (t *Table) Covered(service string) bool {
+// Coverage reports whether homes of the service have reported recently, and whether their reports show
+// its whole state: homes with three quarters of the weight have reported, whether they refuse ranks or
+// have stopped to.
+func (t *Table) Coverage(service string) (reported, whole bool) {
 	if !t.Active() {
-		return false
+		return false, false
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.covered[service] && t.weights[service] > 0
+	covered, reported := t.covered[service]
+	return reported, covered && t.weights[service] > 0
 }
 
 // Active reports whether there may be a service with a threshold.
@@ -229,7 +232,8 @@
 		if r.Home != t.home {
 			t.counts.Relayed++
 		}
-		r.Age = now.Sub(r.createdAt)
+		// Another report may have been stored since now was read.
+		r.Age = max(now.Sub(r.createdAt), 0)
 		buffer = append(buffer, r.Report)
 	}
 	return buffer
