Registry: move the recovery of a restarted node to its own file

Cause: registrar.go held the recovery of earlier processes' state among the handling of heartbeats, and both are about to change. Change: recoverState, recoverFrom, adoptableRecord and adoptTarget move to recovery.go; no line of them changes.

--- /dev/null
+++ b/internal/registry/recovery.go
@@ -0,0 +1,84 @@
+package registry
+
+import (
+	"context"
+	"strings"
+
+	"github.com/lugspur/lugspur/internal/store"
+)
+
+// recoverState reads the departures and the last published target from the store. Until it is
+// complete no target is reported as ready, except at the first start of the cluster.
+func (r *Registrar) recoverState(ctx context.Context) {
+	if r.config.FirstStart {
+		// Earlier processes acknowledged nothing. The records are still read below, because other
+		// nodes may have written some since.
+		r.recoverFrom(nil)
+	}
+	records, err := r.config.Records(ctx)
+	if err != nil {
+		return
+	}
+	r.recoverFrom(records)
+}
+
+func (r *Registrar) recoverFrom(records []store.Entry) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var last *Record
+	for _, entry := range records {
+		switch {
+		case strings.HasPrefix(entry.Key, r.config.DeparturesPrefix):
+			departure, err := decodeDeparture(entry)
+			if err == nil && departure.Address == r.config.Address {
+				leaving := parseIncarnation(departure.Instance)
+				r.departed[leaving] = true
+				r.recordStart(leaving)
+			}
+		case entry.Key == r.config.HomesPrefix+r.config.Address:
+			// An unusable record is ignored; the next heartbeat supplies the target.
+			last = adoptableRecord(entry)
+			r.publisher.setPrevious(entry)
+		}
+	}
+	if !r.recovered {
+		r.recovered = true
+		close(r.recoveryDone)
+	}
+	r.adoptTarget(last)
+	if last != nil && last.Instance == r.target.Incarnation().String() && !r.target.RateLimit.Limited {
+		r.target.RateLimit = last.Announcement()
+	}
+	if r.departed[r.target.Incarnation()] && r.target.State == Ready {
+		r.target.State = Draining
+	}
+	r.notifyChange()
+}
+
+// adoptableRecord returns the record stored under the node's own address if its description of
+// the target can be trusted. One restored from a backup may describe a target that has left
+// since, so the next heartbeat is awaited instead.
+func adoptableRecord(entry store.Entry) *Record {
+	record, err := decodeRecord(entry)
+	if err != nil || record.restored(entry.Revision) {
+		return nil
+	}
+	return &record
+}
+
+// adoptTarget takes over the target of an earlier process, unless a heartbeat or a departure
+// contradicts it. If the target has ended, calls fail to connect or reach another instance, and
+// in neither case have they been executed.
+func (r *Registrar) adoptTarget(record *Record) {
+	if record == nil || record.State != Ready || record.Instance == "" {
+		return
+	}
+	adopted := parseIncarnation(record.Instance)
+	// A heartbeat received earlier may be a delayed one of an older incarnation.
+	newer := r.target.ID == "" || (r.target.ID == adopted.ID && r.target.StartMillis < adopted.StartMillis)
+	if !newer || r.departed[adopted] || r.superseded(adopted) {
+		return
+	}
+	r.recordStart(adopted)
+	r.target = Target{ID: adopted.ID, StartMillis: adopted.StartMillis, Service: record.Service, Slots: record.Slots, State: Ready}
+}
