Registry: a restarted node takes over a departed target as draining

What callers saw: a node that ended between the writes of a departure and of its own record left a record that says ready. The next process did not correct it, and peers offered it calls until the lease of 20 s expired. Each offer was refused and cost a second one; with no other home the request was refused. Cause: a heartbeat that arrived before the recovery was accepted and the recovered departure made the target draining. After the recovery the heartbeat was dropped as that of a departed target, and the record was not adopted for the same reason: no target, nothing published. TestRecoveryEndsAlikeInEachOrder plays the recovery before, between and after the messages: 35 of 126 orders failed. TestPeersLearnDepartureAfterNodeRestart: peers offered the target for 20.5 s. Change: without a later target, a departed one becomes the node's target in state draining, from its own record or from a heartbeat, and is published. A stored departure alone still creates none. A target from a late heartbeat of a departed incarnation gives way to the recovered one. Why it works: the result is a function of the facts, which are the same in each order.

--- a/internal/registry/recovery.go
+++ b/internal/registry/recovery.go
@@ -66,19 +66,40 @@
 	return &record
 }
 
-// adoptTarget takes over the target of an earlier process, unless a heartbeat or a departure
-// contradicts it. If the target has ended, calls fail to connect or reach another instance, and
-// in neither case have they been executed.
+// adoptTarget takes over the target of an earlier process, unless a heartbeat contradicts it. If a
+// target that was ready has ended, calls fail to connect or reach another instance, and in neither
+// case have they been executed. A departed target is taken over as well, because peers offer it calls
+// until its node publishes that it is draining.
 func (r *Registrar) adoptTarget(record *Record) {
 	if record == nil || record.State != Ready || record.Instance == "" {
 		return
 	}
 	adopted := parseIncarnation(record.Instance)
-	// A heartbeat received earlier may be a delayed one of an older incarnation.
-	newer := r.target.ID == "" || (r.target.ID == adopted.ID && r.target.StartMillis < adopted.StartMillis)
-	if !newer || r.departed[adopted] || r.superseded(adopted) {
+	if !r.replacesTarget(adopted) || r.superseded(adopted) {
 		return
 	}
 	r.recordStart(adopted)
-	r.target = Target{ID: adopted.ID, StartMillis: adopted.StartMillis, Service: record.Service, Slots: record.Slots, State: Ready}
+	r.target = Target{ID: adopted.ID, StartMillis: adopted.StartMillis, Service: record.Service, Slots: record.Slots, State: r.initialState(adopted)}
+}
+
+// replacesTarget reports whether an incarnation that was recovered or has departed is later than the
+// current target, which may stem from a delayed heartbeat of an earlier or a departed incarnation.
+func (r *Registrar) replacesTarget(incarnation Incarnation) bool {
+	current := r.target.Incarnation()
+	switch {
+	case current.ID == "":
+		return true
+	case current.ID == incarnation.ID:
+		return current.StartMillis < incarnation.StartMillis
+	default:
+		return r.departed[current] && !r.departed[incarnation]
+	}
+}
+
+// initialState returns the state in which an incarnation becomes the node's target.
+func (r *Registrar) initialState(incarnation Incarnation) State {
+	if r.departed[incarnation] {
+		return Draining
+	}
+	return Ready
 }
--- a/internal/registry/registrar.go
+++ b/internal/registry/registrar.go
@@ -222,11 +222,15 @@
 	return now.Sub(r.returning.since) >= reinstateAfter
 }
 
-// applyHeartbeat updates the target's state. Delayed heartbeats of a target that has left or
-// was replaced are ignored.
+// applyHeartbeat updates the target's state. Delayed heartbeats of a target that was replaced are
+// ignored.
 func (r *Registrar) applyHeartbeat(heartbeat Heartbeat) {
 	incarnation := heartbeat.Incarnation()
-	if r.departed[incarnation] || r.superseded(incarnation) {
+	if r.superseded(incarnation) {
+		return
+	}
+	if r.departed[incarnation] {
+		r.applyDepartedHeartbeat(heartbeat)
 		return
 	}
 	if incarnation != r.target.Incarnation() {
@@ -259,6 +263,22 @@
 	}
 }
 
+// applyDepartedHeartbeat handles a heartbeat of a departed incarnation. A node that knows no other
+// target publishes that this one is draining: the record of an earlier process may say that it is
+// ready.
+func (r *Registrar) applyDepartedHeartbeat(heartbeat Heartbeat) {
+	incarnation := heartbeat.Incarnation()
+	if !r.replacesTarget(incarnation) {
+		return
+	}
+	r.target = Target{ID: heartbeat.ID, StartMillis: heartbeat.StartMillis, Service: heartbeat.Service, Slots: heartbeat.Slots, Sequence: heartbeat.Sequence, State: Draining}
+	r.recordStart(incarnation)
+	if r.recovered {
+		// Before that, the record of a successor may not be known yet.
+		r.notifyChange()
+	}
+}
+
 // HeartbeatRefused logs and reports a rejected heartbeat.
 func (r *Registrar) HeartbeatRefused(id string, reason RefusalReason) {
 	r.log.Record(eventlog.Event{Kind: eventlog.HeartbeatRefused, Target: id, Reason: string(reason)})
