Registry: a start of a target ends with the departure of a later one

A node would offer calls under the name of a start that has ended while a later one is leaving. Cause: the departure of a later start made the earlier one superseded, but the node's target was only compared with the departed start itself. Evidence: TestTargetEndsWithDepartureOfLaterStart fails before the change ("State is Ready: {before:1 watched:false firstStart:false}"). Change: markDeparted and the recovery take the least state of the target from the same rule: gone if superseded, draining if departed. Why it works: the state no longer depends on which of heartbeat and departure comes first.

--- a/internal/registry/departure_replication.go
+++ b/internal/registry/departure_replication.go
@@ -100,7 +100,5 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	incarnation := parseIncarnation(departure.Instance)
-	r.recordStart(incarnation)
-	r.markDeparted(incarnation, Draining)
+	r.markDeparted(parseIncarnation(departure.Instance), Draining)
 }
--- a/internal/registry/recovery.go
+++ b/internal/registry/recovery.go
@@ -31,9 +31,7 @@
 		case strings.HasPrefix(entry.Key, r.config.DeparturesPrefix):
 			departure, err := decodeDeparture(entry)
 			if err == nil && departure.Address == r.config.Address {
-				leaving := parseIncarnation(departure.Instance)
-				r.departed[leaving] = true
-				r.recordStart(leaving)
+				r.recordDeparture(parseIncarnation(departure.Instance))
 			}
 		case entry.Key == r.config.HomesPrefix+r.config.Address:
 			// An unusable record is ignored; the next heartbeat supplies the target.
@@ -49,9 +47,7 @@
 	if last != nil && last.Instance == r.target.Incarnation().String() && !r.target.RateLimit.Limited {
 		r.target.RateLimit = last.Announcement()
 	}
-	if r.departed[r.target.Incarnation()] && r.target.State == Ready {
-		r.target.State = Draining
-	}
+	r.target.State = max(r.target.State, r.leastState())
 	r.notifyChange()
 }
 
--- a/internal/registry/recovery_test.go
+++ b/internal/registry/recovery_test.go
@@ -120,6 +120,12 @@
 			[]arrival{heartbeatArrives(startedHeartbeat("i", 1, 5))}, "j@2", Ready},
 		{"successor of a departed target", []store.Entry{storedDeparture("i@1"), storedRecord("i@1", Ready)},
 			[]arrival{heartbeatArrives(startedHeartbeat("i", 1, 5)), heartbeatArrives(startedHeartbeat("j", 2, 1))}, "j@2", Ready},
+		{"departure of a later start", []store.Entry{storedDeparture("i@2")},
+			[]arrival{heartbeatArrives(startedHeartbeat("i", 1, 5)), heartbeatArrives(startedHeartbeat("i", 2, 1))}, "i@2", Draining},
+		{"departure of a later start than the record's", []store.Entry{storedDeparture("i@2"), storedRecord("i@1", Ready)},
+			[]arrival{heartbeatArrives(startedHeartbeat("i", 2, 1))}, "i@2", Draining},
+		{"peer reports the departure of a later start", nil,
+			[]arrival{heartbeatArrives(startedHeartbeat("i", 1, 5)), departureOfPeerArrives("i@2"), heartbeatArrives(startedHeartbeat("i", 2, 1))}, "i@2", Draining},
 		{"running target", []store.Entry{storedRecord("i@1", Ready)},
 			[]arrival{heartbeatArrives(startedHeartbeat("i", 1, 5))}, "i@1", Ready},
 		{"running target sends nothing", []store.Entry{storedRecord("i@1", Ready)}, nil, "i@1", Ready},
@@ -205,3 +211,17 @@
 		})
 	}
 }
+
+// TestTargetEndsWithDepartureOfLaterStart guards against calls under the name of a start that has
+// ended: the departure of a later one was recovered or reported, and the earlier one stayed ready.
+func TestTargetEndsWithDepartureOfLaterStart(t *testing.T) {
+	late := heartbeatArrives(startedHeartbeat("i", 1, 5))
+	for _, order := range recoveryOrders(1) {
+		r := playRecovery(t, []store.Entry{storedDeparture("i@2")}, []arrival{late}, order)
+		assert.Assert(t, r.Target().State != Ready, "%+v", order)
+	}
+	for _, notice := range []arrival{departureOfPeerArrives("i@2"), noticeArrives("i", 2)} {
+		r := playRecovery(t, nil, []arrival{late, notice}, recoveryOrder{})
+		assert.Equal(t, r.Target().State, Gone)
+	}
+}
--- a/internal/registry/registrar_departures.go
+++ b/internal/registry/registrar_departures.go
@@ -47,7 +47,6 @@
 	if r.leaving[incarnation.ID].startMillis == incarnation.StartMillis {
 		delete(r.leaving, incarnation.ID)
 	}
-	r.recordStart(*incarnation)
 	r.markDeparted(*incarnation, Gone)
 	return nil
 }
@@ -83,15 +82,39 @@
 // that take longer than a second.
 const ackTimeout = 900 * time.Millisecond
 
-// markDeparted advances the target to a state in which it receives no new work.
+// markDeparted records a departure and advances the target if it is that incarnation or an earlier one.
 func (r *Registrar) markDeparted(incarnation Incarnation, state State) {
-	r.departed[incarnation] = true
-	if r.target.Incarnation() == incarnation && r.target.State < state {
-		r.target.State = state
+	r.recordDeparture(incarnation)
+	reached := r.leastState()
+	if r.target.Incarnation() == incarnation {
+		reached = max(reached, state)
+	}
+	if r.target.State < reached {
+		r.target.State = reached
 		r.notifyChange()
 	}
 }
 
+// recordDeparture records that an incarnation receives no new work.
+func (r *Registrar) recordDeparture(incarnation Incarnation) {
+	r.departed[incarnation] = true
+	r.recordStart(incarnation)
+}
+
+// leastState returns the earliest state that the target can be in according to the known departures
+// and starts.
+func (r *Registrar) leastState() State {
+	current := r.target.Incarnation()
+	switch {
+	case r.superseded(current):
+		return Gone
+	case r.departed[current]:
+		return Draining
+	default:
+		return Absent
+	}
+}
+
 // persistDeparture stores a target's departure and notifies peers of it, so that later processes
 // on this machine learn of it even if the store loses it.
 func (r *Registrar) persistDeparture(ctx context.Context, incarnation Incarnation) error {
