Registry: reject stored departures and records that name no target

What callers saw: nothing. A node without a target would publish a draining one without a name after an entry of another writer under the prefix of departures. Cause: departures of peers were checked, those of the store were not, and an empty name equals that of the zero value of a target. Evidence: the row "entries of another writer name no target" failed in all three of its orders ("draining != absent"). Change: Departure.Validate serves both paths; decodeRecord requires an instance. Why it works: an entry that names no target changes no state. Result: go test ./internal/registry ./internal/peering passes.

--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -166,7 +166,7 @@
 		return
 	}
 	var departure registry.Departure
-	if err := cbor.Unmarshal(content, &departure); err != nil || departure.Instance == "" || departure.Address == "" {
+	if err := cbor.Unmarshal(content, &departure); err != nil || departure.Validate() != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
--- a/internal/registry/record.go
+++ b/internal/registry/record.go
@@ -142,6 +142,17 @@
 	Address string `cbor:"2,keyasint"`
 }
 
+// errInvalidDeparture means that a departure lacks a field without which it cannot be used.
+var errInvalidDeparture = errors.New("departure without a target or its node")
+
+// Validate checks a departure that another process sent or stored.
+func (d Departure) Validate() error {
+	if d.Instance == "" || d.Address == "" {
+		return errInvalidDeparture
+	}
+	return nil
+}
+
 func encode(value any) []byte {
 	encoded, err := cbor.Marshal(value)
 	if err != nil {
@@ -162,7 +173,7 @@
 		return Record{}, err
 	}
 	valid := record.State == Ready || record.State == Draining
-	if !valid || record.Address == "" || !strings.HasSuffix(entry.Key, record.Address) {
+	if !valid || record.Instance == "" || record.Address == "" || !strings.HasSuffix(entry.Key, record.Address) {
 		return Record{}, errInvalidRecord
 	}
 	return record, nil
@@ -170,6 +181,8 @@
 
 func decodeDeparture(entry store.Entry) (Departure, error) {
 	var departure Departure
-	err := cbor.Unmarshal(entry.Value, &departure)
-	return departure, err
+	if err := cbor.Unmarshal(entry.Value, &departure); err != nil {
+		return Departure{}, err
+	}
+	return departure, departure.Validate()
 }
--- a/internal/registry/recovery_test.go
+++ b/internal/registry/recovery_test.go
@@ -126,6 +126,7 @@
 			[]arrival{heartbeatArrives(startedHeartbeat("i", 2, 1))}, "i@2", Draining},
 		{"peer reports the departure of a later start", nil,
 			[]arrival{heartbeatArrives(startedHeartbeat("i", 1, 5)), departureOfPeerArrives("i@2"), heartbeatArrives(startedHeartbeat("i", 2, 1))}, "i@2", Draining},
+		{"entries of another writer name no target", []store.Entry{storedDeparture(""), storedRecord("", Ready)}, nil, none, Absent},
 		{"running target", []store.Entry{storedRecord("i@1", Ready)},
 			[]arrival{heartbeatArrives(startedHeartbeat("i", 1, 5))}, "i@1", Ready},
 		{"running target sends nothing", []store.Entry{storedRecord("i@1", Ready)}, nil, "i@1", Ready},
