Registry: a recovered record that says draining counts as a departure

A target that announced its departure in a response would get new requests again from its own node, and from nodes that start later, if the node ended after it had written its record and before the departure was stored. Cause: only records that say ready were adopted; the next heartbeat of the target made it ready and the record was overwritten. Evidence: three rows of TestRecoveryEndsAlikeInEachOrder fail in 15 orders, TestRecoveredDrainingRecordBecomesDeparture with "ready != draining". Change: the recovery records the departure of a draining record, stores it if it is missing, and takes the target over as draining. The record of a backup counts too, but supplies no target, as before. Why it works: a start that was leaving never becomes ready again, so the statement holds however old the record is.

--- a/internal/registry/recovery.go
+++ b/internal/registry/recovery.go
@@ -34,8 +34,7 @@
 				r.recordDeparture(parseIncarnation(departure.Instance))
 			}
 		case entry.Key == r.config.HomesPrefix+r.config.Address:
-			// An unusable record is ignored; the next heartbeat supplies the target.
-			last = adoptableRecord(entry)
+			last = r.recoverRecord(entry)
 			r.publisher.setPrevious(entry)
 		}
 	}
@@ -51,12 +50,20 @@
 	r.notifyChange()
 }
 
-// adoptableRecord returns the record stored under the node's own address if its description of
-// the target can be trusted. One restored from a backup may describe a target that has left
-// since, so the next heartbeat is awaited instead.
-func adoptableRecord(entry store.Entry) *Record {
+// recoverRecord returns the record stored under the node's own address if its description of the
+// target can be trusted. An unusable one is ignored. One restored from a backup may describe a target
+// that has been replaced since, so the next heartbeat is awaited instead.
+func (r *Registrar) recoverRecord(entry store.Entry) *Record {
 	record, err := decodeRecord(entry)
-	if err != nil || record.restored(entry.Revision) {
+	if err != nil {
+		return nil
+	}
+	if record.State == Draining {
+		// The earlier process may have ended before it stored the departure.
+		r.recordDeparture(parseIncarnation(record.Instance))
+		r.departures.addDue(Departure{Instance: record.Instance, Address: r.config.Address})
+	}
+	if record.restored(entry.Revision) {
 		return nil
 	}
 	return &record
@@ -67,7 +74,7 @@
 // case have they been executed. A departed target is taken over as well, because peers offer it calls
 // until its node publishes that it is draining.
 func (r *Registrar) adoptTarget(record *Record) {
-	if record == nil || record.State != Ready || record.Instance == "" {
+	if record == nil {
 		return
 	}
 	adopted := parseIncarnation(record.Instance)
--- a/internal/registry/recovery_test.go
+++ b/internal/registry/recovery_test.go
@@ -44,6 +44,13 @@
 	return store.Entry{Key: homesPrefix + homeAddress, Revision: 2, Value: encode(record)}
 }
 
+// recordOfBackup is a record that a store has been restored with.
+func recordOfBackup(incarnation string, state State) store.Entry {
+	entry := storedRecord(incarnation, state)
+	entry.Revision = store.NewRevision(1, 2)
+	return entry
+}
+
 // recoveryOrder is a moment at which a restarted node recovers the stored state.
 type recoveryOrder struct {
 	// before is the number of arrivals before the recovery.
@@ -126,7 +133,18 @@
 			[]arrival{heartbeatArrives(startedHeartbeat("i", 2, 1))}, "i@2", Draining},
 		{"peer reports the departure of a later start", nil,
 			[]arrival{heartbeatArrives(startedHeartbeat("i", 1, 5)), departureOfPeerArrives("i@2"), heartbeatArrives(startedHeartbeat("i", 2, 1))}, "i@2", Draining},
-		{"entries of another writer name no target", []store.Entry{storedDeparture(""), storedRecord("", Ready)}, nil, none, Absent},
+		{"record says draining, departure is missing", []store.Entry{storedRecord("i@1", Draining)},
+			[]arrival{heartbeatArrives(startedHeartbeat("i", 1, 5))}, "i@1", Draining},
+		{"record says draining, target sends nothing", []store.Entry{storedRecord("i@1", Draining)}, nil, "i@1", Draining},
+		{"record says draining, target starts again", []store.Entry{storedRecord("i@1", Draining)},
+			[]arrival{heartbeatArrives(startedHeartbeat("i", 2, 1))}, "i@2", Ready},
+		{"record of a backup says draining, departure is missing", []store.Entry{recordOfBackup("i@1", Draining)},
+			[]arrival{heartbeatArrives(startedHeartbeat("i", 1, 5))}, "i@1", Draining},
+		{"record of a backup", []store.Entry{recordOfBackup("i@1", Ready)}, nil, none, Absent},
+		{"record of a backup says draining", []store.Entry{recordOfBackup("i@1", Draining)}, nil, none, Absent},
+		{"record says draining, target is replaced", []store.Entry{storedRecord("i@1", Draining)},
+			[]arrival{heartbeatArrives(startedHeartbeat("j", 2, 1))}, "j@2", Ready},
+		{"entries of another writer name no target", []store.Entry{storedDeparture(""), storedRecord("", Draining)}, nil, none, Absent},
 		{"running target", []store.Entry{storedRecord("i@1", Ready)},
 			[]arrival{heartbeatArrives(startedHeartbeat("i", 1, 5))}, "i@1", Ready},
 		{"running target sends nothing", []store.Entry{storedRecord("i@1", Ready)}, nil, "i@1", Ready},
@@ -226,3 +244,30 @@
 		assert.Equal(t, r.Target().State, Gone)
 	}
 }
+
+// TestRecoveredDrainingRecordBecomesDeparture guards against a departure that only the node's own
+// record still shows: with that record it would be lost.
+func TestRecoveredDrainingRecordBecomesDeparture(t *testing.T) {
+	virtualtime.Run(t, func(t *testing.T) {
+		f := newTestFleet(t)
+		nodes := f.startHomes()
+		defer func() { f.stopAll(nodes...) }()
+		assert.NilError(t, nodes[0].Heartbeat(t.Context(), leavingHeartbeat("i-0", 1000, 3)))
+		time.Sleep(3 * time.Second)
+		for _, n := range nodes {
+			n.stop()
+		}
+		key := departuresPrefix + leavingHeartbeat("i-0", 1000, 3).Incarnation().String()
+		departure, err := f.kv.Get(t.Context(), key)
+		assert.NilError(t, err)
+		_, err = f.kv.CompareAndDelete(t.Context(), key, departure.Revision)
+		assert.NilError(t, err)
+		for i := range nodes {
+			nodes[i] = f.start(i + 1)
+		}
+		time.Sleep(3 * time.Second)
+		assert.NilError(t, nodes[0].Heartbeat(t.Context(), startedHeartbeat("i-0", 1000, 4)))
+		assert.Equal(t, nodes[0].Target().State, Draining)
+		assert.Assert(t, f.present(key), "the departure is not stored")
+	})
+}
