Registry: a late notice of a leaving start never ends its successor

A running target would get no requests until it starts again. Cause: a notice without a start time is taken for the latest start of its ID, unless an earlier one is known to be leaving. Only the target's first draining heartbeat recorded that; it was dropped if the departure was known from a response, the store or the node's record. Change: announcements in responses and heartbeats of departed starts record that the start is leaving; one that has ended does not. Why it works: what the node knows of a leaving start no longer depends on which message came first. Ruled out: counting each stored departure as one of a start that still leaves; a notice of the running target must be acknowledged after a restart (TestTargetRestartsWithSameID), and the two look alike.

--- a/internal/registry/recovery_test.go
+++ b/internal/registry/recovery_test.go
@@ -271,3 +271,44 @@
 		assert.Assert(t, f.present(key), "the departure is not stored")
 	})
 }
+
+// TestLateNoticeNamesNoLaterStart guards against the loss of a running target: a notice without a start
+// time, sent by a start that was leaving, arrived after its successor's heartbeat and was taken for the
+// successor's. Whether it was depended on the order in which the departure was learned.
+func TestLateNoticeNamesNoLaterStart(t *testing.T) {
+	leaving := heartbeatArrives(leavingHeartbeat("i", 1, 5))
+	announcement := func(t *testing.T, r *Registrar) {
+		r.TargetLeaving(t.Context(), Incarnation{ID: "i", StartMillis: 1})
+	}
+	successor := heartbeatArrives(startedHeartbeat("i", 2, 1))
+	cases := []struct {
+		name     string
+		stored   []store.Entry
+		arrivals []arrival
+	}{
+		{"heartbeat", nil, []arrival{leaving, successor}},
+		{"announcement", nil, []arrival{heartbeatArrives(startedHeartbeat("i", 1, 4)), announcement, successor}},
+		{"announcement, then heartbeat", nil, []arrival{heartbeatArrives(startedHeartbeat("i", 1, 4)), announcement, leaving, successor}},
+		{"heartbeat, stored departure", []store.Entry{storedDeparture("i@1")}, []arrival{leaving, successor}},
+		{"heartbeat, stored record", []store.Entry{storedRecord("i@1", Draining)}, []arrival{leaving, successor}},
+	}
+	for _, c := range cases {
+		for _, order := range recoveryOrders(len(c.arrivals)) {
+			t.Run(fmt.Sprintf("%s/%+v", c.name, order), func(t *testing.T) {
+				r := playRecovery(t, c.stored, c.arrivals, order)
+				assert.ErrorIs(t, r.Depart(t.Context(), "i", 0), errAmbiguousIncarnation)
+				assertTarget(t, r, "i@2", Ready)
+			})
+		}
+	}
+}
+
+// TestLateHeartbeatOfEndedStartIsNoAnnouncement guards against a refused notice of a running target
+// because a heartbeat of its predecessor, which has ended, arrived late.
+func TestLateHeartbeatOfEndedStartIsNoAnnouncement(t *testing.T) {
+	ended := []arrival{heartbeatArrives(leavingHeartbeat("i", 1, 5)), noticeArrives("i", 1), heartbeatArrives(leavingHeartbeat("i", 1, 4))}
+	r := playRecovery(t, nil, ended, recoveryOrder{})
+	assert.NilError(t, r.Heartbeat(t.Context(), startedHeartbeat("i", 2, 1)))
+	assert.NilError(t, r.Depart(t.Context(), "i", 0))
+	assertTarget(t, r, "i@2", Draining)
+}
--- a/internal/registry/registrar.go
+++ b/internal/registry/registrar.go
@@ -247,7 +247,7 @@
 	}
 	r.returning = returningTarget{}
 	if heartbeat.Draining {
-		r.leaving[heartbeat.ID] = leavingTarget{startMillis: heartbeat.StartMillis, since: r.now()}
+		r.recordLeaving(incarnation)
 		r.markDeparted(incarnation, Draining)
 		return
 	}
@@ -268,6 +268,10 @@
 // ready.
 func (r *Registrar) applyDepartedHeartbeat(heartbeat Heartbeat) {
 	incarnation := heartbeat.Incarnation()
+	if r.target.Incarnation() == incarnation && r.target.State == Gone {
+		return
+	}
+	r.recordLeaving(incarnation)
 	if !r.replacesTarget(incarnation) {
 		return
 	}
--- a/internal/registry/registrar_departures.go
+++ b/internal/registry/registrar_departures.go
@@ -56,6 +56,7 @@
 // the background, as nobody waits for an acknowledgement.
 func (r *Registrar) TargetLeaving(ctx context.Context, incarnation Incarnation) {
 	r.mutex.Lock()
+	r.recordLeaving(incarnation)
 	r.markDeparted(incarnation, Draining)
 	r.mutex.Unlock()
 	departure := Departure{Instance: incarnation.String(), Address: r.config.Address}
@@ -95,6 +96,15 @@
 	}
 }
 
+// recordLeaving records that a running incarnation is leaving. Its notice that it ends follows.
+func (r *Registrar) recordLeaving(incarnation Incarnation) {
+	known, found := r.leaving[incarnation.ID]
+	if found && known.startMillis >= incarnation.StartMillis {
+		return
+	}
+	r.leaving[incarnation.ID] = leavingTarget{startMillis: incarnation.StartMillis, since: r.now()}
+}
+
 // recordDeparture records that an incarnation receives no new work.
 func (r *Registrar) recordDeparture(incarnation Incarnation) {
 	r.departed[incarnation] = true
