Registry: renew a departure while its target still sends heartbeats

After ten minutes of leaving, a node that was away for 20 s would offer calls to the target again. Cause: the writer of departures remembered for as long as the process runs that it had stored one, whatever became of the entry. Evidence: TestDepartureIsStoredWhileTargetLeaves: "the departure is not stored 10m0.008s after the target announced it". Change: a repeated draining heartbeat renews an entry that is older than five minutes or of another process; a removed entry is forgotten. Why it works: an entry lasts 7.5 minutes or more after each write, and a lost one is written by the next heartbeat. Ruled out: renewing with the first heartbeat after a conflict, which would delay an acknowledgement that targets accept for a second only.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -101,7 +101,7 @@
 	DependencyRegained:      {"dependency-regained", stateChange, "peer responds again; age is how long it did not"},
 	StoreRestored:           {"store-restored", stateChange, "the store was restored from a backup; version is its new epoch, previous the one before, peer the source of the information"},
 	EntryPassedOver:         {"entry-passed-over", stateChange, "the store listed the entry whose key is peer with the older revision version; the replica keeps revision previous, which it considers newer"},
-	RecordRewritten:         {"record-rewritten", stateChange, "a record of the node, or its knowledge about target, was lost when the store was restored from a backup, and is written again; outcome is the result"},
+	RecordRewritten:         {"record-rewritten", stateChange, "a record of the node, or its knowledge about target, was lost when the store was restored from a backup or would expire, and is written again; outcome is the result"},
 	DepartureHeard:          {"departure-heard", stateChange, "a peer reported, before the store did, that target, the local target of the node at peer, is leaving"},
 	DepartureUntold:         {"departure-untold", stateChange, "the node at peer could not be notified that its local target, target, has left; reason is the error"},
 	StartSent:               {"start-sent", stateChange, "the state of the local target, target, was sent to count peers because the store is unavailable; reason is the error of one that it could not be sent to"},
--- a/internal/registry/departure_writer.go
+++ b/internal/registry/departure_writer.go
@@ -16,37 +16,53 @@
 	epoch  func() store.Epoch
 	writer *leased.Writer
 
+	store store.Store
+	now   func() time.Time
+
+	// calls serializes the calls to the store.
+	calls sync.Mutex
+
 	mutex sync.Mutex
-	// written maps each key known to be stored to the store epoch of its write.
-	written map[string]store.Epoch
+	// written maps each key known to be stored to its entry.
+	written map[string]departureEntry
+}
+
+// departureEntry is the stored entry of a departure. The revision and the time of the write are zero
+// if another process wrote it.
+type departureEntry struct {
+	epoch     store.Epoch
+	revision  store.Revision
+	writtenAt time.Time
 }
 
 const (
-	// departureTTL is how long departures are stored. It exceeds the time for which a departed
-	// target may still send heartbeats.
+	// departureTTL is how long departures are stored after the last renewal. It exceeds the delay of
+	// a departed target's heartbeats.
 	departureTTL = 10 * time.Minute
+	// departureRenewalAge is the age from which on a departure is renewed if its target still sends
+	// heartbeats.
+	departureRenewalAge = departureTTL / 2
 	// writeTimeout bounds one store call, so that a lost response leaves time for retries.
 	writeTimeout    = 400 * time.Millisecond
 	writeRetryDelay = 30 * time.Millisecond
 )
 
 func newDepartureWriter(kv store.Store, epoch func() store.Epoch, now func() time.Time) *departureWriter {
-	return &departureWriter{epoch: epoch, writer: leased.NewWriter(kv, departureTTL, now), written: make(map[string]store.Epoch)}
+	return &departureWriter{epoch: epoch, writer: leased.NewWriter(kv, departureTTL, now), store: kv, now: now, written: make(map[string]departureEntry)}
 }
 
 // write retries until the departure is known to be stored or the context ends.
 func (d *departureWriter) write(ctx context.Context, key string, value []byte) error {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if epoch, found := d.written[key]; found && epoch == d.epoch() {
+	d.calls.Lock()
+	defer d.calls.Unlock()
+	if d.isWritten(key) {
 		return nil
 	}
 	var lastErr error
 	for ctx.Err() == nil {
-		epoch := d.epoch()
-		lastErr = d.tryWrite(ctx, key, value)
-		if lastErr == nil {
-			d.written[key] = epoch
+		lastErr = d.tryWrite(ctx, key, 0, value)
+		if lastErr == nil || errors.Is(lastErr, store.ErrConflict) {
+			// All writers store the same value under this key.
 			return nil
 		}
 		pause.For(ctx, writeRetryDelay)
@@ -54,13 +70,65 @@
 	return errors.Join(ctx.Err(), lastErr)
 }
 
-func (d *departureWriter) tryWrite(ctx context.Context, key string, value []byte) error {
+// tryWrite writes the entry if it has the expected revision. After a conflict, the entry is known to
+// be stored by another process.
+func (d *departureWriter) tryWrite(ctx context.Context, key string, expected store.Revision, value []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	_, err := d.writer.CompareAndSwap(ctx, key, 0, value)
-	if errors.Is(err, store.ErrConflict) {
-		// All writers store the same value under this key.
-		return nil
+	epoch, startedAt := d.epoch(), d.now()
+	revision, err := d.writer.CompareAndSwap(ctx, key, expected, value)
+	switch {
+	case err == nil:
+		d.setWritten(key, departureEntry{epoch: epoch, revision: revision, writtenAt: startedAt})
+	case errors.Is(err, store.ErrConflict):
+		d.setWritten(key, departureEntry{epoch: epoch})
 	}
 	return err
 }
+
+// renew writes a stored departure again if it may expire soon. If that fails, the departure is still
+// stored.
+func (d *departureWriter) renew(ctx context.Context, key string, value []byte) error {
+	d.calls.Lock()
+	defer d.calls.Unlock()
+	known, found := d.entry(key)
+	if !found || d.now().Sub(known.writtenAt) < departureRenewalAge {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	if known.revision == 0 {
+		entry, err := d.store.Get(ctx, key)
+		if err != nil {
+			return err
+		}
+		known.revision = entry.Revision
+	}
+	return d.tryWrite(ctx, key, known.revision, value)
+}
+
+// isWritten reports whether the key is known to be stored in the current epoch.
+func (d *departureWriter) isWritten(key string) bool {
+	known, found := d.entry(key)
+	return found && known.epoch == d.epoch()
+}
+
+func (d *departureWriter) entry(key string) (departureEntry, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	known, found := d.written[key]
+	return known, found
+}
+
+func (d *departureWriter) setWritten(key string, entry departureEntry) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.written[key] = entry
+}
+
+// forget discards what is known of an entry that was removed from the store.
+func (d *departureWriter) forget(key string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	delete(d.written, key)
+}
--- a/internal/registry/registrar_departures.go
+++ b/internal/registry/registrar_departures.go
@@ -131,16 +131,28 @@
 	ctx, cancel := context.WithTimeout(ctx, ackTimeout)
 	defer cancel()
 	departure := Departure{Instance: incarnation.String(), Address: r.config.Address}
+	key, value := r.departureKey(departure), encode(departure)
+	repeated := r.foregroundWriter.isWritten(key)
 	var replication sync.WaitGroup
 	replication.Go(func() { r.replicateDeparture(ctx, departure) })
-	err := r.foregroundWriter.write(ctx, r.departureKey(departure), encode(departure))
+	err := r.foregroundWriter.write(ctx, key, value)
 	replication.Wait()
-	if err == nil {
-		r.departures.add(departure)
-	} else {
-		err = r.logUnacknowledged(incarnation, fmt.Errorf("make departure of %s durable: %w", incarnation, err))
+	if err != nil {
+		return r.logUnacknowledged(incarnation, fmt.Errorf("make departure of %s durable: %w", incarnation, err))
+	}
+	r.departures.add(departure)
+	if repeated {
+		r.renewDeparture(ctx, departure)
+	}
+	return nil
+}
+
+// renewDeparture keeps a departure stored while its target still sends heartbeats.
+func (r *Registrar) renewDeparture(ctx context.Context, departure Departure) {
+	err := r.foregroundWriter.renew(ctx, r.departureKey(departure), encode(departure))
+	if err != nil {
+		r.log.Record(eventlog.Event{Kind: eventlog.RecordRewritten, Target: departure.Instance, Outcome: fmt.Sprintf("renew departure: %v", err)})
 	}
-	return err
 }
 
 // logUnacknowledged logs why a notice is not acknowledged, and returns the error.
@@ -156,6 +168,8 @@
 // handleDepartureEntry processes a stored departure or its deletion.
 func (r *Registrar) handleDepartureEntry(instance string, entry store.Entry) {
 	if entry.Deleted {
+		r.foregroundWriter.forget(entry.Key)
+		r.backgroundWriter.forget(entry.Key)
 		r.departures.markMissing(instance, entry.Revision)
 		return
 	}
