Configfeed: keep the newest configuration while a node starts

A node that starts while the store returns from a backup would apply the older configuration of the backup, although it had read a newer one, if no peer holds that. Cause: the document on hold was the latest, not the newest version. Evidence: TestHeldFeedEndsAlikeInEachOrder: 20 of 120 orders end with the older version before the change. Change: a document on hold is replaced by a newer version only. Why it works: the version decides, as it does without a hold. Result: 0 of 120 orders. The finding that a deleted entry on hold is applied is no fault: nodes that hold nothing keep it in force too.

--- a/internal/configfeed/feed.go
+++ b/internal/configfeed/feed.go
@@ -31,7 +31,7 @@
 	document []byte
 	// storedVersion is the version in the copy of the store, zero if there is none.
 	storedVersion routetable.Version
-	// onHold is set from Hold until Release. Until then, pending is the latest configuration from
+	// onHold is set from Hold until Release. Until then, pending is the newest configuration from
 	// the copy of the store, pendingDocument its encoded form and pendingSource its source.
 	onHold          bool
 	pending         *routetable.Configuration
@@ -84,12 +84,20 @@
 	defer f.mutex.Unlock()
 	f.storedVersion = configuration.Version
 	if f.onHold {
-		f.pending, f.pendingDocument, f.pendingSource = configuration, entry.Value, source
+		f.keepPending(configuration, entry.Value, source)
 		return
 	}
 	f.apply(configuration, entry.Value, source)
 }
 
+// keepPending keeps a configuration until Release, unless a newer one is pending.
+func (f *Feed) keepPending(configuration *routetable.Configuration, document []byte, source string) {
+	if f.pending != nil && configuration.Version <= f.pending.Version {
+		return
+	}
+	f.pending, f.pendingDocument, f.pendingSource = configuration, document, source
+}
+
 // parse returns nil for an invalid document, which is logged and otherwise ignored.
 func (f *Feed) parse(document []byte, source string) *routetable.Configuration {
 	configuration, err := f.decode(document)
--- a/internal/configfeed/feed_test.go
+++ b/internal/configfeed/feed_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"maps"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -64,3 +66,36 @@
 	feed.ApplyChanges([]store.Entry{{Key: key + "-other", Value: []byte("3")}, {Key: key, Deleted: true}}, "store")
 	assert.Equal(t, holder.Version(), routetable.Version(2))
 }
+
+// TestHeldFeedEndsAlikeInEachOrder guards against a configuration that is lost, or applied although a
+// newer one was received, because it arrived while configurations were on hold.
+func TestHeldFeedEndsAlikeInEachOrder(t *testing.T) {
+	steps := map[string]func(*Feed){
+		"store 4": func(f *Feed) { applyVersion(f, "4") },
+		"store 5": func(f *Feed) { applyVersion(f, "5") },
+		"deleted": func(f *Feed) { f.ApplyChanges([]store.Entry{{Key: key, Deleted: true}}, "store") },
+		"peer 3":  func(f *Feed) { f.Offer([]byte("3"), "10.0.0.1:8300") },
+		"release": (*Feed).Release,
+	}
+	for _, order := range permutations(slices.Sorted(maps.Keys(steps))) {
+		feed, holder := newFeed()
+		feed.Hold()
+		for _, step := range order {
+			steps[step](feed)
+		}
+		assert.Check(t, holder.Version() == 5, "%v: version %d", order, holder.Version())
+	}
+}
+
+func permutations(names []string) [][]string {
+	if len(names) == 0 {
+		return [][]string{nil}
+	}
+	var all [][]string
+	for i, first := range names {
+		for _, rest := range permutations(slices.Delete(slices.Clone(names), i, i+1)) {
+			all = append(all, append([]string{first}, rest...))
+		}
+	}
+	return all
+}
