Quarantine: a record of an earlier epoch may be the newer one

After a restore of the store, a request that the operator releases from quarantine would be refused again within a second, each time. Cause: nodes took each record that names an earlier epoch for one of the backup, and wrote what they knew over it. An operator's lift kept the epoch of the record's first write; a lift before the restore that a node had not read yet looked the same. Evidence: TestLiftAfterStoreRestoreHolds fails with "a lifted request is quarantined again"; three of five cases of TestRestoredRecordIsJudgedByItsAge fail. Change: records are ordered by the epoch and number of their write, which a restore preserves; a rewrite of a lost record gives way to a newer stored one; a lift names the current epoch. Why it works: the order of writes decides, not whether a record is seen after a restore. Result: both tests pass, and the package's with -race.

--- a/internal/quarantine/operator.go
+++ b/internal/quarantine/operator.go
@@ -52,6 +52,7 @@
 		return fmt.Errorf("read quarantine record %s: %w", hash, err)
 	}
 	record.Lifted = true
+	record.Epoch = entry.Revision.Epoch()
 	// The record keeps its lease.
 	if _, err := backend.CompareAndSwap(ctx, key, entry.Revision, record.Encode(), entry.Lease); err != nil {
 		return fmt.Errorf("lift quarantine %s: %w", hash, err)
--- a/internal/quarantine/record_store.go
+++ b/internal/quarantine/record_store.go
@@ -38,6 +38,12 @@
 	return r.Lifted == other.Lifted && r.Trials >= other.Trials
 }
 
+// originalRevision returns the revision of a record's write, in the epoch in which it was written. A
+// restored store shows the same number in a later epoch.
+func (r Record) originalRevision(shown store.Revision) store.Revision {
+	return store.NewRevision(min(r.Epoch, shown.Epoch()), shown.Number())
+}
+
 // DecodeRecord decodes the stored value of a record.
 func DecodeRecord(value []byte) (Record, error) {
 	var record Record
@@ -68,6 +74,12 @@
 	expireInterval = 10 * time.Second
 )
 
+// datedRecord is a record with its original revision, zero if it has not been written yet.
+type datedRecord struct {
+	Record
+	writtenAt store.Revision
+}
+
 // recordStore writes quarantine records to the store and tracks those that it holds.
 type recordStore struct {
 	store  store.Store
@@ -81,12 +93,12 @@
 	mutex sync.Mutex
 	// pending holds the records to be written, and written the records of this node, which it
 	// rewrites if they are removed from the store.
-	pending map[fingerprint.Fingerprint]Record
+	pending map[fingerprint.Fingerprint]datedRecord
 	written map[fingerprint.Fingerprint]Record
 	// revisions holds the revisions of the records in the node's copy of the store, and
 	// records their last known values, of any store epoch.
 	revisions map[fingerprint.Fingerprint]store.Revision
-	records   map[fingerprint.Fingerprint]Record
+	records   map[fingerprint.Fingerprint]datedRecord
 	// epoch returns the latest known store epoch, and position the node's position in an order
 	// of all nodes.
 	epoch    func() store.Epoch
@@ -107,10 +119,10 @@
 		claimWriter: leased.NewWriter(config.Store, RecordTTL, config.Now),
 		log:         config.Log,
 		wake:        make(chan struct{}, 1),
-		pending:     make(map[fingerprint.Fingerprint]Record),
+		pending:     make(map[fingerprint.Fingerprint]datedRecord),
 		written:     make(map[fingerprint.Fingerprint]Record),
 		revisions:   make(map[fingerprint.Fingerprint]store.Revision),
-		records:     make(map[fingerprint.Fingerprint]Record),
+		records:     make(map[fingerprint.Fingerprint]datedRecord),
 		epoch:       config.Epoch,
 		position:    config.Position,
 	}
@@ -119,7 +131,7 @@
 // enqueue schedules a record to be written as soon as the store accepts it.
 func (r *recordStore) enqueue(hash fingerprint.Fingerprint, record Record) {
 	r.mutex.Lock()
-	r.pending[hash] = record
+	r.pending[hash] = datedRecord{Record: record}
 	r.written[hash] = record
 	r.mutex.Unlock()
 	r.signal()
@@ -149,7 +161,7 @@
 // writePending tries to write each pending record once and reports whether all succeeded.
 func (r *recordStore) writePending(ctx context.Context) bool {
 	r.mutex.Lock()
-	batch := make(map[fingerprint.Fingerprint]Record, len(r.pending))
+	batch := make(map[fingerprint.Fingerprint]datedRecord, len(r.pending))
 	for hash, record := range r.pending {
 		batch[hash] = record
 	}
@@ -169,9 +181,9 @@
 	return complete
 }
 
-// put writes a record unless the stored one covers it. A lifted record replaces one that
-// is not lifted.
-func (r *recordStore) put(ctx context.Context, hash fingerprint.Fingerprint, record Record) error {
+// put writes a record unless the stored one covers it or, if the store lost the record, is newer. A
+// lifted record replaces one that is not lifted.
+func (r *recordStore) put(ctx context.Context, hash fingerprint.Fingerprint, pending datedRecord) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	key := r.prefix + hash.String()
@@ -183,10 +195,12 @@
 		return err
 	default:
 		stored, err := DecodeRecord(entry.Value)
-		if err == nil && stored.covers(record) {
+		isNewer := pending.writtenAt != 0 && stored.originalRevision(entry.Revision) > pending.writtenAt
+		if err == nil && (isNewer || stored.covers(pending.Record)) {
 			return nil
 		}
 	}
+	record := pending.Record
 	record.Epoch = r.epoch()
 	_, err = r.writer.CompareAndSwap(ctx, key, entry.Revision, record.Encode())
 	return err
@@ -244,12 +258,13 @@
 			continue
 		}
 		known, found := r.records[hash]
-		if found && record.Epoch < entry.Revision.Epoch() && !record.covers(known) {
+		dated := datedRecord{Record: record, writtenAt: record.originalRevision(entry.Revision)}
+		if found && dated.writtenAt < known.writtenAt && !record.covers(known.Record) {
 			// The store was restored from a backup that lacks later writes.
 			r.restoreLost(hash, known)
 			continue
 		}
-		r.records[hash] = record
+		r.records[hash] = dated
 		if record.Lifted {
 			delete(r.written, hash)
 		}
@@ -260,7 +275,7 @@
 
 // restoreLost rewrites a record that the store lost: immediately if this node wrote it, and
 // otherwise after a delay unless another node has done so. The lock is held.
-func (r *recordStore) restoreLost(hash fingerprint.Fingerprint, record Record) {
+func (r *recordStore) restoreLost(hash fingerprint.Fingerprint, record datedRecord) {
 	if _, written := r.written[hash]; written {
 		r.pending[hash] = record
 		r.signal()
@@ -275,7 +290,7 @@
 
 // rewriteIfLost schedules a write of a record unless a newer one is known. The write has no
 // effect if another node has already rewritten the record.
-func (r *recordStore) rewriteIfLost(hash fingerprint.Fingerprint, record Record) {
+func (r *recordStore) rewriteIfLost(hash fingerprint.Fingerprint, record datedRecord) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.records[hash] != record {
@@ -307,6 +322,6 @@
 		delete(r.written, hash)
 		return
 	}
-	r.pending[hash] = record
+	r.pending[hash] = datedRecord{Record: record, writtenAt: known.writtenAt}
 	r.signal()
 }
--- a/internal/quarantine/restore_test.go
+++ b/internal/quarantine/restore_test.go
@@ -117,3 +117,68 @@
 		assert.Assert(t, !nodes[2].State(hash).Quarantined)
 	})
 }
+
+// TestLiftAfterStoreRestoreHolds guards against an operator's lift that is undone: after the store was
+// restored from a backup, nodes took the lifted record for that of the backup and wrote the
+// quarantine again.
+func TestLiftAfterStoreRestoreHolds(t *testing.T) {
+	virtualtime.Run(t, func(t *testing.T) {
+		memoryStore := memory.New(time.Now)
+		hash := fingerprint.Fingerprint{1}
+		nodes := []*restoredNode{startRestoredNode(memoryStore, 0), startRestoredNode(memoryStore, 1)}
+		defer func() {
+			for _, n := range nodes {
+				n.stop()
+			}
+			time.Sleep(time.Minute)
+		}()
+		time.Sleep(time.Second)
+		nodes[0].quarantineRequest(hash)
+		time.Sleep(2 * time.Second)
+		memoryStore.Restore(memoryStore.Backup())
+		time.Sleep(3 * time.Second)
+		assert.NilError(t, Lift(t.Context(), memoryStore, testPrefix, hash))
+		time.Sleep(2 * time.Second)
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			for _, n := range nodes {
+				assert.Assert(t, !n.State(hash).Quarantined, "a lifted request is quarantined again")
+			}
+		}
+	})
+}
+
+// TestRestoredRecordIsJudgedByItsAge guards against a quarantine that is lifted or set again by an
+// older record, when the store returns from a backup.
+func TestRestoredRecordIsJudgedByItsAge(t *testing.T) {
+	quarantined := Record{Service: "s", Route: "r"}
+	lifted := Record{Service: "s", Route: "r", Lifted: true}
+	hash := fingerprint.Fingerprint{1}
+	entry := func(record Record, epoch store.Epoch, number int64) store.Entry {
+		return store.Entry{Key: testPrefix + hash.String(), Revision: store.NewRevision(epoch, number), Value: record.Encode()}
+	}
+	cases := []struct {
+		name        string
+		changes     []store.Entry
+		quarantined bool
+		// rewritten means that the node writes the record that it knows again.
+		rewritten bool
+	}{
+		{"lifted before the backup, not received before the restore", []store.Entry{entry(quarantined, 0, 5), entry(lifted, 1, 7)}, false, false},
+		{"quarantined again after the backup", []store.Entry{entry(lifted, 0, 7), entry(quarantined, 0, 9), entry(lifted, 1, 7)}, true, true},
+		{"lifted after the backup", []store.Entry{entry(quarantined, 0, 5), entry(lifted, 0, 7), entry(quarantined, 1, 5)}, false, true},
+		{"lifted by an operator after the restore", []store.Entry{entry(quarantined, 0, 5), entry(quarantined, 1, 5), entry(lifted, 1, 8)}, false, false},
+		{"quarantined before the backup, not received before the restore", []store.Entry{entry(lifted, 0, 5), entry(quarantined, 1, 7)}, true, false},
+	}
+	for _, c := range cases {
+		q := New(Config{Store: memory.New(time.Now), Prefix: testPrefix, Now: time.Now})
+		for _, change := range c.changes {
+			q.ApplyChanges([]store.Entry{change})
+			// The node that wrote the record rewrites it without a delay.
+			q.records.written[hash] = Record{}
+		}
+		assert.Check(t, q.State(hash).Quarantined == c.quarantined, c.name)
+		_, rewritten := q.records.pending[hash]
+		assert.Check(t, rewritten == c.rewritten, "%s: rewritten %v", c.name, rewritten)
+	}
+}
