Directory: keep a notice that arrives before the record of its home

A node restarted during an outage of the store would refuse calls with no-target for up to 10 s, if targets were replaced shortly before and the notices arrived too early. Cause: notices update homes with a stored record only, and others were dropped; a restarted node recovers the records from its peers. Change: such a notice is kept, 4,096 at most, and takes effect with the record if it is newer. The set of nodes still follows the records. Why it works: the same rule orders notice and record, whichever comes first.

--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -43,8 +43,11 @@
 	log        *eventlog.Log
 	now        func() time.Time
 
-	mutex          sync.Mutex
-	homes          map[string]*Home
+	mutex sync.Mutex
+	homes map[string]*Home
+	// early holds, by key, what notices told of homes without a record. A node that was restarted
+	// during an outage of the store may receive them before it has recovered the records.
+	early          map[string]*Home
 	homesByService atomic.Pointer[map[string][]*Home]
 	weights        atomic.Pointer[map[string]int]
 	addresses      atomic.Pointer[[]string]
@@ -55,7 +58,7 @@
 // NewDirectory returns a directory of the records under the prefix for the node with the given
 // address.
 func NewDirectory(prefix, ownAddress string, log *eventlog.Log, now func() time.Time) *Directory {
-	d := &Directory{prefix: prefix, ownAddress: ownAddress, log: log, now: now, homes: make(map[string]*Home)}
+	d := &Directory{prefix: prefix, ownAddress: ownAddress, log: log, now: now, homes: make(map[string]*Home), early: make(map[string]*Home)}
 	d.publish()
 	return d
 }
@@ -79,8 +82,8 @@
 )
 
 // ApplyStart applies a notice of this node or of a peer, and reports whether it was newer than
-// what was known. Only homes with a stored record are updated, so that notices don't change the
-// number of homes or the ordering of nodes.
+// what was known. A notice of a home without a stored record takes effect with the record, so that
+// notices don't change the number of homes or the ordering of nodes.
 func (d *Directory) ApplyStart(notice StartNotice) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -89,7 +92,11 @@
 	if notice.Record.Address == d.ownAddress {
 		source = sourceLocal
 	}
-	if known == nil || (source == sourceNotice && !notice.supersedes(known)) {
+	if known == nil {
+		d.keepEarly(key, &notice)
+		return false
+	}
+	if source == sourceNotice && !notice.supersedes(known) {
 		return false
 	}
 	home := known.withNotice(&notice)
@@ -99,6 +106,35 @@
 	return true
 }
 
+// maxEarly bounds the notices that are kept for homes without a record. It exceeds the number of nodes
+// of a large fleet.
+const maxEarly = 4096
+
+// keepEarly keeps a notice of a home without a record, unless a newer one is kept.
+func (d *Directory) keepEarly(key string, notice *StartNotice) {
+	kept := d.early[key]
+	switch {
+	case kept == nil && len(d.early) < maxEarly:
+		d.early[key] = (&Home{}).withNotice(notice)
+	case kept != nil && notice.supersedes(kept):
+		d.early[key] = kept.withNotice(notice)
+	}
+}
+
+// applyEarly applies what was kept of a home before its first record, if it is newer.
+func (d *Directory) applyEarly(key string) {
+	kept := d.early[key]
+	if kept == nil {
+		return
+	}
+	delete(d.early, key)
+	notice := StartNotice{Record: kept.Record, Base: kept.Revision, Sequence: kept.NoticeSequence}
+	if known := d.homes[key]; notice.supersedes(known) {
+		d.homes[key] = known.withNotice(&notice)
+		d.logChange(d.homes[key], sourceNotice)
+	}
+}
+
 // withNotice returns the home after a notice that is newer than it.
 func (h *Home) withNotice(notice *StartNotice) *Home {
 	updated := &Home{Record: notice.Record, Revision: max(h.Revision, notice.Base), NoticeSequence: notice.Sequence, LapsedAt: h.LapsedAt, previousProcess: h.previousProcess}
@@ -202,6 +238,7 @@
 	home := &Home{Record: record, Revision: entry.Revision}
 	d.homes[entry.Key] = home
 	d.logChange(home, source)
+	d.applyEarly(entry.Key)
 }
 
 // keepKnown keeps the known state of a home when the store was restored from a backup and shows
