Directory: order records and notices of a process by their changes

After a write that the store applied and did not confirm, the next target of the node gets no calls: peers ignore its notice, and the node itself goes back to the target before. Cause: notice and record were compared by the revision of the node's record, which the node does not know in that case. Evidence: two rows of TestDirectoryEndsAlikeInEachOrder fail in all of their 8 orders, TestUnconfirmedWriteDoesNotHideOwnTarget fails. Change: records carry the number of their change, as notices do. It orders them within a process. Why it works: the number is assigned where the changes happen and does not depend on answers of the store. Compatibility: the field is optional; records without it are ordered by revision, as before.

--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -138,6 +138,7 @@
 // withNotice returns the home after a notice that is newer than it.
 func (h *Home) withNotice(notice *StartNotice) *Home {
 	updated := &Home{Record: notice.Record, Revision: max(h.Revision, notice.Base), NoticeSequence: notice.Sequence, LapsedAt: h.LapsedAt, previousProcess: h.previousProcess}
+	updated.Sequence = notice.Sequence
 	if h.Process != notice.Record.Process {
 		updated.previousProcess = h.Process
 	}
@@ -231,6 +232,10 @@
 		d.keepKnown(known, &record, entry.Revision, source)
 		return
 	}
+	if known != nil && known.isLaterChange(&record) {
+		d.confirm(known, entry.Revision)
+		return
+	}
 	if known != nil && known.Instance == record.Instance {
 		// An incarnation that is leaving never becomes ready again.
 		record.State = max(record.State, known.State)
@@ -241,6 +246,19 @@
 	d.applyEarly(entry.Key)
 }
 
+// isLaterChange reports whether the home is known from a later change of the same process than the
+// record contains.
+func (h *Home) isLaterChange(record *Record) bool {
+	return h.Process == record.Process && record.Sequence > 0 && h.Sequence > record.Sequence
+}
+
+// confirm records that the home's record is stored at a revision.
+func (d *Directory) confirm(known *Home, revision store.Revision) {
+	confirmed := *known
+	confirmed.Revision, confirmed.LapsedAt = revision, time.Time{}
+	d.homes[d.keyOf(known)] = &confirmed
+}
+
 // keepKnown keeps the known state of a home when the store was restored from a backup and shows
 // an older record. If the two differ, the known state is kept until the home has had time to
 // write it again, as for a record that disappeared.
--- a/internal/registry/directory_order_test.go
+++ b/internal/registry/directory_order_test.go
@@ -17,6 +17,10 @@
 	record := func(incarnation string, state State, process uint32) Record {
 		return Record{Instance: incarnation, Service: "s", Address: address, State: state, Process: process}
 	}
+	numbered := func(r Record, sequence uint64) Record {
+		r.Sequence = sequence
+		return r
+	}
 	stored := func(r Record, revision store.Revision) func(*Directory) {
 		return func(d *Directory) {
 			d.ApplyChanges([]store.Entry{{Key: homesPrefix + address, Revision: revision, Value: encode(r)}}, "store")
@@ -39,6 +43,13 @@
 		{"start that was stored afterwards", []func(*Directory){stored(record("i@1", Draining, 1), 5),
 			noticed(record("i@2", Ready, 1), 5, 1), stored(record("i@2", Ready, 1), 7)}, "i@2", true},
 		{"notice of an earlier start", []func(*Directory){stored(record("i@2", Ready, 1), 7), noticed(record("i@1", Draining, 1), 5, 1)}, "i@2", true},
+		{"start after a write that the store did not confirm", []func(*Directory){stored(record("i@0", Draining, 1), 3),
+			stored(numbered(record("i@1", Draining, 1), 1), 5), noticed(record("i@2", Ready, 1), 3, 2)}, "i@2", true},
+		{"departure after a write that the store did not confirm", []func(*Directory){
+			stored(numbered(record("i@1", Ready, 1), 1), 5), noticed(record("i@1", Draining, 1), 3, 2)}, "i@1", false},
+		{"start that was stored after an unconfirmed write", []func(*Directory){stored(numbered(record("i@1", Draining, 1), 1), 5),
+			noticed(record("i@2", Ready, 1), 3, 2), stored(numbered(record("i@2", Ready, 1), 2), 7)}, "i@2", true},
+		{"notice that was stored since", []func(*Directory){stored(numbered(record("i@2", Ready, 1), 2), 7), noticed(record("i@1", Draining, 1), 7, 1)}, "i@2", true},
 		{"start at a new process", []func(*Directory){stored(record("i@1", Draining, 1), 5), noticed(record("i@2", Ready, 2), 5, 1)}, "i@2", true},
 	}
 	for _, c := range cases {
@@ -67,3 +78,24 @@
 	}
 	return all
 }
+
+// TestUnconfirmedWriteDoesNotHideOwnTarget guards against a node that refuses calls for its own target
+// during an outage, because it reads its record of the target before.
+func TestUnconfirmedWriteDoesNotHideOwnTarget(t *testing.T) {
+	record := Record{Instance: "i@1", Service: "s", Address: homeAddress, State: Draining, Process: 1}
+	apply := func(d *Directory, revision store.Revision) {
+		d.ApplyChanges([]store.Entry{{Key: homesPrefix + homeAddress, Revision: revision, Value: encode(record)}}, "store")
+	}
+	d := NewDirectory(homesPrefix, homeAddress, nil, time.Now)
+	apply(d, 3)
+	next := record
+	next.Instance, next.State = "i@2", Ready
+	d.ApplyStart(StartNotice{Record: next, Base: 3, Sequence: 2})
+	record.Sequence = 1
+	apply(d, 5)
+	assert.Equal(t, len(d.Homes("s")), 1)
+	record = next
+	record.State, record.Sequence = Draining, 3
+	apply(d, 7)
+	assert.Equal(t, len(d.Homes("s")), 0, "a later change is applied")
+}
--- a/internal/registry/record.go
+++ b/internal/registry/record.go
@@ -115,6 +115,9 @@
 	// RateLimit is the rate limit that the target announced, in calls per second; nil if it
 	// announced none. It may be some seconds old.
 	RateLimit *float64 `cbor:"9,keyasint,omitempty"`
+	// Sequence is the sequence number of the change that the record contains (see StartNotice); zero in
+	// records of earlier versions.
+	Sequence uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Announcement returns the rate limit that the target announced.
--- a/internal/registry/registrar.go
+++ b/internal/registry/registrar.go
@@ -328,5 +328,6 @@
 	if notice, changed := r.starts.update(record); changed {
 		r.config.OnStart(notice)
 	}
+	record.Sequence = r.starts.sequence()
 	r.publisher.publish(record)
 }
--- a/internal/registry/start_notice.go
+++ b/internal/registry/start_notice.go
@@ -34,6 +34,9 @@
 // notices, and those of an earlier incarnation or process, are not.
 func (n *StartNotice) supersedes(known *Home) bool {
 	switch {
+	case n.Record.Process == known.Process && known.Sequence > 0:
+		// The sender may not know the revision of its own record, if the store did not confirm a write.
+		return n.Sequence > known.Sequence
 	case n.Base < known.Revision || n.precedes(known):
 		return false
 	case n.Base > known.Revision || known.NoticeSequence == 0:
--- a/internal/registry/starts.go
+++ b/internal/registry/starts.go
@@ -79,6 +79,13 @@
 	return s.withBase(), true
 }
 
+// sequence returns the sequence number of the latest change.
+func (s *starts) sequence() uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.latest.Sequence
+}
+
 // withBase returns the latest notice with the highest known revision of the stored record.
 func (s *starts) withBase() StartNotice {
 	notice := s.latest
