Quarantine: cancel calls only when a quarantine begins

With more than 256 quarantined requests in the store, running calls of each further one are canceled although the request is not refused. Cause: a record of a request that was not quarantined before counted as the beginning of a quarantine, whether or not it was applied. Evidence: TestQuarantineOverLimitCancelsNothing: 276 canceled, 256 quarantined. Change: ApplyQuarantine reports whether it began. Why it works: the table decides about the limit and now says what it decided.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -173,9 +173,7 @@
 				q.logLifted(change.hash, "the store holds that it ended")
 			}
 		default:
-			known := quarantined(change.hash)
-			q.table.ApplyQuarantine(change.hash, change.record.Trials)
-			if !known {
+			if q.table.ApplyQuarantine(change.hash, change.record.Trials) {
 				q.handleQuarantined(change.hash, "the store holds the verdict")
 			}
 		}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -281,3 +281,16 @@
 	})
 	assert.Assert(t, c.nodes[0].Empty())
 }
+
+// TestQuarantineOverLimitCancelsNothing guards against calls that are canceled although their request
+// is not quarantined, because the node holds as many quarantines as it may.
+func TestQuarantineOverLimitCancelsNothing(t *testing.T) {
+	canceled := 0
+	q := New(Config{Store: memory.New(time.Now), Prefix: testPrefix, Now: time.Now, OnQuarantine: func(fingerprint.Fingerprint) { canceled++ }})
+	for i := range maxQuarantined + 20 {
+		key := testPrefix + fingerprintOf(i).String()
+		q.ApplyChanges([]store.Entry{{Key: key, Revision: store.Revision(i + 1), Value: Record{Service: "s", Route: "r"}.Encode()}})
+	}
+	assert.Equal(t, q.Quarantined(), maxQuarantined)
+	assert.Equal(t, canceled, maxQuarantined)
+}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -267,8 +267,9 @@
 	t.size.Store(int64(len(t.suspects)))
 }
 
-// ApplyQuarantine applies a quarantine from the store, with its number of trials so far.
-func (t *Table) ApplyQuarantine(hash fingerprint.Fingerprint, trials int) {
+// ApplyQuarantine applies a quarantine from the store, with its number of trials so far. It reports
+// whether the request was quarantined by this call.
+func (t *Table) ApplyQuarantine(hash fingerprint.Fingerprint, trials int) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	entry := t.suspects[hash]
@@ -279,14 +280,16 @@
 	}
 	entry.crashes = max(entry.crashes, quarantineCrashes)
 	entry.lastCrash = t.now()
+	started := false
 	switch {
 	case entry.quarantine == nil:
-		t.startQuarantine(entry, trials)
+		started = t.startQuarantine(entry, trials)
 	case trials > entry.quarantine.trials:
 		entry.quarantine.trials = trials
 		entry.quarantine.nextTrial = t.now().Add(trialDelay(trials))
 	}
 	t.size.Store(int64(len(t.suspects)))
+	return started
 }
 
 // trials returns the number of trial runs of a quarantined request.
