Quarantine: enforce the bound of suspects for stored records

What callers saw: nothing; memory grows with the records of the store. Cause: the bound was enforced for crashes and clearances only. Evidence: TestStoredQuarantinesAreBounded: 4,196 suspects, bound 4,096. Change and result: ApplyQuarantine enforces it; the test passes.

--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -288,6 +288,7 @@
 		entry.quarantine.trials = trials
 		entry.quarantine.nextTrial = t.now().Add(trialDelay(trials))
 	}
+	t.enforceLimits()
 	t.size.Store(int64(len(t.suspects)))
 	return started
 }
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -92,3 +92,13 @@
 	assert.Assert(t, table.State(fingerprintOf(1)).Quarantined)
 	assert.Assert(t, !table.State(fingerprintOf(2)).Quarantined)
 }
+
+// TestStoredQuarantinesAreBounded guards against suspects without bound that come from the store.
+func TestStoredQuarantinesAreBounded(t *testing.T) {
+	table := NewTable(time.Now)
+	for i := range maxSuspects + 100 {
+		table.ApplyQuarantine(fingerprintOf(i), 0)
+	}
+	assert.Assert(t, len(table.suspects) <= maxSuspects, "%d suspects", len(table.suspects))
+	assert.Equal(t, table.Quarantined(), maxQuarantined)
+}
