--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -93,7 +93,7 @@
 		source = sourceLocal
 	}
 	if known == nil {
-		d.keepEarly(key, &notice)
+		d.keepEarlyNotice(key, &notice)
 		return false
 	}
 	if source == sourceNotice && !notice.supersedes(known) {
@@ -106,23 +106,23 @@
 	return true
 }
 
-// maxEarly bounds the notices that are kept for homes without a record. It exceeds the number of nodes
+// maxEarlyNotices bounds the notices that are kept for homes without a record. It exceeds the number of nodes
 // of a large fleet.
-const maxEarly = 4096
+const maxEarlyNotices = 4096
 
-// keepEarly keeps a notice of a home without a record, unless a newer one is kept.
-func (d *Directory) keepEarly(key string, notice *StartNotice) {
+// keepEarlyNotice keeps a notice of a home without a record, unless a newer one is kept.
+func (d *Directory) keepEarlyNotice(key string, notice *StartNotice) {
 	kept := d.early[key]
 	switch {
-	case kept == nil && len(d.early) < maxEarly:
+	case kept == nil && len(d.early) < maxEarlyNotices:
 		d.early[key] = (&Home{}).withNotice(notice)
 	case kept != nil && notice.supersedes(kept):
 		d.early[key] = kept.withNotice(notice)
 	}
 }
 
-// applyEarly applies what was kept of a home before its first record, if it is newer.
-func (d *Directory) applyEarly(key string) {
+// applyEarlyNotice applies what was kept of a home before its first record, if it is newer.
+func (d *Directory) applyEarlyNotice(key string) {
 	kept := d.early[key]
 	if kept == nil {
 		return
@@ -232,8 +232,8 @@
 		d.keepKnown(known, &record, entry.Revision, source)
 		return
 	}
-	if known != nil && known.isLaterChange(&record) {
-		d.confirm(known, entry.Revision)
+	if known != nil && known.hasLaterChange(&record) {
+		d.markStored(known, entry.Revision)
 		return
 	}
 	if known != nil && known.Instance == record.Instance {
@@ -243,20 +243,20 @@
 	home := &Home{Record: record, Revision: entry.Revision}
 	d.homes[entry.Key] = home
 	d.logChange(home, source)
-	d.applyEarly(entry.Key)
+	d.applyEarlyNotice(entry.Key)
 }
 
-// isLaterChange reports whether the home is known from a later change of the same process than the
-// record contains.
-func (h *Home) isLaterChange(record *Record) bool {
+// hasLaterChange reports whether the home is known from a later change of the same process than the one
+// in the record. A late write or one that the store did not confirm can show an earlier change.
+func (h *Home) hasLaterChange(record *Record) bool {
 	return h.Process == record.Process && record.Sequence > 0 && h.Sequence > record.Sequence
 }
 
-// confirm records that the home's record is stored at a revision.
-func (d *Directory) confirm(known *Home, revision store.Revision) {
-	confirmed := *known
-	confirmed.Revision, confirmed.LapsedAt = revision, time.Time{}
-	d.homes[d.keyOf(known)] = &confirmed
+// markStored records that the home's record is stored at a revision.
+func (d *Directory) markStored(known *Home, revision store.Revision) {
+	stored := *known
+	stored.Revision, stored.LapsedAt = revision, time.Time{}
+	d.homes[d.keyOf(known)] = &stored
 }
 
 // keepKnown keeps the known state of a home when the store was restored from a backup and shows
