review: a second copy of a rejection passes for the answer to the next send

Cause: a request that its target rejected is offered to the same target again with the same id, mostly over the same connection; answers are told apart by the id alone. Seen: requests of non_idempotent routes get 503 and run all the same; some run twice.

--- /dev/null
+++ b/review/stand/target.go
@@ -0,0 +1,199 @@
+//go:build review
+
+package stand
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Run is one run of a request by a target.
+type Run struct {
+	ID     string
+	Target string
+	At     time.Time
+}
+
+// Target is a target beside a node. It serves one request at a time on a connection, keeps
+// connections, and answers with the request's id.
+type Target struct {
+	ID, Service, Address, Control, Zone string
+	Slots                               int
+	Work                                time.Duration
+	// Grey is the share of requests that it rejects as not executed (srv_grey, shed), and Extra
+	// the share of its answers that it sends a second time, late: in the place where the next
+	// answer on the connection is due (garble, extra late).
+	Grey, Extra float64
+
+	mutex    sync.Mutex
+	random   *rand.Rand
+	running  int
+	runs     []Run
+	sequence int
+	born     int64
+	// Rejected, Surplus and Answers count what it sent.
+	Rejected, Surplus, Answers int
+	listener                   net.Listener
+}
+
+// Start listens, and sends heartbeats until the context ends.
+func (t *Target) Start(ctx context.Context, seed uint64) error {
+	listener, err := net.Listen("tcp", t.Address)
+	if err != nil {
+		return err
+	}
+	t.listener, t.random, t.born = listener, rand.New(rand.NewPCG(seed, 7)), time.Now().UnixMilli()
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go t.serve(connection)
+		}
+	}()
+	go t.heartbeats(ctx)
+	context.AfterFunc(ctx, func() { _ = listener.Close() })
+	return nil
+}
+
+// Runs returns the runs in their order.
+func (t *Target) Runs() []Run {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return append([]Run(nil), t.runs...)
+}
+
+// Trouble sets the shares of rejected requests and of surplus answers.
+func (t *Target) Trouble(grey, extra float64) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.Grey, t.Extra = grey, extra
+}
+
+// serve serves the requests of one connection, one after the other.
+func (t *Target) serve(connection net.Conn) {
+	defer func() { _ = connection.Close() }()
+	reader := bufio.NewReader(connection)
+	var surplus []byte
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		if surplus != nil {
+			// The second answer to the request before comes where this one is due.
+			if _, err := connection.Write(surplus); err != nil {
+				return
+			}
+			surplus = nil
+		}
+		answer := t.answer(request, body)
+		if _, err := connection.Write(answer); err != nil {
+			return
+		}
+		t.mutex.Lock()
+		t.Answers++
+		if t.random.Float64() < t.Extra {
+			surplus = answer
+			t.Surplus++
+		}
+		t.mutex.Unlock()
+	}
+}
+
+// begin admits a request and records its run.
+func (t *Target) begin(id string) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.running >= t.Slots || t.random.Float64() < t.Grey {
+		t.Rejected++
+		return false
+	}
+	t.running++
+	t.runs = append(t.runs, Run{ID: id, Target: t.ID, At: time.Now()})
+	return true
+}
+
+func (t *Target) answer(request *http.Request, body []byte) []byte {
+	id := request.Header.Get("Lugspur-Attempt-Id")
+	switch {
+	case request.Header.Get("Lugspur-Expect-Instance") != t.ID:
+		return response(http.StatusMisdirectedRequest, id, map[string]string{"Lugspur-Not-Executed": "1"}, "")
+	case !t.begin(id):
+		return response(http.StatusServiceUnavailable, id, map[string]string{"Lugspur-Not-Executed": "1"}, "")
+	}
+	time.Sleep(t.Work)
+	t.mutex.Lock()
+	t.running--
+	load := fmt.Sprintf("%d,0,%d", t.running, t.Slots)
+	t.mutex.Unlock()
+	return response(http.StatusOK, id, map[string]string{"Lugspur-Response-Signature": "signed-by-" + t.ID, "Lugspur-Server-Load": load},
+		fmt.Sprintf("%s %s %s %d %s", t.Service, request.Method, request.URL.Path, len(body), id))
+}
+
+func response(status int, id string, header map[string]string, body string) []byte {
+	var answer bytes.Buffer
+	fmt.Fprintf(&answer, "HTTP/1.1 %d %s\r\nLugspur-Attempt-Id: %s\r\n", status, http.StatusText(status), id)
+	for name, value := range header {
+		fmt.Fprintf(&answer, "%s: %s\r\n", name, value)
+	}
+	fmt.Fprintf(&answer, "Content-Length: %d\r\n\r\n%s", len(body), body)
+	return answer.Bytes()
+}
+
+// heartbeatInterval is heartbeat-s of the settings.
+const heartbeatInterval = 1500 * time.Millisecond
+
+func (t *Target) heartbeats(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := heartbeatInterval
+		if t.Heartbeat(ctx, "ready") != http.StatusOK {
+			pause = 200 * time.Millisecond
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+// Heartbeat sends a heartbeat with the state and returns the status of its answer, 0 for none.
+func (t *Target) Heartbeat(ctx context.Context, state string) int {
+	t.mutex.Lock()
+	t.sequence++
+	body, _ := json.Marshal(map[string]any{"service": t.Service, "address": t.Address, "zone": t.Zone, "version": "v1", "slots": t.Slots,
+		"state": state, "warmup-left-s": 0, "seq": t.sequence, "born": t.born})
+	t.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+t.Control+"/instances/"+t.ID, bytes.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	request.Header.Set("Content-Type", "application/json")
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, answer.Body)
+	_ = answer.Body.Close()
+	return answer.StatusCode
+}
+
+// Millis is a helper for headers that hold milliseconds.
+func Millis(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
