review: two bodies of the permitted size put a node over its memory

Cause: a node holds each body several times over and nothing bounds what it holds in all. Seen: two clients at once send bodies of max-body-bytes; the node is over memory-mb and killed, and requests from kept connections that targets work on are closed without an answer (LOST).

--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"time"
 )
@@ -20,6 +21,8 @@
 	Started  time.Time
 	Took     time.Duration
 	Err      string
+	// Kept reports whether it was sent on a connection that had carried requests before.
+	Kept bool
 }
 
 // Client sends requests to the nodes on kept connections. It is safe for concurrent use.
@@ -43,6 +46,7 @@
 		// Without it, the library would repeat requests by itself.
 		request.GetBody = nil
 		request.Host = host
+		request = request.WithContext(httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { sent.Kept = info.Reused }}))
 		request.Header.Set("Lugspur-Attempt-Id", id)
 		request.Header.Set("Lugspur-Deadline-Ms", Millis(deadline))
 		var answer *http.Response
--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -163,6 +164,21 @@
 // PID is the process id of the node.
 func (m *Machine) PID() int { return m.process.Process.Pid }
 
+// Resident returns the resident memory of the node's process in bytes, 0 if it has ended.
+func (m *Machine) Resident() int64 {
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", m.PID()))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.SplitSeq(string(content), "\n") {
+		if value, found := strings.CutPrefix(line, "VmRSS:"); found {
+			kilobytes, _ := strconv.ParseInt(strings.Fields(value)[0], 10, 64)
+			return kilobytes << 10
+		}
+	}
+	return 0
+}
+
 // Ended is closed when the node's process has ended.
 func (m *Machine) Ended() <-chan struct{} { return m.ended }
 
