--- a/review/memory/main.go
+++ b/review/memory/main.go
@@ -1,7 +1,7 @@
 //go:build review
 
-// Command memory shows what becomes of a node at which two clients send bodies of the size that
-// the operator's limits allow, beside small requests on kept connections.
+// Command memory shows what becomes of two nodes at which two clients each send bodies of the size
+// that the operator's limits allow, beside small requests on kept connections.
 package main
 
 import (
@@ -26,8 +26,8 @@
 	calmBody = 16384
 	// parallel is the number of such requests at once, each rounds apart by roundEvery.
 	parallel   = 2
-	rounds     = 4
-	roundEvery = 10 * time.Second
+	rounds     = 6
+	roundEvery = 8 * time.Second
 	perSecond  = 90
 	// restartAfter is the short delay after which a process that ended starts again.
 	restartAfter = time.Second
@@ -54,7 +54,8 @@
 type platform struct {
 	mutex sync.Mutex
 	lines []string
-	kills int
+	// kills counts the ends by machine.
+	kills map[string]int
 	most  int64
 }
 
@@ -74,7 +75,7 @@
 		return 2
 	}
 	started := time.Now()
-	p := &platform{}
+	p := &platform{kills: make(map[string]int)}
 	var watching sync.WaitGroup
 	for _, m := range d.Machines {
 		watching.Go(func() { p.watch(ctx, d, m, started) })
@@ -130,7 +131,7 @@
 			m.Signal(syscall.SIGKILL)
 			<-m.Ended()
 			p.mutex.Lock()
-			p.kills++
+			p.kills[m.Name]++
 			p.lines = append(p.lines, fmt.Sprintf("%8.3f s %s is over memory-mb (%d of %d bytes) and killed", time.Since(started).Seconds(), m.Name, resident, limit))
 			p.mutex.Unlock()
 			time.Sleep(restartAfter)
@@ -142,7 +143,7 @@
 	}
 }
 
-// load sends small requests to all machines on kept connections, and large ones to one of them.
+// load sends small requests to all machines on kept connections, and large ones to two of them.
 func load(d *stand.Deployment, small, large *stand.Client, trouble bool) {
 	var sending sync.WaitGroup
 	ticker := time.NewTicker(time.Second / perSecond)
@@ -160,9 +161,9 @@
 			sending.Wait()
 			return
 		case <-next:
-			for range parallel {
+			for i := range 2 * parallel {
 				sending.Go(func() {
-					large.Send(d.Machines[3], "POST", "shop.example", "/archive/season", fmt.Sprintf("%016x", rand.Uint64()), body, 5*time.Second)
+					large.Send(d.Machines[3+i%2], "POST", "shop.example", "/archive/season", fmt.Sprintf("%016x", rand.Uint64()), body, 5*time.Second)
 				})
 			}
 			next = time.After(roundEvery)
@@ -209,7 +210,7 @@
 			fmt.Fprintln(&lines, verdict)
 		}
 	}
-	summary := fmt.Sprintf("trouble %v; %d large requests; %d small ones, answers by status %v (0: none); processes over memory-mb: %d, most %d MiB; passed on from a kept connection that was closed without an answer (LOST): %d\n",
+	summary := fmt.Sprintf("trouble %v; %d large requests; %d small ones, answers by status %v (0: none); processes over memory-mb by machine: %v, most %d MiB; passed on from a kept connection that was closed without an answer (LOST): %d\n",
 		trouble, len(large), len(small), statuses, p.kills, p.most>>20, closed)
 	fmt.Print(summary)
 	if err := os.WriteFile(path, []byte(summary+lines.String()), 0o644); err != nil {
--- a/review/stand/target.go
+++ b/review/stand/target.go
@@ -34,6 +34,9 @@
 	// the share of its answers that it sends a second time, late: in the place where the next
 	// answer on the connection is due (garble, extra late).
 	Grey, Extra float64
+	// Stray is the share of its answers after which it sends more bytes, late: an answer without an
+	// id that belongs to no request (garble, extra late).
+	Stray float64
 
 	mutex    sync.Mutex
 	random   *rand.Rand
@@ -41,9 +44,9 @@
 	runs     []Run
 	sequence int
 	born     int64
-	// Rejected, Surplus and Answers count what it sent.
-	Rejected, Surplus, Answers int
-	listener                   net.Listener
+	// Rejected, Surplus, Strays and Answers count what it sent.
+	Rejected, Surplus, Strays, Answers int
+	listener                           net.Listener
 }
 
 // Start listens, and sends heartbeats until the context ends.
@@ -81,6 +84,13 @@
 	t.Grey, t.Extra = grey, extra
 }
 
+// SendStray sets the share of answers after which the target sends more bytes.
+func (t *Target) SendStray(share float64) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.Stray = share
+}
+
 // serve serves the requests of one connection, one after the other.
 func (t *Target) serve(connection net.Conn) {
 	defer func() { _ = connection.Close() }()
@@ -111,11 +121,18 @@
 		if t.random.Float64() < t.Extra {
 			surplus = answer
 			t.Surplus++
+		} else if t.random.Float64() < t.Stray {
+			surplus = stray
+			t.Strays++
 		}
 		t.mutex.Unlock()
 	}
 }
 
+// stray is an answer without an id. Pages: "as 400 without an id"; "It may [...] send more after a
+// whole answer. Such bytes belong to no request."
+var stray = []byte("HTTP/1.1 400 Bad Request\r\nLugspur-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+
 // begin admits a request and records its run.
 func (t *Target) begin(id string) bool {
 	t.mutex.Lock()
