review: an answer without an id passes for a rejection

Cause: the guard counts an answer without an id as belonging to the request that waits, and takes Lugspur-Not-Executed in it for a refusal. Seen: after stray bytes of that form the next request on the connection runs at two targets.

--- a/review/stand/target.go
+++ b/review/stand/target.go
@@ -37,6 +37,9 @@
 	// Stray is the share of its answers after which it sends more bytes, late: an answer without an
 	// id that belongs to no request (garble, extra late).
 	Stray float64
+	// LongShare is the share of requests that take LongWork in place of Work.
+	LongShare float64
+	LongWork  time.Duration
 
 	mutex    sync.Mutex
 	random   *rand.Rand
@@ -129,9 +132,10 @@
 	}
 }
 
-// stray is an answer without an id. Pages: "as 400 without an id"; "It may [...] send more after a
-// whole answer. Such bytes belong to no request."
-var stray = []byte("HTTP/1.1 400 Bad Request\r\nLugspur-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+// stray is an answer without an id, as if spoiled. Pages: "Every target answer repeats
+// Lugspur-Attempt-Id"; a faulty target "may [...] send more after a whole answer. Such bytes belong
+// to no request."
+var stray = []byte("HTTP/1.1 503 Service Unavailable\r\nLugspur-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 
 // begin admits a request and records its run.
 func (t *Target) begin(id string) bool {
@@ -154,7 +158,7 @@
 	case !t.begin(id):
 		return response(http.StatusServiceUnavailable, id, map[string]string{"Lugspur-Not-Executed": "1"}, "")
 	}
-	time.Sleep(t.Work)
+	time.Sleep(t.workOf())
 	t.mutex.Lock()
 	t.running--
 	load := fmt.Sprintf("%d,0,%d", t.running, t.Slots)
@@ -163,6 +167,16 @@
 		fmt.Sprintf("%s %s %s %d %s", t.Service, request.Method, request.URL.Path, len(body), id))
 }
 
+// workOf returns how long the next request takes.
+func (t *Target) workOf() time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.random.Float64() < t.LongShare {
+		return t.LongWork
+	}
+	return t.Work
+}
+
 func response(status int, id string, header map[string]string, body string) []byte {
 	var answer bytes.Buffer
 	fmt.Fprintf(&answer, "HTTP/1.1 %d %s\r\nLugspur-Attempt-Id: %s\r\n", status, http.StatusText(status), id)
