--- a/review/stand/target.go
+++ b/review/stand/target.go
@@ -44,6 +44,7 @@
 	mutex    sync.Mutex
 	random   *rand.Rand
 	running  int
+	arrivals int
 	runs     []Run
 	sequence int
 	born     int64
@@ -121,10 +122,11 @@
 		}
 		t.mutex.Lock()
 		t.Answers++
-		if t.random.Float64() < t.Extra {
+		switch {
+		case t.draw(t.Extra, t.Surplus, t.Answers):
 			surplus = answer
 			t.Surplus++
-		} else if t.random.Float64() < t.Stray {
+		case t.draw(t.Stray, t.Strays, t.Answers):
 			surplus = stray
 			t.Strays++
 		}
@@ -137,11 +139,17 @@
 // to no request."
 var stray = []byte("HTTP/1.1 503 Service Unavailable\r\nLugspur-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 
+// draw decides by chance, but never lets more than the share of all be taken.
+func (t *Target) draw(share float64, taken, all int) bool {
+	return share > 0 && float64(taken+1) <= share*float64(all) && t.random.Float64() < share
+}
+
 // begin admits a request and records its run.
 func (t *Target) begin(id string) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if t.running >= t.Slots || t.random.Float64() < t.Grey {
+	t.arrivals++
+	if t.running >= t.Slots || t.draw(t.Grey, t.Rejected, t.arrivals) {
 		t.Rejected++
 		return false
 	}
