--- a/review/stand/target.go
+++ b/review/stand/target.go
@@ -37,6 +37,8 @@
 	// Stray is the share of its answers after which it sends more bytes, late: an answer without an
 	// id that belongs to no request (garble, extra late).
 	Stray float64
+	// StrayStatus is the status of that answer.
+	StrayStatus int
 	// LongShare is the share of requests that take LongWork in place of Work.
 	LongShare float64
 	LongWork  time.Duration
@@ -88,11 +90,11 @@
 	t.Grey, t.Extra = grey, extra
 }
 
-// SendStray sets the share of answers after which the target sends more bytes.
-func (t *Target) SendStray(share float64) {
+// SendStray sets the share of answers after which the target sends more bytes, and their status.
+func (t *Target) SendStray(share float64, status int) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.Stray = share
+	t.Stray, t.StrayStatus = share, status
 }
 
 // serve serves the requests of one connection, one after the other.
@@ -127,7 +129,7 @@
 			surplus = answer
 			t.Surplus++
 		case t.draw(t.Stray, t.Strays, t.Answers):
-			surplus = stray
+			surplus = t.stray()
 			t.Strays++
 		}
 		t.mutex.Unlock()
@@ -137,7 +139,9 @@
 // stray is an answer without an id, as if spoiled. Pages: "Every target answer repeats
 // Lugspur-Attempt-Id"; a faulty target "may [...] send more after a whole answer. Such bytes belong
 // to no request."
-var stray = []byte("HTTP/1.1 503 Service Unavailable\r\nLugspur-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+func (t *Target) stray() []byte {
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nLugspur-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", t.StrayStatus, http.StatusText(t.StrayStatus))
+}
 
 // draw decides by chance, but never lets more than the share of all be taken.
 func (t *Target) draw(share float64, taken, all int) bool {
--- a/review/stray/main.go
+++ b/review/stray/main.go
@@ -41,11 +41,12 @@
 func main() {
 	record := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	seed := flag.Uint64("seed", 1, "seed of the target's choices")
+	status := flag.Int("status", 503, "status of the stray answers")
 	flag.Parse()
-	os.Exit(run(*record, *seed))
+	os.Exit(run(*record, *seed, *status))
 }
 
-func run(record string, seed uint64) int {
+func run(record string, seed uint64, status int) int {
 	trouble := os.Getenv("TROUBLE") != "0"
 	d, err := stand.New()
 	if err != nil {
@@ -63,7 +64,7 @@
 	client := stand.NewClient()
 	if trouble {
 		for _, target := range targets[:garbled] {
-			target.SendStray(strayShare)
+			target.SendStray(strayShare, status)
 		}
 	}
 	load(d, client)
