review: the troubles of cases 1 and 2 last as long as in the site file

Cause: both scripts held their troubles for 60 s without a pause, where the site file has 5 s at a time. Now they come in spells of 5 s.

--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -234,3 +234,19 @@
 		fmt.Println("kept:", d.folder)
 	}
 }
+
+// Spells begins and ends a trouble in turn, for the spell and with the pause, until the context ends.
+func Spells(ctx context.Context, spell, pause time.Duration, begin, end func()) {
+	for ctx.Err() == nil {
+		begin()
+		select {
+		case <-ctx.Done():
+		case <-time.After(spell):
+		}
+		end()
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
--- a/review/stray/main.go
+++ b/review/stray/main.go
@@ -25,6 +25,9 @@
 	ledgers    = 5
 	garbled    = 3
 	strayShare = 0.03
+	// The trouble comes in spells of the length in the site file, with pauses between them.
+	spell      = 5 * time.Second
+	pause      = time.Second
 	perSecond  = 80
 	troubleFor = 60 * time.Second
 	// leastServed is the number of requests without which the run says nothing.
@@ -63,9 +66,12 @@
 	}
 	client := stand.NewClient()
 	if trouble {
-		for _, target := range targets[:garbled] {
-			target.SendStray(strayShare, status)
+		send := func(share float64) {
+			for _, target := range targets[:garbled] {
+				target.SendStray(share, status)
+			}
 		}
+		go stand.Spells(ctx, spell, pause, func() { send(strayShare) }, func() { send(0) })
 	}
 	load(d, client)
 	time.Sleep(3 * time.Second)
--- a/review/surplus/main.go
+++ b/review/surplus/main.go
@@ -21,7 +21,10 @@
 const (
 	machines = 8
 	// Doses: srv_grey (shed) x 0.45 on a share of 0.14 of the targets, garble (extra late) x 0.03
-	// on a share of 0.6. One of eight targets has both here.
+	// on a share of 0.6. One of eight targets has both here, for spells of the length of garble in
+	// the site file with pauses between them.
+	spell      = 5 * time.Second
+	pause      = time.Second
 	greyShare  = 0.45
 	extraShare = 0.03
 	perSecond  = 80
@@ -60,12 +63,10 @@
 		return 2
 	}
 	client := stand.NewClient()
-	ledger := targets[0]
 	if trouble {
-		ledger.Trouble(greyShare, extraShare)
+		go stand.Spells(ctx, spell, pause, func() { targets[0].Trouble(greyShare, extraShare) }, func() { targets[0].Trouble(0, 0) })
 	}
 	load(d, client)
-	ledger.Trouble(0, 0)
 	time.Sleep(3 * time.Second)
 	return judge(record, trouble, client.All(), targets)
 }
