Sidecar: handle the reload signal until the process exits

What callers saw: a node that got SIGHUP during its planned stop exited at once and closed the connections of all requests that it had read.

Cause: the reload loop ran under the context that SIGTERM ends, and unregistered its handler on return. For the rest of the stop SIGHUP had its default effect.

Evidence: the nodes exited 1 to 2 ms after SIGHUP, five seconds before the end of the grace time; their logs end with process-stopping. TestReloadSignalDoesNotInterruptPlannedStop on the landed programs failed in 4 of 6 orders ("0 != 200", "os: process already finished"), each with a reload after the stop; the orders without one passed.

Fix: the handler is registered before the settings are loaded and never removed; the settings are reloaded until the stop has ended. All 6 orders pass. A change of the file between loading and the first check is noticed as well.

--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -88,7 +88,7 @@
 	peers        *peering.Client
 	codec        *peering.Codec
 	policies     *routepolicy.Holder
-	// policySources are the sources of the active policies. After New, only Reload uses them.
+	// policySources are the sources of the active policies. After New, only reload uses them.
 	policySources routepolicy.Sources
 	pressure      *pressure.Table
 	// places is nil unless the deployment must expect shortage.
@@ -281,8 +281,9 @@
 	return !n.stopping.Load() && n.routes.Current() != nil && n.replicas.records.Initialized()
 }
 
-// Run serves until the context ends and then shuts down gracefully.
-func (n *Node) Run(ctx context.Context) error {
+// Run serves until the context ends and then shuts down gracefully. It reloads the settings as
+// long as it serves requests, the shutdown included.
+func (n *Node) Run(ctx context.Context, settings *SettingsWatch) error {
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	logDone := make(chan struct{})
@@ -297,6 +298,7 @@
 	for _, run := range n.backgroundTasks() {
 		n.running.Go(func() { run(background) })
 	}
+	n.running.Go(func() { n.reloadSettings(background, settings) })
 	<-ctx.Done()
 	n.stop()
 	cancel()
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -15,27 +15,41 @@
 // without a signal.
 const settingsPollInterval = 5 * time.Second
 
-// Reload reloads the settings on each SIGHUP and whenever the file has changed, until the
+// SettingsWatch watches a settings file for reloads.
+type SettingsWatch struct {
+	path string
+	// signals receives each SIGHUP.
+	signals chan os.Signal
+	// lastSeen is the modification time of the settings that were read last.
+	lastSeen time.Time
+}
+
+// WatchSettings starts to watch a settings file. Call it before the settings are loaded, so that
+// no change and no signal is missed. SIGHUP stays handled for the rest of the process's life:
+// without a handler it would end the process at once, with the requests that it has read.
+func WatchSettings(path string) *SettingsWatch {
+	w := &SettingsWatch{path: path, signals: make(chan os.Signal, 1), lastSeen: modTime(path)}
+	signal.Notify(w.signals, syscall.SIGHUP)
+	return w
+}
+
+// reloadSettings reloads the settings on each SIGHUP and whenever the file has changed, until the
 // context ends. New policies take effect immediately. Other changes require a restart and are
 // only logged.
-func (n *Node) Reload(ctx context.Context, path string) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+func (n *Node) reloadSettings(ctx context.Context, watch *SettingsWatch) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
-	lastSeen := modTime(path)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
-			lastSeen = modTime(path)
-			n.reload(path)
+		case <-watch.signals:
+			watch.lastSeen = modTime(watch.path)
+			n.reload(watch.path)
 		case <-ticker.C:
-			if current := modTime(path); !current.Equal(lastSeen) {
-				lastSeen = current
-				n.reload(path)
+			if current := modTime(watch.path); !current.Equal(watch.lastSeen) {
+				watch.lastSeen = current
+				n.reload(watch.path)
 			}
 		}
 	}
--- a/internal/sidecarcommand/command.go
+++ b/internal/sidecarcommand/command.go
@@ -86,6 +86,7 @@
 	if flags.NArg() != 0 || r.path == "" {
 		return r.streams.usageError("run requires a settings file (-f) and takes no arguments")
 	}
+	watch := sidecar.WatchSettings(r.path)
 	settings, err := sidecar.Load(r.path)
 	if err != nil {
 		return r.streams.fail(err)
@@ -94,8 +95,7 @@
 	if err != nil {
 		return r.streams.fail(err)
 	}
-	go node.Reload(ctx, r.path)
-	if err := node.Run(ctx); err != nil {
+	if err := node.Run(ctx, watch); err != nil {
 		return r.streams.fail(err)
 	}
 	return ExitOK
