Guard: log responses that belong to another call

A response that is skipped because it has the ID of another call left no trace, so that a copy that a faulty target sends could not be told from one that passed for the response to a call. response-skipped names both calls and the status; lugspur_events_total counts the events.

--- a/internal/guard/announcements.go
+++ b/internal/guard/announcements.go
@@ -78,7 +78,11 @@
 	observation := targetrate.Observation{Announcement: announced, SentAt: sentAt, ReceivedAt: now}
 	// Another target answers with 421 to calls that expect this one.
 	fromOtherTarget := status == http.StatusMisdirectedRequest
-	if fromOtherTarget || !g.matches(call, header) {
+	matches := g.matches(call, header)
+	if !matches {
+		g.logSkipped(call, header, event)
+	}
+	if fromOtherTarget || !matches {
 		// A response to another call may be older than this call.
 		observation.SentAt, observation.ReceivedAt = time.Time{}, sentAt
 	}
@@ -97,6 +101,14 @@
 	}
 }
 
+// logSkipped logs a response that belongs to another call than the one that waits for it.
+func (g *Guard) logSkipped(call *peering.Call, header http.Header, event eventlog.Event) {
+	event.Kind = eventlog.ResponseSkipped
+	event.Route, event.Service = call.Route, call.Service
+	event.Reason = "the response has the ID " + header.Get(g.config.Headers.RequestID)
+	g.log.Record(event)
+}
+
 // observePace processes the load report in the header of a response.
 func (g *Guard) observePace(inc *incarnation, header http.Header, receivedAt time.Time) {
 	report, err := pace.Parse(header[g.config.Headers.Load])
