Transport: send a rejected call again over another connection

What callers saw: beside a target that rejects requests and sends some responses twice, a request that must not run twice got 503 within 4 ms though it ran, or ran twice.

Cause: a request that its target rejected is offered to the same target again when no other is left, with the same ID and mostly over the connection that has just become idle. A late second copy of the rejection has that ID and passed for the response to the second send.

Fix: the pool records, until the call's deadline, which connections carried a rejected call, and sends a call with the same ID over another connection, an idle one if there is one. A copy then arrives where another call is due, and its ID tells it apart.

--- a/internal/guard/exchange.go
+++ b/internal/guard/exchange.go
@@ -62,7 +62,7 @@
 	finish := g.running.begin(call, cancel)
 	inc.stats.recordStart(call.Route, started)
 	g.countSent(call)
-	response, err := inc.pool.Exchange(ctx, g.targetCall(inc, call, remainingMillis, started))
+	response, err := inc.pool.Exchange(ctx, g.targetCall(inc, call, started, deadline))
 	ended := g.now()
 	calls := finish(err == nil, ended)
 	duration := ended.Sub(started)
@@ -120,19 +120,20 @@
 }
 
 // targetCall returns the HTTP request to the target for a call.
-func (g *Guard) targetCall(inc *incarnation, call *peering.Call, remainingMillis int64, sentAt time.Time) *transport.Call {
+func (g *Guard) targetCall(inc *incarnation, call *peering.Call, sentAt, deadline time.Time) *transport.Call {
 	names := &g.config.Headers
 	header := call.Header
 	if header == nil {
 		header = make(http.Header)
 	}
 	// One array holds the values. Their capacity of one makes later appends copy them.
-	values := [...]string{call.RequestID, strconv.FormatInt(remainingMillis, 10), call.Caller, inc.target.ID}
+	values := [...]string{call.RequestID, strconv.FormatInt(deadline.Sub(sentAt).Milliseconds(), 10), call.Caller, inc.target.ID}
 	header[names.RequestID] = values[0:1:1]
 	header[names.DeadlineMillis] = values[1:2:2]
 	header[names.Caller] = values[2:3:3]
 	header[names.ExpectInstance] = values[3:4:4]
 	return &transport.Call{
+		ID:         call.RequestID,
 		Method:     call.Method,
 		Host:       call.Host,
 		RequestURI: call.URI,
@@ -141,10 +142,16 @@
 		OnHeader: func(status int, responseHeader http.Header) {
 			g.observeHeader(inc, call, status, responseHeader, sentAt)
 		},
-		Matches: func(responseHeader http.Header) bool { return g.matches(call, responseHeader) },
+		Matches:         func(responseHeader http.Header) bool { return g.matches(call, responseHeader) },
+		RepeatableUntil: deadline,
 	}
 }
 
+// isRejection reports whether a response states that the target did not run the call.
+func (g *Guard) isRejection(status int, header http.Header) bool {
+	return status == http.StatusMisdirectedRequest || header.Get(g.config.Headers.NotExecuted) != ""
+}
+
 // matches reports whether a response with the header belongs to the call. One without an ID
 // does, because it cannot be attributed to another call.
 func (g *Guard) matches(call *peering.Call, header http.Header) bool {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -204,6 +204,7 @@
 			AcceptCloseDelimited: true,
 			UserTimeout:          targetUserTimeout,
 			KeepAlive:            targetKeepAlive,
+			IsRejection:          g.isRejection,
 		}),
 	}
 	inc.slots.Store(int64(target.Slots))
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -31,6 +31,8 @@
 	socket    net.Conn
 	reader    *bufio.Reader
 	idleSince time.Time
+	// retired excludes the connection from further exchanges.
+	retired bool
 	// headerRemaining is the number of bytes that may still be read of a header; negative
 	// while a body is read.
 	headerRemaining int64
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
-	"github.com/lugspur/lugspur/internal/clock"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/lugspur/lugspur/internal/clock"
 )
 
 // Pool is a pool of connections to one target. It is safe for concurrent use.
@@ -16,11 +18,13 @@
 	config Config
 	dialer net.Dialer
 	// slots holds one token per exchange in progress; nil means no bound. Connections are
-	// opened only when none is idle, so it also bounds the number of open connections.
+	// opened only when no idle one can be used, and makeRoom closes an idle one where needed, so
+	// it also bounds the number of open connections.
 	slots chan struct{}
 
 	mutex       sync.Mutex
 	idle        []*connection
+	carried     carriedCalls
 	closed      bool
 	expiryTimer *time.Timer
 }
@@ -54,13 +58,13 @@
 	}
 }
 
-// acquire returns the most recently used idle connection that can be reused, or a new one.
-// If forceNew is set, it closes that idle connection and always opens a new one.
-func (p *Pool) acquire(ctx context.Context, forceNew bool) (c *connection, reused bool, err error) {
+// acquire returns the most recently used idle connection that can be reused for a call with the
+// ID, or a new one. If forceNew is set, it closes that idle connection and always opens a new one.
+func (p *Pool) acquire(ctx context.Context, id string, forceNew bool) (c *connection, reused bool, err error) {
 	if err := p.acquireSlot(ctx); err != nil {
 		return nil, false, err
 	}
-	for c := p.popIdle(); c != nil; c = p.popIdle() {
+	for c := p.popIdle(id); c != nil; c = p.popIdle(id) {
 		if forceNew {
 			_ = c.socket.Close()
 			break
@@ -70,6 +74,7 @@
 		}
 		_ = c.socket.Close()
 	}
+	p.makeRoom()
 	socket, err := p.dialer.DialContext(ctx, "tcp", p.config.Address)
 	if err != nil {
 		p.releaseSlot()
@@ -78,17 +83,34 @@
 	return newConnection(socket), false, nil
 }
 
-func (p *Pool) popIdle() *connection {
+// popIdle removes and returns the most recently used idle connection that may carry a call with
+// the ID, nil if there is none.
+func (p *Pool) popIdle(id string) *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	last := len(p.idle) - 1
-	if last < 0 {
-		return nil
+	carriers := p.carried.connections[id]
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if !slices.Contains(carriers, c) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
+// makeRoom closes the least recently used idle connection if the one that the caller is about to
+// open would exceed MaxConnections.
+func (p *Pool) makeRoom() {
+	p.mutex.Lock()
+	if p.slots == nil || len(p.idle) == 0 || len(p.idle)+len(p.slots) <= cap(p.slots) {
+		p.mutex.Unlock()
+		return
 	}
-	c := p.idle[last]
-	p.idle[last] = nil
-	p.idle = p.idle[:last]
-	return c
+	oldest := p.idle[0]
+	p.idle = slices.Delete(p.idle, 0, 1)
+	p.mutex.Unlock()
+	_ = oldest.socket.Close()
 }
 
 func (p *Pool) acquireSlot(ctx context.Context) error {
@@ -121,7 +143,7 @@
 // Probe checks that the target accepts connections. The connection is kept for a later
 // exchange.
 func (p *Pool) Probe(ctx context.Context) error {
-	c, _, err := p.acquire(ctx, false)
+	c, _, err := p.acquire(ctx, "", false)
 	if err != nil {
 		return err
 	}
@@ -157,7 +179,7 @@
 // release returns a connection to the pool after a complete exchange.
 func (p *Pool) release(c *connection, response *http.Response) {
 	c.peerKeepAlive = keepAliveTimeout(response.Header)
-	if response.Close || !c.contextWatch.Stop() || c.reader.Buffered() > 0 || !p.pushIdle(c) {
+	if response.Close || c.retired || !c.contextWatch.Stop() || c.reader.Buffered() > 0 || !p.pushIdle(c) {
 		p.discard(c)
 		return
 	}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -57,6 +57,9 @@
 	// response; zero means no bound. It is for targets that send interim responses
 	// periodically.
 	SilenceTimeout time.Duration
+	// IsRejection reports whether a response with the status and the header states that the target
+	// did not run the call, so that it may be sent again. Nil means that none does.
+	IsRejection func(status int, header http.Header) bool
 }
 
 // Defaults of a Config.
@@ -92,6 +95,9 @@
 
 // Call is a request as the target receives it.
 type Call struct {
+	// ID identifies the call among those that the target receives. It may be empty if
+	// Config.IsRejection is nil.
+	ID     string
 	Method string
 	// Host is the Host header; empty means the target's address.
 	Host string
@@ -106,6 +112,10 @@
 	// every response. Responses that do not belong to it, such as a surplus response to an
 	// earlier call, are skipped.
 	Matches func(http.Header) bool
+	// RepeatableUntil is the time until which the call may be sent to the target again if the
+	// target rejects it. Until then no call with the same ID is sent over the connection of the
+	// rejection, where a second copy of it would pass for the response to that call.
+	RepeatableUntil time.Time
 	// OnInterim is called for each interim response; it may be nil.
 	OnInterim func()
 	// NewConnection sends the call over a new connection instead of an idle one.
@@ -172,7 +182,7 @@
 func (p *Pool) Exchange(ctx context.Context, call *Call) (*Response, error) {
 	message := encode(p.config.Address, call)
 	defer message.free()
-	connection, failure := p.send(ctx, message.Bytes(), call.NewConnection)
+	connection, failure := p.send(ctx, message.Bytes(), call)
 	if failure != nil {
 		return nil, failure
 	}
@@ -185,9 +195,9 @@
 
 // send writes the message to a connection. If a reused connection accepts no byte of
 // it, send retries with another connection.
-func (p *Pool) send(ctx context.Context, message []byte, forceNew bool) (*connection, *Failure) {
+func (p *Pool) send(ctx context.Context, message []byte, call *Call) (*connection, *Failure) {
 	for {
-		c, reused, err := p.acquire(ctx, forceNew)
+		c, reused, err := p.acquire(ctx, call.ID, call.NewConnection)
 		if err != nil {
 			return nil, p.failure("connect", false, false, err)
 		}
@@ -220,6 +230,7 @@
 		p.discard(c)
 		return nil, p.failure("await answer", true, false, contextError(ctx, err))
 	}
+	p.recordRejection(c, call, httpResponse)
 	response := &Response{Status: httpResponse.StatusCode, Header: httpResponse.Header}
 	if method == http.MethodHead {
 		response.NoBody = true
