Guard: a response without an ID states nothing about a call

What callers saw: beside a target that sends more bytes after some responses, in the form of a rejection without an ID, the next request on the connection was offered elsewhere and ran twice, or got 503 though it ran. With the status 421 such bytes took the target out of service; an announced leave or rate limit in them took effect.

Cause: a response without an ID was attributed to the call that waited, and its status and headers were believed.

Evidence: TestResponseWithoutIDIsNotResponseToCall failed before in 10 of 12 cases ("refused != answered", "refused != failed", "failed != answered"), TestRejectionWithoutIDOnNewConnectionIsInvalid in its first row.

Fix: such a response is logged and otherwise ignored for a call that must not run twice, if the connection has carried other calls, as the call's own response follows. Any other call fails as invalid, may be repeated under the retry budget, and its connection is closed, as the target may still run it. Announcements in such responses are ignored.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -64,7 +64,7 @@
 	CallRefused
 	CallFailed
 	CallResumed
-	ResponseSkipped
+	ResponseUnmatched
 	StoreCalls
 	EventsLost
 	kindCount
@@ -140,7 +140,7 @@
 	CallRefused:             {"call-refused", refusal, "the local home refused a call; count is the queue length"},
 	CallFailed:              {"call-failed", failure, "the call to the target yielded no usable response; fingerprint is set if the call was interrupted"},
 	CallResumed:             {"call-resumed", failure, "the connection to the home at peer became silent; the call was resumed over a new connection"},
-	ResponseSkipped:         {"response-skipped", failure, "the target sent a response that belongs to another call (reason) where the response to this one was due; status is its status, age the time since the call was sent"},
+	ResponseUnmatched:       {"response-unmatched", failure, "the target sent a response without the ID of the call that waits for one; reason names its ID, status is its status, age the time since the call was sent"},
 	StoreCalls:              {"store-calls", stateChange, "count calls to the store since the previous event; outcome lists them by purpose, call and outcome"},
 	EventsLost:              {"events-lost", stateChange, "count events were dropped from the log since the previous event; outcome is the number of each kind"},
 }
--- a/internal/guard/announcements.go
+++ b/internal/guard/announcements.go
@@ -13,6 +13,7 @@
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/shed"
 	"github.com/lugspur/lugspur/internal/targetrate"
+	"github.com/lugspur/lugspur/internal/transport"
 )
 
 // announcements holds what one start of a target announced in its responses. It is safe
@@ -69,20 +70,23 @@
 }
 
 // observeHeader processes the announcements in the header of a response that was read on the
-// call's connection. Every response counts, also one that belongs to another call or is not
-// passed on.
+// call's connection. Every response to a call counts, also one that belongs to another call or is
+// not passed on.
 func (g *Guard) observeHeader(inc *incarnation, call *peering.Call, status int, header http.Header, sentAt time.Time) {
 	now := g.now()
 	event := eventlog.Event{Request: call.RequestID, Status: status, Age: now.Sub(sentAt)}
+	attribution := g.attribute(call, header)
+	if attribution != transport.Own {
+		g.logUnmatched(call, header, event)
+	}
+	if attribution == transport.Unattributed {
+		return
+	}
 	announced, err := targetrate.Parse(header[g.config.Headers.RateLimit])
 	observation := targetrate.Observation{Announcement: announced, SentAt: sentAt, ReceivedAt: now}
 	// Another target answers with 421 to calls that expect this one.
 	fromOtherTarget := status == http.StatusMisdirectedRequest
-	matches := g.matches(call, header)
-	if !matches {
-		g.logSkipped(call, header, event)
-	}
-	if fromOtherTarget || !matches {
+	if fromOtherTarget || attribution == transport.Other {
 		// A response to another call may be older than this call.
 		observation.SentAt, observation.ReceivedAt = time.Time{}, sentAt
 	}
@@ -101,11 +105,14 @@
 	}
 }
 
-// logSkipped logs a response that belongs to another call than the one that waits for it.
-func (g *Guard) logSkipped(call *peering.Call, header http.Header, event eventlog.Event) {
-	event.Kind = eventlog.ResponseSkipped
+// logUnmatched logs a response that does not state that it belongs to the call that waits for one.
+func (g *Guard) logUnmatched(call *peering.Call, header http.Header, event eventlog.Event) {
+	event.Kind = eventlog.ResponseUnmatched
 	event.Route, event.Service = call.Route, call.Service
-	event.Reason = "the response has the ID " + header.Get(g.config.Headers.RequestID)
+	event.Reason = "the response has no ID"
+	if id := header.Get(g.config.Headers.RequestID); id != "" {
+		event.Reason = "the response has the ID " + id
+	}
 	g.log.Record(event)
 }
 
--- a/internal/guard/exchange.go
+++ b/internal/guard/exchange.go
@@ -142,8 +142,12 @@
 		OnHeader: func(status int, responseHeader http.Header) {
 			g.observeHeader(inc, call, status, responseHeader, sentAt)
 		},
-		Matches:         func(responseHeader http.Header) bool { return g.matches(call, responseHeader) },
-		RepeatableUntil: deadline,
+		Attribute: func(responseHeader http.Header) transport.Attribution {
+			return g.attribute(call, responseHeader)
+		},
+		// A call that may run twice is rather sent to another target than left waiting.
+		SkipUnattributed: call.AtMostOnce,
+		RepeatableUntil:  deadline,
 	}
 }
 
@@ -152,11 +156,16 @@
 	return status == http.StatusMisdirectedRequest || header.Get(g.config.Headers.NotExecuted) != ""
 }
 
-// matches reports whether a response with the header belongs to the call. One without an ID
-// does, because it cannot be attributed to another call.
-func (g *Guard) matches(call *peering.Call, header http.Header) bool {
-	id := header.Get(g.config.Headers.RequestID)
-	return id == "" || id == call.RequestID
+// attribute returns whose response one with the header is. Every call has an ID, and every response
+// of a target repeats it.
+func (g *Guard) attribute(call *peering.Call, header http.Header) transport.Attribution {
+	switch header.Get(g.config.Headers.RequestID) {
+	case call.RequestID:
+		return transport.Own
+	case "":
+		return transport.Unattributed
+	}
+	return transport.Other
 }
 
 // replyForError returns the reply for an exchange that ended without a response. The call
@@ -188,14 +197,15 @@
 func (g *Guard) replyForResponse(response *transport.Response) *peering.Reply {
 	names := &g.config.Headers
 	switch {
+	case response.Header.Get(names.RequestID) == "":
+		// Such a response states nothing about the call, not even that it was not executed.
+		return failedReply(peering.InvalidResponse)
 	case response.Status == http.StatusMisdirectedRequest:
 		return refusedReply(peering.Misdirected)
 	case response.Header.Get(names.NotExecuted) != "":
 		return refusedReply(peering.TargetFull)
 	case response.Remainder != nil:
 		return failedReply(peering.InvalidResponse)
-	case response.Header.Get(names.RequestID) == "":
-		return failedReply(peering.InvalidResponse)
 	case response.Header.Get("Content-Encoding") != "":
 		return failedReply(peering.InvalidResponse)
 	case response.Status < http.StatusMultipleChoices && response.Header.Get(names.Signature) == "":
--- a/internal/guard/surplus_response_test.go
+++ b/internal/guard/surplus_response_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -106,3 +107,62 @@
 		})
 	}
 }
+
+// TestResponseWithoutIDIsNotResponseToCall guards against a call that is offered to another target,
+// or reported as not executed, because bytes that the target sends after a whole response pass for a
+// rejection of the next call. Only a call that must not run twice waits for its own response.
+func TestResponseWithoutIDIsNotResponseToCall(t *testing.T) {
+	strays := []struct{ name, response string }{
+		{"not executed", "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"},
+		{"rate limited", "HTTP/1.1 429 Limit\r\nX-Not-Executed: 1\r\nX-Rate-Limit: 1\r\nContent-Length: 0\r\n\r\n"},
+		{"another target", "HTTP/1.1 421 Other\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"},
+		{"leaving", "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n"},
+		{"success", "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 2\r\n\r\nno"},
+		{"error", "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"},
+	}
+	for _, stray := range strays {
+		for _, atMostOnce := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, at most once %v", stray.name, atMostOnce), func(t *testing.T) {
+				var requests atomic.Int32
+				address := startRawTarget(t, func(connection net.Conn, request *http.Request) {
+					response := fmt.Sprintf(okResponse, request.Header.Get("X-Id"))
+					if requests.Add(1) == 2 {
+						response = stray.response + response
+					}
+					fmt.Fprint(connection, response)
+				})
+				g := newTestGuard(address)
+				run := func(id string) *peering.Reply {
+					call := newCall(id)
+					call.AtMostOnce = atMostOnce
+					return g.Run(context.Background(), call)
+				}
+				assert.Equal(t, run("first").Outcome, peering.Answered)
+				second := run("second")
+				if atMostOnce {
+					assert.Equal(t, second.Outcome, peering.Answered)
+					assert.Equal(t, string(second.Body), "ok")
+				} else {
+					assert.Equal(t, second.Outcome, peering.Failed)
+					assert.Equal(t, second.Reason, peering.InvalidResponse)
+				}
+				assert.Equal(t, run("third").Outcome, peering.Answered, "the target must stay in service")
+			})
+		}
+	}
+}
+
+// TestRejectionWithoutIDOnNewConnectionIsInvalid guards against a call that is offered again because
+// of a response that does not state which call was not executed.
+func TestRejectionWithoutIDOnNewConnectionIsInvalid(t *testing.T) {
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusMisdirectedRequest} {
+		address := startRawTarget(t, func(connection net.Conn, _ *http.Request) {
+			fmt.Fprintf(connection, "HTTP/1.1 %d No\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", status)
+		})
+		call := newCall("a")
+		call.AtMostOnce = true
+		reply := newTestGuard(address).Run(context.Background(), call)
+		assert.Equal(t, reply.Outcome, peering.Failed, "%d", status)
+		assert.Equal(t, reply.Reason, peering.InvalidResponse, "%d", status)
+	}
+}
--- a/internal/transport/carried.go
+++ b/internal/transport/carried.go
@@ -69,5 +69,7 @@
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	c.retired = !p.carried.add(carriedCall{id: call.ID, until: call.RepeatableUntil}, c, clock.Now())
+	if !p.carried.add(carriedCall{id: call.ID, until: call.RepeatableUntil}, c, clock.Now()) {
+		c.retired = true
+	}
 }
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -31,6 +31,8 @@
 	socket    net.Conn
 	reader    *bufio.Reader
 	idleSince time.Time
+	// used reports whether the connection has carried a call before the current one.
+	used bool
 	// retired excludes the connection from further exchanges.
 	retired bool
 	// headerRemaining is the number of bytes that may still be read of a header; negative
@@ -214,6 +216,21 @@
 	return length, len(plainHeaderPrefix) + digits + len(end)
 }
 
+// accepts reports whether a response with the header ends the exchange of the call. After an
+// unattributed one that may be surplus the connection is not used again, as the target may still
+// be running the call.
+func (c *connection) accepts(call *Call, header http.Header) bool {
+	if call.Attribute == nil {
+		return true
+	}
+	attribution := call.Attribute(header)
+	if attribution == Unattributed && c.used {
+		c.retired = !call.SkipUnattributed
+		return c.retired
+	}
+	return attribution != Other
+}
+
 // startSilenceTimeout sets the read deadline to the end of the timeout if it is not zero.
 func (c *connection) startSilenceTimeout(silenceTimeout time.Duration) error {
 	if silenceTimeout <= 0 {
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -179,6 +179,7 @@
 // release returns a connection to the pool after a complete exchange.
 func (p *Pool) release(c *connection, response *http.Response) {
 	c.peerKeepAlive = keepAliveTimeout(response.Header)
+	c.used = true
 	if response.Close || c.retired || !c.contextWatch.Stop() || c.reader.Buffered() > 0 || !p.pushIdle(c) {
 		p.discard(c)
 		return
--- a/internal/transport/response_test.go
+++ b/internal/transport/response_test.go
@@ -13,7 +13,15 @@
 
 func callWithID(id string) *Call {
 	call := getCall()
-	call.Matches = func(header http.Header) bool { return header.Get("X-Id") == id }
+	call.Attribute = func(header http.Header) Attribution {
+		switch header.Get("X-Id") {
+		case id:
+			return Own
+		case "":
+			return Unattributed
+		}
+		return Other
+	}
 	return call
 }
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -106,12 +106,15 @@
 	Header     http.Header
 	Body       []byte
 	// OnHeader is called for the header of each final response on the connection, including
-	// those that Matches rejects; it may be nil.
+	// those that are skipped; it may be nil.
 	OnHeader func(status int, header http.Header)
-	// Matches reports whether a response with the header belongs to the call; nil accepts
-	// every response. Responses that do not belong to it, such as a surplus response to an
-	// earlier call, are skipped.
-	Matches func(http.Header) bool
+	// Attribute returns whose response one with the header is; nil stands for Own. Responses to
+	// other calls, such as a surplus response to an earlier one, are skipped.
+	Attribute func(http.Header) Attribution
+	// SkipUnattributed also skips unattributed responses on a connection that has carried other
+	// calls, as the call's own response may follow. Otherwise such a response ends the exchange,
+	// and its connection is closed.
+	SkipUnattributed bool
 	// RepeatableUntil is the time until which the call may be sent to the target again if the
 	// target rejects it. Until then no call with the same ID is sent over the connection of the
 	// rejection, where a second copy of it would pass for the response to that call.
@@ -123,7 +126,7 @@
 	// PlainResponseBytes states, unless it is zero, that the call does not need the header of a
 	// response with status 200, no header field but Content-Length, and a body of up to so many
 	// bytes. Response.Header is nil for such a response, which is then read faster. It must not
-	// exceed Config.MaxBuffered, nor be set together with OnHeader or Matches, or for HEAD.
+	// exceed Config.MaxBuffered, nor be set together with OnHeader or Attribute, or for HEAD.
 	PlainResponseBytes int64
 	// SilenceTimeout overrides Config.SilenceTimeout for this call unless it is zero.
 	SilenceTimeout time.Duration
@@ -132,6 +135,19 @@
 	BodyBuffer *bytes.Buffer
 }
 
+// Attribution states to which call a response belongs.
+type Attribution uint8
+
+const (
+	// Own is the attribution of the response to the call that waits for one.
+	Own Attribution = iota
+	// Other is the attribution of a response to another call.
+	Other
+	// Unattributed is the attribution of a response that does not state to which call it belongs.
+	// On a connection that has carried other calls it may be a surplus response to one of them.
+	Unattributed
+)
+
 // Response is a target's response. If Remainder is nil, Body is complete.
 type Response struct {
 	Status int
@@ -280,7 +296,7 @@
 		if call.OnHeader != nil {
 			call.OnHeader(response.StatusCode, response.Header)
 		}
-		if call.Matches == nil || call.Matches(response.Header) {
+		if c.accepts(call, response.Header) {
 			return response, nil
 		}
 		if response.Close || !delimited(response) {
