Sidecar: a lost log reader does not end the node

What callers would see: all requests of a node are cut as soon as the process that reads its standard output has gone, at all nodes that it reads from.

Cause: a write to a standard output without a reader raises SIGPIPE, whose default effect ends a Go program. Same class as the reload signal: a signal without a handler that ends a node at once.

Fix: lugspur-sidecar run ignores SIGPIPE; the lines are lost.

--- a/internal/sidecarcommand/command.go
+++ b/internal/sidecarcommand/command.go
@@ -6,6 +6,8 @@
 	"flag"
 	"fmt"
 	"io"
+	"os/signal"
+	"syscall"
 
 	"github.com/google/subcommands"
 
@@ -86,6 +88,8 @@
 	if flags.NArg() != 0 || r.path == "" {
 		return r.streams.usageError("run requires a settings file (-f) and takes no arguments")
 	}
+	// Without this, the first log line after its reader has gone would end the process.
+	signal.Ignore(syscall.SIGPIPE)
 	watch := sidecar.WatchSettings(r.path)
 	settings, err := sidecar.Load(r.path)
 	if err != nil {
--- a/test/platform_fixture_test.go
+++ b/test/platform_fixture_test.go
@@ -114,14 +114,20 @@
 	p.t.Helper()
 	log, err := os.OpenFile(n.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	assert.NilError(p.t, err)
+	p.startWithOutput(n, log)
+}
+
+// startWithOutput starts a node that writes to the file, which is closed once the node has exited.
+func (p *platform) startWithOutput(n *platformNode, output *os.File) {
+	p.t.Helper()
 	n.process = exec.Command(program("lugspur-sidecar"), "run", "-f", n.settings)
-	n.process.Stdout, n.process.Stderr = log, log
+	n.process.Stdout, n.process.Stderr = output, output
 	assert.NilError(p.t, n.process.Start())
 	n.exited = make(chan error, 1)
 	process, exited := n.process, n.exited
 	go func() {
 		exited <- process.Wait()
-		_ = log.Close()
+		_ = output.Close()
 	}()
 	p.t.Cleanup(func() { _ = process.Process.Kill() })
 }
