Sidecar: a blocked log reader does not delay the exit

What callers would see: nothing directly; a stopping node whose reader of standard output had stopped reading was killed at the end of its grace time, and its successor started later.

Cause: the node waited without a limit for its last log lines.

Evidence: TestLostLogReaderDoesNotEndNode/blocked on the landed programs: "the node has not exited within its grace time".

--- a/internal/eventlog/log.go
+++ b/internal/eventlog/log.go
@@ -149,8 +149,7 @@
 	}
 }
 
-// drain writes the queued events. If the output blocks, drain blocks until the process is
-// killed.
+// drain writes the queued events. It blocks as long as the output does.
 func (l *Log) drain() {
 	for {
 		select {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -36,6 +36,9 @@
 )
 
 const (
+	// logDrainTimeout bounds the time to write the last log lines, which the reader of the output
+	// may block.
+	logDrainTimeout = stopMargin / 2
 	// maxMessageBytes is the maximum size of a request or response.
 	maxMessageBytes = 80 << 20
 	// maxHeaderBytes is the maximum size of a request header.
@@ -302,7 +305,10 @@
 	<-ctx.Done()
 	n.stop()
 	cancel()
-	<-logDone
+	select {
+	case <-logDone:
+	case <-time.After(logDrainTimeout):
+	}
 	return nil
 }
 
--- a/test/log_output_test.go
+++ b/test/log_output_test.go
@@ -17,13 +17,15 @@
 const graceTime = 6 * time.Second
 
 // TestLostLogReaderDoesNotEndNode guards against a node that exits at its next log line, with all its
-// requests, because the reader of its standard output has gone.
+// requests, because the reader of its standard output has gone, or that outlasts its grace time
+// because the reader has stopped reading.
 func TestLostLogReaderDoesNotEndNode(t *testing.T) {
 	for _, c := range []struct {
 		name string
 		lose func(t *testing.T, reader *os.File)
 	}{
 		{"closed", func(t *testing.T, reader *os.File) { assert.NilError(t, reader.Close()) }},
+		{"blocked", func(*testing.T, *os.File) {}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
