Transport: report calls that avoid a connection

A call that is sent again after a rejection and takes another connection than the one used last is logged as connection-avoided, with whether a connection was opened for it; lugspur_events_total counts them. Without it an operator could not see what the rule costs.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -65,6 +65,7 @@
 	CallFailed
 	CallResumed
 	ResponseUnmatched
+	ConnectionAvoided
 	StoreCalls
 	EventsLost
 	kindCount
@@ -140,6 +141,7 @@
 	CallRefused:             {"call-refused", refusal, "the local home refused a call; count is the queue length"},
 	CallFailed:              {"call-failed", failure, "the call to the target yielded no usable response; fingerprint is set if the call was interrupted"},
 	CallResumed:             {"call-resumed", failure, "the connection to the home at peer became silent; the call was resumed over a new connection"},
+	ConnectionAvoided:       {"connection-avoided", refusal, "the call was not sent again over a connection on which the target rejected it; outcome is the one that it took: idle or new"},
 	ResponseUnmatched:       {"response-unmatched", failure, "the target sent a response without the ID of the call that waits for one; reason names its ID, status is its status, age the time since the call was sent"},
 	StoreCalls:              {"store-calls", stateChange, "count calls to the store since the previous event; outcome lists them by purpose, call and outcome"},
 	EventsLost:              {"events-lost", stateChange, "count events were dropped from the log since the previous event; outcome is the number of each kind"},
--- a/internal/guard/exchange.go
+++ b/internal/guard/exchange.go
@@ -156,6 +156,16 @@
 	return status == http.StatusMisdirectedRequest || header.Get(g.config.Headers.NotExecuted) != ""
 }
 
+// logAvoidedConnection logs that a call is sent again over another connection than the one on which
+// the target rejected it.
+func (g *Guard) logAvoidedConnection(requestID string, opened bool) {
+	outcome := "idle"
+	if opened {
+		outcome = "new"
+	}
+	g.log.Record(eventlog.Event{Kind: eventlog.ConnectionAvoided, Request: requestID, Outcome: outcome})
+}
+
 // attribute returns whose response one with the header is. Every call has an ID, and every response
 // of a target repeats it.
 func (g *Guard) attribute(call *peering.Call, header http.Header) transport.Attribution {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -205,6 +205,7 @@
 			UserTimeout:          targetUserTimeout,
 			KeepAlive:            targetKeepAlive,
 			IsRejection:          g.isRejection,
+			OnAvoided:            g.logAvoidedConnection,
 		}),
 	}
 	inc.slots.Store(int64(target.Slots))
--- a/internal/transport/carried_test.go
+++ b/internal/transport/carried_test.go
@@ -38,17 +38,21 @@
 		earlier        []*Call
 		last           *Call
 		connection     int
+		// opened are the reports on avoided connections.
+		opened []bool
 	}{
-		{"same call, another connection is idle", 0, 2, []*Call{rejected}, rejected, 0},
-		{"same call, no other connection is idle", 0, 1, []*Call{rejected}, rejected, 1},
-		{"same call, rejected on all idle connections", 0, 2, []*Call{rejected, rejected}, rejected, 2},
-		{"same call, no room for another connection", 1, 1, []*Call{rejected}, rejected, 1},
-		{"same call, no longer repeatable", 0, 1, []*Call{rejectableCall("a", -time.Minute), rejectableCall("b", time.Minute)}, rejectableCall("a", time.Minute), 0},
-		{"another call", 0, 1, []*Call{rejected}, rejectableCall("b", time.Minute), 0},
+		{"same call, another connection is idle", 0, 2, []*Call{rejected}, rejected, 0, []bool{false}},
+		{"same call, no other connection is idle", 0, 1, []*Call{rejected}, rejected, 1, []bool{true}},
+		{"same call, rejected on all idle connections", 0, 2, []*Call{rejected, rejected}, rejected, 2, []bool{false, true}},
+		{"same call, no room for another connection", 1, 1, []*Call{rejected}, rejected, 1, []bool{true}},
+		{"same call, no longer repeatable", 0, 1, []*Call{rejectableCall("a", -time.Minute), rejectableCall("b", time.Minute)}, rejectableCall("a", time.Minute), 0, nil},
+		{"another call", 0, 1, []*Call{rejected}, rejectableCall("b", time.Minute), 0, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			target := newRawTarget(t, respondWith(rejection, true))
 			pool := rejectablePool(t, target, c.maxConnections)
+			var opened []bool
+			pool.config.OnAvoided = func(_ string, isNew bool) { opened = append(opened, isNew) }
 			openIdle(t, pool, c.idle)
 			for _, call := range append(c.earlier, c.last) {
 				_, err := pool.Exchange(t.Context(), call)
@@ -56,6 +60,7 @@
 			}
 			received := target.received()
 			assert.Equal(t, received[len(received)-1].connection, c.connection)
+			assert.DeepEqual(t, opened, c.opened)
 			if c.maxConnections > 0 {
 				assert.Assert(t, len(pool.idle) <= c.maxConnections, "%d connections are open", len(pool.idle))
 			}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -64,16 +64,19 @@
 	if err := p.acquireSlot(ctx); err != nil {
 		return nil, false, err
 	}
-	for c := p.popIdle(id); c != nil; c = p.popIdle(id) {
+	c, avoided := p.popIdle(id)
+	for ; c != nil; c, avoided = p.popIdle(id) {
 		if forceNew {
 			_ = c.socket.Close()
 			break
 		}
 		if clock.Since(c.idleSince) < c.idleLimit(p.config.IdleTimeout) && c.isOpen() {
+			p.reportAvoided(avoided, id, false)
 			return c, true, nil
 		}
 		_ = c.socket.Close()
 	}
+	p.reportAvoided(avoided, id, true)
 	p.makeRoom()
 	socket, err := p.dialer.DialContext(ctx, "tcp", p.config.Address)
 	if err != nil {
@@ -84,8 +87,8 @@
 }
 
 // popIdle removes and returns the most recently used idle connection that may carry a call with
-// the ID, nil if there is none.
-func (p *Pool) popIdle(id string) *connection {
+// the ID, nil if there is none. It reports whether it avoided a connection that was used later.
+func (p *Pool) popIdle(id string) (c *connection, avoided bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	carriers := p.carried.connections[id]
@@ -93,10 +96,19 @@
 		c := p.idle[i]
 		if !slices.Contains(carriers, c) {
 			p.idle = slices.Delete(p.idle, i, i+1)
-			return c
+			return c, avoided
 		}
+		avoided = true
+	}
+	return nil, avoided
+}
+
+// reportAvoided reports that a call with the ID takes another connection than the one that was used
+// last, and whether that is a new one.
+func (p *Pool) reportAvoided(avoided bool, id string, opened bool) {
+	if avoided && p.config.OnAvoided != nil {
+		p.config.OnAvoided(id, opened)
 	}
-	return nil
 }
 
 // makeRoom closes the least recently used idle connection if the one that the caller is about to
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -60,6 +60,10 @@
 	// IsRejection reports whether a response with the status and the header states that the target
 	// did not run the call, so that it may be sent again. Nil means that none does.
 	IsRejection func(status int, header http.Header) bool
+	// OnAvoided is called for a call that is sent again after a rejection and does not take the
+	// connection that was used last, because that has carried it before; opened reports whether a
+	// connection is opened instead. It may be nil.
+	OnAvoided func(id string, opened bool)
 }
 
 // Defaults of a Config.
