Soak: reloads and further stop signals during planned stops

A planned stop in the soak was one SIGTERM. Processes that stop now get SIGHUP and SIGTERM in turn until they have ended.

--- a/lab/cluster/process.go
+++ b/lab/cluster/process.go
@@ -118,6 +118,9 @@
 // Terminate sends SIGTERM, which requests a graceful stop. It does not wait.
 func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
 
+// Reload sends SIGHUP, which requests a reload of the settings. It does not wait.
+func (p *Process) Reload() { p.signal(syscall.SIGHUP) }
+
 // Stop requests a graceful stop, waits for it, and kills the process after the
 // timeout. It returns an error if the process was killed or exited with an error.
 func (p *Process) Stop(timeout time.Duration) error {
--- a/lab/soak/inject.go
+++ b/lab/soak/inject.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lugspur/lugspur/internal/pause"
+	"github.com/lugspur/lugspur/lab/cluster"
 	"github.com/lugspur/lugspur/lab/faultproxy"
 	"github.com/lugspur/lugspur/lab/platformstub"
 )
@@ -15,6 +16,8 @@
 const (
 	// restartDelay is the time between the end of a process and its restart.
 	restartDelay = 300 * time.Millisecond
+	// stopSignalInterval is the time between signals to a process that stops.
+	stopSignalInterval = 170 * time.Millisecond
 	// drainDuration is how long a draining target continues to serve.
 	drainDuration = 2500 * time.Millisecond
 	// maxAttempts limits how often a drain notice or the start of a target is tried.
@@ -225,13 +228,30 @@
 	end := i.recorder.beginDisturbance(processRestart, machine, true)
 	defer end()
 	m := i.deployment.machines[machine]
+	stopped := make(chan struct{})
+	go sendStopSignals(m.process, stopped)
 	if err := m.process.Stop(gracePeriod); err != nil {
 		i.recorder.addFailure(fmt.Sprintf("planned stop: %v", err))
 	}
+	close(stopped)
 	time.Sleep(restartDelay)
 	i.restart(machine)
 }
 
+// sendStopSignals asks a process to reload its settings and to stop, in turn, until it has stopped.
+func sendStopSignals(process *cluster.Process, stopped <-chan struct{}) {
+	ticker := time.NewTicker(stopSignalInterval)
+	defer ticker.Stop()
+	for send, next := process.Reload, process.Terminate; ; send, next = next, send {
+		select {
+		case <-stopped:
+			return
+		case <-ticker.C:
+			send()
+		}
+	}
+}
+
 // drain drains the machine's target and replaces it.
 func (i *injector) drain(ctx context.Context, fault Fault) {
 	m := i.deployment.machines[fault.Machine]
