Node: SIGHUP stops lugspur node as planned

What callers would see: lugspur node exits at once on SIGHUP, also during a planned stop, with the calls in flight.

Cause: SIGHUP had its default effect.

Fix: SIGHUP starts a planned stop, unless it is ignored (nohup), and stays handled until the exit. lugspur node has no settings to reload.

--- a/cmd/lugspur/main.go
+++ b/cmd/lugspur/main.go
@@ -22,8 +22,14 @@
 	os.Exit(code)
 }
 
-// runNode runs a node that logs JSON lines to standard error.
+// runNode runs a node that logs JSON lines to standard error. SIGHUP stops it as SIGTERM does,
+// unless it is ignored: by default it would end the process with the calls in flight.
 func runNode(ctx context.Context, nodeSettings settings.Node) error {
+	if !signal.Ignored(syscall.SIGHUP) {
+		var stop context.CancelFunc
+		ctx, stop = signal.NotifyContext(ctx, syscall.SIGHUP)
+		defer stop()
+	}
 	level, err := logrus.ParseLevel(nodeSettings.Log.Level)
 	if err != nil {
 		return err
--- a/lab/cluster/process.go
+++ b/lab/cluster/process.go
@@ -118,8 +118,8 @@
 // Terminate sends SIGTERM, which requests a graceful stop. It does not wait.
 func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
 
-// Reload sends SIGHUP, which requests a reload of the settings. It does not wait.
-func (p *Process) Reload() { p.signal(syscall.SIGHUP) }
+// Hangup sends SIGHUP. It does not wait.
+func (p *Process) Hangup() { p.signal(syscall.SIGHUP) }
 
 // Stop requests a graceful stop, waits for it, and kills the process after the
 // timeout. It returns an error if the process was killed or exited with an error.
--- a/lab/soak/inject.go
+++ b/lab/soak/inject.go
@@ -242,7 +242,7 @@
 func sendStopSignals(process *cluster.Process, stopped <-chan struct{}) {
 	ticker := time.NewTicker(stopSignalInterval)
 	defer ticker.Stop()
-	for send, next := process.Reload, process.Terminate; ; send, next = next, send {
+	for send, next := process.Hangup, process.Terminate; ; send, next = next, send {
 		select {
 		case <-stopped:
 			return
