--- a/internal/transport/carried.go
+++ b/internal/transport/carried.go
@@ -12,8 +12,8 @@
 const maxCarried = 4096
 
 // carriedCalls records which connections have carried calls that may be sent to the target again.
-// A faulty target may send a second copy of a response in the place of a later one, and the ID
-// tells it apart from the responses to all calls but the same one.
+// A faulty target may send a second copy of a response in the place of a later one. The ID tells it
+// apart from responses to other calls, but not from the response to the same call sent again.
 type carriedCalls struct {
 	// connections holds the connections by the ID of the call, and order the entries of
 	// connections in the order in which they were added.
