--- a/test/log_output_test.go
+++ b/test/log_output_test.go
@@ -9,8 +9,6 @@
 
 	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
-
-	"github.com/lugspur/lugspur/lab/platformstub"
 )
 
 // graceTime is the grace time in the settings of nodes.
@@ -43,14 +41,7 @@
 			p.awaitServed(n, "/read/x")
 			c.lose(t, reader)
 			fillLog(t, p, n)
-			n.target.SetFaults(platformstub.TargetFaults{Delay: time.Second})
-			answered := make(chan int, 1)
-			runs := n.target.RunCount()
-			go func() {
-				status, _ := p.send(n, "/once/x")
-				answered <- status
-			}()
-			eventually(t, 20*time.Second, "the target runs the request", func() bool { return n.target.RunCount() > runs })
+			answered := p.startSlowRequest(n)
 			assert.NilError(t, n.process.Process.Signal(syscall.SIGTERM))
 			assert.Equal(t, <-answered, http.StatusOK)
 			select {
--- a/test/platform_fixture_test.go
+++ b/test/platform_fixture_test.go
@@ -200,6 +200,21 @@
 	return status, id
 }
 
+// startSlowRequest sends a request that its target runs for a second. It returns once the target runs
+// it; the channel receives the status.
+func (p *platform) startSlowRequest(n *platformNode) <-chan int {
+	p.t.Helper()
+	n.target.SetFaults(platformstub.TargetFaults{Delay: time.Second})
+	answered := make(chan int, 1)
+	runs := n.target.RunCount()
+	go func() {
+		status, _ := p.send(n, "/once/x")
+		answered <- status
+	}()
+	eventually(p.t, 20*time.Second, "the target runs the request", func() bool { return n.target.RunCount() > runs })
+	return answered
+}
+
 // doRequest sends a request; status 0 means that there was no complete answer.
 func doRequest(request *http.Request) (status int, header http.Header, body string) {
 	response, err := http.DefaultClient.Do(request)
--- a/test/reload_during_stop_test.go
+++ b/test/reload_during_stop_test.go
@@ -40,14 +40,7 @@
 			t.Parallel()
 			p := startPlatform(t, "west")
 			n := p.nodes[0]
-			n.target.SetFaults(platformstub.TargetFaults{Delay: time.Second})
-			answered := make(chan int, 1)
-			runs := n.target.RunCount()
-			go func() {
-				status, _ := p.send(n, "/once/x")
-				answered <- status
-			}()
-			eventually(t, 20*time.Second, "the target runs the request", func() bool { return n.target.RunCount() > runs })
+			answered := p.startSlowRequest(n)
 			logged := make(map[string]int)
 			for _, step := range order.steps {
 				assert.NilError(t, n.process.Process.Signal(step.signal))
