--- a/test/reload_during_stop_test.go
+++ b/test/reload_during_stop_test.go
@@ -71,10 +71,10 @@
 	})
 }
 
-// TestSignalsDoNotEndNodeInAnyPhase guards against a phase of a node's life in which a reload or a
-// further stop signal ends it at once: while it waits for the store, and from the stop signal until
-// it exits.
-func TestSignalsDoNotEndNodeInAnyPhase(t *testing.T) {
+// TestSignalsDoNotEndNodeBeforeReadyOrWhileStopping guards against a node that a reload or a
+// further stop signal ends at once while it waits for the store, or between the stop signal and its
+// exit.
+func TestSignalsDoNotEndNodeBeforeReadyOrWhileStopping(t *testing.T) {
 	p := startPlatform(t, "west")
 	n := p.nodes[0]
 	assert.NilError(t, n.process.Process.Kill())
