--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -7,6 +7,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -56,11 +57,13 @@
 type Node struct {
 	Name, Zone, Service, IP                           string
 	Calls, Peers, Ready, Heartbeats, Target, Settings string
-	permits                                           int
-	rig                                               *Rig
-	process                                           *exec.Cmd
-	exited                                            chan struct{}
-	startedOnce                                       bool
+	// StoreAddress is where the node reaches the store, if not at its own address.
+	StoreAddress string
+	permits      int
+	rig          *Rig
+	process      *exec.Cmd
+	exited       chan struct{}
+	startedOnce  bool
 }
 
 // New creates the record and the store. The configuration is what the operator wrote first.
@@ -140,7 +143,7 @@
 func (n *Node) fields() map[string]any {
 	return map[string]any{
 		"node": n.Name, "zone": n.Zone, "service": n.Service, "app-addr": n.Target, "ip": n.IP, "bootstrap": !n.startedOnce,
-		"platform":        map[string]any{"address": n.rig.Address},
+		"platform":        map[string]any{"address": cmp.Or(n.StoreAddress, n.rig.Address)},
 		"listen":          map[string]any{"inbound": n.Peers, "outbound": n.Calls, "ready": n.Ready, "control": n.Heartbeats},
 		"ephemeral-ports": map[string]any{"0": n.permits},
 		"bounds":          map[string]any{"grace-s": 6, "retry-budget-ratio": 0.2, "budget-window-s": 10, "budget-slack": 57},
@@ -315,3 +318,39 @@
 	}
 	return false
 }
+
+// Memory returns the resident memory of the node's process in MB, zero if it has none.
+func (n *Node) Memory() int {
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", n.Pid()))
+	fields := strings.Fields(string(content))
+	if err != nil || len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.Atoi(fields[1])
+	return pages * os.Getpagesize() >> 20
+}
+
+// Guard kills the node's process whenever its memory exceeds the limit, and starts it again, as the
+// platform does. It returns the number of kills once done is closed.
+func (n *Node) Guard(limitMB int, done <-chan struct{}) (kills int) {
+	for {
+		select {
+		case <-done:
+			return kills
+		case <-time.After(2 * time.Millisecond):
+		}
+		memory := n.Memory()
+		if memory <= limitMB {
+			continue
+		}
+		n.Signal(syscall.SIGKILL)
+		<-n.exited
+		kills++
+		n.rig.Logf("%s held %d MB, over memory-mb %d: killed, and started again", n.Name, memory, limitMB)
+		time.Sleep(300 * time.Millisecond)
+		if err := n.Start(); err != nil {
+			n.rig.Logf("start %s: %v", n.Name, err)
+			return kills
+		}
+	}
+}
