Review: case 8, slow readers of large answers take nodes over their memory

Cause: a node holds each answer whole until its client has read it, without a bound on the sum.

Seen: clients that read answers of 16 MB at 4 MB a second, ten a second at a machine, take its node over 284 MB after about 2 s. It is killed; the answers that it was passing on end early.

--- a/review/rig/target.go
+++ b/review/rig/target.go
@@ -27,6 +27,8 @@
 	// Work is how long a request runs, and LongWork how long one whose path begins with LongPrefix.
 	Work, LongWork time.Duration
 	LongPrefix     string
+	// AnswerBytes is the size of an answer; zero stands for a short one.
+	AnswerBytes int
 
 	mutex    sync.Mutex
 	sequence uint64
@@ -87,6 +89,11 @@
 		return
 	}
 	w.Header().Set("Lugspur-Response-Signature", "signed-by-"+t.ID)
+	if t.AnswerBytes > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(t.AnswerBytes))
+		_, _ = w.Write(make([]byte, t.AnswerBytes))
+		return
+	}
 	_, _ = fmt.Fprintf(w, "%s %s %d %s", r.Method, r.RequestURI, len(body), id)
 }
 
