Review: case 8, downloads that a stopping node admits and cuts

Cause: a stopping node admits a request if ten times the usual time of a call at its home ends before the node does. The time that its client takes to read the answer is no part of that.

Seen: requests sent 3.3 s after SIGTERM are answered by their target 0.1 s later; their clients read 16 MB at 4 MB a second, and the process ends 5.8 s after SIGTERM with a third of each answer to go (rule LOST).

--- a/review/rig/target.go
+++ b/review/rig/target.go
@@ -29,6 +29,8 @@
 	LongPrefix     string
 	// AnswerBytes is the size of an answer; zero stands for a short one.
 	AnswerBytes int
+	// AnswerPrefix limits AnswerBytes to paths that begin with it.
+	AnswerPrefix string
 
 	mutex    sync.Mutex
 	sequence uint64
@@ -89,7 +91,7 @@
 		return
 	}
 	w.Header().Set("Lugspur-Response-Signature", "signed-by-"+t.ID)
-	if t.AnswerBytes > 0 {
+	if t.AnswerBytes > 0 && strings.HasPrefix(r.URL.Path, t.AnswerPrefix) {
 		w.Header().Set("Content-Length", strconv.Itoa(t.AnswerBytes))
 		_, _ = w.Write(make([]byte, t.AnswerBytes))
 		return
