--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -110,30 +110,33 @@
 	_ = os.RemoveAll(r.dir)
 }
 
-func freePort(ip string) (int, error) {
-	listener, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return 0, err
+// freePorts returns different free ports of the address.
+func freePorts(ip string, count int) ([]int, error) {
+	var ports []int
+	for range count {
+		listener, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = listener.Close() }()
+		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().(*net.TCPAddr).Port, nil
+	return ports, nil
 }
 
 // AddNode adds a machine with its own loopback address. The process is not started.
 func (r *Rig) AddNode(zone, service string) (*Node, error) {
 	i := len(r.Nodes) + 1
 	n := &Node{Name: fmt.Sprintf("sidecar-%s-%d", zone, i), Zone: zone, Service: service, IP: r.network + strconv.Itoa(i), rig: r}
-	for _, address := range []*string{&n.Calls, &n.Peers, &n.Ready, &n.Heartbeats, &n.Target} {
-		port, err := freePort(n.IP)
-		if err != nil {
-			return nil, err
-		}
-		*address = fmt.Sprintf("%s:%d", n.IP, port)
-	}
-	var err error
-	if n.permits, err = freePort(n.IP); err != nil {
+	addresses := []*string{&n.Calls, &n.Peers, &n.Ready, &n.Heartbeats, &n.Target}
+	ports, err := freePorts(n.IP, len(addresses)+1)
+	if err != nil {
 		return nil, err
 	}
+	for i, address := range addresses {
+		*address = fmt.Sprintf("%s:%d", n.IP, ports[i])
+	}
+	n.permits = ports[len(addresses)]
 	n.Settings = filepath.Join(r.dir, n.Name+".toml")
 	r.Nodes = append(r.Nodes, n)
 	return n, nil
@@ -316,6 +319,9 @@
 			return true
 		}
 	}
+	for _, n := range r.Nodes {
+		r.Logf("log of %s: %q", n.Name, n.Logs(""))
+	}
 	return false
 }
 
