--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -35,6 +35,8 @@
 	Queue      QueueSettings    `toml:"queue"`
 	Tenants    TenantSettings   `toml:"tenants"`
 	Shortage   ShortageSettings `toml:"shortage"`
+	// Resources are what the machine grants the process.
+	Resources ResourceSettings `toml:"resources"`
 	// Policies decide about requests, one for each kind of route.
 	Policies routepolicy.Sources `toml:"policies"`
 }
@@ -125,6 +127,18 @@
 // Expected reports whether the deployment must expect to run with too little capacity.
 func (s *ShortageSettings) Expected() bool { return s.ZoneLosses > 0 }
 
+// ResourceSettings are what the machine grants the process. A process that uses more memory is
+// killed.
+type ResourceSettings struct {
+	// MemoryMB is the memory of the process in MB of 2^20 bytes.
+	MemoryMB int `toml:"memory-mb"`
+	// Descriptors is the number of descriptors that the process may have open.
+	Descriptors int `toml:"descriptors"`
+}
+
+// memoryBytes returns the memory of the process in bytes.
+func (s *ResourceSettings) memoryBytes() int64 { return int64(s.MemoryMB) << 20 }
+
 // Defaults of settings.
 const (
 	DefaultGraceSeconds        = 6.0
@@ -138,6 +152,8 @@
 	DefaultLimitWindow         = 5.0
 	DefaultLimitOvershoot      = 0.1
 	DefaultLimitSlack          = 20.0
+	DefaultMemoryMB            = 256
+	DefaultDescriptors         = 1024
 )
 
 // Load reads and validates a settings file. The error lists all invalid settings.
@@ -160,7 +176,8 @@
 		Retries: RetrySettings{BudgetRatio: DefaultBudgetRatio, WindowSeconds: DefaultRetryWindow, Slack: DefaultRetrySlack},
 		Queue: QueueSettings{MaxLength: DefaultQueueLength, ObjectiveShare: DefaultObjectiveShare,
 			InnerObjectiveShare: DefaultInnerObjectiveShare, SlotShare: DefaultSlotShare},
-		Tenants: TenantSettings{WindowSeconds: DefaultLimitWindow, Overshoot: DefaultLimitOvershoot, Slack: DefaultLimitSlack},
+		Tenants:   TenantSettings{WindowSeconds: DefaultLimitWindow, Overshoot: DefaultLimitOvershoot, Slack: DefaultLimitSlack},
+		Resources: ResourceSettings{MemoryMB: DefaultMemoryMB, Descriptors: DefaultDescriptors},
 	}
 	if err := toml.Unmarshal(content, &settings); err != nil {
 		return Settings{}, fmt.Errorf("parse: %w", err)
@@ -196,6 +213,8 @@
 		checkRange("tenants.overshoot", s.Tenants.Overshoot, 0, 10),
 		checkRange("tenants.slack", s.Tenants.Slack, 0, 1e6),
 		checkRange("shortage.zone-losses", float64(s.Shortage.ZoneLosses), 0, 16),
+		checkRange("resources.memory-mb", float64(s.Resources.MemoryMB), 32, 1<<20),
+		checkRange("resources.descriptors", float64(s.Resources.Descriptors), 64, 1<<20),
 		checkPolicies(s.Policies),
 	)
 }
--- a/internal/sidecar/settings_test.go
+++ b/internal/sidecar/settings_test.go
@@ -17,7 +17,7 @@
 	"listen.outbound": "10.0.0.1:8304", "listen.inbound": "10.0.0.1:8300", "listen.ready": "10.0.0.1:8302",
 	"listen.control": "10.0.0.1:8306", "ip": "10.0.0.1", "ephemeral-ports.0": "7620", "bounds.grace-s": "6", "bounds.retry-budget-ratio": "0.2", "bounds.budget-window-s": "10", "bounds.budget-slack": "57",
 	"bounds.revoke-s": "5", "bounds.quota-window-s": "6", "bounds.quota-overshoot": "0.2", "bounds.quota-slack": "21",
-	"fault-tolerance.zones": "1",
+	"fault-tolerance.zones": "1", "limits.memory-mb": "284", "limits.max-fds": "4100",
 }
 
 var placeholder = regexp.MustCompile(`\{\{([a-z0-9.-]+)(\|json)?\}\}`)
@@ -28,6 +28,8 @@
 	"bootstrap":             regexp.MustCompile(`(?s)\{\{#bootstrap\}\}(.*?)\{\{/bootstrap\}\}`),
 	"bounds.strict-revoke":  regexp.MustCompile(`(?s)\{\{#bounds.strict-revoke\}\}(.*?)\{\{/bounds.strict-revoke\}\}`),
 	"fault-tolerance.zones": regexp.MustCompile(`(?s)\{\{#fault-tolerance.zones\}\}(.*?)\{\{/fault-tolerance.zones\}\}`),
+	"limits.memory-mb":      regexp.MustCompile(`(?s)\{\{#limits.memory-mb\}\}(.*?)\{\{/limits.memory-mb\}\}`),
+	"limits.max-fds":        regexp.MustCompile(`(?s)\{\{#limits.max-fds\}\}(.*?)\{\{/limits.max-fds\}\}`),
 	"bounds.quota-window-s": regexp.MustCompile(`(?s)\{\{#bounds.quota-window-s\}\}(.*?)\{\{/bounds.quota-window-s\}\}`),
 }
 
@@ -54,7 +56,7 @@
 		parts := placeholder.FindStringSubmatch(text)
 		value, known := templateValues[parts[1]]
 		assert.Assert(t, known, "the template has an unknown placeholder %s", parts[1])
-		if parts[2] != "" && !strings.HasPrefix(parts[1], "bounds.") && !strings.HasPrefix(parts[1], "fault-tolerance.") {
+		if parts[2] != "" && !strings.HasPrefix(parts[1], "bounds.") && !strings.HasPrefix(parts[1], "limits.") && !strings.HasPrefix(parts[1], "fault-tolerance.") {
 			return `"` + value + `"`
 		}
 		return value
@@ -67,6 +69,10 @@
 	assert.Equal(t, settings.Listen, Listen{Calls: "10.0.0.1:8304", Peers: "10.0.0.1:8300", Ready: "10.0.0.1:8302", Heartbeats: "10.0.0.1:8306", Permits: "10.0.0.1:7620", Metrics: "10.0.0.1:9464"})
 	assert.Equal(t, settings.grace(), 6*time.Second)
 	assert.Equal(t, settings.Retries.BudgetRatio, 0.2)
+	assert.Equal(t, settings.Resources, ResourceSettings{MemoryMB: DefaultMemoryMB, Descriptors: DefaultDescriptors})
+	settings, err = Parse([]byte(renderTemplateWith(t, "limits.memory-mb", "limits.max-fds")))
+	assert.NilError(t, err)
+	assert.Equal(t, settings.Resources, ResourceSettings{MemoryMB: 284, Descriptors: 4100})
 	assert.Equal(t, settings.Queue.MaxLength, DefaultQueueLength)
 	assert.Assert(t, !settings.FirstStart)
 	assert.Assert(t, !settings.Shortage.Expected())
