Soak: input that uses up nodes' resources, a watch on their memory and end

The soak never ended a process by itself and read no memory, so that neither a node over its memory nor one that gives up its start could be found.

--- a/lab/cluster/process.go
+++ b/lab/cluster/process.go
@@ -93,6 +93,10 @@
 // Done is closed when the process has ended.
 func (p *Process) Done() <-chan struct{} { return p.done }
 
+// Err returns the error with which the process ended, nil if it exited with code 0. It must only be
+// called after Done was closed.
+func (p *Process) Err() error { return p.err }
+
 // Running reports whether the process is still running.
 func (p *Process) Running() bool {
 	select {
--- a/lab/platformstub/target.go
+++ b/lab/platformstub/target.go
@@ -28,6 +28,10 @@
 	// ReportsPace makes responses report the target's load with its pace, which follows
 	// TargetFaults.Delay. Every malformedReportEvery-th report is malformed.
 	ReportsPace bool
+	// LargePrefix is the path prefix of requests whose responses have LargeBytes more bytes; empty
+	// means that no request does.
+	LargePrefix string
+	LargeBytes  int
 	// Nested are the calls that the target makes while it runs a request; if one fails, so
 	// does the request.
 	Nested NestedCalls
@@ -76,6 +80,9 @@
 	TruncateEvery uint64
 	// RejectEvery rejects every n-th request as not executed; zero disables it.
 	RejectEvery uint64
+	// EndlessEvery sends a response without end to every n-th request, and InvalidStatusEvery one
+	// whose status is not valid; zero disables them.
+	EndlessEvery, InvalidStatusEvery uint64
 	// CrashPrefix is the path prefix of requests that crash the target at the end of their
 	// service time; empty means that no request does.
 	CrashPrefix string
@@ -159,6 +166,14 @@
 	if isNth(faults.DropEvery, count) {
 		panic(http.ErrAbortHandler)
 	}
+	if isNth(faults.EndlessEvery, count) {
+		t.sendEndless(w, id, count/faults.EndlessEvery)
+		return
+	}
+	if isNth(faults.InvalidStatusEvery, count) {
+		t.sendInvalidStatus(w, id, count/faults.InvalidStatusEvery)
+		return
+	}
 	w.Header().Set("Lugspur-Response-Signature", "signed-by-"+t.ID)
 	response := fmt.Sprintf("%s %s %s %d %s", t.Service, r.Method, r.URL.Path, len(body), id)
 	if isNth(faults.TruncateEvery, count) {
@@ -166,6 +181,11 @@
 		_, _ = io.WriteString(w, response[:len(response)/2])
 		panic(http.ErrAbortHandler)
 	}
+	if t.LargePrefix != "" && strings.HasPrefix(r.URL.Path, t.LargePrefix) {
+		w.Header().Set("Content-Length", strconv.Itoa(t.LargeBytes+len(response)))
+		writePadded(w, t.LargeBytes, response)
+		return
+	}
 	_, _ = io.WriteString(w, response)
 }
 
--- a/lab/soak/command.go
+++ b/lab/soak/command.go
@@ -52,6 +52,7 @@
 	flags.DurationVar(&c.config.Duration, "duration", time.Minute, "`time` during which faults are injected")
 	flags.IntVar(&c.config.Restores, "restores", 2, "`number` of restores of the store from a backup")
 	flags.IntVar(&c.config.Announcements, "announcements", 4, "`number` of times that a target announces a rate limit or that it is leaving")
+	flags.IntVar(&c.config.ResourceFaults, "resource-faults", 6, "`number` of faults that use up nodes' memory, are input that no sound peer sends, or keep nodes from starting")
 	flags.IntVar(&c.config.ZoneLosses, "zone-losses", 1, "`number` of zones whose loss the nodes are told to tolerate; 0 disables the decisions for shortage")
 	flags.Float64Var(&c.config.Rate, "rate", 40, "requests per `second` of each machine's callers")
 }
--- a/lab/soak/record.go
+++ b/lab/soak/record.go
@@ -18,6 +18,9 @@
 	Path        string `json:"path"`
 	// CrashesTarget is set if the request crashes each target that runs it.
 	CrashesTarget bool `json:"deadly,omitempty"`
+	// Large is set if the request or its response has a large body, which takes its caller long to
+	// send or to read.
+	Large bool `json:"large,omitempty"`
 	// Version is the only configuration version that allows the request; zero on
 	// routes that exist in all versions.
 	Version int `json:"version,omitempty"`
@@ -92,7 +95,9 @@
 	versions     []acknowledgedVersion
 	incarnations map[int]int
 	failures     []string
-	skipped      int
+	// memoryExceeded describes the processes that exceeded their memory.
+	memoryExceeded []string
+	skipped        int
 }
 
 func newRecorder() *recorder { return &recorder{incarnations: make(map[int]int)} }
@@ -154,6 +159,12 @@
 	r.failures = append(r.failures, detail)
 }
 
+func (r *recorder) addMemoryExceeded(detail string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.memoryExceeded = append(r.memoryExceeded, detail)
+}
+
 func (r *recorder) addSkipped() {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -46,6 +46,18 @@
 	// heartbeats report it as ready.
 	TargetRateLimited Kind = "target-rate-limited"
 	TargetLeaving     Kind = "target-leaving"
+	// ResponsesEndless makes a target send responses without end, and StatusesInvalid responses whose
+	// status is not valid.
+	ResponsesEndless Kind = "endless-responses"
+	StatusesInvalid  Kind = "invalid-statuses"
+	// SlowReaders request large responses from a machine and read them slowly, and LargeBodies send
+	// requests with large bodies to it.
+	SlowReaders Kind = "slow-readers"
+	LargeBodies Kind = "large-bodies"
+	// OddEntries writes entries that no node wrote under the prefixes of nodes' entries.
+	OddEntries Kind = "odd-entries"
+	// AddressInUse kills a node and starts it again while another socket uses one of its addresses.
+	AddressInUse Kind = "address-in-use"
 	// CrashingRequest repeats a request that crashes each target that runs it.
 	CrashingRequest Kind = "deadly-request"
 	// Drain drains a target; DrainAndKill also kills the node right after it has
@@ -137,6 +149,27 @@
 	return schedule
 }
 
+// resourceKinds are the kinds of faults that use up the resources of nodes, or that are input which
+// no sound peer sends.
+var resourceKinds = []Kind{ResponsesEndless, ResponsesEndless, StatusesInvalid, SlowReaders, SlowReaders, LargeBodies, LargeBodies, OddEntries, AddressInUse}
+
+// addResourceFaults adds faults of resourceKinds to a schedule. Like the times of restores, they are
+// independent of the other faults.
+func addResourceFaults(schedule []Fault, seed uint64, count, machines int, duration time.Duration) []Fault {
+	const stream = 0x7265736f
+	random := rand.New(rand.NewPCG(seed, stream))
+	for range count {
+		schedule = append(schedule, Fault{
+			Kind:    resourceKinds[random.IntN(len(resourceKinds))],
+			At:      time.Duration(random.Int64N(int64(duration))),
+			For:     minLength + time.Duration(random.Int64N(int64(maxLength-minLength))),
+			Machine: random.IntN(machines),
+		})
+	}
+	slices.SortStableFunc(schedule, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return schedule
+}
+
 const (
 	// minLimited is the least time for which a target announces a rate limit, so that
 	// whole windows lie in it.
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -58,6 +58,14 @@
 	}
 }
 
+// TestSoakWithResourceFaults gives nodes large messages, responses without end, invalid statuses, odd
+// entries of the store, and addresses that are in use at the start.
+func TestSoakWithResourceFaults(t *testing.T) {
+	for _, seed := range []uint64{8001, 8002} {
+		runSoak(t, soak.Config{Machines: 6, Seed: seed, Duration: 12 * time.Second, Rate: 40, ResourceFaults: 8})
+	}
+}
+
 // runSoak runs a soak test, which must report no breach.
 func runSoak(t *testing.T, config soak.Config) {
 	t.Helper()
