Registry: ignore records and departures that name no usable target

Seen by callers: with 75 odd entries under the node's prefixes, 2 of 100 requests were refused as "unconnected": records with the ports 99999 and 0 and with the address "nonsense" became homes.

Cause: decodeRecord checked the state and that the key ends with the address. Service, zone, slots, rate limit and lengths were taken as they came; one entry with 2^62 slots outweighs all homes of its service (Directory.Weights). A departure was applied whatever key it was found under.

Change: Record.Validate and Departure.Validate check every field where an entry or a peer's notice is decoded: an IP address with a port from 1 to 65535 that is the key's, names that are not empty and fit into a key, 1 to 65536 slots (a draining record may have none), a finite rate limit. Package netaddress checks addresses.

Tests changed: fixtures of registry, peering, sidecar and forward named homes by words ("home-1", "a", "h"), without zone or slots; they now use IP addresses, zones and slots. Their checks are the same.

--- a/internal/forward/budget_simulation_test.go
+++ b/internal/forward/budget_simulation_test.go
@@ -82,7 +82,7 @@
 		requests: make(map[string][]time.Time), retries: make(map[string][]time.Time), arrivedIDs: make(map[string]bool), observer: &budgetObserver{}}
 	s.directory = registry.NewDirectory("homes/", "", nil, func() time.Time { return s.now })
 	for i := range 6 {
-		address, service := fmt.Sprint("target-", i), []string{"price", "card"}[i%2]
+		address, service := simulatedAddress(i), []string{"price", "card"}[i%2]
 		record, err := cbor.Marshal(registry.Record{Instance: address, Service: service, Zone: "z", Address: address, Slots: 20, State: registry.Ready})
 		assert.NilError(t, err)
 		s.directory.ApplyChanges([]store.Entry{{Key: "homes/" + address, Value: record, Revision: store.Revision(i + 1)}}, "store")
--- a/internal/forward/choose_test.go
+++ b/internal/forward/choose_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -243,7 +242,7 @@
 	now := time.Now()
 	addresses := make([]string, len(latencies))
 	for i := range latencies {
-		addresses[i] = fmt.Sprint("home-", i)
+		addresses[i] = simulatedAddress(i)
 	}
 	f := &Forwarder{config: Config{Zone: "z"}, now: func() time.Time { return now }, directory: directoryOf(t, addresses)}
 	for i, latency := range latencies {
@@ -273,9 +272,10 @@
 // pace has expired or its target was replaced, and a node of the previous build, which reports no
 // pace, that counts as idle or fast.
 func TestChoiceByPace(t *testing.T) {
+	const pacedAddress, previousAddress = "10.1.0.1:8300", "10.1.0.2:8300"
 	now := time.Now()
-	f := &Forwarder{config: Config{Zone: "z"}, now: func() time.Time { return now }, directory: directoryOf(t, []string{"paced", "previous"})}
-	paced, previous := f.homes.state("paced"), f.homes.state("previous")
+	f := &Forwarder{config: Config{Zone: "z"}, now: func() time.Time { return now }, directory: directoryOf(t, []string{pacedAddress, previousAddress})}
+	paced, previous := f.homes.state(pacedAddress), f.homes.state(previousAddress)
 	chosen := func(kind routetable.Kind) choice {
 		return f.choose(&request{route: &routetable.Route{Name: "read", Kind: kind}, service: "s", deadline: now.Add(time.Hour)})
 	}
@@ -285,17 +285,17 @@
 	}
 	for range 20 {
 		report(400, 50*time.Millisecond, 0)
-		assert.Equal(t, chosen(routetable.Repeatable).home.Address, "previous", "200 ms are expected at the other")
+		assert.Equal(t, chosen(routetable.Repeatable).home.Address, previousAddress, "200 ms are expected at the other")
 		assert.Equal(t, chosen(routetable.AtMostOnce).latency, 100*time.Millisecond)
 		now = now.Add(pace.MaxAge)
-		assert.Equal(t, chosen(routetable.Repeatable).home.Address, "paced", "the pace has expired")
+		assert.Equal(t, chosen(routetable.Repeatable).home.Address, pacedAddress, "the pace has expired")
 		report(0, 50*time.Millisecond, 0)
-		assert.Equal(t, chosen(routetable.Repeatable).home.Address, "paced", "the target was replaced and reports no pace")
+		assert.Equal(t, chosen(routetable.Repeatable).home.Address, pacedAddress, "the target was replaced and reports no pace")
 		report(100, 130*time.Millisecond, 25)
-		assert.Equal(t, chosen(routetable.Repeatable).home.Address, "paced", "calls wait at the home of the previous build")
+		assert.Equal(t, chosen(routetable.Repeatable).home.Address, pacedAddress, "calls wait at the home of the previous build")
 		paced.suspect(now)
 		last := chosen(routetable.AtMostOnce)
-		assert.Equal(t, last.home.Address, "previous", "a suspected home gets no calls")
+		assert.Equal(t, last.home.Address, previousAddress, "a suspected home gets no calls")
 		assert.Equal(t, last.latency, 100*time.Millisecond, "an important call may not have to wait, so the wait does not count for the deadline")
 		paced.markReachable(now)
 	}
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -177,7 +178,7 @@
 	}})
 	var forwarder *Forwarder
 	forwarder = New(Config{
-		Node: "node", Zone: "z", Service: "caller", Address: "here", DefaultTimeout: time.Second, WaitShare: 0.2, NestedWaitShare: 0.6,
+		Node: "node", Zone: "z", Service: "caller", Address: localAddress, DefaultTimeout: time.Second, WaitShare: 0.2, NestedWaitShare: 0.6,
 		Retries: retrybudget.AllowanceConfig{Ratio: testRetryRatio, CurrentShare: 0.5, Reserve: func() float64 { return 1 }, Window: testRetryWindow},
 		Headers: callheader.Names{RequestID: "X-Id", DeadlineMillis: "X-Deadline"},
 		ParentOf: func(id string) (string, bool) {
@@ -204,6 +205,12 @@
 	return routepolicy.NewHolder(set)
 }
 
+// localAddress is the address of the node under test.
+const localAddress = "10.1.255.1:8300"
+
+// simulatedAddress returns the address of a simulated home.
+func simulatedAddress(i int) string { return fmt.Sprintf("10.1.%d.%d:8300", i/250, i%250+1) }
+
 // directoryOf returns a directory that lists the addresses as homes of the service in the
 // zone of the node.
 func directoryOf(t testing.TB, addresses []string) *registry.Directory {
--- a/internal/forward/home_test.go
+++ b/internal/forward/home_test.go
@@ -14,18 +14,21 @@
 	"github.com/lugspur/lugspur/internal/routetable"
 )
 
+// Addresses of two homes.
+const failedAddress, wellAddress = "10.1.0.1:8300", "10.1.0.2:8300"
+
 // TestSuspectedHomeGetsNoRequestsUntilReachable uses a suspected and a healthy home. The
 // suspected home must be chosen again only after it has responded to a probe, no matter how
 // much time passes.
 func TestSuspectedHomeGetsNoRequestsUntilReachable(t *testing.T) {
 	now := time.Now()
-	f := &Forwarder{config: Config{Zone: "z"}, now: func() time.Time { return now }, directory: directoryOf(t, []string{"failed", "well"})}
+	f := &Forwarder{config: Config{Zone: "z"}, now: func() time.Time { return now }, directory: directoryOf(t, []string{failedAddress, wellAddress})}
 	q := &request{route: &routetable.Route{Name: "read"}, service: "s", deadline: now.Add(time.Hour)}
-	failed := f.homes.state("failed")
+	failed := f.homes.state(failedAddress)
 	failed.suspect(now)
 	for range 100 {
 		now = now.Add(100 * time.Millisecond)
-		assert.Equal(t, f.choose(q).home.Address, "well")
+		assert.Equal(t, f.choose(q).home.Address, wellAddress)
 	}
 	assert.Assert(t, failed.probeDue(now), "the home is probed instead")
 	failed.markReachable(now)
@@ -33,7 +36,7 @@
 	for range 100 {
 		chosen[f.choose(q).home.Address] = true
 	}
-	assert.Assert(t, chosen["failed"])
+	assert.Assert(t, chosen[failedAddress])
 }
 
 // TestSuspectedHomeIsProbedAfterBackoffOrPeerAlive checks that a suspected home is probed
@@ -113,12 +116,12 @@
 // the table: what is learned of the home later would be ignored.
 func TestChoiceFollowsRemovedState(t *testing.T) {
 	now := time.Now()
-	f := &Forwarder{config: Config{Zone: "z"}, now: func() time.Time { return now }, directory: directoryOf(t, []string{"failed", "well"})}
+	f := &Forwarder{config: Config{Zone: "z"}, now: func() time.Time { return now }, directory: directoryOf(t, []string{failedAddress, wellAddress})}
 	q := &request{route: &routetable.Route{Name: "read"}, service: "s", deadline: now.Add(time.Hour)}
 	f.choose(q)
-	f.homes.prune([]string{"well"})
-	f.homes.state("failed").suspect(now)
+	f.homes.prune([]string{wellAddress})
+	f.homes.state(failedAddress).suspect(now)
 	for range 20 {
-		assert.Equal(t, f.choose(q).home.Address, "well")
+		assert.Equal(t, f.choose(q).home.Address, wellAddress)
 	}
 }
--- a/internal/forward/pace_simulation_test.go
+++ b/internal/forward/pace_simulation_test.go
@@ -79,7 +79,7 @@
 	directory := registry.NewDirectory("homes/", "", nil, clock)
 	for i := range paceZones * paceHomesPerZone {
 		home := &pacedHome{zone: i / paceHomesPerZone, speed: []float64{0.7, 0.7, 1.6}[i%3]}
-		address := fmt.Sprint("home-", i)
+		address := simulatedAddress(i)
 		record, err := cbor.Marshal(registry.Record{Instance: address, Service: "s", Zone: fmt.Sprint(home.zone), Address: address, Slots: paceSlots, State: registry.Ready})
 		assert.NilError(t, err)
 		directory.ApplyChanges([]store.Entry{{Key: "homes/" + address, Value: record, Revision: store.Revision(i + 1)}}, "store")
--- a/internal/forward/rate_limit_simulation_test.go
+++ b/internal/forward/rate_limit_simulation_test.go
@@ -115,7 +115,7 @@
 	clock := func() time.Time { return s.now }
 	s.directory = registry.NewDirectory("homes/", "", nil, clock)
 	for i := range nodes {
-		record := registry.Record{Instance: fmt.Sprint("i-", i), Service: "other", Zone: fmt.Sprint(i % simulatedZones), Address: fmt.Sprint("home-", i), Slots: 38, State: registry.Ready}
+		record := registry.Record{Instance: fmt.Sprint("i-", i), Service: "other", Zone: fmt.Sprint(i % simulatedZones), Address: simulatedAddress(i), Slots: 38, State: registry.Ready}
 		if i < targets {
 			record.Service = "s"
 			s.targets[record.Address] = &rateTarget{tracker: &targetrate.Tracker{}, pacer: &targetrate.Pacer{}, record: record}
@@ -329,7 +329,7 @@
 			}
 			limited := 0
 			for i := range size.targets {
-				target := s.targets[fmt.Sprint("home-", i)]
+				target := s.targets[simulatedAddress(i)]
 				if i%3 == 0 {
 					limited++
 					s.after(s.between(0, 5*time.Second), func() { s.changeLimits(target) })
--- a/internal/forward/return_place_test.go
+++ b/internal/forward/return_place_test.go
@@ -34,7 +34,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			virtualtime.Run(t, func(t *testing.T) {
 				f := &fixture{levels: pressure.New(time.Now), quarantine: quarantine.New(quarantine.Config{Now: time.Now})}
-				f.forwarder = newForwarder(t, f, []string{"here"})
+				f.forwarder = newForwarder(t, f, []string{localAddress})
 				f.setPolicies(t, routepolicy.Sources{Repeatable: policy.Source{Refuse: c.refuse}})
 				if !c.off {
 					f.forwarder.places = returnplace.New(time.Now())
--- a/internal/forward/simulation_test.go
+++ b/internal/forward/simulation_test.go
@@ -73,7 +73,7 @@
 	directory := registry.NewDirectory("homes/", "", nil, now)
 	speeds := []float64{0.6, 1, 1.4}
 	for i := range homes {
-		address := fmt.Sprint("home-", i)
+		address := simulatedAddress(i)
 		record, err := cbor.Marshal(registry.Record{Instance: address, Service: "s", Zone: fmt.Sprint(i % simulatedZones), Address: address, Slots: 38, State: registry.Ready})
 		assert.NilError(t, err)
 		directory.ApplyChanges([]store.Entry{{Key: "homes/" + address, Value: record, Revision: store.Revision(i + 1)}}, "store")
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -123,7 +123,7 @@
 	t.Cleanup(server.Close)
 	client, _, oldPeer := startClientAndHome(t)
 	address := strings.TrimPrefix(server.URL, "http://")
-	notice := registry.StartNotice{Record: registry.Record{Instance: "i@5", Service: "s", Address: "a", State: registry.Ready, Process: 7}, Base: store.NewRevision(2, 3), Sequence: 4}
+	notice := registry.StartNotice{Record: registry.Record{Instance: "i@5", Service: "s", Zone: "z", Address: "10.0.0.2:8300", Slots: 10, State: registry.Ready, Process: 7}, Base: store.NewRevision(2, 3), Sequence: 4}
 	assert.NilError(t, client.SendStart(t.Context(), address, notice))
 	assert.DeepEqual(t, recorder.notices, []registry.StartNotice{notice})
 	assert.ErrorContains(t, client.SendStart(t.Context(), address, registry.StartNotice{}), "400")
--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -223,7 +223,7 @@
 	if known != nil && entry.Revision <= known.Revision {
 		return
 	}
-	record, err := decodeRecord(entry)
+	record, err := decodeRecord(entry, d.prefix)
 	if err != nil {
 		d.log.Record(eventlog.Event{Kind: eventlog.HomeChanged, Peer: entry.Key, Outcome: "unreadable", Reason: err.Error()})
 		return
--- a/internal/registry/directory_order_test.go
+++ b/internal/registry/directory_order_test.go
@@ -15,7 +15,7 @@
 func TestDirectoryEndsAlikeInEachOrder(t *testing.T) {
 	const address = "10.0.0.2:8300"
 	record := func(incarnation string, state State, process uint32) Record {
-		return Record{Instance: incarnation, Service: "s", Address: address, State: state, Process: process}
+		return Record{Instance: incarnation, Service: "s", Zone: "z", Address: address, Slots: 10, State: state, Process: process}
 	}
 	numbered := func(r Record, sequence uint64) Record {
 		r.Sequence = sequence
@@ -82,7 +82,7 @@
 // TestUnconfirmedWriteDoesNotHideOwnTarget guards against a node that refuses calls for its own target
 // during an outage, because it reads its record of the target before.
 func TestUnconfirmedWriteDoesNotHideOwnTarget(t *testing.T) {
-	record := Record{Instance: "i@1", Service: "s", Address: homeAddress, State: Draining, Process: 1}
+	record := Record{Instance: "i@1", Service: "s", Zone: "z", Address: homeAddress, State: Draining, Process: 1}
 	apply := func(d *Directory, revision store.Revision) {
 		d.ApplyChanges([]store.Entry{{Key: homesPrefix + homeAddress, Revision: revision, Value: encode(record)}}, "store")
 	}
--- a/internal/registry/directory_test.go
+++ b/internal/registry/directory_test.go
@@ -62,21 +62,22 @@
 // TestLapsedHomeIsRemovedAfterRetention removes two records: the one that is written again
 // within the retention time is kept, the other is discarded.
 func TestLapsedHomeIsRemovedAfterRetention(t *testing.T) {
+	const back, gone = "10.0.0.2:8300", "10.0.0.3:8300"
 	now := time.Now()
 	d := NewDirectory(homesPrefix, homeAddress, nil, func() time.Time { return now })
 	record := func(address string, revision store.Revision) store.Entry {
-		return store.Entry{Key: homesPrefix + address, Revision: revision, Value: encode(Record{Instance: "i", Service: "s", Address: address, State: Ready})}
+		return store.Entry{Key: homesPrefix + address, Revision: revision, Value: encode(Record{Instance: "i", Service: "s", Zone: "z", Address: address, Slots: 10, State: Ready})}
 	}
-	d.ApplyChanges([]store.Entry{record("back", 1), record("gone", 2)}, "store")
-	d.ApplyChanges([]store.Entry{{Key: homesPrefix + "back", Revision: 3, Deleted: true}, {Key: homesPrefix + "gone", Revision: 4, Deleted: true}}, "store")
+	d.ApplyChanges([]store.Entry{record(back, 1), record(gone, 2)}, "store")
+	d.ApplyChanges([]store.Entry{{Key: homesPrefix + back, Revision: 3, Deleted: true}, {Key: homesPrefix + gone, Revision: 4, Deleted: true}}, "store")
 	now = now.Add(2 * time.Second)
 	d.removeExpired()
 	assert.Equal(t, len(d.Homes("s")), 2)
-	d.ApplyChanges([]store.Entry{record("back", 5)}, "store")
+	d.ApplyChanges([]store.Entry{record(back, 5)}, "store")
 	now = now.Add(time.Second)
 	d.removeExpired()
 	assert.Equal(t, len(d.Homes("s")), 1)
-	assert.Equal(t, d.Homes("s")[0].Address, "back")
+	assert.Equal(t, d.Homes("s")[0].Address, back)
 }
 
 // TestPositionsAreUnique checks that nodes with the same records compute distinct positions, and
@@ -89,7 +90,7 @@
 		_, known := d.Position()
 		assert.Assert(t, !known)
 		for i, address := range addresses {
-			d.ApplyChanges([]store.Entry{{Key: homesPrefix + address, Revision: store.Revision(i + 1), Value: encode(Record{Instance: "i", Service: "s", Address: address, State: Ready})}}, "store")
+			d.ApplyChanges([]store.Entry{{Key: homesPrefix + address, Revision: store.Revision(i + 1), Value: encode(Record{Instance: "i", Service: "s", Zone: "z", Address: address, Slots: 10, State: Ready})}}, "store")
 		}
 		position, known := d.Position()
 		assert.Assert(t, known && position >= 0 && position < len(addresses), "position %d", position)
@@ -117,7 +118,7 @@
 	ctx := context.Background()
 	kv := memory.New(time.Now)
 	key := homesPrefix + homeAddress
-	revision, err := kv.CompareAndSwap(ctx, key, 0, encode(Record{Instance: "i-1", Service: "s", Address: homeAddress, State: Ready}), store.NoLease)
+	revision, err := kv.CompareAndSwap(ctx, key, 0, encode(Record{Instance: "i-1", Service: "s", Zone: "z", Address: homeAddress, Slots: 10, State: Ready}), store.NoLease)
 	assert.NilError(t, err)
 	d := startDirectory(t, &compactedStore{Store: kv, onWatch: func() {
 		_, err := kv.CompareAndDelete(ctx, key, revision)
--- a/internal/registry/incarnation_test.go
+++ b/internal/registry/incarnation_test.go
@@ -90,7 +90,7 @@
 
 // TestInvalidRecordsAreIgnored puts entries that no node wrote next to a valid record.
 func TestInvalidRecordsAreIgnored(t *testing.T) {
-	valid := Record{Instance: "i-1", Service: "s", Address: homeAddress, Slots: 4, State: Ready}
+	valid := Record{Instance: "i-1", Service: "s", Zone: "z", Address: homeAddress, Slots: 4, State: Ready}
 	unknownState, otherAddress, absentState := valid, valid, valid
 	unknownState.State, otherAddress.Address, absentState.State = 9, "10.9.9.9:1", Absent
 	d := NewDirectory(homesPrefix, homeAddress, nil, time.Now)
--- a/internal/registry/publisher.go
+++ b/internal/registry/publisher.go
@@ -27,10 +27,11 @@
 	store store.Store
 	// epoch returns the newest known epoch of the store.
 	epoch func() store.Epoch
-	key   string
-	log   *eventlog.Log
-	now   func() time.Time
-	wake  chan struct{}
+	// prefix is the prefix of all records, and key that of this node.
+	prefix, key string
+	log         *eventlog.Log
+	now         func() time.Time
+	wake        chan struct{}
 
 	mutex   sync.Mutex
 	desired *Record
@@ -55,8 +56,8 @@
 	synced bool
 }
 
-func newPublisher(kv store.Store, epoch func() store.Epoch, key string, log *eventlog.Log, now func() time.Time) *publisher {
-	return &publisher{store: kv, epoch: epoch, key: key, log: log, now: now, wake: make(chan struct{}, 1)}
+func newPublisher(kv store.Store, epoch func() store.Epoch, prefix, address string, log *eventlog.Log, now func() time.Time) *publisher {
+	return &publisher{store: kv, epoch: epoch, prefix: prefix, key: prefix + address, log: log, now: now, wake: make(chan struct{}, 1)}
 }
 
 // setPrevious sets the record of an earlier process, which is adopted with its lease.
@@ -77,7 +78,7 @@
 		return
 	}
 	p.revision, p.published = entry.Revision, entry.Value
-	if record, err := decodeRecord(*entry); err != nil || record.restored(entry.Revision) {
+	if record, err := decodeRecord(*entry, p.prefix); err != nil || record.restored(entry.Revision) {
 		// The restored store may have granted the lease number again.
 		return
 	}
--- a/internal/registry/record.go
+++ b/internal/registry/record.go
@@ -12,11 +12,14 @@
 import (
 	"context"
 	"errors"
-	"strings"
+	"fmt"
+	"math"
 	"time"
+	"unicode/utf8"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/lugspur/lugspur/internal/netaddress"
 	"github.com/lugspur/lugspur/internal/store"
 	"github.com/lugspur/lugspur/internal/targetrate"
 )
@@ -145,14 +148,31 @@
 	Address string `cbor:"2,keyasint"`
 }
 
-// errInvalidDeparture means that a departure lacks a field without which it cannot be used.
+// Bounds of what nodes publish. Entries beyond them come from another writer.
+const (
+	// maxNameBytes bounds the names of incarnations, services and zones. A key of the store holds as
+	// many bytes.
+	maxNameBytes = 200
+	// MaxSlots bounds the slots of a target, so that one entry can't outweigh all other homes.
+	MaxSlots = 1 << 16
+)
+
+// isName reports whether a text can be the name of an incarnation, a service or a zone.
+func isName(text string) bool {
+	return text != "" && len(text) <= maxNameBytes && utf8.ValidString(text)
+}
+
+// errInvalidDeparture means that an entry or a message is not the departure of a target.
 var errInvalidDeparture = errors.New("departure without a target or its node")
 
 // Validate checks a departure that another process sent or stored.
 func (d Departure) Validate() error {
-	if d.Instance == "" || d.Address == "" {
+	if !isName(d.Instance) {
 		return errInvalidDeparture
 	}
+	if err := netaddress.Validate(d.Address); err != nil {
+		return fmt.Errorf("%w: address: %w", errInvalidDeparture, err)
+	}
 	return nil
 }
 
@@ -168,24 +188,64 @@
 // errInvalidRecord means that an entry was not written by a node.
 var errInvalidRecord = errors.New("no record of a node")
 
-// decodeRecord decodes a node's record. An entry of another writer may have any content and
-// must not yield a usable target.
-func decodeRecord(entry store.Entry) (Record, error) {
+// Validate checks a record that another process sent or stored. It returns an error unless calls
+// can be sent to the home that the record describes.
+func (r *Record) Validate() error {
+	switch {
+	case r.State != Ready && r.State != Draining:
+		return fmt.Errorf("%w: state %d", errInvalidRecord, r.State)
+	case !isName(r.Instance):
+		return fmt.Errorf("%w: instance", errInvalidRecord)
+	case !isName(r.Service):
+		return fmt.Errorf("%w: service", errInvalidRecord)
+	case !isName(r.Zone):
+		return fmt.Errorf("%w: zone", errInvalidRecord)
+	case r.Slots < r.leastSlots() || r.Slots > MaxSlots:
+		return fmt.Errorf("%w: %d slots", errInvalidRecord, r.Slots)
+	case r.Epoch > store.MaxEpoch:
+		return fmt.Errorf("%w: epoch %d", errInvalidRecord, r.Epoch)
+	case r.RateLimit != nil && !(*r.RateLimit >= 0 && !math.IsInf(*r.RateLimit, 1)):
+		return fmt.Errorf("%w: rate limit %g", errInvalidRecord, *r.RateLimit)
+	}
+	if err := netaddress.Validate(r.Address); err != nil {
+		return fmt.Errorf("%w: address: %w", errInvalidRecord, err)
+	}
+	return nil
+}
+
+// leastSlots returns the least number of slots. A target whose first heartbeat says that it is
+// draining is published without any.
+func (r *Record) leastSlots() int {
+	if r.State == Draining {
+		return 0
+	}
+	return 1
+}
+
+// decodeRecord decodes a node's record under the prefix. An entry of another writer may have any
+// content and must not yield a usable target.
+func decodeRecord(entry store.Entry, prefix string) (Record, error) {
 	var record Record
 	if err := cbor.Unmarshal(entry.Value, &record); err != nil {
 		return Record{}, err
 	}
-	valid := record.State == Ready || record.State == Draining
-	if !valid || record.Instance == "" || record.Address == "" || !strings.HasSuffix(entry.Key, record.Address) {
-		return Record{}, errInvalidRecord
+	if entry.Key != prefix+record.Address {
+		return Record{}, fmt.Errorf("%w: the address is not that of the key", errInvalidRecord)
+	}
+	if err := record.Validate(); err != nil {
+		return Record{}, err
 	}
 	return record, nil
 }
 
-func decodeDeparture(entry store.Entry) (Departure, error) {
+// decodeDeparture decodes a departure under the prefix.
+func decodeDeparture(entry store.Entry, prefix string) (Departure, error) {
 	var departure Departure
 	if err := cbor.Unmarshal(entry.Value, &departure); err != nil {
 		return Departure{}, err
 	}
+	if entry.Key != prefix+departure.Instance {
+		return Departure{}, fmt.Errorf("%w: the target is not that of the key", errInvalidDeparture)
+	}
 	return departure, departure.Validate()
 }
--- a/internal/registry/recovery.go
+++ b/internal/registry/recovery.go
@@ -29,7 +29,7 @@
 	for _, entry := range records {
 		switch {
 		case strings.HasPrefix(entry.Key, r.config.DeparturesPrefix):
-			departure, err := decodeDeparture(entry)
+			departure, err := decodeDeparture(entry, r.config.DeparturesPrefix)
 			if err == nil && departure.Address == r.config.Address {
 				r.recordDeparture(parseIncarnation(departure.Instance))
 			}
@@ -54,7 +54,7 @@
 // target can be trusted. An unusable one is ignored. One restored from a backup may describe a target
 // that has been replaced since, so the next heartbeat is awaited instead.
 func (r *Registrar) recoverRecord(entry store.Entry) *Record {
-	record, err := decodeRecord(entry)
+	record, err := decodeRecord(entry, r.config.HomesPrefix)
 	if err != nil {
 		return nil
 	}
--- a/internal/registry/recovery_test.go
+++ b/internal/registry/recovery_test.go
@@ -40,7 +40,7 @@
 }
 
 func storedRecordWithRate(incarnation string, state State, rate *float64) store.Entry {
-	record := Record{Instance: incarnation, Service: "s", Address: homeAddress, Slots: 10, State: state, Process: 1, RateLimit: rate}
+	record := Record{Instance: incarnation, Service: "s", Zone: "z", Address: homeAddress, Slots: 10, State: state, Process: 1, RateLimit: rate}
 	return store.Entry{Key: homesPrefix + homeAddress, Revision: 2, Value: encode(record)}
 }
 
--- a/internal/registry/registrar.go
+++ b/internal/registry/registrar.go
@@ -100,7 +100,7 @@
 	}
 	r := &Registrar{config: config, log: log, now: now, departed: make(map[Incarnation]bool), replaced: make(map[Incarnation]bool),
 		latestStart: make(map[string]int64), leaving: make(map[string]leavingTarget), recoveryDone: make(chan struct{})}
-	r.publisher = newPublisher(stores.Record, config.Epoch, config.HomesPrefix+config.Address, log, now)
+	r.publisher = newPublisher(stores.Record, config.Epoch, config.HomesPrefix, config.Address, log, now)
 	r.departures = newDepartures(config.Address, config.Position, now, r.rewriteDeparture, r.notifyHome)
 	r.starts = newStarts(startsConfig{ownAddress: config.Address, peers: config.Peers, reachable: config.StoreReachable, written: r.publisher.writtenRevision, log: log, now: now})
 	r.foregroundWriter = newDepartureWriter(stores.Departure, config.Epoch, now)
@@ -136,7 +136,7 @@
 		r.publisher.markRemoved()
 		return
 	}
-	record, err := decodeRecord(entry)
+	record, err := decodeRecord(entry, r.config.HomesPrefix)
 	if err != nil {
 		// Not written by this process: overwrite it like the record of another process.
 		r.log.Record(eventlog.Event{Kind: eventlog.RecordRejected, Peer: entry.Key, Reason: err.Error()})
--- a/internal/registry/registrar_departures.go
+++ b/internal/registry/registrar_departures.go
@@ -173,7 +173,7 @@
 		r.departures.markMissing(instance, entry.Revision)
 		return
 	}
-	departure, err := decodeDeparture(entry)
+	departure, err := decodeDeparture(entry, r.config.DeparturesPrefix)
 	if err != nil {
 		r.log.Record(eventlog.Event{Kind: eventlog.RecordRejected, Peer: entry.Key, Reason: err.Error()})
 		return
--- a/internal/registry/registrar_rate_test.go
+++ b/internal/registry/registrar_rate_test.go
@@ -45,7 +45,7 @@
 		if err != nil || len(snapshot.Entries) != 1 {
 			return poll.Continue("%d entries, %v", len(snapshot.Entries), err)
 		}
-		record, err := decodeRecord(snapshot.Entries[0])
+		record, err := decodeRecord(snapshot.Entries[0], homesPrefix)
 		if err != nil || record.Announcement() != want {
 			return poll.Continue("limit %s, %v", record.Announcement(), err)
 		}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -128,7 +128,7 @@
 		if err != nil {
 			return poll.Continue("no record is published: %v", err)
 		}
-		record, err := decodeRecord(entry)
+		record, err := decodeRecord(entry, homesPrefix)
 		if err != nil || record.Instance != instance {
 			return poll.Continue("the record names %s (%v)", record.Instance, err)
 		}
--- a/internal/registry/restore_test.go
+++ b/internal/registry/restore_test.go
@@ -325,7 +325,7 @@
 		time.Sleep(3 * time.Second)
 		current, err = f.kv.Get(t.Context(), key)
 		assert.NilError(t, err)
-		record, err := decodeRecord(current)
+		record, err := decodeRecord(current, homesPrefix)
 		assert.NilError(t, err)
 		assert.Equal(t, record.Instance, "i-1")
 		assert.Equal(t, peer.directory.Homes("s")[0].Instance, "i-1")
--- a/internal/registry/start_notice.go
+++ b/internal/registry/start_notice.go
@@ -22,12 +22,10 @@
 
 // Validate checks a notice that was received from a peer.
 func (n *StartNotice) Validate() error {
-	record := &n.Record
-	validState := record.State == Ready || record.State == Draining
-	if !validState || record.Instance == "" || record.Service == "" || record.Address == "" || n.Sequence == 0 {
+	if n.Sequence == 0 {
 		return errInvalidStartNotice
 	}
-	return nil
+	return n.Record.Validate()
 }
 
 // supersedes reports whether the notice is newer than what is known of the home. Late and repeated
--- a/internal/registry/starts_test.go
+++ b/internal/registry/starts_test.go
@@ -226,7 +226,7 @@
 		f := newStartsFleet(t, 2)
 		f.loseStore(f.nodes...)
 		time.Sleep(time.Second)
-		record := Record{Instance: "first-0", Service: "s", Address: f.nodes[0].address, State: Ready, Process: 1}
+		record := Record{Instance: "first-0", Service: "s", Zone: "z", Slots: 10, Address: f.nodes[0].address, State: Ready, Process: 1}
 		f.nodes[1].directory.ApplyChanges([]store.Entry{{Key: homesPrefix + record.Address, Revision: store.NewRevision(1, 2), Value: encode(record)}}, "store")
 		f.assertInstances(f.nodes[1], "second-0", "second-1")
 	})
--- a/internal/sidecar/metrics_test.go
+++ b/internal/sidecar/metrics_test.go
@@ -113,8 +113,9 @@
 func TestDirectoryWeighsReports(t *testing.T) {
 	n := newTestNodeWith(t, func(s *Settings) { s.Shortage.ZoneLosses = 1 })
 	report := []shortage.Report{{Service: "s", Home: "h", Threshold: 300, Weight: 10}}
-	key := platform.HomesPrefix + "h"
-	record, err := cbor.Marshal(registry.Record{Instance: "i", Service: "s", Address: "h", Slots: 10, State: registry.Ready})
+	const address = "10.0.0.2:8300"
+	key := platform.HomesPrefix + address
+	record, err := cbor.Marshal(registry.Record{Instance: "i", Service: "s", Zone: "z", Address: address, Slots: 10, State: registry.Ready})
 	assert.NilError(t, err)
 	n.shortages.Merge(report)
 	n.directory.ApplyChanges([]store.Entry{{Key: key, Value: record, Revision: 1}}, "store")
@@ -122,7 +123,7 @@
 	assert.Equal(t, n.shortages.Threshold("s"), shed.None, "the service had no homes")
 	n.shortages.Merge(report)
 	assert.Equal(t, n.shortages.Threshold("s"), uint16(300))
-	record, err = cbor.Marshal(registry.Record{Instance: "i", Service: "s", Address: "h", Slots: 10, State: registry.Draining})
+	record, err = cbor.Marshal(registry.Record{Instance: "i", Service: "s", Zone: "z", Address: address, Slots: 10, State: registry.Draining})
 	assert.NilError(t, err)
 	n.directory.ApplyChanges([]store.Entry{{Key: key, Value: record, Revision: 2}}, "store")
 	n.applyWeights(applied)
