Registry: an unreadable entry in place of a home's record counts as its disappearance

Seen by callers: peers kept offering calls to a node that had ended, without end, if another writer had overwritten its record: the odd entry hangs on no lease, so no deletion ever followed.

Cause: Directory.apply ignored an entry that can't be decoded and kept the home that the key had named.

Change: such an entry marks the home as lapsed, as a deletion does.

--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -226,6 +226,10 @@
 	record, err := decodeRecord(entry, d.prefix)
 	if err != nil {
 		d.log.Record(eventlog.Event{Kind: eventlog.HomeChanged, Peer: entry.Key, Outcome: "unreadable", Reason: err.Error()})
+		if known != nil {
+			// Its node writes the record again if it is alive.
+			d.markLapsed(known, source)
+		}
 		return
 	}
 	if known != nil && record.restored(entry.Revision) {
--- a/internal/registry/invalid_entries_test.go
+++ b/internal/registry/invalid_entries_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lugspur/lugspur/internal/store"
+	"github.com/lugspur/lugspur/internal/virtualtime"
 )
 
 const oddAddress = "10.0.0.2:8300"
@@ -146,3 +147,49 @@
 		})
 	}
 }
+
+// overwrite writes an odd entry under a key of the store.
+func (f *testFleet) overwrite(key string, value []byte) {
+	f.t.Helper()
+	entry, err := f.kv.Get(f.t.Context(), key)
+	if err != nil {
+		entry = store.Entry{}
+	}
+	_, err = f.kv.CompareAndSwap(f.t.Context(), key, entry.Revision, value, store.NoLease)
+	assert.NilError(f.t, err)
+}
+
+func TestOverwrittenRecordOfLiveNodeIsRewritten(t *testing.T) {
+	virtualtime.Run(t, func(t *testing.T) {
+		f := newTestFleet(t)
+		nodes := f.startHomes()
+		defer f.stopAll(nodes...)
+		for range 3 {
+			f.overwrite(homesPrefix+homeAddress, nestedArrays(60_000))
+			for range 50 {
+				time.Sleep(100 * time.Millisecond)
+				for _, n := range nodes {
+					assert.Equal(t, len(n.directory.Homes("s")), 3)
+				}
+			}
+			entry, err := f.kv.Get(t.Context(), homesPrefix+homeAddress)
+			assert.NilError(t, err)
+			_, err = decodeRecord(entry, homesPrefix)
+			assert.NilError(t, err, "the node writes its record again")
+			assert.Assert(t, entry.Lease != store.NoLease)
+		}
+	})
+}
+
+func TestOverwrittenRecordOfEndedNodeIsRemoved(t *testing.T) {
+	virtualtime.Run(t, func(t *testing.T) {
+		f := newTestFleet(t)
+		nodes := f.startHomes()
+		defer f.stopAll(nodes[1:]...)
+		nodes[0].stop()
+		f.overwrite(homesPrefix+homeAddress, nil)
+		time.Sleep(2*leaseTTL + lapsedRetention)
+		assert.Equal(t, len(nodes[1].directory.Homes("s")), 2)
+		assert.Equal(t, len(nodes[1].directory.Addresses()), 2)
+	})
+}
