Registry: an odd entry under a departure's key is not taken for the departure

Cause: a write that found the key present counted as done ("all writers store the same value"), and an entry that can't be decoded was logged and otherwise ignored by the nodes that know the departure.

Change: after a conflict the entry is read, and replaced at its revision unless it is the departure. A known departure whose entry becomes unreadable is written again like one that the store lost: at once by the target's node, by the next node in order if that one is gone.

Before: TestOddEntryUnderKeyOfDepartureIsNotAcknowledged "no departure is stored after 1ms: EOF", TestOverwrittenDepartureIsRewritten "no departure is stored after 4s". After: both pass, in virtual time, with the package's tests.

--- a/internal/registry/departure_writer.go
+++ b/internal/registry/departure_writer.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"sync"
@@ -58,11 +59,14 @@
 	if d.isWritten(key) {
 		return nil
 	}
+	var expected store.Revision
 	var lastErr error
 	for ctx.Err() == nil {
-		lastErr = d.tryWrite(ctx, key, 0, value)
-		if lastErr == nil || errors.Is(lastErr, store.ErrConflict) {
-			// All writers store the same value under this key.
+		lastErr = d.tryWrite(ctx, key, expected, value)
+		if errors.Is(lastErr, store.ErrConflict) {
+			expected, lastErr = d.checkStored(ctx, key, value)
+		}
+		if lastErr == nil {
 			return nil
 		}
 		pause.For(ctx, writeRetryDelay)
@@ -70,18 +74,35 @@
 	return errors.Join(ctx.Err(), lastErr)
 }
 
-// tryWrite writes the entry if it has the expected revision. After a conflict, the entry is known to
-// be stored by another process.
+// errOtherValue means that the key holds something else than the departure. All nodes store the
+// same value under this key.
+var errOtherValue = errors.New("the entry is not the departure")
+
+// checkStored reads the entry after a conflict. The error is nil if another process has stored the
+// departure; otherwise the entry is to be replaced at the returned revision.
+func (d *departureWriter) checkStored(ctx context.Context, key string, value []byte) (store.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	epoch := d.epoch()
+	entry, err := d.store.Get(ctx, key)
+	switch {
+	case err != nil:
+		return 0, err
+	case !bytes.Equal(entry.Value, value):
+		return entry.Revision, errOtherValue
+	}
+	d.setWritten(key, departureEntry{epoch: epoch})
+	return entry.Revision, nil
+}
+
+// tryWrite writes the entry if it has the expected revision.
 func (d *departureWriter) tryWrite(ctx context.Context, key string, expected store.Revision, value []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	epoch, startedAt := d.epoch(), d.now()
 	revision, err := d.writer.CompareAndSwap(ctx, key, expected, value)
-	switch {
-	case err == nil:
+	if err == nil {
 		d.setWritten(key, departureEntry{epoch: epoch, revision: revision, writtenAt: startedAt})
-	case errors.Is(err, store.ErrConflict):
-		d.setWritten(key, departureEntry{epoch: epoch})
 	}
 	return err
 }
@@ -104,7 +125,11 @@
 		}
 		known.revision = entry.Revision
 	}
-	return d.tryWrite(ctx, key, known.revision, value)
+	err := d.tryWrite(ctx, key, known.revision, value)
+	if errors.Is(err, store.ErrConflict) {
+		_, err = d.checkStored(ctx, key, value)
+	}
+	return err
 }
 
 // isWritten reports whether the key is known to be stored in the current epoch.
--- a/internal/registry/departures.go
+++ b/internal/registry/departures.go
@@ -154,6 +154,24 @@
 		delete(d.byInstance, instance)
 		return
 	}
+	d.scheduleRewrite(known)
+}
+
+// markOverwritten records that another writer has replaced a departure's entry at a revision. The
+// departure is written again like one that the store lost.
+func (d *departures) markOverwritten(instance string, revision store.Revision) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	known := d.byInstance[instance]
+	if known == nil || revision <= known.revision {
+		return
+	}
+	d.scheduleRewrite(known)
+}
+
+// scheduleRewrite schedules a write of a departure that the store lacks: at once if this is the
+// target's node, otherwise after other nodes have had time for it. The caller holds the mutex.
+func (d *departures) scheduleRewrite(known *knownDeparture) {
 	known.revision = 0
 	position, hasPosition := d.position()
 	switch {
--- a/internal/registry/invalid_entries_test.go
+++ b/internal/registry/invalid_entries_test.go
@@ -193,3 +193,56 @@
 		assert.Equal(t, len(nodes[1].directory.Addresses()), 2)
 	})
 }
+
+const departedKey = departuresPrefix + "i-0@1000"
+
+// awaitDeparture waits until the store holds the departure of i-0.
+func (f *testFleet) awaitDeparture(limit time.Duration) {
+	f.t.Helper()
+	var err error
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		var entry store.Entry
+		if entry, err = f.kv.Get(f.t.Context(), departedKey); err == nil {
+			if _, err = decodeDeparture(entry, departuresPrefix); err == nil {
+				return
+			}
+		}
+	}
+	f.t.Fatalf("no departure is stored after %s: %v", limit, err)
+}
+
+func TestOddEntryUnderKeyOfDepartureIsNotAcknowledged(t *testing.T) {
+	for _, value := range [][]byte{nil, []byte("{}"), nestedArrays(60_000), encode(Departure{Instance: "i-9", Address: oddAddress})} {
+		virtualtime.Run(t, func(t *testing.T) {
+			f := newTestFleet(t)
+			nodes := f.startHomes()
+			defer func() { f.stopAll(nodes...) }()
+			f.overwrite(departedKey, value)
+			assert.NilError(t, nodes[0].Heartbeat(t.Context(), leavingHeartbeat("i-0", 1000, 3)))
+			f.awaitDeparture(time.Millisecond)
+		})
+	}
+}
+
+func TestOverwrittenDepartureIsRewritten(t *testing.T) {
+	for _, nodeEnds := range []bool{false, true} {
+		virtualtime.Run(t, func(t *testing.T) {
+			f := newTestFleet(t)
+			nodes := f.startHomes()
+			defer func() { f.stopAll(nodes...) }()
+			assert.NilError(t, nodes[0].Heartbeat(t.Context(), leavingHeartbeat("i-0", 1000, 3)))
+			time.Sleep(2 * time.Second)
+			if nodeEnds {
+				nodes[0].stop()
+			}
+			f.overwrite(departedKey, []byte{0xff})
+			f.awaitDeparture(4 * time.Second)
+			nodes[0].stop()
+			nodes[0] = f.start(1)
+			time.Sleep(time.Second)
+			assert.NilError(t, nodes[0].Heartbeat(t.Context(), startedHeartbeat("i-0", 1000, 4)))
+			time.Sleep(time.Second)
+			assert.Equal(t, nodes[0].Target().State, Draining)
+		})
+	}
+}
--- a/internal/registry/registrar_departures.go
+++ b/internal/registry/registrar_departures.go
@@ -176,6 +176,9 @@
 	departure, err := decodeDeparture(entry, r.config.DeparturesPrefix)
 	if err != nil {
 		r.log.Record(eventlog.Event{Kind: eventlog.RecordRejected, Peer: entry.Key, Reason: err.Error()})
+		r.foregroundWriter.forget(entry.Key)
+		r.backgroundWriter.forget(entry.Key)
+		r.departures.markOverwritten(instance, entry.Revision)
 		return
 	}
 	r.departures.markStored(departure, entry.Revision)
