Rate limits: an odd entry under a shard's key takes no permits away

Cause: applyEntry ignored unreadable entries, so that the next holder's write expected no key and met a conflict each time; addresses, lease and epoch were not checked; "03" and "+3" passed for shard 3.

Change: decodeAssignment accepts what a holder writes: a lease, and addresses with a port from 1 to 65535. Any other entry counts as a lost assignment: the holder in place writes its own again at once, and without one the shard is free when the longest lease has ended. Keys must have their usual form.

--- a/internal/ratelimit/shard_manager.go
+++ b/internal/ratelimit/shard_manager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strconv"
 	"strings"
 	"sync"
@@ -11,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/lugspur/lugspur/internal/eventlog"
+	"github.com/lugspur/lugspur/internal/netaddress"
 	"github.com/lugspur/lugspur/internal/store"
 )
 
@@ -58,6 +60,31 @@
 // released reports whether the holder released the shard.
 func (a *assignment) released() bool { return a.Address == "" }
 
+// errInvalidAssignment means that an entry was not written by a holder.
+var errInvalidAssignment = errors.New("no holder of a shard")
+
+// decodeAssignment decodes the entry of a shard. An entry of another writer may have any content and
+// must not name a holder. Holders write under a lease: an entry without one would never lapse.
+func decodeAssignment(entry store.Entry) (assignment, error) {
+	var state assignment
+	if err := cbor.Unmarshal(entry.Value, &state); err != nil {
+		return assignment{}, err
+	}
+	if state.released() {
+		return assignment{}, nil
+	}
+	if entry.Lease == store.NoLease || state.Epoch > store.MaxEpoch {
+		return assignment{}, errInvalidAssignment
+	}
+	if err := netaddress.Validate(state.Address); err != nil {
+		return assignment{}, fmt.Errorf("%w: address: %w", errInvalidAssignment, err)
+	}
+	if state.DatagramAddress != "" && netaddress.Validate(state.DatagramAddress) != nil {
+		return assignment{}, fmt.Errorf("%w: datagram address", errInvalidAssignment)
+	}
+	return state, nil
+}
+
 // ShardManagerConfig holds the settings and dependencies of a ShardManager.
 type ShardManagerConfig struct {
 	// Address is the address of the node, and Process distinguishes it from earlier processes
@@ -120,8 +147,8 @@
 	since time.Time
 	// retryAt is the earliest time of the next attempt to acquire the shard.
 	retryAt time.Time
-	// lost reports that the holder's assignment was lost because the store was restored from a
-	// backup. The holder may issue permits until its lease would have ended, and no other node
+	// lost reports that the holder's assignment was lost, because the store was restored from a
+	// backup or another writer replaced it. The holder may issue permits until its lease would have ended, and no other node
 	// may acquire the shard before freeAt.
 	lost   bool
 	freeAt time.Time
@@ -162,7 +189,7 @@
 func (m *ShardManager) numberOf(key string) (int, bool) {
 	text, found := strings.CutPrefix(key, m.config.Prefix)
 	number, err := strconv.Atoi(text)
-	return number, found && err == nil && number >= 0 && number < Shards
+	return number, found && err == nil && number >= 0 && number < Shards && key == m.keyOf(number)
 }
 
 func (m *ShardManager) keyOf(number int) string { return m.config.Prefix + strconv.Itoa(number) }
@@ -171,8 +198,10 @@
 func (m *ShardManager) applyEntry(number int, entry store.Entry) {
 	var state assignment
 	if !entry.Deleted {
-		if err := cbor.Unmarshal(entry.Value, &state); err != nil {
+		var err error
+		if state, err = decodeAssignment(entry); err != nil {
 			m.config.Log.Record(eventlog.Event{Kind: eventlog.RecordRejected, Peer: entry.Key, Reason: err.Error()})
+			m.markOverwritten(number, entry)
 			return
 		}
 	}
@@ -195,6 +224,29 @@
 	}
 }
 
+// markOverwritten handles an entry of another writer. As if the store had lost the assignment, the
+// previous holder keeps the shard and may write it again, and others may once its lease would have
+// ended.
+func (m *ShardManager) markOverwritten(number int, entry store.Entry) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	current := &m.shards[number]
+	if entry.Revision > current.lastRevision {
+		m.markLost(current, entry.Revision)
+		current.revision = entry.Revision
+	}
+}
+
+// markLost records that a holder's assignment was lost at a revision. The mutex is held.
+func (m *ShardManager) markLost(current *shardState, revision store.Revision) {
+	if !current.lost {
+		current.lost, current.since = true, m.config.Now()
+		current.freeAt = latest(current.freeAt, current.since.Add(shardTTL))
+	}
+	current.lastRevision, current.revision = revision, 0
+	m.signal()
+}
+
 // detectLoss handles an entry of a restored store that does not come from the shard's holder,
 // and reports whether the entry was one. The previous holder keeps the shard for as long as its
 // lease would have lasted.
@@ -209,15 +261,10 @@
 		}
 		return false
 	}
-	if !current.lost {
-		current.lost, current.since = true, m.config.Now()
-		current.freeAt = latest(current.freeAt, current.since.Add(shardTTL))
-	}
-	current.lastRevision, current.revision = entry.Revision, 0
+	m.markLost(current, entry.Revision)
 	if restored {
 		current.revision = entry.Revision
 	}
-	m.signal()
 	return true
 }
 
