Quarantine: an odd record neither stops the node nor quarantines a request

A record without service and route, or with a fingerprint in capitals, quarantines the request. One odd entry hid all others from `quarantine list`.

Cause: DecodeRecord checked nothing beyond CBOR.

Change: records are checked where they are decoded: service and route unless lifted, 0 to 65536 trials, lengths, epoch, and the key's usual form. The operator's list leaves out what nodes ignore.

Before: TestOddRecordQuarantinesNothing failed in 9 of 14 rows ("the node does not follow its records any more" with most trials), TestOddRecordDoesNotHideOthersFromOperator in all, TestFingerprintInCapitalsIsNoKey. After: all pass, with the packages quarantine and sidecar.

--- a/internal/quarantine/operator.go
+++ b/internal/quarantine/operator.go
@@ -15,7 +15,8 @@
 	Record
 }
 
-// List returns the quarantine records in the store, except lifted ones.
+// List returns the quarantine records in the store, except lifted ones. Entries of other writers are
+// left out, as nodes ignore them.
 func List(ctx context.Context, backend store.Store, prefix string) ([]Entry, error) {
 	snapshot, err := backend.List(ctx, prefix)
 	if err != nil {
@@ -23,15 +24,9 @@
 	}
 	var listed []Entry
 	for _, entry := range snapshot.Entries {
-		hash, err := fingerprint.Parse(strings.TrimPrefix(entry.Key, prefix))
-		if err != nil {
-			return nil, fmt.Errorf("quarantine record %s: %w", entry.Key, err)
-		}
+		hash, keyErr := parseKey(strings.TrimPrefix(entry.Key, prefix))
 		record, err := DecodeRecord(entry.Value)
-		if err != nil {
-			return nil, fmt.Errorf("quarantine record %s: %w", entry.Key, err)
-		}
-		if !record.Lifted {
+		if keyErr == nil && err == nil && !record.Lifted {
 			listed = append(listed, Entry{Fingerprint: hash, Record: record})
 		}
 	}
--- a/internal/quarantine/record_store.go
+++ b/internal/quarantine/record_store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"sync"
 	"time"
@@ -44,11 +45,51 @@
 	return store.NewRevision(min(r.Epoch, shown.Epoch()), shown.Number())
 }
 
-// DecodeRecord decodes the stored value of a record.
+// Bounds of records. Entries beyond them come from another writer.
+const (
+	// maxNameBytes bounds the names of services and routes.
+	maxNameBytes = 1 << 10
+	// maxTrials bounds the number of trial runs: at one each maxTrialDelay, they take months.
+	maxTrials = 1 << 16
+)
+
+// errInvalidRecord means that an entry was not written by a node.
+var errInvalidRecord = errors.New("no quarantine record of a node")
+
+// DecodeRecord decodes the stored value of a record. An entry of another writer may have any content
+// and must not quarantine a request.
 func DecodeRecord(value []byte) (Record, error) {
 	var record Record
-	err := cbor.Unmarshal(value, &record)
-	return record, err
+	if err := cbor.Unmarshal(value, &record); err != nil {
+		return Record{}, err
+	}
+	return record, record.validate()
+}
+
+func (r Record) validate() error {
+	switch {
+	case !r.Lifted && (r.Service == "" || r.Route == ""):
+		return fmt.Errorf("%w: service or route is missing", errInvalidRecord)
+	case len(r.Service) > maxNameBytes || len(r.Route) > maxNameBytes:
+		return fmt.Errorf("%w: service or route is too long", errInvalidRecord)
+	case r.Trials < 0 || r.Trials > maxTrials:
+		return fmt.Errorf("%w: %d trials", errInvalidRecord, r.Trials)
+	case r.Epoch > store.MaxEpoch:
+		return fmt.Errorf("%w: epoch %d", errInvalidRecord, r.Epoch)
+	}
+	return nil
+}
+
+// errInvalidKey means that a key is not the usual form of a fingerprint.
+var errInvalidKey = errors.New("no fingerprint of a request")
+
+// parseKey returns the fingerprint that a key without its prefix contains.
+func parseKey(name string) (fingerprint.Fingerprint, error) {
+	hash, err := fingerprint.Parse(name)
+	if err == nil && hash.String() != name {
+		err = errInvalidKey
+	}
+	return hash, err
 }
 
 // Encode returns the stored value of the record.
@@ -242,7 +283,7 @@
 		if !found {
 			continue
 		}
-		hash, err := fingerprint.Parse(name)
+		hash, err := parseKey(name)
 		if err != nil {
 			r.logRejected(entry, err)
 			continue
