Stop: refuse requests whose bodies are complete too late

Cause: the time left was compared with the usual duration when the header arrived. The body was read without a bound, and the request was offered to homes, also to a second one after a refusal, whatever time was left by then.

Change: package ending is asked again when the body is complete and before each offer. Reading a body ends when the request could no longer end in time, also if it began before the stop, with a 503 that states that the request has not run. The connection is closed, as the rest of the body must not be read as a request. Retry-After is the time until a successor of the process is expected, as a refusal by this one would be repeated.

--- a/internal/forward/receive.go
+++ b/internal/forward/receive.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/lugspur/lugspur/internal/callheader"
-	"github.com/lugspur/lugspur/internal/ending"
 	"github.com/lugspur/lugspur/internal/guard"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/pressure"
@@ -33,8 +32,7 @@
 	return r.URL.RequestURI()
 }
 
-// notReadyDelay is the retry delay sent to callers while the node has no configuration or
-// is about to stop.
+// notReadyDelay is the retry delay sent to callers while the node has no configuration.
 const notReadyDelay = 200 * time.Millisecond
 
 // shedDelay is the retry delay sent to callers whose requests are refused because their rank
@@ -60,7 +58,7 @@
 	}
 	q.deadline = started.Add(f.timeoutOf(q.route, r.Header))
 	if !f.endsBeforeShutdown(q) {
-		return q, f.problem(problem.NotReady, problem.ExecutedNo, "receive", "the node is about to end").WithRetryDelay(notReadyDelay)
+		return q, f.shutdownProblem(q, "receive")
 	}
 	parent, failure := f.parentOf(q)
 	if failure != nil {
@@ -78,7 +76,7 @@
 	if failure := f.checkLimit(r.Context(), q); failure != nil {
 		return q, failure
 	}
-	body, failure := f.readBody(w, r, table.Limits().MaxBodyBytes)
+	body, failure := f.readBodyInTime(w, r, q, table.Limits().MaxBodyBytes)
 	if failure != nil {
 		return q, failure
 	}
@@ -109,17 +107,6 @@
 	return q, f.checkQuarantine(q)
 }
 
-// endsBeforeShutdown reports whether the request will finish before the node's shutdown
-// deadline with a margin for slow requests. The request's timeout is the upper bound, and the
-// estimate if the usual latency is unknown.
-func (f *Forwarder) endsBeforeShutdown(q *request) bool {
-	needed := q.deadline.Sub(q.arrived)
-	if usual := f.homes.statsOf(q.route.Name).latency; usual > 0 {
-		needed = min(ending.SafeDuration(usual), needed)
-	}
-	return f.shutdownDeadline.Allows(needed, q.arrived)
-}
-
 // headerBytes returns the size in bytes of the request's URI, host and header fields.
 func headerBytes(r *http.Request) int64 {
 	const separators = 4
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -48,6 +48,9 @@
 			q.recordPause(next.paused)
 			break
 		}
+		if !f.endsBeforeShutdown(q) {
+			return nil, f.shutdownProblem(q, "run")
+		}
 		if f.wouldMissDeadline(q, next) {
 			return nil, f.refusal(q, problem.Overloaded, "run", "no home is likely to answer in time", missedDeadlineDelay)
 		}
--- /dev/null
+++ b/internal/forward/shutdown.go
@@ -0,0 +1,103 @@
+package forward
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/lugspur/lugspur/internal/ending"
+	"github.com/lugspur/lugspur/internal/problem"
+)
+
+// endsBeforeShutdown reports whether the request, if it ran from now on, would finish before the
+// node's shutdown deadline with a margin for slow requests.
+func (f *Forwarder) endsBeforeShutdown(q *request) bool {
+	now := f.now()
+	return f.shutdownDeadline.Allows(f.safeDuration(q, now), now)
+}
+
+// safeDuration returns the duration within which the request is safe to assume finished. The time
+// left is the upper bound, and the estimate if the usual latency is unknown.
+func (f *Forwarder) safeDuration(q *request, now time.Time) time.Duration {
+	left := q.deadline.Sub(now)
+	if usual := f.homes.statsOf(q.route.Name).latency; usual > 0 {
+		return min(ending.SafeDuration(usual), left)
+	}
+	return left
+}
+
+// shutdownProblem returns the problem for a request that is not run, or not once more, because it
+// might not end before the node's shutdown deadline.
+func (f *Forwarder) shutdownProblem(q *request, step string) *problem.Problem {
+	if q.attempts > 0 {
+		return f.problem(problem.TargetFailed, problem.ExecutedUnknown, step, "the node is about to end")
+	}
+	return f.problem(problem.NotReady, problem.ExecutedNo, step, "the node is about to end").WithRetryDelay(f.shutdownDeadline.ReturnDelay(f.now()))
+}
+
+// readBodyInTime reads the request's body. It refuses the request if the body is not complete while
+// the request can still end before the node's shutdown deadline.
+func (f *Forwarder) readBodyInTime(w http.ResponseWriter, r *http.Request, q *request, maxBytes int64) ([]byte, *problem.Problem) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	timeout := f.startBodyTimeout(w, q)
+	body, failure := f.readBody(w, r, maxBytes)
+	if timeout.release(f.now()) || (failure == nil && !f.endsBeforeShutdown(q)) {
+		w.Header().Set("Connection", "close")
+		return nil, f.shutdownProblem(q, "receive")
+	}
+	return body, failure
+}
+
+// bodyTimeout ends the reading of a request's body when the request could no longer end before the
+// node's shutdown deadline.
+type bodyTimeout struct {
+	stop func() bool
+
+	mutex      sync.Mutex
+	connection *http.ResponseController
+	done       bool
+	at         time.Time
+}
+
+// startBodyTimeout starts the timeout of a request's body. Its release must be called once the body
+// has been read.
+func (f *Forwarder) startBodyTimeout(w http.ResponseWriter, q *request) *bodyTimeout {
+	timeout := &bodyTimeout{connection: http.NewResponseController(w)}
+	timeout.stop = f.shutdownDeadline.AfterSet(func() {
+		if latest, set := f.shutdownDeadline.LatestStart(f.safeDuration(q, f.now())); set {
+			timeout.set(latest)
+		}
+	})
+	return timeout
+}
+
+// set sets the time at which reading fails.
+func (t *bodyTimeout) set(at time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.done {
+		return
+	}
+	t.at = at
+	// Only writers of tests have no connection.
+	_ = t.connection.SetReadDeadline(at)
+}
+
+// release ends the timeout and reports whether it has passed. If not, the connection can be used
+// further.
+func (t *bodyTimeout) release(now time.Time) (passed bool) {
+	t.stop()
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.done = true
+	if t.at.IsZero() {
+		return false
+	}
+	if !now.Before(t.at) {
+		return true
+	}
+	_ = t.connection.SetReadDeadline(time.Time{})
+	return false
+}
--- /dev/null
+++ b/internal/forward/shutdown_test.go
@@ -0,0 +1,112 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lugspur/lugspur/internal/peering"
+)
+
+// upload is a request whose body arrives in parts.
+type upload struct {
+	connection net.Conn
+	t          *testing.T
+}
+
+// startUpload sends a request without the last part of its body.
+func startUpload(t *testing.T, address, path string) *upload {
+	t.Helper()
+	connection, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = connection.Close() })
+	_, err = fmt.Fprintf(connection, "POST %s HTTP/1.1\r\nHost: a.example\r\nX-Id: a\r\nX-Deadline: 5000\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", path)
+	assert.NilError(t, err)
+	return &upload{connection: connection, t: t}
+}
+
+// response reads the response, which must arrive before the given time.
+func (u *upload) response(by time.Time) *http.Response {
+	u.t.Helper()
+	assert.NilError(u.t, u.connection.SetReadDeadline(by))
+	response, err := http.ReadResponse(bufio.NewReader(u.connection), nil)
+	assert.NilError(u.t, err)
+	u.t.Cleanup(func() { _ = response.Body.Close() })
+	return response
+}
+
+// serve serves requests over connections, and returns the address.
+func (f *fixture) serve(t *testing.T) string {
+	t.Helper()
+	server := httptest.NewServer(f.forwarder)
+	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// TestSlowBodyIsNotCutAtShutdown guards against requests that are admitted when their header
+// arrives and run when their body is complete, too late to end before the shutdown.
+func TestSlowBodyIsNotCutAtShutdown(t *testing.T) {
+	for _, path := range []string{"/read/x", "/once/x"} {
+		t.Run(path, func(t *testing.T) {
+			f := newFixture(t, replyOK)
+			address := f.serve(t)
+			f.forwarder.homes.setLatency("read", time.Millisecond)
+			f.forwarder.homes.setLatency("once", time.Millisecond)
+			begun := startUpload(t, address, path)
+			time.Sleep(100 * time.Millisecond)
+			end := time.Now().Add(1200 * time.Millisecond)
+			f.forwarder.SetShutdownDeadline(end)
+			later := startUpload(t, address, path)
+			inTime := startUpload(t, address, path)
+			_, err := inTime.connection.Write([]byte("4\r\nrest\r\n0\r\n\r\n"))
+			assert.NilError(t, err)
+			assert.Equal(t, inTime.response(end).StatusCode, http.StatusOK)
+			for _, u := range []*upload{begun, later} {
+				response := u.response(end)
+				assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+				assert.Assert(t, response.Header.Get("Retry-After") != "")
+				assert.Assert(t, response.Close, "the rest of the body must not be read as a request")
+			}
+			assert.Equal(t, f.calls(), 1)
+		})
+	}
+}
+
+// TestCompletedBodyKeepsConnection checks that the timeout of a body does not end the request or its
+// connection once the body is complete.
+func TestCompletedBodyKeepsConnection(t *testing.T) {
+	f := newFixture(t, func(ctx context.Context, call *peering.Call) *peering.Reply {
+		time.Sleep(700 * time.Millisecond)
+		return replyOK(ctx, call)
+	})
+	address := f.serve(t)
+	f.forwarder.homes.setLatency("once", time.Millisecond)
+	f.forwarder.SetShutdownDeadline(time.Now().Add(1200 * time.Millisecond))
+	u := startUpload(t, address, "/once/x")
+	_, err := u.connection.Write([]byte("4\r\nrest\r\n0\r\n\r\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, u.response(time.Now().Add(10*time.Second)).StatusCode, http.StatusOK)
+}
+
+// TestRequestIsNotOfferedAgainTooLate guards against requests that are offered to another home after
+// the first refused them, too late to end before the shutdown.
+func TestRequestIsNotOfferedAgainTooLate(t *testing.T) {
+	refuseLate := func(ctx context.Context, call *peering.Call) *peering.Reply {
+		time.Sleep(200 * time.Millisecond)
+		return replyRefused(peering.QueueFull)(ctx, call)
+	}
+	f := newFixture(t, refuseLate, refuseLate)
+	f.forwarder.homes.setLatency("once", time.Millisecond)
+	f.forwarder.SetShutdownDeadline(time.Now().Add(700 * time.Millisecond))
+	response := f.do("POST", "/once/x", "a", "")
+	assert.Equal(t, response.Code, http.StatusServiceUnavailable)
+	assert.Equal(t, f.calls(), 1)
+}
