Stop: count the time to read a response

Cause: the duration that is safe to assume for a request covered its run, not the time that its caller takes to read the response. The kernel sends what its buffers hold after the exit; the rest is lost.

Change: the duration includes the time to read the largest recent response of the route, at the slowest pace at which callers of this node recently read large ones, or 1 MiB/s while none was seen. Responses of up to 64 KiB take no time. Where a response is larger than was to be expected and can't be read in time, a caller that may send the request again gets a 502 with Retry-After at once, in place of a part of the response later. A response to a request that must not run again is passed on in any case.

--- a/internal/ending/ending_test.go
+++ b/internal/ending/ending_test.go
@@ -48,3 +48,34 @@
 	default:
 	}
 }
+
+func TestTransferDurationFollowsSlowestReader(t *testing.T) {
+	const megabyte = 1 << 20
+	now := time.Unix(1000, 0)
+	var pace ending.ReaderPace
+	assert.Equal(t, pace.TransferDuration(30_000, now), time.Duration(0), "the kernel sends it after the exit")
+	assert.Assert(t, pace.TransferDuration(16*megabyte, now) > 10*time.Second, "no reader was observed")
+	pace.Record(megabyte/2, time.Microsecond, now)
+	assert.Assert(t, pace.TransferDuration(16*megabyte, now) > 10*time.Second, "the kernel buffers a small response")
+	pace.Record(16*megabyte, 10*time.Millisecond, now)
+	assert.Assert(t, pace.TransferDuration(16*megabyte, now) < 50*time.Millisecond)
+	pace.Record(16*megabyte, 2*time.Second, now)
+	pace.Record(16*megabyte, 10*time.Millisecond, now)
+	slow := pace.TransferDuration(16*megabyte, now)
+	assert.Assert(t, slow >= 2*time.Second && slow < 4*time.Second, "%s", slow)
+	assert.Equal(t, pace.TransferDuration(16*megabyte, now.Add(59*time.Second)), slow)
+	assert.Assert(t, pace.TransferDuration(16*megabyte, now.Add(10*time.Minute)) > 10*time.Second, "the observations are old")
+}
+
+func TestRecentHoldsLargestOfLastPeriods(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var recent ending.Recent[int]
+	assert.Equal(t, recent.Max(now), 0)
+	recent.Record(5, now)
+	recent.Record(3, now.Add(30*time.Second))
+	assert.Equal(t, recent.Max(now.Add(40*time.Second)), 5)
+	recent.Record(3, now.Add(70*time.Second))
+	assert.Equal(t, recent.Max(now.Add(80*time.Second)), 5)
+	assert.Equal(t, recent.Max(now.Add(130*time.Second)), 3)
+	assert.Equal(t, recent.Max(now.Add(time.Hour)), 0)
+}
--- a/internal/forward/choose_test.go
+++ b/internal/forward/choose_test.go
@@ -167,13 +167,13 @@
 	route := &routetable.Route{Name: "read", Objective: time.Second}
 	assert.Equal(t, f.forwarder.crossZoneFactorOf(route), crossZoneFactor, "the response size is unknown")
 	for range 200 {
-		f.forwarder.homes.recordResponseSize("read", 6000)
+		f.forwarder.homes.recordResponseSize("read", 6000, time.Now())
 	}
 	assert.Equal(t, f.forwarder.crossZoneFactorOf(route), maxCrossZoneFactor)
 	f.forwarder.homes.setLatency("read", 500*time.Millisecond)
 	assert.Equal(t, f.forwarder.crossZoneFactorOf(route), crossZoneFactor, "the latency is too close to the objective")
 	for range 200 {
-		f.forwarder.homes.recordResponseSize("small", 100)
+		f.forwarder.homes.recordResponseSize("small", 100, time.Now())
 	}
 	smallFactor := f.forwarder.crossZoneFactorOf(&routetable.Route{Name: "small", Objective: time.Second})
 	assert.Assert(t, smallFactor > crossZoneFactor && smallFactor < crossZoneFactor+0.3, "%f", smallFactor)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -184,6 +184,7 @@
 	stopping  atomic.Bool
 	// shutdownDeadline is the time by which all requests must have finished.
 	shutdownDeadline ending.ShutdownTime
+	readerPace       ending.ReaderPace
 	inFlight         atomic.Int64
 	// created is when the forwarder was created, and lastArrival the time from created to
 	// the arrival of the last request, in nanoseconds. Both use the monotonic clock.
@@ -364,6 +365,9 @@
 		defer clock.AfterFunc(q.parentContext, cancel)()
 	}
 	reply, failure := f.run(ctx, q)
+	if failure == nil {
+		failure = f.transferProblem(q, reply)
+	}
 	if q.nested && (failure != nil || reply.Status >= http.StatusMultipleChoices) {
 		f.local.RecordCallFailure(q.parent)
 	}
--- a/internal/forward/home.go
+++ b/internal/forward/home.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/lugspur/lugspur/internal/ending"
 	"github.com/lugspur/lugspur/internal/eventlog"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/registry"
@@ -223,8 +224,9 @@
 type routeStats struct {
 	// latency is the median latency at all homes, zero if unknown.
 	latency time.Duration
-	// responseBytes is the average size of a response body.
+	// responseBytes is the average size of a response body, and largest the largest recent one.
 	responseBytes float64
+	largest       ending.Recent[int]
 }
 
 // responseBytesWeight is the weight of one response in the average size.
@@ -235,9 +237,10 @@
 	t.updateStats(route, func(stats *routeStats) { stats.latency = latency })
 }
 
-// recordResponseSize adds the body size of a response to the route's average.
-func (t *homeTable) recordResponseSize(route string, bytes int) {
+// recordResponseSize adds the body size of a response to the route's statistics.
+func (t *homeTable) recordResponseSize(route string, bytes int, now time.Time) {
 	t.updateStats(route, func(stats *routeStats) {
+		stats.largest.Record(bytes, now)
 		stats.responseBytes += (float64(bytes) - stats.responseBytes) * responseBytesWeight
 	})
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -315,7 +315,7 @@
 		return
 	}
 	if reply.Outcome == peering.Answered {
-		f.homes.recordResponseSize(q.route.Name, len(reply.Body))
+		f.homes.recordResponseSize(q.route.Name, len(reply.Body), f.now())
 	}
 	if reply.Load.Limit > 0 {
 		f.levels.Report(q.route.Name, home.Address, pressure.Level{Threshold: reply.Load.Threshold, CallsPerRequest: reply.Load.CallsPerRequest, RetryBudgetLow: reply.Load.RetryBudgetLow}, reply.Load.Limit)
--- a/internal/forward/shutdown.go
+++ b/internal/forward/shutdown.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/lugspur/lugspur/internal/ending"
+	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/problem"
+	"github.com/lugspur/lugspur/internal/routetable"
 )
 
 // endsBeforeShutdown reports whether the request, if it ran from now on, would finish before the
@@ -16,14 +18,31 @@
 	return f.shutdownDeadline.Allows(f.safeDuration(q, now), now)
 }
 
-// safeDuration returns the duration within which the request is safe to assume finished. The time
-// left is the upper bound, and the estimate if the usual latency is unknown.
+// safeDuration returns the duration within which it is safe to assume that the request is finished
+// and its response read. The time left is the upper bound, and the estimate if the usual latency is
+// unknown.
 func (f *Forwarder) safeDuration(q *request, now time.Time) time.Duration {
 	left := q.deadline.Sub(now)
-	if usual := f.homes.statsOf(q.route.Name).latency; usual > 0 {
-		return min(ending.SafeDuration(usual), left)
+	stats := f.homes.statsOf(q.route.Name)
+	if stats.latency == 0 {
+		return left
 	}
-	return left
+	return min(ending.SafeDuration(stats.latency)+f.readerPace.TransferDuration(stats.largest.Max(now), now), left)
+}
+
+// transferProblem returns the problem for a request whose caller may not read the whole response
+// before the node's shutdown deadline, and nil if it does. A caller that may send the request again
+// does so with more time left than after a response that is cut.
+func (f *Forwarder) transferProblem(q *request, reply *peering.Reply) *problem.Problem {
+	if q.route.Kind != routetable.Repeatable {
+		return nil
+	}
+	now := f.now()
+	if f.shutdownDeadline.Allows(min(f.readerPace.TransferDuration(len(reply.Body), now), q.deadline.Sub(now)), now) {
+		return nil
+	}
+	return f.problem(problem.IncompleteAnswer, problem.ExecutedUnknown, "respond", "the node is about to end before the response can be read").
+		WithRetryDelay(f.shutdownDeadline.ReturnDelay(now))
 }
 
 // shutdownProblem returns the problem for a request that is not run, or not once more, because it
--- a/internal/forward/shutdown_test.go
+++ b/internal/forward/shutdown_test.go
@@ -110,3 +110,33 @@
 	assert.Equal(t, response.Code, http.StatusServiceUnavailable)
 	assert.Equal(t, f.calls(), 1)
 }
+
+// TestResponseThatIsReadTooSlowlyIsNotCutAtShutdown guards against responses that are still being
+// read when the node exits. A caller that may send the request again is told while it has time left,
+// and the next requests of the route are refused before they run.
+func TestResponseThatIsReadTooSlowlyIsNotCutAtShutdown(t *testing.T) {
+	size := 100
+	f := newFixture(t, func(ctx context.Context, call *peering.Call) *peering.Reply {
+		reply := replyOK(ctx, call)
+		reply.Body = make([]byte, size)
+		return reply
+	})
+	f.forwarder.homes.setLatency("read", time.Millisecond)
+	f.forwarder.homes.setLatency("once", time.Millisecond)
+	const large = 900 << 10
+	size = large
+	assert.Equal(t, f.do("GET", "/read/x", "a", "").Code, http.StatusOK)
+	f.forwarder.SetShutdownDeadline(time.Now().Add(testTimeout - 700*time.Millisecond))
+	assert.Equal(t, f.do("GET", "/read/x", "b", "").Code, http.StatusServiceUnavailable, "the route's responses are large")
+	assert.Equal(t, f.calls(), 1)
+	f.forwarder.homes.routes["read"] = routeStats{latency: time.Millisecond}
+	f.forwarder.SetShutdownDeadline(time.Now().Add(700 * time.Millisecond))
+	late := f.do("GET", "/read/x", "c", "")
+	assert.Equal(t, late.Code, http.StatusBadGateway, "the request has run, and its response is large")
+	assert.Assert(t, late.Header().Get("Retry-After") != "")
+	assert.Equal(t, f.calls(), 2)
+	assert.Equal(t, f.do("POST", "/once/x", "d", "").Code, http.StatusOK, "it must not run again")
+	size = 100
+	f.forwarder.homes.routes["read"] = routeStats{latency: time.Millisecond}
+	assert.Equal(t, f.do("GET", "/read/x", "e", "").Code, http.StatusOK)
+}
