--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -48,6 +48,9 @@
 			q.recordPause(next.paused)
 			break
 		}
+		if !f.endsBeforeShutdown(q) {
+			return nil, f.shutdownProblem(q, "run")
+		}
 		if f.wouldMissDeadline(q, next) {
 			return nil, f.refusal(q, problem.Overloaded, "run", "no home is likely to answer in time", missedDeadlineDelay)
 		}
@@ -312,7 +315,7 @@
 		return
 	}
 	if reply.Outcome == peering.Answered {
-		f.homes.recordResponseSize(q.route.Name, len(reply.Body))
+		f.homes.recordResponseSize(q.route.Name, len(reply.Body), f.now())
 	}
 	if reply.Load.Limit > 0 {
 		f.levels.Report(q.route.Name, home.Address, pressure.Level{Threshold: reply.Load.Threshold, CallsPerRequest: reply.Load.CallsPerRequest, RetryBudgetLow: reply.Load.RetryBudgetLow}, reply.Load.Limit)
