Transport: invalid status lines fail an exchange at once

What callers saw: a target that answers with status 000 or 099 made its calls wait until their deadline (504); a status of 600 and HTTP/2.0 200 were passed on as responses.

Cause: http.ReadResponse accepts 000, +20, -00, 600 to 999 and any version, and readHeader took everything below 200 for an interim response.

Change: a response must begin with "HTTP/1.x " and a status from 100 to 599. The bytes are checked as they arrive. Anything else is a failure whose outcome is unknown, as for other bytes that are no response: the connection is closed, and call-failed quotes the bytes. An interim response is any 1xx but 101, which is still a failure. A 2xx of an unusual code, a status line without a reason, HTTP/1.0 and HTTP/1.2 are accepted as before.

--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -161,6 +161,9 @@
 			return response, err
 		}
 	}
+	if err := checkStatusLine(c.reader); err != nil {
+		return nil, err
+	}
 	return http.ReadResponse(c.reader, &c.request)
 }
 
--- a/lab/platformstub/target.go
+++ b/lab/platformstub/target.go
@@ -76,6 +76,9 @@
 	TruncateEvery uint64
 	// RejectEvery rejects every n-th request as not executed; zero disables it.
 	RejectEvery uint64
+	// StatusLine replaces the status line of each response, which is sent as raw bytes; empty
+	// disables it. The connection stays open.
+	StatusLine string
 	// CrashPrefix is the path prefix of requests that crash the target at the end of their
 	// service time; empty means that no request does.
 	CrashPrefix string
@@ -161,6 +164,10 @@
 	}
 	w.Header().Set("Lugspur-Response-Signature", "signed-by-"+t.ID)
 	response := fmt.Sprintf("%s %s %s %d %s", t.Service, r.Method, r.URL.Path, len(body), id)
+	if faults.StatusLine != "" {
+		writeRaw(w, faults.StatusLine, response)
+		return
+	}
 	if isNth(faults.TruncateEvery, count) {
 		w.Header().Set("Content-Length", strconv.Itoa(len(response)))
 		_, _ = io.WriteString(w, response[:len(response)/2])
@@ -169,6 +176,24 @@
 	_, _ = io.WriteString(w, response)
 }
 
+// writeRaw writes a response with the status line and leaves the connection open until the client
+// closes it.
+func writeRaw(w http.ResponseWriter, statusLine, body string) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	connection, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer connection.Close()
+	var response bytes.Buffer
+	response.WriteString(statusLine + "\r\n")
+	_ = w.Header().Write(&response)
+	response.WriteString("\r\n" + body)
+	if _, err := connection.Write(response.Bytes()); err == nil {
+		_, _ = io.Copy(io.Discard, connection)
+	}
+}
+
 // crash simulates a crash of the target: it closes the listener and all connections and
 // stops the heartbeats.
 func (t *Target) crash() {
