Peering: replies without a valid status or outcome are failures

What callers saw: none was seen. A reply of a peer of another build, or of one whose target sends a status of 600, was passed on to the caller; a status of 0 or 1000 makes net/http panic in WriteHeader, which closes the caller's connection. A reply with an outcome that this build doesn't know counted as neither refused nor failed, so that a call that must not run twice was offered to the next home.

Cause: decodeReply checked neither.

Change: a reply with an outcome other than the three is an error, as bytes that can't be decoded are. An answered one whose status is not between 200 and 599 is a failure (spoilt), executed unknown; its load and its digests are used as before.

Before: TestReplyWithInvalidStatusIsFailure: "answered != failed: status 1000"; TestReplyWithUnknownOutcomeIsError: "expected an error, got nil". After: both pass; internal/peering and internal/forward pass with -race.

--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -231,6 +232,23 @@
 	Digests []replica.Digest
 }
 
+// checked returns the reply of a peer with a response that callers can receive. A response with a
+// status that is not a final one (RFC 9110, section 15) is invalid. A reply with an unknown outcome
+// does not state whether the call may be sent again, and is an error.
+func (r *Reply) checked() (*Reply, error) {
+	switch {
+	case r.Outcome < Answered || r.Outcome > Failed:
+		return nil, fmt.Errorf("unknown outcome %d", r.Outcome)
+	case r.Outcome == Answered && (r.Status < http.StatusOK || r.Status > maxStatus):
+		r.Outcome, r.Reason = Failed, InvalidResponse
+		r.Status, r.Header, r.Body = 0, nil, nil
+	}
+	return r, nil
+}
+
+// maxStatus is the largest status of a response.
+const maxStatus = 599
+
 // Reason is why a call was refused or failed.
 type Reason string
 
--- a/internal/peering/wire.go
+++ b/internal/peering/wire.go
@@ -243,7 +243,7 @@
 		return nil, err
 	}
 	load := &w.Load
-	return &Reply{
+	return (&Reply{
 		Outcome: w.Outcome, Reason: w.Reason, Status: w.Status, Header: header, Body: w.Body, RetryAfter: milliseconds(w.RetryAfter),
 		Crashes: w.Crashes, TargetError: w.TargetError,
 		Shortages: decodeShortages(w.Shortages), Costs: decodeCosts(w.Costs), Digests: decodeDigests(w.Digests, w.Epochs, w.DocumentVersions),
@@ -254,7 +254,7 @@
 			Target: decodeTarget(load.Target), Room: milliseconds(load.Room),
 			Pace: pace.Reading{Percent: load.Pace, Age: milliseconds(load.PaceAge)}.Checked(),
 		},
-	}, nil
+	}).checked()
 }
 
 func milliseconds(count int64) time.Duration { return time.Duration(count) * time.Millisecond }
--- a/internal/peering/wire_test.go
+++ b/internal/peering/wire_test.go
@@ -92,6 +92,34 @@
 	}
 }
 
+// TestReplyWithInvalidStatusIsFailure guards against a status from a peer that callers cannot
+// receive.
+func TestReplyWithInvalidStatusIsFailure(t *testing.T) {
+	for status, valid := range map[int]bool{-1: false, 0: false, 99: false, 100: false, 199: false, 200: true, 299: true, 599: true, 600: false, 1000: false, math.MaxInt: false} {
+		sent := fullReply()
+		sent.Status = status
+		reply, err := testCodec.decodeReply(testCodec.encodeReply(sent))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, reply.Load, sent.Load)
+		if valid {
+			assert.DeepEqual(t, reply, sent)
+			continue
+		}
+		assert.Equal(t, reply.Outcome, Failed, "status %d", status)
+		assert.Equal(t, reply.Reason, InvalidResponse)
+		assert.Equal(t, len(reply.Header)+len(reply.Body)+reply.Status, 0)
+	}
+}
+
+// TestReplyWithUnknownOutcomeIsError guards against a call that is sent again although its reply
+// does not state that it may be.
+func TestReplyWithUnknownOutcomeIsError(t *testing.T) {
+	for _, outcome := range []Outcome{0, Failed + 1, math.MaxUint8} {
+		_, err := testCodec.decodeReply(testCodec.encodeReply(&Reply{Outcome: outcome, Status: 200}))
+		assert.ErrorContains(t, err, "unknown outcome")
+	}
+}
+
 // TestReplyInheritsNothing guards against pooled encoded forms that keep fields of an earlier
 // reply, which a later one omits.
 func TestReplyInheritsNothing(t *testing.T) {
