Transport: a skipped response that is too large ends the exchange

What callers saw: none was seen. If a response to another call was larger than MaxBuffered, the rest of its body was read as the next header: a body with the form of a response and the ID of the waiting call was returned as its response. A body without end held the call until its deadline.

Cause: awaitMatching discarded at most MaxBuffered bytes and did not check that the body had ended.

Change: skipBody reads the body to its end, with its final chunk, and fails if it is larger than MaxBuffered, at once if the length says so. The connection is closed, and the outcome is unknown.

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -287,7 +287,10 @@
 // maxMismatched bounds the mismatched responses that are skipped for one call.
 const maxMismatched = 4
 
-var errMismatched = errors.New("the answers on the connection belong to other calls")
+var (
+	errMismatched         = errors.New("the answers on the connection belong to other calls")
+	errMismatchedTooLarge = errors.New("an answer to another call is too large to be skipped")
+)
 
 // awaitMatching reads the header of the call's response and skips responses that belong
 // to other calls.
@@ -306,13 +309,26 @@
 		if response.Close || !delimited(response) {
 			return nil, errMismatched
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, p.config.MaxBuffered)); err != nil {
+		if err := skipBody(response, p.config.MaxBuffered); err != nil {
 			return nil, err
 		}
 	}
 	return nil, errMismatched
 }
 
+// skipBody reads the body of a mismatched response to its end. A body of more bytes than the limit
+// is an error: what follows on the connection is not the next response.
+func skipBody(response *http.Response, limit int64) error {
+	if response.ContentLength > limit {
+		return errMismatchedTooLarge
+	}
+	skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, limit+1))
+	if err == nil && skipped > limit {
+		err = errMismatchedTooLarge
+	}
+	return err
+}
+
 // errCloseDelimited means that the response ends with its connection, so that a complete
 // one cannot be distinguished from a truncated one.
 var errCloseDelimited = errors.New("the answer has neither a length nor chunks")
