Transport: a flood of interim responses from a peer ends the exchange

What callers saw: none was seen. A peer, or what has its address by now, that sends interim responses at full speed kept the node reading them until the deadline of the call.

Cause: with a silence timeout neither the number of interim responses nor the sum of their bytes was limited, only the time between two of them.

Change: eight of them and one for each 20 ms since the first read may arrive; nodes send one each 300 ms. A node that stood still may find many at once, which its own time allows.

Before: TestHeadWithoutEndFailsAtOnce/peer/interim_responses: "the exchange failed only at its deadline"; its 25 other cases (status line, fields, chunk sizes and extensions, trailers, for targets and peers) were bounded already, as were the slow ones of TestSlowHeadEndsAtDeadline.

--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -121,16 +121,22 @@
 	c.contextWatch.Start(ctx, c.closeSocket)
 }
 
-// maxInterim bounds the interim responses (1xx) before a final response.
-const maxInterim = 8
+const (
+	// maxInterim bounds the interim responses (1xx) before a final response.
+	maxInterim = 8
+	// minInterimInterval is the least mean time between further interim responses of targets that
+	// send them periodically.
+	minInterimInterval = 20 * time.Millisecond
+)
 
 // readHeader reads the status and the header of the response to the call. The response's
 // body must be read before the next exchange. If the silence timeout is not zero, it
-// bounds the time between interim responses, and their number is not limited.
+// bounds the time between interim responses, and their number may grow with the time.
 func (c *connection) readHeader(call *Call, maxBytes int64, silenceTimeout time.Duration) (*http.Response, error) {
 	c.request.Method = call.Method
 	c.headerRemaining = maxBytes
-	for interim := 0; interim < maxInterim || silenceTimeout > 0; interim++ {
+	started := time.Now()
+	for interim := 0; interim < interimLimit(started, silenceTimeout); interim++ {
 		if silenceTimeout > 0 {
 			c.headerRemaining = maxBytes
 		}
@@ -153,6 +159,14 @@
 	return nil, errTooManyInterim
 }
 
+// interimLimit returns the number of interim responses that may have arrived since the start.
+func interimLimit(started time.Time, silenceTimeout time.Duration) int {
+	if silenceTimeout <= 0 {
+		return maxInterim
+	}
+	return maxInterim + int(time.Since(started)/minInterimInterval)
+}
+
 // readResponse reads the header of one response.
 func (c *connection) readResponse(call *Call) (*http.Response, error) {
 	if call.PlainResponseBytes > 0 {
