Forward: a caller that closes only its side gets no empty success

Cause: net/http ends the request's context when the client's side ends, and sends an empty 200 for a handler that returns without an answer, which ServeHTTP did for abandoned requests.

Change: a request whose caller has disconnected gets the target's response if that is complete, the refusal if no target was reached, and otherwise 502 target-failed, executed unknown. The call at the home is canceled, and the request is logged and counted as abandoned, as before.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -368,8 +368,8 @@
 		f.local.RecordCallFailure(q.parent)
 	}
 	switch {
-	case r.Context().Err() != nil:
-		f.recordAbandoned(q)
+	case failure != nil && r.Context().Err() != nil:
+		f.writeAbandoned(w, q, failure)
 	case failure != nil:
 		f.returnPermit(q, failure)
 		f.writeProblem(w, q, failure)
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -48,6 +48,18 @@
 	f.log.Record(event)
 }
 
+// writeAbandoned ends a request whose caller has disconnected. The caller may have closed only its
+// side of the connection and still read: without an answer net/http would send it an empty success.
+func (f *Forwarder) writeAbandoned(w http.ResponseWriter, q *request, failure *problem.Problem) {
+	if failure.Executed != problem.ExecutedNo {
+		failure = f.problem(problem.TargetFailed, problem.ExecutedUnknown, "run", "the caller closed its side of the connection")
+	}
+	failure.RequestID = q.id
+	w.Header().Set(f.config.Headers.RequestID, q.id)
+	failure.Write(w)
+	f.recordAbandoned(q)
+}
+
 // recordAbandoned logs and counts a request whose caller has disconnected.
 func (f *Forwarder) recordAbandoned(q *request) {
 	duration := f.now().Sub(q.arrived)
