Registry: a departure is kept although the target's clock was stepped back between its starts

Seen by callers: DRAIN. A target crashes and starts again under its ID while the time of day is 2.4 s back.

Cause: starts with the same ID were ordered by their start times alone. The running start counted as one that has ended, whose messages are acknowledged and ignored.

Change: where start times contradict the messages, the messages decide, as they do for targets with other IDs: the start that sends them for a second, while the other sends none, is the running one (10 s if the other has departed, as it may serve on in silence). Until then its departure is not acknowledged, unless its successor was seen to follow it. A DELETE without a start time is that of the start which sent the latest messages. The node's record names the starts that ended although their times are higher, so that a restarted node does not take a late heartbeat of them for a new start. A target that goes on sending heartbeats now also outlasts a heartbeat or a DELETE with the start time of another.

--- a/internal/registry/record.go
+++ b/internal/registry/record.go
@@ -121,6 +121,9 @@
 	// Sequence is the sequence number of the change that the record contains (see StartNotice); zero in
 	// records of earlier versions.
 	Sequence uint64 `cbor:"10,keyasint,omitempty"`
+	// Ended holds the start times of incarnations with the same ID that have ended although their
+	// start times are higher, for later processes of the node.
+	Ended []int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // Announcement returns the rate limit that the target announced.
--- a/internal/registry/recovery.go
+++ b/internal/registry/recovery.go
@@ -58,9 +58,11 @@
 	if err != nil {
 		return nil
 	}
+	recorded := parseIncarnation(record.Instance)
+	r.recoverOrder(recorded, record.Ended)
 	if record.State == Draining {
 		// The earlier process may have ended before it stored the departure.
-		r.recordDeparture(parseIncarnation(record.Instance))
+		r.recordDeparture(recorded)
 		r.departures.addDue(Departure{Instance: record.Instance, Address: r.config.Address})
 	}
 	if record.restored(entry.Revision) {
@@ -93,7 +95,7 @@
 	case current.ID == "":
 		return true
 	case current.ID == incarnation.ID:
-		return current.StartMillis < incarnation.StartMillis
+		return r.precedes(current, incarnation)
 	default:
 		return r.departed[current] && !r.departed[incarnation]
 	}
--- a/internal/registry/registrar.go
+++ b/internal/registry/registrar.go
@@ -65,8 +65,12 @@
 	target Target
 	// departed holds the incarnations in state Draining or Gone.
 	departed map[Incarnation]bool
-	// latestStart is the latest known start time by target ID; earlier incarnations have ended.
+	// latestStart is the start time of the latest known start by target ID. Starts with a lower one
+	// have ended, and so have those in ended, whose start times may be higher.
 	latestStart map[string]int64
+	ended       map[Incarnation]bool
+	// ignored holds the incarnations whose messages came when they seemed to have ended.
+	ignored map[Incarnation]bool
 	// leaving holds, by target ID, the incarnation that announced its departure and has not
 	// ended yet.
 	leaving map[string]leavingTarget
@@ -99,7 +103,7 @@
 		config.OnStart = func(StartNotice) bool { return false }
 	}
 	r := &Registrar{config: config, log: log, now: now, departed: make(map[Incarnation]bool), replaced: make(map[Incarnation]bool),
-		latestStart: make(map[string]int64), leaving: make(map[string]leavingTarget), recoveryDone: make(chan struct{})}
+		latestStart: make(map[string]int64), ended: make(map[Incarnation]bool), ignored: make(map[Incarnation]bool), leaving: make(map[string]leavingTarget), recoveryDone: make(chan struct{})}
 	r.publisher = newPublisher(stores.Record, config.Epoch, config.HomesPrefix, config.Address, log, now)
 	r.departures = newDepartures(config.Address, config.Position, now, r.rewriteDeparture, r.notifyHome)
 	r.starts = newStarts(startsConfig{ownAddress: config.Address, peers: config.Peers, reachable: config.StoreReachable, written: r.publisher.writtenRevision, log: log, now: now})
@@ -170,11 +174,14 @@
 // departure is durable.
 func (r *Registrar) Heartbeat(ctx context.Context, heartbeat Heartbeat) error {
 	r.mutex.Lock()
-	r.applyHeartbeat(heartbeat)
+	err := r.applyHeartbeat(heartbeat)
 	r.mutex.Unlock()
 	if !heartbeat.Draining {
 		return nil
 	}
+	if err != nil {
+		return r.logUnacknowledged(heartbeat.Incarnation(), err)
+	}
 	return r.persistDeparture(ctx, heartbeat.Incarnation())
 }
 
@@ -189,50 +196,41 @@
 // the announcement.
 const ambiguousNoticeWindow = 10 * time.Second
 
-// recordStart records an incarnation; all earlier ones with its ID have ended.
-func (r *Registrar) recordStart(incarnation Incarnation) {
-	r.latestStart[incarnation.ID] = max(r.latestStart[incarnation.ID], incarnation.StartMillis)
-}
-
-// superseded reports whether a later incarnation with the same ID is known. Messages of
-// superseded incarnations are ignored, however late they arrive.
-func (r *Registrar) superseded(incarnation Incarnation) bool {
-	return incarnation.StartMillis < r.latestStart[incarnation.ID]
-}
-
-// returningTarget is a replaced target that sends heartbeats again.
-type returningTarget struct {
-	incarnation Incarnation
-	since       time.Time
-}
-
-// reinstateAfter is how long a replaced target must send heartbeats, while its successor sends
-// none, to be reinstated. Heartbeats of a crashed target that were delayed by a network
-// partition arrive in a burst shorter than that; a live target sends one every second or two.
-const reinstateAfter = time.Second
-
-// hasReturned reports whether a replaced target is still running. The apparent successor was
-// then a delayed heartbeat of its predecessor.
-func (r *Registrar) hasReturned(incarnation Incarnation) bool {
-	now := r.now()
-	if r.returning.incarnation != incarnation {
-		r.returning = returningTarget{incarnation: incarnation, since: now}
-		return false
-	}
-	return now.Sub(r.returning.since) >= reinstateAfter
-}
-
 // applyHeartbeat updates the target's state. Delayed heartbeats of a target that was replaced are
-// ignored.
-func (r *Registrar) applyHeartbeat(heartbeat Heartbeat) {
+// ignored. The error is errAmbiguousIncarnation if the heartbeat may be a delayed one.
+func (r *Registrar) applyHeartbeat(heartbeat Heartbeat) error {
 	incarnation := heartbeat.Incarnation()
+	r.messageReceived(incarnation)
 	if r.superseded(incarnation) {
-		return
+		if !r.hasReturned(incarnation) {
+			return r.ignoreSuperseded(heartbeat)
+		}
+		r.reinstate(incarnation)
 	}
 	if r.departed[incarnation] {
 		r.applyDepartedHeartbeat(heartbeat)
-		return
+		return nil
+	}
+	r.applyCurrentHeartbeat(heartbeat)
+	return nil
+}
+
+// ignoreSuperseded handles a heartbeat of an incarnation that seems to have ended. Its departure is
+// acknowledged only if its successor was seen to follow it, and binds it should it return.
+func (r *Registrar) ignoreSuperseded(heartbeat Heartbeat) error {
+	incarnation := heartbeat.Incarnation()
+	if !r.ended[incarnation] {
+		return errAmbiguousIncarnation
 	}
+	if heartbeat.Draining {
+		r.departed[incarnation] = true
+	}
+	return nil
+}
+
+// applyCurrentHeartbeat handles a heartbeat of an incarnation that has neither ended nor departed.
+func (r *Registrar) applyCurrentHeartbeat(heartbeat Heartbeat) {
+	incarnation := heartbeat.Incarnation()
 	if incarnation != r.target.Incarnation() {
 		if r.replaced[incarnation] && !r.hasReturned(incarnation) {
 			r.departed[incarnation] = heartbeat.Draining
@@ -241,6 +239,9 @@
 		if r.target.ID != "" {
 			r.replaced[r.target.Incarnation()] = true
 		}
+		if r.target.ID == incarnation.ID {
+			r.ended[r.target.Incarnation()] = true
+		}
 		delete(r.replaced, incarnation)
 		r.target = Target{ID: heartbeat.ID, StartMillis: heartbeat.StartMillis, Service: heartbeat.Service, State: Ready}
 		r.recordStart(incarnation)
@@ -318,6 +319,7 @@
 		// Peers treat the states Draining and Gone alike.
 		State:   min(target.State, Draining),
 		Process: r.config.Process,
+		Ended:   r.endedLater(target.Incarnation()),
 	}
 	if target.RateLimit.Limited {
 		record.RateLimit = &target.RateLimit.Rate
--- a/internal/registry/registrar_departures.go
+++ b/internal/registry/registrar_departures.go
@@ -37,12 +37,21 @@
 func (r *Registrar) markGone(incarnation *Incarnation) error {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	r.messageReceived(*incarnation)
 	if incarnation.StartMillis == 0 {
+		if returning, found := r.returningStart(incarnation.ID); found {
+			r.reinstate(returning)
+		}
 		leaving, announced := r.leaving[incarnation.ID]
 		if announced && leaving.startMillis < r.latestStart[incarnation.ID] && r.now().Sub(leaving.since) < ambiguousNoticeWindow {
 			return errAmbiguousIncarnation
 		}
 		incarnation.StartMillis = r.latestStart[incarnation.ID]
+	} else if r.isDisputed(*incarnation) {
+		if !r.hasReturned(*incarnation) {
+			return errAmbiguousIncarnation
+		}
+		r.reinstate(*incarnation)
 	}
 	if r.leaving[incarnation.ID].startMillis == incarnation.StartMillis {
 		delete(r.leaving, incarnation.ID)
@@ -51,6 +60,12 @@
 	return nil
 }
 
+// isDisputed reports whether a notice names a start that seems to have ended, and that was not seen
+// to be followed by another. The notice may be a delayed one, or that of the running start.
+func (r *Registrar) isDisputed(incarnation Incarnation) bool {
+	return r.superseded(incarnation) && !r.departed[incarnation] && !r.ended[incarnation]
+}
+
 // TargetLeaving handles a target's announcement, in a response, that it is leaving. The target
 // gets no new work from now on, whatever its heartbeats report. The departure is made durable in
 // the background, as nobody waits for an acknowledgement.
