Platform: odd heartbeats and departures are not acknowledged

Cause: bytes after the first JSON value, a second value of a key, numbers, address and ID were not looked at; `null` and objects without a start time passed for an empty body.

Change: such messages are answered with 400, counted by reason, and change nothing. A DELETE without a body, with an object, or with an object that holds a start time stays the usual departure.

Before: 17 of 30 rows of TestOddHeartbeatIsNotAcknowledged, TestOddDepartureIsNotAcknowledged ("null") and TestIDBeyondKeyOfStoreIsNotAcknowledged failed. After: all pass, with the packages platform and sidecar. The content type is not looked at, as before.

--- a/internal/registry/record.go
+++ b/internal/registry/record.go
@@ -61,6 +61,9 @@
 	RefusedService    RefusalReason = "unknown service"
 	RefusedSlots      RefusalReason = "no slots"
 	RefusedStartTime  RefusalReason = "born is no moment"
+	RefusedAddress    RefusalReason = "unusable address"
+	RefusedNumber     RefusalReason = "number out of range"
+	RefusedID         RefusalReason = "unusable id"
 )
 
 // Incarnation returns the incarnation that sent the heartbeat.
