Stop: end long requests with a response before the node exits

Cause: work was admitted by its usual duration and then had its whole timeout. A call in the queue of a home that closed was sent to the target whatever time was left.

Change: from the stop signal on, the time that a target is given ends 0.1 s before the exit, so that its own response arrives; the exchange ends at the exit at the latest, with a response that the outcome is unknown. A call between nodes carries the limit. A home whose own stop ended a call that may run twice says so, and another home runs it. A home asks again right before it sends a call. Requests that must not run twice are also refused if more than 1% of the recent ones took longer than the time left. Nested calls are always admitted: they have the limit of the request that makes them.

--- a/internal/ending/doc.go
+++ b/internal/ending/doc.go
@@ -7,9 +7,15 @@
 // run twice with an unknown outcome. Each request that is refused too early is an outage.
 //
 // Work is admitted only while the duration that is safe to assume fits before the exit. That is asked
-// again whenever time has passed: when the body is complete, and before each attempt. It reads
-// the usual duration of the route, at most some seconds old.
+// again whenever time has passed: when the body is complete, before each attempt, and at the home
+// right before the call is sent to the target. What is admitted is given a limit before the exit, so
+// that even work that takes longer than expected ends with a response.
 //
-// This is graceful draining with a fixed grace period, as in Envoy and Kubernetes, with admission by
-// expected duration in place of closing the listener first.
+// The package reads the usual duration of the route, at most some seconds old, the tail of the
+// durations and the largest response of the last two minutes, and the slowest pace of readers in that
+// time.
+//
+// This is graceful draining with a fixed grace period, as in Envoy and Kubernetes, together with
+// deadline propagation, as in gRPC. It departs from both in admitting by expected duration in place of
+// closing the listener first, because the process may be the only one that its callers can reach.
 package ending
--- a/internal/ending/ending_test.go
+++ b/internal/ending/ending_test.go
@@ -79,3 +79,73 @@
 	assert.Equal(t, recent.Max(now.Add(130*time.Second)), 3)
 	assert.Equal(t, recent.Max(now.Add(time.Hour)), 0)
 }
+
+func TestTailIsExceededByFew(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var durations ending.Durations
+	assert.Equal(t, durations.Tail(now), time.Duration(0))
+	durations.Record(3500*time.Millisecond, now)
+	alone := durations.Tail(now)
+	assert.Assert(t, alone >= 3500*time.Millisecond && alone < 5*time.Second, "%s", alone)
+	for range 50 {
+		durations.Record(40*time.Millisecond, now)
+	}
+	assert.Equal(t, durations.Tail(now), alone, "one in 51 is not few")
+	for range 150 {
+		durations.Record(40*time.Millisecond, now)
+	}
+	tail := durations.Tail(now)
+	assert.Assert(t, tail >= 40*time.Millisecond && tail < 60*time.Millisecond, "%s", tail)
+	assert.Equal(t, durations.Tail(now.Add(70*time.Second)), tail)
+	assert.Equal(t, durations.Tail(now.Add(time.Hour)), time.Duration(0))
+	durations.Record(24*time.Hour, now)
+	durations.Record(0, now)
+}
+
+// TestStopPlaysAdmission plays a stop with a grace period of 6 s: what is admitted when, and when its
+// caller has a response at the latest.
+func TestStopPlaysAdmission(t *testing.T) {
+	const (
+		millisecond = time.Millisecond
+		exit        = 5700 * millisecond
+		closed      = 2200 * millisecond
+		timeout     = 4 * time.Second
+	)
+	stopped := time.Unix(1000, 0)
+	for _, test := range []struct {
+		name        string
+		usual, tail time.Duration
+		once        bool
+		arrives     time.Duration
+		admitted    bool
+		limited     bool
+	}{
+		{"early", 40 * millisecond, 0, false, 0, true, false},
+		{"early and long", time.Second, 0, true, 2 * time.Second, true, true},
+		{"quick", 40 * millisecond, 0, false, 3 * time.Second, true, true},
+		{"quick and late", 40 * millisecond, 0, false, 5 * time.Second, true, true},
+		{"too late", 40 * millisecond, 0, false, 5200 * millisecond, false, true},
+		{"long", 500 * millisecond, 0, false, 2500 * millisecond, false, true},
+		{"once with a long tail", 40 * millisecond, 3500 * millisecond, true, 3 * time.Second, false, true},
+		{"repeatable with a long tail", 40 * millisecond, 3500 * millisecond, false, 3 * time.Second, true, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var shutdown ending.ShutdownTime
+			shutdown.Announce(stopped.Add(exit))
+			if test.arrives >= closed {
+				shutdown.Set(stopped.Add(exit))
+			}
+			now := stopped.Add(test.arrives)
+			needed := ending.SafeDuration(test.usual)
+			if test.once {
+				needed = ending.SafeDurationOnce(test.usual, test.tail)
+			}
+			assert.Equal(t, shutdown.Allows(needed, now), test.admitted)
+			limit, limited := shutdown.RunLimit(timeout, now)
+			assert.Equal(t, limited, test.limited)
+			deadline := shutdown.Limit(now.Add(timeout))
+			assert.Assert(t, !deadline.After(stopped.Add(exit)))
+			assert.Assert(t, now.Add(limit).Before(deadline) == limited, "the target's response arrives before the deadline")
+		})
+	}
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -226,6 +226,10 @@
 // Stop adds the header Connection: close to the responses to all later requests.
 func (f *Forwarder) Stop() { f.stopping.Store(true) }
 
+// AnnounceShutdown limits all later requests to the given time, by which their callers receive a
+// response.
+func (f *Forwarder) AnnounceShutdown(at time.Time) { f.shutdownDeadline.Announce(at) }
+
 // OtherHomesServe reports whether another home can serve the service of the local target.
 // A home that is stopping counts only if its address is smaller than that of this node, so
 // that no two stopping homes rely on each other.
@@ -359,7 +363,7 @@
 		f.writeProblem(w, q, failure)
 		return
 	}
-	ctx, cancel := clock.WithTimeout(r.Context(), q.deadline.Sub(f.now()))
+	ctx, cancel := clock.WithTimeout(r.Context(), f.shutdownDeadline.Limit(q.deadline).Sub(f.now()))
 	defer cancel()
 	if q.nested {
 		defer clock.AfterFunc(q.parentContext, cancel)()
--- a/internal/forward/home.go
+++ b/internal/forward/home.go
@@ -227,6 +227,8 @@
 	// responseBytes is the average size of a response body, and largest the largest recent one.
 	responseBytes float64
 	largest       ending.Recent[int]
+	// durations holds the durations of requests that were sent to a target.
+	durations ending.Durations
 }
 
 // responseBytesWeight is the weight of one response in the average size.
@@ -245,6 +247,11 @@
 	})
 }
 
+// recordDuration records the duration of a request that was sent to a target.
+func (t *homeTable) recordDuration(route string, duration time.Duration, now time.Time) {
+	t.updateStats(route, func(stats *routeStats) { stats.durations.Record(duration, now) })
+}
+
 func (t *homeTable) updateStats(route string, apply func(*routeStats)) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -256,6 +263,14 @@
 	t.routes[route] = stats
 }
 
+// tailDuration returns a duration that few recent requests of a route exceeded, zero if there were none.
+func (t *homeTable) tailDuration(route string, now time.Time) time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	stats := t.routes[route]
+	return stats.durations.Tail(now)
+}
+
 // statsOf returns the statistics of a route.
 func (t *homeTable) statsOf(route string) routeStats {
 	t.mutex.Lock()
--- a/internal/forward/receive.go
+++ b/internal/forward/receive.go
@@ -57,13 +57,13 @@
 		return q, f.problem(problem.BadRequest, problem.ExecutedNo, "receive", "no request id")
 	}
 	q.deadline = started.Add(f.timeoutOf(q.route, r.Header))
-	if !f.endsBeforeShutdown(q) {
-		return q, f.shutdownProblem(q, "receive")
-	}
 	parent, failure := f.parentOf(q)
 	if failure != nil {
 		return q, failure
 	}
+	if !f.endsBeforeShutdown(q) {
+		return q, f.shutdownProblem(q, "receive")
+	}
 	if failure := f.identify(r, q, table); failure != nil {
 		return q, failure
 	}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -31,8 +31,13 @@
 		f.budget(q.service).CountRequest()
 		f.observer.BudgetCounted(q.service, FirstSent, "")
 	}
+	started := f.now()
 	reply, failure := f.tryHomes(ctx, q)
 	f.refundMove(q)
+	if q.attempts > 0 && q.route.Kind == routetable.AtMostOnce {
+		now := f.now()
+		f.homes.recordDuration(q.route.Name, now.Sub(started), now)
+	}
 	if failure != nil && q.errorReply != nil {
 		return q.errorReply, nil
 	}
@@ -247,6 +252,12 @@
 	if call.Remaining <= 0 {
 		return &peering.Reply{Outcome: peering.Refused, Reason: peering.DeadlinePassed}
 	}
+	if limit, shortened := f.shutdownDeadline.RunLimit(call.Remaining, now); shortened {
+		if limit <= 0 {
+			return &peering.Reply{Outcome: peering.Refused, Reason: peering.DeadlinePassed}
+		}
+		call.RunLimit = limit
+	}
 	if home.Address == f.config.Address {
 		done := state.begin(q.route.Name, nil, now)
 		defer done()
--- a/internal/forward/shutdown.go
+++ b/internal/forward/shutdown.go
@@ -12,8 +12,12 @@
 )
 
 // endsBeforeShutdown reports whether the request, if it ran from now on, would finish before the
-// node's shutdown deadline with a margin for slow requests.
+// node's shutdown deadline with a margin for slow requests. A nested call does: it has the limit of
+// the running request that made it and that would fail without it.
 func (f *Forwarder) endsBeforeShutdown(q *request) bool {
+	if q.nested || !f.shutdownDeadline.IsSet() {
+		return true
+	}
 	now := f.now()
 	return f.shutdownDeadline.Allows(f.safeDuration(q, now), now)
 }
@@ -27,7 +31,11 @@
 	if stats.latency == 0 {
 		return left
 	}
-	return min(ending.SafeDuration(stats.latency)+f.readerPace.TransferDuration(stats.largest.Max(now), now), left)
+	run := ending.SafeDuration(stats.latency)
+	if q.route.Kind == routetable.AtMostOnce {
+		run = ending.SafeDurationOnce(stats.latency, f.homes.tailDuration(q.route.Name, now))
+	}
+	return min(run+f.readerPace.TransferDuration(stats.largest.Max(now), now), left)
 }
 
 // transferProblem returns the problem for a request whose caller may not read the whole response
--- a/internal/forward/shutdown_test.go
+++ b/internal/forward/shutdown_test.go
@@ -140,3 +140,67 @@
 	f.forwarder.homes.routes["read"] = routeStats{latency: time.Millisecond}
 	assert.Equal(t, f.do("GET", "/read/x", "e", "").Code, http.StatusOK)
 }
+
+// replyAfter replies after the delay, or when the call is canceled.
+func replyAfter(delay time.Duration) func(context.Context, *peering.Call) *peering.Reply {
+	return func(ctx context.Context, call *peering.Call) *peering.Reply {
+		select {
+		case <-time.After(delay):
+			return replyOK(ctx, call)
+		case <-ctx.Done():
+			return replyFailed(ctx, call)
+		}
+	}
+}
+
+// TestRequestThatOutlastsShutdownIsAnswered guards against requests that take much longer than usual
+// and are cut without a response when the node exits. The target is given less time than is left.
+func TestRequestThatOutlastsShutdownIsAnswered(t *testing.T) {
+	for _, path := range []string{"/read/x", "/once/x"} {
+		t.Run(path, func(t *testing.T) {
+			f := newFixture(t, replyAfter(time.Minute))
+			f.forwarder.homes.setLatency("read", time.Millisecond)
+			f.forwarder.homes.setLatency("once", time.Millisecond)
+			const left = 800 * time.Millisecond
+			end := time.Now().Add(left)
+			f.forwarder.SetShutdownDeadline(end)
+			response := f.do("POST", path, "a", "")
+			assert.Equal(t, response.Code, http.StatusGatewayTimeout)
+			assert.Assert(t, time.Since(end) < 200*time.Millisecond, "%s after the shutdown", time.Since(end))
+			assert.Assert(t, f.homes[0].calls[0].RunLimit > left/2 && f.homes[0].calls[0].RunLimit < left, "%s", f.homes[0].calls[0].RunLimit)
+		})
+	}
+}
+
+// TestOnceRequestOfRouteWithLongRunsIsNotCutAtShutdown guards against requests that must not run twice
+// and are admitted by the usual duration of their route although some of them take much longer.
+func TestOnceRequestOfRouteWithLongRunsIsNotCutAtShutdown(t *testing.T) {
+	delay := 700 * time.Millisecond
+	f := newFixture(t, func(ctx context.Context, call *peering.Call) *peering.Reply { return replyAfter(delay)(ctx, call) })
+	f.forwarder.homes.setLatency("read", time.Millisecond)
+	f.forwarder.homes.setLatency("once", time.Millisecond)
+	assert.Equal(t, f.do("POST", "/once/x", "a", "").Code, http.StatusOK)
+	delay = 0
+	end := time.Now().Add(700 * time.Millisecond)
+	f.forwarder.SetShutdownDeadline(end)
+	assert.Equal(t, f.do("POST", "/once/x", "b", "").Code, http.StatusServiceUnavailable)
+	assert.Equal(t, f.do("POST", "/read/x", "c", "").Code, http.StatusOK)
+	assert.Equal(t, f.calls(), 2)
+	for range 1000 {
+		f.forwarder.homes.recordDuration("once", time.Millisecond, time.Now())
+	}
+	assert.Equal(t, f.do("POST", "/once/x", "d", "").Code, http.StatusOK, "one in a thousand takes long")
+}
+
+// TestNestedCallRunsUntilShutdown guards against running requests that fail because their node refuses
+// their calls while it stops.
+func TestNestedCallRunsUntilShutdown(t *testing.T) {
+	f := newFixture(t, replyOK)
+	f.forwarder.homes.setLatency("once", time.Millisecond)
+	f.forwarder.SetShutdownDeadline(time.Now().Add(300 * time.Millisecond))
+	assert.Equal(t, f.do("POST", "/once/x", "other", "").Code, http.StatusServiceUnavailable)
+	assert.Equal(t, f.do("POST", "/once/x", "running.1", "").Code, http.StatusOK)
+	time.Sleep(250 * time.Millisecond)
+	assert.Equal(t, f.do("POST", "/once/x", "running.2", "").Code, http.StatusServiceUnavailable, "its response would be late")
+	assert.Equal(t, f.calls(), 1)
+}
--- a/internal/guard/exchange.go
+++ b/internal/guard/exchange.go
@@ -37,6 +37,9 @@
 	if remainingMillis <= 0 {
 		return refusedReply(peering.WouldMissDeadline)
 	}
+	if !g.endsBeforeShutdown(inc, call, g.now()) {
+		return refusedReply(peering.Stopping)
+	}
 	if reply := g.screenBeforeSend(screened, call); reply != nil {
 		return reply
 	}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -237,13 +237,7 @@
 // Calls in flight continue.
 func (g *Guard) SetShutdownDeadline(deadline time.Time) { g.shutdownDeadline.Set(deadline) }
 
-// endsBeforeShutdown reports whether a call of the route that starts now will finish before
-// the shutdown deadline with a margin for slow calls.
-func (g *Guard) endsBeforeShutdown(inc *incarnation, route string, now time.Time) bool {
-	return g.shutdownDeadline.Allows(ending.SafeDuration(inc.stats.currentLatency(route, now)), now)
-}
-
-// Close makes the guard refuse all new calls; calls in flight continue.
+// Close makes the guard refuse all new calls; calls at the target continue.
 func (g *Guard) Close() { g.closed.Store(true) }
 
 // InFlight returns the number of calls that are queued or at the target.
@@ -347,14 +341,15 @@
 	switch {
 	case inc.draining.Load():
 		return refusedReply(peering.TargetLeaving), callTimes{}
-	case !g.endsBeforeShutdown(inc, call.Route, started):
+	case !g.endsBeforeShutdown(inc, call, started):
 		return refusedReply(peering.Stopping), callTimes{}
 	case inc.reachability.backingOff(started):
 		return refusedReply(peering.NoTarget), callTimes{}
 	}
-	deadline := started.Add(call.Remaining)
-	ctx, cancel := clock.WithTimeout(ctx, call.Remaining)
+	limit := g.limitOf(call, started)
+	ctx, cancel := clock.WithTimeout(ctx, limit.wait)
 	defer cancel()
+	deadline := started.Add(limit.run)
 	screened, reply := g.screen(ctx, call)
 	if reply != nil {
 		return reply, callTimes{queueTime: g.now().Sub(started)}
@@ -372,6 +367,7 @@
 		return reply, times
 	}
 	reply = g.exchange(ctx, inc, admission{permit: permit, token: token}, call, &screened, deadline)
+	reply = limit.correct(reply, call)
 	times.targetTime = g.now().Sub(admitted)
 	return reply, times
 }
--- a/internal/guard/latency.go
+++ b/internal/guard/latency.go
@@ -1,6 +1,10 @@
 package guard
 
-import "time"
+import (
+	"time"
+
+	"github.com/lugspur/lugspur/internal/ending"
+)
 
 const (
 	// latencyWeight is the weight of one call in the long-term moving average.
@@ -29,6 +33,7 @@
 	// current and previous are consecutive windows.
 	current, previous windowTotals
 	windowStart       float64
+	durations         ending.Durations
 }
 
 // windowTotals holds the time spent in calls and the number of answered calls.
--- a/internal/guard/target_stats.go
+++ b/internal/guard/target_stats.go
@@ -74,6 +74,7 @@
 	case reply.Outcome == peering.Refused:
 		estimator.cancel(s.sinceEpoch(now.Add(-duration)))
 	default:
+		estimator.durations.Record(duration, now)
 		// An error of the target counts as a call without an answer, so that fast errors
 		// don't lower the estimate.
 		estimator.end(s.sinceEpoch(now), duration.Seconds(), s.pace.Factor(now), reply.Outcome == peering.Answered && !isTargetFailure(reply))
@@ -135,6 +136,17 @@
 	return time.Duration(estimator.estimate(s.sinceEpoch(now), s.pace.Factor(now)) * float64(time.Second))
 }
 
+// tailDuration returns a duration that few recent calls of the route exceeded, zero if there were none.
+func (s *targetStats) tailDuration(route string, now time.Time) time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	estimator := s.latencies[route]
+	if estimator == nil {
+		return 0
+	}
+	return estimator.durations.Tail(now)
+}
+
 // currentLatency returns the expected latency of a call of the route at the current pace of
 // the target, zero if unknown.
 func (s *targetStats) currentLatency(route string, now time.Time) time.Duration {
--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -51,6 +51,9 @@
 	// Remaining is the time left until the deadline. It is relative, so that the nodes'
 	// clocks need not be synchronized.
 	Remaining time.Duration
+	// RunLimit is the time that the target is given at most, if it is less than Remaining; zero
+	// means that it is not.
+	RunLimit time.Duration
 	// Caller is the service on whose machine the request originated.
 	Caller string
 	Route  string
--- a/internal/peering/wire.go
+++ b/internal/peering/wire.go
@@ -73,10 +73,12 @@
 	Crashes    int       `cbor:"21,keyasint,omitempty"`
 	// ResumedProcess is the process that a resumed call was first sent to; zero if the
 	// call is not resumed.
-	ResumedProcess   uint32       `cbor:"19,keyasint,omitempty"`
-	Target           *wireTarget  `cbor:"24,keyasint,omitempty"`
-	WantCost         bool         `cbor:"25,keyasint,omitempty"`
-	Alternative      int64        `cbor:"26,keyasint,omitempty"`
+	ResumedProcess uint32      `cbor:"19,keyasint,omitempty"`
+	Target         *wireTarget `cbor:"24,keyasint,omitempty"`
+	WantCost       bool        `cbor:"25,keyasint,omitempty"`
+	Alternative    int64       `cbor:"26,keyasint,omitempty"`
+	// RunLimit is rounded up.
+	RunLimit         int64        `cbor:"27,keyasint,omitempty"`
 	From             wireAddress  `cbor:"15,keyasint,omitempty"`
 	Digests          []wireDigest `cbor:"16,keyasint,omitempty"`
 	Epochs           []uint32     `cbor:"23,keyasint,omitempty"`
@@ -183,7 +185,7 @@
 		Header: c.encodeHeader(call.Header), Body: call.Body, Remaining: call.Remaining.Milliseconds(), Caller: call.Caller, Route: call.Route,
 		Rank: call.Rank, MaxWait: call.MaxWait.Milliseconds(), Nested: call.Nested, Retried: call.Retried, PriorCalls: call.PriorCalls,
 		Attempt: call.OfferIndex, AtMostOnce: call.AtMostOnce, Crashes: call.Crashes, ResumedProcess: resumedProcessOf(call), Target: encodeTarget(&call.Target),
-		WantCost: call.WantCost, Alternative: call.Alternative.Milliseconds(), From: wireAddress(call.From), Digests: encodeDigests(call.Digests), Epochs: encodeEpochs(call.Digests), DocumentVersions: encodeDocumentVersions(call.Digests),
+		WantCost: call.WantCost, Alternative: call.Alternative.Milliseconds(), RunLimit: (call.RunLimit + time.Millisecond - 1).Milliseconds(), From: wireAddress(call.From), Digests: encodeDigests(call.Digests), Epochs: encodeEpochs(call.Digests), DocumentVersions: encodeDocumentVersions(call.Digests),
 	}
 	encodeInto(buffer, w)
 }
@@ -209,7 +211,7 @@
 		Service: w.Service, RequestID: string(w.RequestID), Method: decodeMethod(w.Method), URI: w.URI, Host: w.Host, Header: header, Body: w.Body,
 		Remaining: milliseconds(w.Remaining), Caller: w.Caller, Route: w.Route, Rank: w.Rank, MaxWait: milliseconds(w.MaxWait), Nested: w.Nested,
 		Retried: w.Retried, PriorCalls: w.PriorCalls, OfferIndex: w.Attempt, AtMostOnce: w.AtMostOnce, Crashes: w.Crashes, Process: w.ResumedProcess, Resumed: w.ResumedProcess != 0, Target: decodeTarget(w.Target),
-		WantCost: w.WantCost, Alternative: max(milliseconds(w.Alternative), 0), From: string(w.From), Digests: decodeDigests(w.Digests, w.Epochs, w.DocumentVersions),
+		WantCost: w.WantCost, Alternative: max(milliseconds(w.Alternative), 0), RunLimit: max(milliseconds(w.RunLimit), 0), From: string(w.From), Digests: decodeDigests(w.Digests, w.Epochs, w.DocumentVersions),
 	}, nil
 }
 
--- a/internal/peering/wire_test.go
+++ b/internal/peering/wire_test.go
@@ -27,7 +27,7 @@
 	return &Call{Service: "prices", RequestID: "cbfed4665665238d.96c6f396bb9a3a42.bbf4b50146973c51.b6524dcef0b56046", Method: "POST", URI: "/list/7?x=%20y", Host: "prices.example",
 		Header: http.Header{"Content-Type": {"text/plain"}, "X-Custom": {"a", "b"}}, Body: []byte{0, 1, 2}, Remaining: 2345 * time.Millisecond, Caller: "cards",
 		Route: "price-list", Rank: 300, MaxWait: 180 * time.Millisecond, Nested: true, Retried: true, PriorCalls: 3, OfferIndex: 2, AtMostOnce: true, Crashes: 2, Process: 9, Resumed: true, From: "10.1.0.34:8560",
-		Target: TargetAnnouncement{Instance: "i-1@7", Rate: targetrate.Announcement{Limited: true, Rate: 6.8}, Leaving: true}, WantCost: true, Alternative: 75 * time.Millisecond,
+		Target: TargetAnnouncement{Instance: "i-1@7", Rate: targetrate.Announcement{Limited: true, Rate: 6.8}, Leaving: true}, WantCost: true, Alternative: 75 * time.Millisecond, RunLimit: 900 * time.Millisecond,
 		Digests: []replica.Digest{{Revision: 1234, Age: 45 * time.Millisecond}, {Revision: 1250, Age: -1}}}
 }
 
@@ -188,7 +188,7 @@
 	)
 	call := fullCall()
 	call.Method, call.Body, call.Header, call.Retried = "GET", nil, nil, false
-	call.Target, call.WantCost, call.Alternative = TargetAnnouncement{}, false, 0
+	call.Target, call.WantCost, call.Alternative, call.RunLimit = TargetAnnouncement{}, false, 0, 0
 	reply := fullReply()
 	reply.Reason, reply.RetryAfter, reply.TargetError, reply.Body = "", 0, false, nil
 	reply.Shortages, reply.Costs = nil, nil
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -37,8 +37,10 @@
 	n.stopping.Store(true)
 	n.guard.MarkStopping()
 	n.forwarder.Stop()
-	n.running.Go(n.releaseShards)
 	end := started.Add(n.settings.grace() - stopMargin)
+	n.guard.AnnounceShutdown(end)
+	n.forwarder.AnnounceShutdown(end)
+	n.running.Go(n.releaseShards)
 	admission := started.Add(min(admissionPeriod, n.settings.grace()/2))
 	for clock.Now().Before(admission) {
 		time.Sleep(stopPollInterval)
@@ -68,11 +70,11 @@
 // cannot serve the target before it has read from the store what was acknowledged.
 func (n *Node) stopAdmission(end time.Time) (keepServing bool) {
 	n.forwarder.SetShutdownDeadline(end)
+	n.guard.SetShutdownDeadline(end)
 	if n.storeBreaker.Reachable() {
 		n.guard.Close()
 		return false
 	}
-	n.guard.SetShutdownDeadline(end)
 	return true
 }
 
