--- a/lab/platformstub/nested.go
+++ b/lab/platformstub/nested.go
@@ -13,6 +13,8 @@
 	// Node is the address at which the target's node accepts calls. Host and Path are those
 	// of the calls.
 	Node, Host, Path string
+	// ExceptPathPart is a part of the path of requests that make no calls.
+	ExceptPathPart string
 }
 
 // run makes the calls of the request and reports whether all succeeded.
--- a/lab/platformstub/target.go
+++ b/lab/platformstub/target.go
@@ -31,6 +31,9 @@
 	// Nested are the calls that the target makes while it runs a request; if one fails, so
 	// does the request.
 	Nested NestedCalls
+	// Long and Large are requests that differ from the others.
+	Long  LongRuns
+	Large LargeResponses
 	// OnCrash is called once, after the target has crashed; it may be nil.
 	OnCrash func()
 
@@ -65,6 +68,21 @@
 	At        time.Time
 }
 
+// LongRuns are requests that take longer than the service time. The target ends them at the deadline
+// that it receives, with status 504.
+type LongRuns struct {
+	// PathPart is a part of their path; empty means that there are none.
+	PathPart string
+	Time     time.Duration
+}
+
+// LargeResponses are responses that the target pads to a size.
+type LargeResponses struct {
+	// PathPart is a part of their requests' path; empty means that there are none.
+	PathPart string
+	Bytes    int
+}
+
 // TargetFaults are the faults of a target.
 type TargetFaults struct {
 	// Delay is added to the service time of each request.
@@ -141,8 +159,18 @@
 	t.recordRun(r, id)
 	t.running.Add(1)
 	defer t.running.Add(-1)
+	deadlinePassed := make(<-chan time.Time)
+	serviceTime := t.ServiceTime + faults.Delay
+	if hasPart(r, t.Long.PathPart) {
+		serviceTime = t.Long.Time
+		deadlinePassed = time.After(remainingTime(r))
+	}
 	select {
-	case <-time.After(t.ServiceTime + faults.Delay):
+	case <-time.After(serviceTime):
+	case <-deadlinePassed:
+		w.Header().Set("Lugspur-Response-Signature", "signed-by-"+t.ID)
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return
 	case <-r.Context().Done():
 		return
 	}
@@ -152,7 +180,7 @@
 		t.crash()
 		panic(http.ErrAbortHandler)
 	}
-	if !t.Nested.run(r, id) {
+	if !hasPart(r, t.Nested.ExceptPathPart) && !t.Nested.run(r, id) {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
@@ -161,6 +189,9 @@
 	}
 	w.Header().Set("Lugspur-Response-Signature", "signed-by-"+t.ID)
 	response := fmt.Sprintf("%s %s %s %d %s", t.Service, r.Method, r.URL.Path, len(body), id)
+	if hasPart(r, t.Large.PathPart) {
+		response += strings.Repeat(" ", max(t.Large.Bytes-len(response), 0))
+	}
 	if isNth(faults.TruncateEvery, count) {
 		w.Header().Set("Content-Length", strconv.Itoa(len(response)))
 		_, _ = io.WriteString(w, response[:len(response)/2])
@@ -169,6 +200,21 @@
 	_, _ = io.WriteString(w, response)
 }
 
+// hasPart reports whether a request's path contains the part, unless that is empty.
+func hasPart(r *http.Request, part string) bool {
+	return part != "" && strings.Contains(r.URL.Path, part)
+}
+
+// remainingTime returns the time until the deadline that the target received, negative if there was
+// none.
+func remainingTime(r *http.Request) time.Duration {
+	millis, err := strconv.Atoi(r.Header.Get("Lugspur-Deadline-Ms"))
+	if err != nil {
+		return -1
+	}
+	return time.Duration(millis) * time.Millisecond
+}
+
 // crash simulates a crash of the target: it closes the listener and all connections and
 // stops the heartbeats.
 func (t *Target) crash() {
@@ -184,11 +230,8 @@
 func (t *Target) Crashed() bool { return t.crashed.Load() }
 
 func (t *Target) recordRun(r *http.Request, id string) {
-	run := Run{ID: id, Path: r.URL.Path, Caller: r.Header.Get("Lugspur-Caller-Service"), Method: r.Method, Remaining: -1, At: time.Now(),
+	run := Run{ID: id, Path: r.URL.Path, Caller: r.Header.Get("Lugspur-Caller-Service"), Method: r.Method, Remaining: remainingTime(r), At: time.Now(),
 		Tenant: r.Header.Get("Lugspur-Tenant"), Key: r.Header.Get("X-Api-Key")}
-	if millis, err := strconv.Atoi(r.Header.Get("Lugspur-Deadline-Ms")); err == nil {
-		run.Remaining = time.Duration(millis) * time.Millisecond
-	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.runs = append(t.runs, run)
