Platform: a heartbeat that is about another address is not acknowledged

Seen by callers (by reading, and a trial with odd heartbeats): a heartbeat under another ID, with any address, replaces the node's target until that one is heard for a second. Calls then expect another instance, which the target answers with 421.

Change: a heartbeat must have the address of the node's target (`target` in the settings, the platform's app-addr), compared as IP address and port.

Before: the rows "address of another target" and "port of another target" would be acknowledged, as the handler did not have the address. The tests of real nodes that restart, drain and stop targets pass (57 s).

--- a/internal/registry/record.go
+++ b/internal/registry/record.go
@@ -61,7 +61,7 @@
 	RefusedService    RefusalReason = "unknown service"
 	RefusedSlots      RefusalReason = "no slots"
 	RefusedStartTime  RefusalReason = "born is no moment"
-	RefusedAddress    RefusalReason = "unusable address"
+	RefusedAddress    RefusalReason = "address of another target"
 	RefusedNumber     RefusalReason = "number out of range"
 	RefusedID         RefusalReason = "unusable id"
 )
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -350,7 +350,7 @@
 		{n.settings.Listen.Calls, n.forwarder},
 		{n.settings.Listen.Peers, peering.Handler(n.peerServices())},
 		{n.settings.Listen.Ready, platform.ReadyHandler(n.ready)},
-		{n.settings.Listen.Heartbeats, platform.HeartbeatHandler(n.registrar, n.acceptsService)},
+		{n.settings.Listen.Heartbeats, platform.HeartbeatHandler(n.registrar, platform.LocalTarget{Address: n.settings.Target, IsKnownService: n.acceptsService})},
 		{n.settings.Listen.Metrics, n.metrics.handler()},
 	}
 	for _, l := range listeners {
