--- a/lab/platformstub/store.go
+++ b/lab/platformstub/store.go
@@ -32,6 +32,8 @@
 	WriteDelay time.Duration
 	// WatchesExpired rejects every watch with 410.
 	WatchesExpired bool
+	// OddItems are added, as they are, to the items of lists and to the events of watches.
+	OddItems []json.RawMessage
 }
 
 // Backend is the store that a stub serves.
@@ -104,14 +106,25 @@
 }
 
 type rangeResponse struct {
-	Items []wireItem `json:"items"`
-	More  bool       `json:"more"`
-	At    int64      `json:"at-rev"`
+	Items []any `json:"items"`
+	More  bool  `json:"more"`
+	At    int64 `json:"at-rev"`
 }
 
 type watchResponse struct {
-	Events []wireItem `json:"events"`
-	At     int64      `json:"at-rev"`
+	Events []any `json:"events"`
+	At     int64 `json:"at-rev"`
+}
+
+// oddItems returns the odd items to add to a response.
+func (s *Store) oddItems() []any {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	items := []any{}
+	for _, item := range s.faults.OddItems {
+		items = append(items, item)
+	}
+	return items
 }
 
 type transactionRequest struct {
@@ -244,13 +257,13 @@
 		writeError(w, err)
 		return
 	}
-	response := rangeResponse{Items: []wireItem{}, At: snapshot.Revision.Number()}
+	response := rangeResponse{Items: s.oddItems(), At: snapshot.Revision.Number()}
 	after := r.URL.Query().Get("after")
 	for _, entry := range snapshot.Entries {
 		if entry.Key <= after && after != "" {
 			continue
 		}
-		if len(response.Items) == pageItems {
+		if len(response.Items) >= pageItems {
 			response.More = true
 			break
 		}
@@ -290,13 +303,14 @@
 // ends: as in the platform's store, changes outside the prefix don't end a watch.
 // It cancels the context once it has events.
 func (s *Store) firstBatch(ctx context.Context, cancel context.CancelFunc, prefix string, after store.Revision) (watchResponse, error) {
-	response := watchResponse{Events: []wireItem{}, At: after.Number()}
+	response := watchResponse{Events: []any{}, At: after.Number()}
 	err := s.backend.Watch(ctx, prefix, after, func(batch []store.Entry, progress store.Revision) {
 		for _, entry := range batch {
 			response.Events = append(response.Events, wireItemOf(entry))
 		}
 		response.At = max(response.At, progress.Number())
 		if len(batch) > 0 {
+			response.Events = append(response.Events, s.oddItems()...)
 			cancel()
 		}
 	})
--- a/test/platform_fixture_test.go
+++ b/test/platform_fixture_test.go
@@ -39,6 +39,7 @@
 type platformNode struct {
 	name, settings             string
 	calls, ready, log, metrics string
+	peers                      string
 	target                     *platformstub.Target
 	process                    *exec.Cmd
 	exited                     chan error
@@ -101,6 +102,7 @@
 		calls:    addresses[0],
 		ready:    addresses[1],
 		metrics:  addresses[2],
+		peers:    addresses[5],
 		target: &platformstub.Target{ID: "i-" + name, Service: service, Address: addresses[3], Control: addresses[4], Zone: zone, ServiceTime: 5 * time.Millisecond,
 			Nested: platformstub.NestedCalls{Node: addresses[0], Host: "a.example", Path: "/leaf/x"}},
 	}
