Configuration: peers get the version in force beside an invalid document in the store

Seen by callers (by reading and a unit test): while op/config holds a document that can't be read, a node that started without reaching its peers at once gets no configuration from their messages and answers 503 until the operator writes the next version.

Cause: a rejected document left the version that the copy of the store was last known to hold, so that peers took theirs for one that every copy of the entries contains, and did not name it in their messages.

Change: beside an invalid document the stored version is zero, and the applied document is passed on like one that the store has lost. Reads of the store still prove API keys, as nothing was lost.

Before: TestPeersGetAppliedDocumentBesideInvalidOne "5 != 0". After: it passes, with configfeed, replica and sidecar.

--- a/internal/configfeed/feed.go
+++ b/internal/configfeed/feed.go
@@ -29,8 +29,10 @@
 	appliedAt time.Time
 	// document is the applied document in its encoded form.
 	document []byte
-	// storedVersion is the version in the copy of the store, zero if there is none.
+	// storedVersion is the version in the copy of the store, zero if there is none or the document
+	// there is invalid, as storedInvalid tells.
 	storedVersion routetable.Version
+	storedInvalid bool
 	// onHold is set from Hold until Release. Until then, pending is the newest configuration from
 	// the copy of the store, pendingDocument its encoded form and pendingSource its source.
 	onHold          bool
@@ -73,15 +75,17 @@
 	if entry.Deleted {
 		f.mutex.Lock()
 		defer f.mutex.Unlock()
-		f.storedVersion = 0
+		f.storedVersion, f.storedInvalid = 0, false
 		return
 	}
 	configuration := f.parse(entry.Value, source)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.storedInvalid = configuration == nil
 	if configuration == nil {
+		f.storedVersion = 0
 		return
 	}
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
 	f.storedVersion = configuration.Version
 	if f.onHold {
 		f.keepPending(configuration, entry.Value, source)
@@ -141,6 +145,14 @@
 	return uint64(f.storedVersion)
 }
 
+// storedIsOlder reports whether the copy of the store holds an older document than the applied one. An
+// invalid document is not older: the store has not lost the one before.
+func (f *Feed) storedIsOlder() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return !f.storedInvalid && f.storedVersion < f.holder.Version()
+}
+
 // Encoded returns the applied document in its encoded form.
 func (f *Feed) Encoded() []byte {
 	f.mutex.Lock()
--- a/internal/configfeed/feed_test.go
+++ b/internal/configfeed/feed_test.go
@@ -1,6 +1,7 @@
 package configfeed
 
 import (
+	"context"
 	"errors"
 	"maps"
 	"slices"
@@ -60,6 +61,31 @@
 	assert.Equal(t, holder.Version(), routetable.Version(3))
 }
 
+// fixedVerification is a verification at a given time.
+type fixedVerification struct{ at time.Time }
+
+func (v *fixedVerification) VerifiedAt() time.Time { return v.at }
+
+func (v *fixedVerification) Await(context.Context, func(time.Time) bool) error { return nil }
+
+func TestPeersGetAppliedDocumentBesideInvalidOne(t *testing.T) {
+	feed, _ := newFeed()
+	verification := &fixedVerification{}
+	freshness := NewFreshness(feed, verification)
+	applyVersion(feed, "5")
+	applyVersion(feed, "nonsense")
+	assert.Equal(t, feed.Version(), uint64(5))
+	assert.Equal(t, string(feed.Encoded()), "5")
+	assert.Equal(t, feed.StoredVersion(), uint64(0), "the entries of the store do not hold the document")
+	verification.at = time.Unix(1000, 0)
+	assert.Equal(t, freshness.VerifiedAt(), verification.at, "no newer document is in the store")
+	applyVersion(feed, "4")
+	verification.at = time.Unix(2000, 0)
+	assert.Equal(t, freshness.VerifiedAt(), time.Unix(1000, 0), "the store has lost the document")
+	applyVersion(feed, "6")
+	assert.Equal(t, freshness.VerifiedAt(), time.Unix(2000, 0))
+}
+
 func TestOtherKeysAndDeletionsAreIgnored(t *testing.T) {
 	feed, holder := newFeed()
 	applyVersion(feed, "2")
--- a/internal/configfeed/freshness.go
+++ b/internal/configfeed/freshness.go
@@ -47,7 +47,7 @@
 func (f *Freshness) update(verified time.Time) time.Time {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if f.feed.StoredVersion() >= f.feed.Version() && verified.After(f.verified) {
+	if !f.feed.storedIsOlder() && verified.After(f.verified) {
 		f.verified = verified
 	}
 	return f.verified
