Configuration: numbers out of range reject the document

Seen by callers (unit test): a document with an aim-s of 1e300 or -1, negative limits or a header-timeout-s of 1e300 came into force; the last is a negative time after the conversion, so that every header is late.

Cause: seconds were converted without a bound, and only a route's timeout and attempts were checked.

The last valid document stays in force, as before.

Before: 6 of 26 rows of TestConfigurationWithNumberOutOfRangeIsRejected failed. After: all pass, with platform, routetable, sidecar and forward.

--- a/internal/routetable/configuration.go
+++ b/internal/routetable/configuration.go
@@ -108,9 +108,20 @@
 			return fmt.Errorf("route %q: %w", c.Routes[i].Name, err)
 		}
 	}
+	for _, service := range c.Services {
+		if service.MaxConnections < 0 {
+			return fmt.Errorf("service %q: negative bound", service.Name)
+		}
+	}
+	if c.Limits.MaxHeaderBytes < 0 || c.Limits.MaxBodyBytes < 0 || c.Limits.HeaderTimeout < 0 || c.Limits.IdleTimeout < 0 {
+		return fmt.Errorf("limits: negative bound")
+	}
 	return c.validateTenants()
 }
 
+// maxWeight bounds the weight of a service in a split, so that the sum of all is a number.
+const maxWeight = 1 << 30
+
 // validateTenants never includes a key in an error, since errors are logged.
 func (c *Configuration) validateTenants() error {
 	names := make(map[string]bool, len(c.Tenants))
@@ -144,7 +155,7 @@
 		return fmt.Errorf("prefix %q does not begin and end with a slash", r.Prefix)
 	case r.totalWeight() <= 0:
 		return fmt.Errorf("no service with a positive weight")
-	case r.Timeout < 0 || r.Attempts < 0:
+	case r.Timeout < 0 || r.Objective < 0 || r.Attempts < 0:
 		return fmt.Errorf("negative bound")
 	}
 	return nil
@@ -153,7 +164,7 @@
 func (r *Route) totalWeight() int {
 	total := 0
 	for _, service := range r.Services {
-		if service.Weight < 0 {
+		if service.Weight < 0 || service.Weight > maxWeight {
 			return -1
 		}
 		total += service.Weight
