--- a/lab/platformstub/target.go
+++ b/lab/platformstub/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -21,6 +22,9 @@
 	// ID and Service identify the target; Address is its listener and Control the
 	// receiver of its heartbeats.
 	ID, Service, Address, Control, Zone string
+	// Advertised is the address in its heartbeats, which the node's settings name; empty means
+	// Address.
+	Advertised string
 	// StartedAt is the target's start time in Unix milliseconds; zero means the time of Start.
 	StartedAt int64
 	// ServiceTime is the service time of each request.
@@ -343,7 +347,7 @@
 	if t.draining.Load() {
 		state = "draining"
 	}
-	body, err := json.Marshal(heartbeat{Service: t.Service, Address: t.Address, Zone: t.Zone, Version: "v1", Slots: targetSlots,
+	body, err := json.Marshal(heartbeat{Service: t.Service, Address: cmp.Or(t.Advertised, t.Address), Zone: t.Zone, Version: "v1", Slots: targetSlots,
 		State: state, Sequence: t.sequence.Add(1), StartedAt: t.StartedAt})
 	if err != nil {
 		return err
@@ -379,7 +383,7 @@
 // SendStaleHeartbeat sends a "ready" heartbeat with the first sequence number, like one
 // that was delayed in the network.
 func (t *Target) SendStaleHeartbeat(ctx context.Context) error {
-	body, err := json.Marshal(heartbeat{Service: t.Service, Address: t.Address, Zone: t.Zone, Version: "v1", Slots: targetSlots, State: "ready", Sequence: 1, StartedAt: t.StartedAt})
+	body, err := json.Marshal(heartbeat{Service: t.Service, Address: cmp.Or(t.Advertised, t.Address), Zone: t.Zone, Version: "v1", Slots: targetSlots, State: "ready", Sequence: 1, StartedAt: t.StartedAt})
 	if err != nil {
 		return err
 	}
--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -216,6 +216,7 @@
 		ID:          fmt.Sprintf("i-%s-%d", m.name, (m.incarnation+1)/startsPerID),
 		Service:     m.service,
 		Address:     m.targetAddress,
+		Advertised:  m.targetProxy.Address(),
 		Control:     m.heartbeatAddress,
 		Zone:        m.zone,
 		ReportsPace: m.zoneLosses > 0,
