Sidecar: try steps of the start again that failed for a moment

What operators saw: a node ended at once with exit code 1 if one of its addresses was in use when it started (a predecessor that is still ending, or an outgoing connection that the kernel gave the port), or if its settings were missing, empty or only partly written. Not even the address of the metrics could be in use. Clients and target of the machine had no node until something started it again, and the log had no line.

Cause: each step was tried once, any error ended the process.

Change: internal/startup decides which errors are transient, the delay to the next try and when to give up. Addresses are opened independently, with the exception that heartbeats are taken only once peers can reach the node; metrics and permits never keep a node from serving. The permits' address is advertised only while it is open. start-delayed, start-resumed and start-failed tell each condition once. SIGTERM is obeyed meanwhile. An address that is not the machine's, and settings that are whole but wrong, still end the process with exit code 1.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -17,6 +17,9 @@
 // The kinds of events.
 const (
 	ProcessStarted Kind = iota
+	StartDelayed
+	StartResumed
+	StartFailed
 	ProcessStopping
 	ProcessStopped
 	MachineResumed
@@ -94,6 +97,9 @@
 
 var kinds = [kindCount]kindInfo{
 	ProcessStarted:          {"process-started", stateChange, "the process has started to serve; outcome is its build version"},
+	StartDelayed:            {"start-delayed", stateChange, "the step of the start that outcome names cannot be completed yet and is tried again; peer is its address or file, reason the error"},
+	StartResumed:            {"start-resumed", stateChange, "a step of the start that was delayed is completed; duration is the time since its first failure"},
+	StartFailed:             {"start-failed", stateChange, "a step of the start failed for good and the process exits; reason is the error, duration the time since its first failure"},
 	ProcessStopping:         {"process-stopping", stateChange, "a planned stop began"},
 	ProcessStopped:          {"process-stopped", stateChange, "the process exits; count is the number of requests and calls still in flight"},
 	MachineResumed:          {"machine-resumed", stateChange, "the machine was suspended and has resumed; age is the total time suspended since the process started"},
--- a/internal/eventlog/log.go
+++ b/internal/eventlog/log.go
@@ -53,14 +53,14 @@
 	now      func() time.Time
 }
 
-// New returns a log that writes to out. Each line contains the node's name.
+// New returns a log that writes to out. Each line contains the node's name unless it is empty.
 func New(config Config, node string, out io.Writer, now func() time.Time) *Log {
 	buffered := bufio.NewWriterSize(out, writeBufferBytes)
 	logger := &logrus.Logger{Out: buffered, Formatter: &logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano}, Level: logrus.InfoLevel, Hooks: logrus.LevelHooks{}}
 	l := &Log{
 		rootOf: config.RootOf,
 		events: make(chan record, positiveOr(config.Buffer, DefaultBuffer)),
-		entry:  logger.WithField("node", node),
+		entry:  entryOf(logger, node),
 		out:    buffered,
 		now:    now,
 	}
@@ -74,6 +74,13 @@
 	return l
 }
 
+func entryOf(logger *logrus.Logger, node string) *logrus.Entry {
+	if node == "" {
+		return logrus.NewEntry(logger)
+	}
+	return logger.WithField("node", node)
+}
+
 // writeBufferBytes is the size of the write buffer.
 const writeBufferBytes = 8 << 10
 
--- a/internal/ratelimit/acquire.go
+++ b/internal/ratelimit/acquire.go
@@ -82,7 +82,7 @@
 	m.shards[number].retryAt = m.config.Now().Add(acquireRetryDelay)
 	m.mutex.Unlock()
 	idleSince := m.idleSince(previous)
-	value := encode(assignment{Holder: Holder{Address: m.config.Address, DatagramAddress: m.config.DatagramAddress}, Process: m.config.Process, Epoch: m.lease.Epoch})
+	value := encode(assignment{Holder: Holder{Address: m.config.Address, DatagramAddress: m.datagramAddress()}, Process: m.config.Process, Epoch: m.lease.Epoch})
 	revision, err := m.config.Store.CompareAndSwap(ctx, m.keyOf(number), previous.revision, value, m.lease)
 	switch {
 	case err == nil:
@@ -163,3 +163,10 @@
 		m.mutex.Unlock()
 	}
 }
+
+func (m *ShardManager) datagramAddress() string {
+	if m.config.DatagramAddress == nil {
+		return ""
+	}
+	return m.config.DatagramAddress()
+}
--- a/internal/ratelimit/shard_manager.go
+++ b/internal/ratelimit/shard_manager.go
@@ -64,8 +64,9 @@
 	// there.
 	Address string
 	Process uint32
-	// DatagramAddress is the address for permit requests by datagram, empty if the node accepts none.
-	DatagramAddress string
+	// DatagramAddress returns the address for permit requests by datagram, empty if the node accepts
+	// none; nil stands for empty.
+	DatagramAddress func() string
 	// Started is the start time of the process: earlier processes issue no permits after it.
 	Started time.Time
 	// FirstStart reports that no process ran on any machine before.
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,7 +30,6 @@
 	"github.com/lugspur/lugspur/internal/store/epoch"
 	"github.com/lugspur/lugspur/internal/store/reachability"
 	"github.com/lugspur/lugspur/internal/targetrate"
-	"github.com/lugspur/lugspur/internal/version"
 	"github.com/lugspur/lugspur/platform"
 )
 
@@ -102,9 +100,14 @@
 	quarantine *quarantine.Quarantine
 	limits     tenantLimits
 	forwarder  *forward.Forwarder
-	servers    []*server
 	stopping   atomic.Bool
 	running    sync.WaitGroup
+	// opening is running while addresses are being opened. serversMutex guards servers until then.
+	opening      sync.WaitGroup
+	serversMutex sync.Mutex
+	servers      []*server
+	// callsOpen reports whether the address for requests is open.
+	callsOpen atomic.Bool
 }
 
 // New creates a node. It sends nothing and does not listen before Run.
@@ -281,11 +284,12 @@
 
 // ready reports whether the node accepts requests.
 func (n *Node) ready() bool {
-	return !n.stopping.Load() && n.routes.Current() != nil && n.replicas.records.Initialized()
+	return !n.stopping.Load() && n.callsOpen.Load() && n.routes.Current() != nil && n.replicas.records.Initialized()
 }
 
 // Run serves until the context ends and then shuts down gracefully. It reloads the settings as
-// long as it serves requests, the shutdown included.
+// long as it serves requests, the shutdown included. It returns an error if an address that is
+// needed to serve cannot be opened.
 func (n *Node) Run(ctx context.Context, settings *SettingsWatch) error {
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -294,22 +298,20 @@
 		n.log.Run(background)
 		close(logDone)
 	}()
-	if err := n.listen(); err != nil {
-		return err
-	}
-	n.log.Record(eventlog.Event{Kind: eventlog.ProcessStarted, Service: n.settings.Service, Target: n.settings.Target, Outcome: version.Current().Version})
+	openCtx, stopOpening := context.WithCancel(ctx)
+	defer stopOpening()
+	opened := n.openAddresses(openCtx)
 	for _, run := range n.backgroundTasks() {
 		n.running.Go(func() { run(background) })
 	}
 	n.running.Go(func() { n.reloadSettings(background, settings) })
-	<-ctx.Done()
+	err := n.awaitStop(ctx, opened)
+	stopOpening()
+	n.opening.Wait()
 	n.stop()
 	cancel()
-	select {
-	case <-logDone:
-	case <-time.After(logDrainTimeout):
-	}
-	return nil
+	awaitLog(logDone)
+	return err
 }
 
 // backgroundTasks returns the functions that run in the background while the node serves.
@@ -337,32 +339,3 @@
 	n.replicas.antiEntropy.AwaitSynced(ctx)
 	n.feed.Release()
 }
-
-// listen opens all listeners and starts their servers.
-func (n *Node) listen() error {
-	if err := n.listenForPermitRequests(); err != nil {
-		return err
-	}
-	listeners := []struct {
-		address string
-		handler http.Handler
-	}{
-		{n.settings.Listen.Calls, n.forwarder},
-		{n.settings.Listen.Peers, peering.Handler(n.peerServices())},
-		{n.settings.Listen.Ready, platform.ReadyHandler(n.ready)},
-		{n.settings.Listen.Heartbeats, platform.HeartbeatHandler(n.registrar, n.acceptsService)},
-		{n.settings.Listen.Metrics, n.metrics.handler()},
-	}
-	for _, l := range listeners {
-		if l.address == "" {
-			continue
-		}
-		server, err := newServer(l.address, l.handler)
-		if err != nil {
-			return err
-		}
-		n.servers = append(n.servers, server)
-		server.start()
-	}
-	return nil
-}
--- a/internal/sidecar/tenants.go
+++ b/internal/sidecar/tenants.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/lugspur/lugspur/internal/clock"
 	"github.com/lugspur/lugspur/internal/fairshare"
@@ -18,8 +19,8 @@
 	limiter      *ratelimit.Limiter
 	// fairShares is nil unless a shortage of capacity must be expected.
 	fairShares *fairshare.Estimator
-	// permitSocket is nil if permits are only requested over connections.
-	permitSocket *peering.PermitSocket
+	// permitSocket is nil while permits are only requested over connections.
+	permitSocket atomic.Pointer[peering.PermitSocket]
 }
 
 // createLimits creates the components that enforce tenants' rate limits.
@@ -28,7 +29,7 @@
 	n.limits.shardManager = ratelimit.NewShardManager(ratelimit.ShardManagerConfig{
 		Address:         n.settings.advertised(),
 		Process:         n.processID,
-		DatagramAddress: n.settings.Listen.Permits,
+		DatagramAddress: n.datagramAddress,
 		Started:         n.started,
 
 		FirstStart: n.settings.FirstStart,
@@ -68,8 +69,8 @@
 	if holder.Address == n.settings.advertised() {
 		return n.limits.issuer.Issue(request), nil
 	}
-	if n.limits.permitSocket != nil && holder.DatagramAddress != "" {
-		grant, err := n.limits.permitSocket.Request(ctx, holder.DatagramAddress, request)
+	if socket := n.limits.permitSocket.Load(); socket != nil && holder.DatagramAddress != "" {
+		grant, err := socket.Request(ctx, holder.DatagramAddress, request)
 		if err == nil || ctx.Err() != nil {
 			return grant, err
 		}
@@ -87,11 +88,19 @@
 	if err != nil {
 		return err
 	}
-	n.limits.permitSocket = socket
+	n.limits.permitSocket.Store(socket)
 	go socket.Run()
 	return nil
 }
 
+// datagramAddress returns the address for permit requests by datagram, empty while it is not open.
+func (n *Node) datagramAddress() string {
+	if n.limits.permitSocket.Load() == nil {
+		return ""
+	}
+	return n.settings.Listen.Permits
+}
+
 // tenant returns a tenant of the active configuration, nil if it is unknown.
 func (n *Node) tenant(name string) *routetable.Tenant {
 	table := n.routes.Current()
--- a/internal/sidecarcommand/command.go
+++ b/internal/sidecarcommand/command.go
@@ -91,7 +91,10 @@
 	// Without this, the first log line after its reader has gone would end the process.
 	signal.Ignore(syscall.SIGPIPE)
 	watch := sidecar.WatchSettings(r.path)
-	settings, err := sidecar.Load(r.path)
+	settings, err := sidecar.AwaitSettings(ctx, r.path, r.streams.Output)
+	if ctx.Err() != nil {
+		return ExitOK
+	}
 	if err != nil {
 		return r.streams.fail(err)
 	}
