Signals: keep handlers until the exit, handle SIGHUP before main

SIGHUP in the first milliseconds ended the process.

Cause: main restored the default effect of SIGTERM right before os.Exit. SIGHUP had no handler before main.

Change: the handlers stay registered (lugspur as well). The package earlyhangup registers a handler for SIGHUP before most packages are initialized.

The first millisecond remains.

--- a/cmd/lugspur-sidecar/main.go
+++ b/cmd/lugspur-sidecar/main.go
@@ -8,12 +8,13 @@
 	"os/signal"
 	"syscall"
 
+	_ "github.com/lugspur/lugspur/internal/earlyhangup"
 	"github.com/lugspur/lugspur/internal/sidecarcommand"
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := sidecarcommand.Execute(ctx, os.Args[1:], sidecarcommand.Streams{Input: os.Stdin, Output: os.Stdout, Errors: os.Stderr})
-	stop()
-	os.Exit(code)
+	// The handlers stay registered until the exit: a signal that arrives before it would otherwise end
+	// the process with the signal's status.
+	ctx, _ := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	os.Exit(sidecarcommand.Execute(ctx, os.Args[1:], sidecarcommand.Streams{Input: os.Stdin, Output: os.Stdout, Errors: os.Stderr}))
 }
--- a/cmd/lugspur/main.go
+++ b/cmd/lugspur/main.go
@@ -16,19 +16,17 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := command.Execute(ctx, command.NewProgram(), os.Args[1:], command.Node(runNode))
-	stop()
-	os.Exit(code)
+	// The handlers stay registered until the exit: a signal that arrives before it would otherwise end
+	// the process with the signal's status.
+	ctx, _ := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	os.Exit(command.Execute(ctx, command.NewProgram(), os.Args[1:], command.Node(runNode)))
 }
 
 // runNode runs a node that logs JSON lines to standard error. SIGHUP stops it as SIGTERM does,
 // unless it is ignored: by default it would end the process with the calls in flight.
 func runNode(ctx context.Context, nodeSettings settings.Node) error {
 	if !signal.Ignored(syscall.SIGHUP) {
-		var stop context.CancelFunc
-		ctx, stop = signal.NotifyContext(ctx, syscall.SIGHUP)
-		defer stop()
+		ctx, _ = signal.NotifyContext(ctx, syscall.SIGHUP)
 	}
 	level, err := logrus.ParseLevel(nodeSettings.Log.Level)
 	if err != nil {
--- a/test/start_test.go
+++ b/test/start_test.go
@@ -191,3 +191,19 @@
 		assert.Assert(t, strings.Contains(string(output), key), "%s", output)
 	}
 }
+
+// TestSignalsAtExitEndNodeBySignal guards against a node that a signal ends between the end of its
+// planned stop and its exit.
+func TestSignalsAtExitEndNodeBySignal(t *testing.T) {
+	p := startPlatform(t)
+	n := p.newNode(0, "west", "one")
+	assert.NilError(t, os.Remove(n.settings))
+	const starts = 40
+	for i := range starts {
+		p.start(n)
+		awaitEvent(t, n, "start-delayed", i+1)
+		for n.process.Process.Signal(syscall.SIGTERM) == nil && n.process.Process.Signal(syscall.SIGHUP) == nil {
+		}
+		assert.NilError(t, <-n.exited, "start %d of %d", i+1, starts)
+	}
+}
