Registry: an unknown state has a name

State.String indexed an array with a value that peers and later versions can send. TestUnknownStatePanics failed before: "index out of range [200] with length 4". No way for such a value to a log line was found: records and heartbeats with other states are rejected before.

--- a/internal/registry/record.go
+++ b/internal/registry/record.go
@@ -79,7 +79,12 @@
 var stateNames = [...]string{"absent", "ready", "draining", "gone"}
 
 // String returns the state's name as written to logs.
-func (s State) String() string { return stateNames[s] }
+func (s State) String() string {
+	if int(s) >= len(stateNames) {
+		return "unknown"
+	}
+	return stateNames[s]
+}
 
 // Target is the local target of a node.
 type Target struct {
