Peering: a panic of a handler does not end the process

What callers would see: the process ends 300 ms after the handler of a peer's call has panicked, and all requests that it has read are cut.

Cause: the timer of interim responses was stopped only if the handler returned. After a panic it wrote to a finished response, in a goroutine that nothing recovers. A resumed call waited for its deadline, since the exchange of the run was never finished. Also: a permit socket without an issuer panicked at a request (none in a deployment), and one whose reads fail read without a pause.

Evidence, on the code before: TestPanicOfCallEndsProcess: "invalid memory address or nil pointer dereference" in interimWriter.send; TestPanicOfCallLeavesResumptionWaiting: "the resumption waited for its deadline"; TestSocketErrorTakesProcessor: "used 363.67ms" of 400 ms; TestMalformedDatagramEndsProcess: "invalid memory address".

Change: the timer is stopped and the exchange finished in deferred calls; reads are tried again after 20 ms; without an issuer, requests are dropped.

Result: all pass, three times with -race.

--- a/internal/peering/datagram.go
+++ b/internal/peering/datagram.go
@@ -29,6 +29,8 @@
 	maxDatagramBytes = 1200
 	// datagramHeaderBytes is the length of the kind and the request's ID.
 	datagramHeaderBytes = 5
+	// readRetryDelay is the delay before the next read after one that failed.
+	readRetryDelay = 20 * time.Millisecond
 )
 
 // Kinds of datagrams.
@@ -53,7 +55,7 @@
 }
 
 // ListenPermitSocket opens a socket at the address. Run answers requests with permits from
-// the issuer.
+// the issuer, which may be nil.
 func ListenPermitSocket(address string, permits PermitIssuer) (*PermitSocket, error) {
 	listenAddress, err := netip.ParseAddrPort(address)
 	if err != nil {
@@ -74,8 +76,12 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if err != nil || length < datagramHeaderBytes {
-			// An unreadable datagram is treated as lost.
+		// An unreadable datagram is treated as lost.
+		if err != nil {
+			time.Sleep(readRetryDelay)
+			continue
+		}
+		if length < datagramHeaderBytes {
 			continue
 		}
 		s.handle(buffer[:length], from)
@@ -90,7 +96,7 @@
 	switch datagram[0] {
 	case datagramRequest:
 		var request ratelimit.PermitRequest
-		if request.Decode(content) != nil || !request.Valid() {
+		if s.permits == nil || request.Decode(content) != nil || !request.Valid() {
 			return
 		}
 		// A grant that cannot be sent is treated as lost.
--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -74,14 +74,19 @@
 		return
 	}
 	s.AntiEntropy.HandleCallDigests(call.From, call.Digests)
-	interim := startInterimWriter(w)
-	reply, completed := s.runOrResume(r.Context(), call)
-	interim.stop()
+	reply, completed := s.runWithInterims(r.Context(), w, call)
 	if completed {
 		writeResponse(w, reply)
 	}
 }
 
+// runWithInterims sends interim responses while runOrResume runs, which may panic.
+func (s *server) runWithInterims(ctx context.Context, w http.ResponseWriter, call *Call) (reply []byte, completed bool) {
+	interim := startInterimWriter(w)
+	defer interim.stop()
+	return s.runOrResume(ctx, call)
+}
+
 // readCall reads a call. Its content is copied from the message.
 func (s *server) readCall(r *http.Request) (*Call, error) {
 	buffer := newBuffer()
@@ -105,9 +110,9 @@
 	exchange, mustRun := s.exchanges.open(call, cancel)
 	if mustRun {
 		defer cancel()
-		reply = s.encode(s.Home.Run(runCtx, call))
-		s.exchanges.finish(exchange, reply)
-		return reply, true
+		// After a panic, the reply is nil.
+		defer func() { s.exchanges.finish(exchange, reply) }()
+		return s.encode(s.Home.Run(runCtx, call)), true
 	}
 	cancel()
 	cancel = func() { s.exchanges.cancel(exchange) }
