Peering: a reply with an invalid status is rejected

A reply of a peer whose status is missing, under 100 or over 999 made the HTTP server panic at the node where the request began, which closed the caller's connection without an answer; one of 1xx would have been written as an interim response, with a 200 after it.

TestInvalidStatusOfReplyIsRejected failed before: "err is nil: status -1". Such a reply now is an error of the exchange: the call may have run.

--- a/internal/peering/client.go
+++ b/internal/peering/client.go
@@ -96,6 +96,9 @@
 		return nil, err
 	}
 	reply, err := c.config.Codec.decodeReply(response.Body)
+	if err == nil {
+		err = reply.checkStatus()
+	}
 	if err != nil {
 		return nil, decodeError(address, err)
 	}
--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -298,6 +299,18 @@
 	return true
 }
 
+// maxStatus is the largest status that a response can have.
+const maxStatus = 999
+
+// checkStatus returns an error if the reply holds a response whose status cannot be written as that
+// of a final response.
+func (r *Reply) checkStatus() error {
+	if r.Outcome == Answered && (r.Status < http.StatusOK || r.Status > maxStatus) {
+		return fmt.Errorf("invalid status %d", r.Status)
+	}
+	return nil
+}
+
 func encode(message any) []byte {
 	content, err := cbor.Marshal(message)
 	if err != nil {
