Sidecar: log and answer panics of handlers

A panic of a handler closed the caller's connection without an answer, and its only trace was text on standard error. It is now an event (handler-panicked) with the request's id, the panic and where it happened, and is answered with 500 and "executed: unknown" if no response was begun. Errors of the HTTP servers are events, too (server-error).

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -22,6 +22,8 @@
 	StartFailed
 	ProcessStopping
 	ProcessStopped
+	HandlerPanicked
+	ServerError
 	MachineResumed
 	ProcessStalled
 	SettingsReloaded
@@ -102,6 +104,8 @@
 	StartFailed:             {"start-failed", stateChange, "a step of the start failed for good and the process exits; reason is the error, duration the time since its first failure"},
 	ProcessStopping:         {"process-stopping", stateChange, "a planned stop began"},
 	ProcessStopped:          {"process-stopped", stateChange, "the process exits; count is the number of requests and calls still in flight"},
+	HandlerPanicked:         {"handler-panicked", failure, "the handler of a request at the address peer panicked, a fault of the program; reason is the panic and where it happened; the answer says that the request may have run, or is cut off"},
+	ServerError:             {"server-error", stateChange, "the HTTP server at the address peer reports the error in reason, such as a connection that could not be accepted"},
 	MachineResumed:          {"machine-resumed", stateChange, "the machine was suspended and has resumed; age is the total time suspended since the process started"},
 	ProcessStalled:          {"process-stalled", stateChange, "the process did not run for duration, because it got no CPU time, waited for memory or was stopped; count is the number of requests in flight"},
 	SettingsReloaded:        {"settings-reloaded", stateChange, "the settings were reloaded; outcome says what was applied, reason why the previous settings were kept"},
--- a/internal/sidecar/start.go
+++ b/internal/sidecar/start.go
@@ -169,10 +169,11 @@
 
 // serve opens an address and starts its server.
 func (n *Node) serve(address string, handler http.Handler) error {
-	server, err := newServer(address, handler)
+	server, err := newServer(address, n.recoverPanics(address, handler))
 	if err != nil {
 		return err
 	}
+	server.http.ErrorLog = n.serverLog(address)
 	n.serversMutex.Lock()
 	defer n.serversMutex.Unlock()
 	n.servers = append(n.servers, server)
