Sidecar: bound the memory of held messages

What callers saw: a node that held large bodies, responses that clients read slowly or responses without end went over its machine's memory and was killed; all its requests ended without an answer. Callers that announced a body and stalled, or did not read their response, kept its memory for as long as they liked.

Cause: nothing bounded the sum of the bytes that a node holds, each message was held up to three times, and released messages piled up before the garbage collector ran.

Change: bodies are read under reservations of a memorybudget.Budget, a share of resources.memory-mb. A body that does not fit is refused while it is read (503, not run, Retry-After), a call that does not fit is refused by its home, and the usual response has its room before the request is offered and before it is sent. A response that outgrows the room ends as failed and its connection is closed. Bodies over 16 KiB are no longer copied: they are the last entry of a message, which older nodes decode as before. Stalled bodies end at the deadline (504, not run); large responses that nobody reads are cut off.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -66,6 +66,7 @@
 	CallResumed
 	ResponseUnmatched
 	ConnectionAvoided
+	MemoryShort
 	StoreCalls
 	EventsLost
 	kindCount
@@ -142,6 +143,7 @@
 	CallFailed:              {"call-failed", failure, "the call to the target yielded no usable response; fingerprint is set if the call was interrupted"},
 	CallResumed:             {"call-resumed", failure, "the connection to the home at peer became silent; the call was resumed over a new connection"},
 	ConnectionAvoided:       {"connection-avoided", refusal, "the call was not sent again over a connection on which the target rejected it; outcome is the one that it took: idle or new"},
+	MemoryShort:             {"memory-short", stateChange, "a message was refused because messages take all the memory that they may; outcome is what it is held for, count the bytes that are held; at most one event a second"},
 	ResponseUnmatched:       {"response-unmatched", failure, "the target sent a response without the ID of the call that waits for one; reason names its ID, status is its status, age the time since the call was sent"},
 	StoreCalls:              {"store-calls", stateChange, "count calls to the store since the previous event; outcome lists them by purpose, call and outcome"},
 	EventsLost:              {"events-lost", stateChange, "count events were dropped from the log since the previous event; outcome is the number of each kind"},
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -24,6 +24,7 @@
 	"github.com/lugspur/lugspur/internal/fairshare"
 	"github.com/lugspur/lugspur/internal/fingerprint"
 	"github.com/lugspur/lugspur/internal/guard"
+	"github.com/lugspur/lugspur/internal/memorybudget"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/policy"
 	"github.com/lugspur/lugspur/internal/pressure"
@@ -82,10 +83,12 @@
 	Costs     *downstream.Table
 	// FairShares assigns the cohorts of tenants' requests; nil derives them from request IDs.
 	FairShares *fairshare.Estimator
-	Peers      Peers
-	Observer   Observer
-	Log        *eventlog.Log
-	Now        func() time.Time
+	// Memory bounds the bytes of requests and responses; nil means no bound.
+	Memory   *memorybudget.Budget
+	Peers    Peers
+	Observer Observer
+	Log      *eventlog.Log
+	Now      func() time.Time
 }
 
 // Quarantine tracks requests that crash targets. It is safe for concurrent use.
@@ -172,6 +175,7 @@
 	quarantine Quarantine
 	keys       Keys
 	limits     Limits
+	memory     *memorybudget.Budget
 	peers      Peers
 	observer   Observer
 	log        *eventlog.Log
@@ -210,6 +214,7 @@
 		quarantine: dependencies.Quarantine,
 		keys:       dependencies.Keys,
 		limits:     dependencies.Limits,
+		memory:     dependencies.Memory,
 		peers:      dependencies.Peers,
 		observer:   dependencies.Observer,
 		log:        dependencies.Log,
@@ -324,7 +329,10 @@
 	move         callMove
 	// errorReply is the last response that reports an error of the target itself.
 	errorReply *peering.Reply
-	rank       criticality.Rank
+	memory     requestMemory
+	// callerTimeout is the timeout that the caller sent, zero if it sent none.
+	callerTimeout time.Duration
+	rank          criticality.Rank
 	// nested is set if a request that runs at the local target made this one.
 	nested bool
 	// parent is the ID of that request, parentRoute its route, and callNumber the number
@@ -353,9 +361,11 @@
 		w.Header().Set("Connection", "close")
 	}
 	q, failure := f.receive(w, r, started)
+	defer q.memory.release()
 	if failure != nil {
 		f.returnPermit(q, failure)
 		f.writeProblem(w, q, failure)
+		q.discardBody(w, r)
 		return
 	}
 	ctx, cancel := clock.WithTimeout(r.Context(), q.deadline.Sub(f.now()))
@@ -364,6 +374,7 @@
 		defer clock.AfterFunc(q.parentContext, cancel)()
 	}
 	reply, failure := f.run(ctx, q)
+	q.releaseBody()
 	if q.nested && (failure != nil || reply.Status >= http.StatusMultipleChoices) {
 		f.local.RecordCallFailure(q.parent)
 	}
--- /dev/null
+++ b/internal/forward/memory.go
@@ -0,0 +1,134 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/lugspur/lugspur/internal/memorybudget"
+	"github.com/lugspur/lugspur/internal/problem"
+)
+
+// stalledReaderTimeout is how long a caller may read nothing of a large response before it is cut
+// off.
+const stalledReaderTimeout = 5 * time.Second
+
+// abandonedGrace is the time after a caller's own timeout from which on it is known not to read a
+// large response any more.
+const abandonedGrace = time.Second
+
+// requestMemory holds the reservations of a request.
+type requestMemory struct {
+	body, response, errorResponse memorybudget.Reservation
+	// bodyRefused is set if the body was not read completely because there was no memory for it.
+	bodyRefused bool
+}
+
+func (m *requestMemory) release() {
+	m.body.Release()
+	m.response.Release()
+	m.errorResponse.Release()
+}
+
+// keepErrorResponse keeps the reservation of a response beside that of the next offer.
+func (m *requestMemory) keepErrorResponse() {
+	m.errorResponse.Release()
+	m.errorResponse, m.response = m.response, memorybudget.Reservation{}
+}
+
+// readBodyInMemory reads the request's body. The caller must send a large one before the request's
+// deadline, so that a stalled one does not take memory for longer.
+func (f *Forwarder) readBodyInMemory(w http.ResponseWriter, r *http.Request, q *request) ([]byte, error) {
+	limits := f.memory.Limits()
+	q.memory.body = f.memory.Reservation(memorybudget.Request)
+	read := func() ([]byte, error) {
+		return memorybudget.Read(r.Body, r.ContentLength, limits.MaxMessage(), &q.memory.body)
+	}
+	if r.ContentLength >= 0 && r.ContentLength <= memorybudget.SmallBytes {
+		return read()
+	}
+	controller := http.NewResponseController(w)
+	// A connection without deadlines is served all the same.
+	_ = controller.SetReadDeadline(f.socketDeadline(q))
+	body, err := read()
+	switch {
+	case err == nil:
+		_ = controller.SetReadDeadline(time.Time{})
+	case errors.Is(err, memorybudget.ErrExceeded), errors.Is(err, memorybudget.ErrTooLarge):
+		q.memory.bodyRefused = true
+		// The response is written while the caller still sends the body.
+		_ = controller.EnableFullDuplex()
+	}
+	return body, err
+}
+
+// socketDeadline returns the request's deadline in the time of sockets.
+func (f *Forwarder) socketDeadline(q *request) time.Time {
+	return time.Now().Add(q.deadline.Sub(f.now()))
+}
+
+// refuseForMemory returns the problem for a request that was not executed because there was no
+// memory for one of its messages.
+func (f *Forwarder) refuseForMemory(q *request, detail string) *problem.Problem {
+	return f.refusal(q, problem.Overloaded, "memory", detail, f.memory.RetryDelay())
+}
+
+// discardBody reads the rest of a body that was refused after the response was written. Many callers
+// read no response before they have sent the whole body, and closing the connection would reset it.
+func (q *request) discardBody(w http.ResponseWriter, r *http.Request) {
+	if !q.memory.bodyRefused {
+		return
+	}
+	q.memory.body.Release()
+	_ = http.NewResponseController(w).Flush()
+	_, _ = io.Copy(io.Discard, r.Body)
+}
+
+// releaseBody releases the request's body, which is not needed while the caller reads the response.
+func (q *request) releaseBody() {
+	q.call.Body = nil
+	q.memory.body.Release()
+}
+
+// reserveResponse reserves room for the usual response of the request's route before it is offered to
+// a home. It returns the final problem of the request if there is none.
+func (f *Forwarder) reserveResponse(q *request) *problem.Problem {
+	q.memory.response.Release()
+	q.memory.response = f.memory.Reservation(memorybudget.Response)
+	switch {
+	case q.memory.response.GrowToUsual(q.route.Name):
+		return nil
+	case q.attempts > 0:
+		return f.problem(problem.TargetFailed, problem.ExecutedUnknown, "memory", string(q.lastReason)+": no memory left for the response")
+	}
+	return f.refuseForMemory(q, "no memory left for the response")
+}
+
+// readTimeout returns how long the caller of a request may read nothing of a large response. It is
+// not positive once the caller has given up.
+func (f *Forwarder) readTimeout(q *request) time.Duration {
+	if q.callerTimeout == 0 {
+		return stalledReaderTimeout
+	}
+	return min(stalledReaderTimeout, q.callerTimeout+abandonedGrace-f.now().Sub(q.arrived))
+}
+
+// writeBody writes the body of a response. A caller that does not read a large one, or no longer
+// waits for it, is cut off, as it takes memory from others.
+func (f *Forwarder) writeBody(w http.ResponseWriter, q *request, body []byte) {
+	if len(body) <= memorybudget.SmallBytes {
+		_, _ = w.Write(body)
+		return
+	}
+	controller := http.NewResponseController(w)
+	for len(body) > 0 {
+		part := body[:min(len(body), memorybudget.SmallBytes)]
+		body = body[len(part):]
+		_ = controller.SetWriteDeadline(time.Now().Add(f.readTimeout(q)))
+		if _, err := w.Write(part); err != nil {
+			return
+		}
+	}
+	_ = controller.SetWriteDeadline(time.Time{})
+}
--- a/internal/forward/receive.go
+++ b/internal/forward/receive.go
@@ -2,8 +2,8 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -11,6 +11,7 @@
 	"github.com/lugspur/lugspur/internal/callheader"
 	"github.com/lugspur/lugspur/internal/ending"
 	"github.com/lugspur/lugspur/internal/guard"
+	"github.com/lugspur/lugspur/internal/memorybudget"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/pressure"
 	"github.com/lugspur/lugspur/internal/problem"
@@ -59,6 +60,7 @@
 		return q, f.problem(problem.BadRequest, problem.ExecutedNo, "receive", "no request id")
 	}
 	q.deadline = started.Add(f.timeoutOf(q.route, r.Header))
+	q.callerTimeout, _ = f.callerTimeout(r.Header)
 	if !f.endsBeforeShutdown(q) {
 		return q, f.problem(problem.NotReady, problem.ExecutedNo, "receive", "the node is about to end").WithRetryDelay(notReadyDelay)
 	}
@@ -78,7 +80,7 @@
 	if failure := f.checkLimit(r.Context(), q); failure != nil {
 		return q, failure
 	}
-	body, failure := f.readBody(w, r, table.Limits().MaxBodyBytes)
+	body, failure := f.readBody(w, r, q, table.Limits().MaxBodyBytes)
 	if failure != nil {
 		return q, failure
 	}
@@ -213,7 +215,7 @@
 	return time.Duration(millis) * time.Millisecond, true
 }
 
-func (f *Forwarder) readBody(w http.ResponseWriter, r *http.Request, maxBytes int64) ([]byte, *problem.Problem) {
+func (f *Forwarder) readBody(w http.ResponseWriter, r *http.Request, q *request, maxBytes int64) ([]byte, *problem.Problem) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
@@ -226,18 +228,17 @@
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, maxBytes)
 	}
-	var body []byte
-	var err error
-	if r.ContentLength > 0 {
-		body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(r.Body, body)
-	} else {
-		body, err = io.ReadAll(r.Body)
-	}
+	body, err := f.readBodyInMemory(w, r, q)
 	var limitError *http.MaxBytesError
 	switch {
 	case errors.As(err, &limitError):
 		return nil, tooLarge()
+	case errors.Is(err, memorybudget.ErrTooLarge):
+		return nil, f.problem(problem.BodyTooLarge, problem.ExecutedNo, "receive", "the body is larger than the node's memory for bodies")
+	case errors.Is(err, memorybudget.ErrExceeded):
+		return nil, f.refuseForMemory(q, "no memory left for the body")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, f.problem(problem.DeadlineExceeded, problem.ExecutedNo, "receive", "the body did not arrive before the deadline")
 	case err != nil:
 		return nil, f.problem(problem.BadRequest, problem.ExecutedNo, "receive", "the body ended early")
 	}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -21,7 +21,7 @@
 	header.Set(f.config.Headers.RequestID, q.id)
 	header.Set("Content-Length", strconv.Itoa(len(reply.Body)))
 	w.WriteHeader(reply.Status)
-	_, _ = w.Write(reply.Body)
+	f.writeBody(w, q, reply.Body)
 	duration := f.now().Sub(q.arrived)
 	f.observer.RequestFinished(q.route.Name, reply.Status, "", duration)
 	f.log.Record(eventlog.Event{Kind: eventlog.RequestAnswered, Request: q.id, Route: q.route.Name, Service: q.service,
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/lugspur/lugspur/internal/clock"
 	"github.com/lugspur/lugspur/internal/eventlog"
+	"github.com/lugspur/lugspur/internal/memorybudget"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/pressure"
 	"github.com/lugspur/lugspur/internal/problem"
@@ -51,6 +52,9 @@
 		if f.wouldMissDeadline(q, next) {
 			return nil, f.refusal(q, problem.Overloaded, "run", "no home is likely to answer in time", missedDeadlineDelay)
 		}
+		if failure := f.reserveResponse(q); failure != nil {
+			return nil, failure
+		}
 		if failure := f.spendRetryBudget(q); failure != nil {
 			return nil, failure
 		}
@@ -74,6 +78,7 @@
 				return reply, nil
 			}
 			q.errorReply = reply
+			q.memory.keepErrorResponse()
 			q.lastReason = peering.TargetFailed
 			q.excluded = append(q.excluded, home)
 			continue
@@ -238,6 +243,7 @@
 	if announced, known := f.announced.get(home.Instance); known {
 		call.Target = announced.TargetAnnouncement
 	}
+	call.ResponseMemory = &q.memory.response
 	call.WantCost = f.costs.Wanted(q.route.Name, q.service)
 	now := f.now()
 	call.Remaining = q.deadline.Sub(now)
@@ -288,6 +294,8 @@
 		reason = peering.DeadlinePassed
 	case ctx.Err() != nil:
 		reason = peering.CallCanceled
+	case errors.Is(err, memorybudget.ErrExceeded):
+		reason = peering.OutOfMemory
 	case errors.Is(clock.Cause(offerCtx), errSuspected):
 		reason = peering.Suspected
 	default:
@@ -313,6 +321,7 @@
 	}
 	if reply.Outcome == peering.Answered {
 		f.homes.recordResponseSize(q.route.Name, len(reply.Body))
+		f.memory.RecordResponse(q.route.Name, len(reply.Body))
 	}
 	if reply.Load.Limit > 0 {
 		f.levels.Report(q.route.Name, home.Address, pressure.Level{Threshold: reply.Load.Threshold, CallsPerRequest: reply.Load.CallsPerRequest, RetryBudgetLow: reply.Load.RetryBudgetLow}, reply.Load.Limit)
--- a/internal/guard/exchange.go
+++ b/internal/guard/exchange.go
@@ -31,12 +31,15 @@
 }
 
 // checkBeforeSend returns the refusal of an admitted call that must not be sent any more: its
-// deadline has passed, or its quarantine state or the target's rate limit has changed while
+// deadline has passed, there is no memory for its usual response, or its quarantine state or the target's rate limit has changed while
 // it was queued.
 func (g *Guard) checkBeforeSend(inc *incarnation, admitted *admission, call *peering.Call, screened *screening, remainingMillis int64) *peering.Reply {
 	if remainingMillis <= 0 {
 		return refusedReply(peering.WouldMissDeadline)
 	}
+	if !call.ResponseMemory.GrowToUsual(call.Route) {
+		return &peering.Reply{Outcome: peering.Refused, Reason: peering.OutOfMemory, RetryAfter: call.ResponseMemory.RetryDelay()}
+	}
 	if reply := g.screenBeforeSend(screened, call); reply != nil {
 		return reply
 	}
@@ -148,6 +151,7 @@
 		// A call that may run twice is rather sent to another target than left waiting.
 		SkipUnattributed: call.AtMostOnce,
 		RepeatableUntil:  deadline,
+		Memory:           call.ResponseMemory,
 	}
 }
 
@@ -214,6 +218,8 @@
 		return refusedReply(peering.Misdirected)
 	case response.Header.Get(names.NotExecuted) != "":
 		return refusedReply(peering.TargetFull)
+	case response.OutOfMemory:
+		return failedReply(peering.OutOfMemory)
 	case response.Remainder != nil:
 		return failedReply(peering.InvalidResponse)
 	case response.Header.Get("Content-Encoding") != "":
--- a/internal/memorybudget/budget.go
+++ b/internal/memorybudget/budget.go
@@ -60,6 +60,7 @@
 type Budget struct {
 	limits    Limits
 	now       func() time.Time
+	created   time.Time
 	onRefused func(purpose Purpose, size, held int64)
 	responses ResponseSizes
 	// collect runs the garbage collector and returns once it has ended.
@@ -78,7 +79,7 @@
 // New returns a budget. onRefused is called for each message that is refused, with its size as far
 // as it is known and the bytes held; it may be nil.
 func New(limits Limits, now func() time.Time, onRefused func(purpose Purpose, size, held int64)) *Budget {
-	return &Budget{limits: limits, now: now, onRefused: onRefused, collect: runtime.GC}
+	return &Budget{limits: limits, now: now, created: now(), onRefused: onRefused, collect: runtime.GC}
 }
 
 // Limits returns the limits, which are those without a bound for a nil Budget.
@@ -122,8 +123,8 @@
 	budget  *Budget
 	purpose Purpose
 	bytes   int64
-	// largeSince is when the message became larger than SmallBytes.
-	largeSince time.Time
+	// largeSince is the age of the budget when the message became larger than SmallBytes.
+	largeSince time.Duration
 }
 
 // Grow reserves room for a message of the size. It returns false, and changes nothing, if there is
@@ -164,8 +165,8 @@
 	}
 	b.held[r.purpose].Add(growth)
 	r.bytes = size
-	if size > SmallBytes && r.largeSince.IsZero() {
-		r.largeSince = b.now()
+	if size > SmallBytes && r.largeSince == 0 {
+		r.largeSince = max(b.age(), 1)
 	}
 	return true
 }
@@ -190,9 +191,9 @@
 		return
 	}
 	r.shrink(0)
-	if !r.largeSince.IsZero() {
-		r.budget.recordHoldTime(r.budget.now().Sub(r.largeSince))
-		r.largeSince = time.Time{}
+	if r.largeSince != 0 {
+		r.budget.recordHoldTime(r.budget.age() - r.largeSince)
+		r.largeSince = 0
 	}
 }
 
@@ -226,6 +227,9 @@
 	return uncollected > minCollectBytes && b.total.Load()+uncollected+growth > b.limits.Total
 }
 
+// age returns the time since the budget was created.
+func (b *Budget) age() time.Duration { return b.now().Sub(b.created) }
+
 // recordHoldTime adds the time for which a large message was held to the average. An update that
 // runs concurrently with another one may be lost.
 func (b *Budget) recordHoldTime(held time.Duration) {
--- a/internal/peering/client.go
+++ b/internal/peering/client.go
@@ -13,6 +13,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/lugspur/lugspur/internal/clock"
+	"github.com/lugspur/lugspur/internal/memorybudget"
 	"github.com/lugspur/lugspur/internal/quarantine"
 	"github.com/lugspur/lugspur/internal/ratelimit"
 	"github.com/lugspur/lugspur/internal/registry"
@@ -38,6 +39,9 @@
 	MaxIdle int
 	// Address is the address at which peers reach this node.
 	Address string
+	// Memory bounds the bytes of messages other than replies to calls, which have a
+	// reservation of their own; nil means no bound.
+	Memory *memorybudget.Budget
 	// Codec encodes calls and decodes replies. It must be the same on all nodes.
 	Codec *Codec
 	// OnInterim is called for each interim response (1xx) of the node at the address, which
@@ -88,14 +92,17 @@
 	if c.antiEntropy != nil {
 		call.Digests = c.antiEntropy.Digests()
 	}
-	// The content of the reply is copied from the message.
 	received := newBuffer()
 	defer freeBuffer(received)
 	response, err := c.callWithResumption(ctx, address, call, sentAt, received)
 	if err != nil {
 		return nil, err
 	}
-	reply, err := c.config.Codec.decodeReply(response.Body)
+	decode := c.config.Codec.decodeReplyInPlace
+	if response.InBuffer {
+		decode = c.config.Codec.decodeReply
+	}
+	reply, err := decode(response.Body)
 	if err != nil {
 		return nil, decodeError(address, err)
 	}
@@ -112,7 +119,7 @@
 // earlier one ran the call. The reply is read into the buffer.
 func (c *Client) callWithResumption(ctx context.Context, address string, call *Call, started time.Time, received *bytes.Buffer) (*transport.Response, error) {
 	remaining := call.Remaining
-	exchange := &transport.Call{Method: http.MethodPost, Host: peerHost, RequestURI: callPath, BodyBuffer: received}
+	exchange := &transport.Call{Method: http.MethodPost, Host: peerHost, RequestURI: callPath, BodyBuffer: received, Memory: call.ResponseMemory}
 	if call.Process != 0 {
 		exchange.SilenceTimeout = silenceTimeout
 	}
@@ -123,8 +130,8 @@
 	defer freeBuffer(buffer)
 	for {
 		buffer.Reset()
-		c.config.Codec.encodeCall(buffer, call)
-		exchange.Body = buffer.Bytes()
+		message := c.config.Codec.encodeCallMessage(buffer, call)
+		exchange.Body, exchange.Rest = message.envelope, message.body
 		response, err := c.exchange(ctx, address, exchange)
 		if err == nil {
 			return response, nil
@@ -220,12 +227,21 @@
 
 func (c *Client) exchange(ctx context.Context, address string, call *transport.Call) (*transport.Response, error) {
 	call.PlainResponseBytes = c.config.MaxMessageBytes
+	if call.Memory == nil {
+		memory := c.config.Memory.Reservation(memorybudget.Control)
+		defer memory.Release()
+		call.Memory = &memory
+	}
 	response, err := c.pool(address).Exchange(ctx, call)
 	if err != nil {
 		var failure *transport.Failure
 		sent := !errors.As(err, &failure) || failure.Sent
 		return nil, &Error{Sent: sent, cause: err}
 	}
+	if response.OutOfMemory {
+		response.Close()
+		return nil, &Error{Sent: true, cause: memorybudget.ErrExceeded}
+	}
 	if response.Remainder != nil {
 		response.Close()
 		return nil, &Error{Sent: true, cause: fmt.Errorf("message from %s is too large", address)}
--- a/internal/peering/exchanges.go
+++ b/internal/peering/exchanges.go
@@ -18,7 +18,7 @@
 	// done is closed when the run has ended; it is nil unless a resumption waits for the end.
 	// reply is the encoded reply of an ended run, nil if it was not retained.
 	done  chan struct{}
-	reply []byte
+	reply *encodedMessage
 	// cancel cancels the run. It is nil once the run has ended, so that the context is not
 	// kept.
 	cancel context.CancelFunc
@@ -77,7 +77,7 @@
 		return known, false
 	}
 	if known != nil {
-		t.retainedBytes -= len(known.reply)
+		t.retainedBytes -= known.reply.size()
 	}
 	e = &exchange{key: key, cancel: cancel, atMostOnce: call.AtMostOnce, resumed: call.Resumed}
 	t.exchanges[key] = e
@@ -96,14 +96,14 @@
 }
 
 // finish ends an exchange and retains its reply for resumptions.
-func (t *exchangeTable) finish(e *exchange, reply []byte) {
+func (t *exchangeTable) finish(e *exchange, reply *encodedMessage) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	e.endedAt = t.now()
 	e.cancel = nil
-	if t.exchanges[e.key] == e && t.retainedBytes+len(reply) <= maxRetainedBytes {
+	if t.exchanges[e.key] == e && t.retainedBytes+reply.size() <= maxRetainedBytes {
 		e.reply = reply
-		t.retainedBytes += len(reply)
+		t.retainedBytes += reply.size()
 	}
 	if e.done != nil {
 		close(e.done)
@@ -121,7 +121,7 @@
 }
 
 // reply returns the reply of an ended exchange, nil if it was not retained.
-func (t *exchangeTable) reply(e *exchange) []byte {
+func (t *exchangeTable) reply(e *exchange) *encodedMessage {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	return e.reply
@@ -141,7 +141,7 @@
 		}
 		age := now.Sub(e.endedAt)
 		if age >= replyRetention && e.reply != nil {
-			t.retainedBytes -= len(e.reply)
+			t.retainedBytes -= e.reply.size()
 			e.reply = nil
 		}
 		if age >= exchangeRetention || (age >= replyRetention && !e.resumed && !e.atMostOnce) {
--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -13,6 +13,7 @@
 
 	"github.com/lugspur/lugspur/internal/downstream"
 	"github.com/lugspur/lugspur/internal/fingerprint"
+	"github.com/lugspur/lugspur/internal/memorybudget"
 	"github.com/lugspur/lugspur/internal/pace"
 	"github.com/lugspur/lugspur/internal/quarantine"
 	"github.com/lugspur/lugspur/internal/ratelimit"
@@ -94,6 +95,9 @@
 	// its replicas are complete.
 	From    string
 	Digests []replica.Digest
+	// ResponseMemory is this node's reservation for the response, which grows to its size; nil means
+	// no bound. It is not sent.
+	ResponseMemory *memorybudget.Reservation
 }
 
 // Fingerprint returns the fingerprint of the request's content.
@@ -276,6 +280,8 @@
 	Quarantined Reason = "quarantined"
 	// InvalidResponse: the target's response was invalid and must not be passed on.
 	InvalidResponse Reason = "spoilt"
+	// OutOfMemory: a node had no memory left for the call or its response.
+	OutOfMemory Reason = "out-of-memory"
 	// DeadlinePassed: the deadline expired before the response.
 	DeadlinePassed Reason = "deadline"
 	// CallCanceled: the caller canceled the call or disconnected.
--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -3,13 +3,16 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/lugspur/lugspur/internal/clock"
+	"github.com/lugspur/lugspur/internal/memorybudget"
 	"github.com/lugspur/lugspur/internal/quarantine"
 	"github.com/lugspur/lugspur/internal/ratelimit"
 	"github.com/lugspur/lugspur/internal/registry"
@@ -23,6 +26,12 @@
 	Run(ctx context.Context, call *Call) *Reply
 }
 
+// loadReporter is a Home that reports its load.
+type loadReporter interface {
+	// Load returns the load that replies to calls of the route report.
+	Load(route string) Load
+}
+
 // ServerConfig configures the Handler of a node's exchanges with its peers.
 type ServerConfig struct {
 	Home        Home
@@ -37,6 +46,8 @@
 	MaxMessageBytes int64
 	// Process identifies this process among those that used the address; it is not zero.
 	Process uint32
+	// Memory bounds the bytes that received messages take; nil means no bound.
+	Memory *memorybudget.Budget
 }
 
 // server handles the exchanges of peers.
@@ -67,26 +78,68 @@
 	return mux
 }
 
+// callMemory holds the reservations of a call.
+type callMemory struct{ call, response memorybudget.Reservation }
+
+func (m *callMemory) release() {
+	m.call.Release()
+	m.response.Release()
+}
+
 func (s *server) serveCall(w http.ResponseWriter, r *http.Request) {
-	call, err := s.readCall(r)
+	memory := &callMemory{call: s.Memory.Reservation(memorybudget.PeerCall), response: s.Memory.Reservation(memorybudget.PeerReply)}
+	defer memory.release()
+	call, err := s.readCall(r, &memory.call)
+	if errors.Is(err, memorybudget.ErrExceeded) {
+		s.refuseCall(w, r, &memory.call)
+		return
+	}
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	deadline := time.Now().Add(call.Remaining)
 	s.AntiEntropy.HandleCallDigests(call.From, call.Digests)
 	interim := startInterimWriter(w)
+	call.ResponseMemory = &memory.response
 	reply, completed := s.runOrResume(r.Context(), call)
 	interim.stop()
+	// The call's body is no longer needed while the caller reads the response.
+	memory.call.Release()
 	if completed {
-		writeResponse(w, reply)
+		writeMessage(w, reply, deadline)
 	}
 }
 
-// readCall reads a call. Its content is copied from the message.
-func (s *server) readCall(r *http.Request) (*Call, error) {
+// refuseCall answers a call for which there is no memory. It reads the rest of the call first, as the
+// caller reads no reply before it has sent the whole call.
+func (s *server) refuseCall(w http.ResponseWriter, r *http.Request, memory *memorybudget.Reservation) {
+	memory.Release()
+	if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, s.MaxMessageBytes)); err != nil {
+		return
+	}
+	reply := &Reply{Outcome: Refused, Reason: OutOfMemory, RetryAfter: s.Memory.RetryDelay()}
+	if home, ok := s.Home.(loadReporter); ok {
+		reply.Load = home.Load("")
+	}
+	writeResponse(w, s.encode(reply).envelope)
+}
+
+// readCall reads a call. Its content is copied from the message unless the message is large.
+func (s *server) readCall(r *http.Request, memory *memorybudget.Reservation) (*Call, error) {
+	if r.ContentLength < 0 || r.ContentLength > maxPooledBytes {
+		content, err := memorybudget.Read(r.Body, r.ContentLength, s.MaxMessageBytes, memory)
+		if err != nil {
+			return nil, err
+		}
+		return s.Codec.decodeCallInPlace(content)
+	}
+	if !memory.Grow(r.ContentLength) {
+		return nil, memorybudget.ErrExceeded
+	}
 	buffer := newBuffer()
 	defer freeBuffer(buffer)
-	content, err := readBodyInto(buffer, r, s.MaxMessageBytes)
+	content, err := readInto(buffer, r)
 	if err != nil {
 		return nil, err
 	}
@@ -95,7 +148,7 @@
 
 // runOrResume runs the call, or waits for the run that it resumes, and returns the
 // encoded reply. It returns false if the caller disconnected first.
-func (s *server) runOrResume(ctx context.Context, call *Call) (reply []byte, completed bool) {
+func (s *server) runOrResume(ctx context.Context, call *Call) (reply *encodedMessage, completed bool) {
 	if call.Resumed && call.Process != s.Process {
 		// The process that first received the call may have run it.
 		return s.encode(&Reply{Outcome: Failed, Reason: ExchangeBroken}), true
@@ -105,7 +158,11 @@
 	exchange, mustRun := s.exchanges.open(call, cancel)
 	if mustRun {
 		defer cancel()
-		reply = s.encode(s.Home.Run(runCtx, call))
+		result := s.Home.Run(runCtx, call)
+		if result.Outcome == Answered {
+			s.Memory.RecordResponse(call.Route, len(result.Body))
+		}
+		reply = s.encode(result)
 		s.exchanges.finish(exchange, reply)
 		return reply, true
 	}
@@ -125,13 +182,15 @@
 	return reply, true
 }
 
-func (s *server) encode(reply *Reply) []byte {
+func (s *server) encode(reply *Reply) *encodedMessage {
 	reply.Digests = s.AntiEntropy.Digests()
-	return s.Codec.encodeReply(reply)
+	return s.Codec.encodeReplyMessage(reply)
 }
 
 func (s *server) serveQuery(w http.ResponseWriter, r *http.Request) {
-	content, err := readBody(r, s.MaxMessageBytes)
+	memory := s.Memory.Reservation(memorybudget.Control)
+	defer memory.Release()
+	content, err := memorybudget.Read(r.Body, r.ContentLength, s.MaxMessageBytes, &memory)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -145,7 +204,9 @@
 }
 
 func (s *server) serveNotice(w http.ResponseWriter, r *http.Request) {
-	content, err := readBody(r, s.MaxMessageBytes)
+	memory := s.Memory.Reservation(memorybudget.Control)
+	defer memory.Release()
+	content, err := memorybudget.Read(r.Body, r.ContentLength, s.MaxMessageBytes, &memory)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -160,7 +221,9 @@
 }
 
 func (s *server) serveDeparture(w http.ResponseWriter, r *http.Request) {
-	content, err := readBody(r, s.MaxMessageBytes)
+	memory := s.Memory.Reservation(memorybudget.Control)
+	defer memory.Release()
+	content, err := memorybudget.Read(r.Body, r.ContentLength, s.MaxMessageBytes, &memory)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -179,7 +242,9 @@
 const maxStartNoticeBytes = 4 << 10
 
 func (s *server) serveStart(w http.ResponseWriter, r *http.Request) {
-	content, err := readBody(r, min(maxStartNoticeBytes, s.MaxMessageBytes))
+	memory := s.Memory.Reservation(memorybudget.Control)
+	defer memory.Release()
+	content, err := memorybudget.Read(r.Body, r.ContentLength, min(maxStartNoticeBytes, s.MaxMessageBytes), &memory)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -194,7 +259,9 @@
 }
 
 func (s *server) servePermits(w http.ResponseWriter, r *http.Request) {
-	content, err := readBody(r, s.MaxMessageBytes)
+	memory := s.Memory.Reservation(memorybudget.Control)
+	defer memory.Release()
+	content, err := memorybudget.Read(r.Body, r.ContentLength, s.MaxMessageBytes, &memory)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -207,19 +274,9 @@
 	writeResponse(w, encode(s.Permits.Issue(&request).Wire()))
 }
 
-func readBody(r *http.Request, maxBytes int64) ([]byte, error) {
-	return readBodyInto(new(bytes.Buffer), r, maxBytes)
-}
-
-// readBodyInto returns the request's body, which is valid until the buffer is used again.
-func readBodyInto(buffer *bytes.Buffer, r *http.Request, maxBytes int64) ([]byte, error) {
-	if r.ContentLength > maxBytes {
-		return nil, http.ErrContentLength
-	}
-	if r.ContentLength < 0 {
-		_, err := buffer.ReadFrom(io.LimitReader(r.Body, maxBytes))
-		return buffer.Bytes(), err
-	}
+// readInto returns the body of a request with a Content-Length, which is valid until the buffer is
+// used again.
+func readInto(buffer *bytes.Buffer, r *http.Request) ([]byte, error) {
 	buffer.Grow(int(r.ContentLength))
 	content := buffer.AvailableBuffer()[:r.ContentLength]
 	_, err := io.ReadFull(r.Body, content)
@@ -241,3 +298,25 @@
 	}
 	_, _ = w.Write(content)
 }
+
+// writeMessage writes a reply. The caller is cut off if it has not read a large one by the deadline.
+func writeMessage(w http.ResponseWriter, reply *encodedMessage, deadline time.Time) {
+	if len(reply.body) == 0 {
+		writeResponse(w, reply.envelope)
+		return
+	}
+	controller := http.NewResponseController(w)
+	// The connection has no deadline without an error, so that the reply is written in any case.
+	_ = controller.SetWriteDeadline(deadline)
+	header := w.Header()
+	header["Content-Type"] = nil
+	header["Date"] = nil
+	header.Set("Content-Length", strconv.Itoa(reply.size()))
+	_, err := w.Write(reply.envelope)
+	if err == nil {
+		_, err = w.Write(reply.body)
+	}
+	if err == nil {
+		_ = controller.SetWriteDeadline(time.Time{})
+	}
+}
--- a/internal/peering/wire.go
+++ b/internal/peering/wire.go
@@ -59,7 +59,7 @@
 	URI        string    `cbor:"4,keyasint"`
 	Host       string    `cbor:"5,keyasint"`
 	Header     wireTexts `cbor:"6,keyasint,omitempty"`
-	Body       []byte    `cbor:"7,keyasint,omitempty"`
+	Body       wireBody  `cbor:"7,keyasint,omitempty"`
 	Remaining  int64     `cbor:"8,keyasint"`
 	Caller     string    `cbor:"9,keyasint"`
 	Route      string    `cbor:"10,keyasint"`
@@ -89,7 +89,7 @@
 	Reason           Reason       `cbor:"2,keyasint,omitempty"`
 	Status           int          `cbor:"3,keyasint,omitempty"`
 	Header           wireTexts    `cbor:"4,keyasint,omitempty"`
-	Body             []byte       `cbor:"5,keyasint,omitempty"`
+	Body             wireBody     `cbor:"5,keyasint,omitempty"`
 	RetryAfter       int64        `cbor:"6,keyasint,omitempty"`
 	TargetError      bool         `cbor:"8,keyasint,omitempty"`
 	Load             wireLoad     `cbor:"7,keyasint"`
@@ -195,7 +195,18 @@
 	return call.Process
 }
 
+// decodeCall decodes a call, which does not refer to the content.
 func (c *Codec) decodeCall(content []byte) (*Call, error) {
+	call, err := c.decodeCallInPlace(content)
+	if err != nil {
+		return nil, err
+	}
+	call.Body = bytes.Clone(call.Body)
+	return call, nil
+}
+
+// decodeCallInPlace decodes a call whose body is part of the content.
+func (c *Codec) decodeCallInPlace(content []byte) (*Call, error) {
 	w := callPool.Get().(*wireCall)
 	defer freeCall(w)
 	if err := cbor.Unmarshal(content, w); err != nil {
@@ -232,7 +243,18 @@
 	return encode(w)
 }
 
+// decodeReply decodes a reply, which does not refer to the content.
 func (c *Codec) decodeReply(content []byte) (*Reply, error) {
+	reply, err := c.decodeReplyInPlace(content)
+	if err != nil {
+		return nil, err
+	}
+	reply.Body = bytes.Clone(reply.Body)
+	return reply, nil
+}
+
+// decodeReplyInPlace decodes a reply whose body is part of the content.
+func (c *Codec) decodeReplyInPlace(content []byte) (*Reply, error) {
 	w := replyPool.Get().(*wireReply)
 	defer freeReply(w)
 	if err := cbor.Unmarshal(content, w); err != nil {
--- a/internal/peering/wire_string.go
+++ b/internal/peering/wire_string.go
@@ -27,6 +27,7 @@
 const (
 	cborLength8  = 24
 	cborLength16 = 25
+	cborLength32 = 26
 )
 
 // cutHead splits a data item of definite length below 64 Ki into its major type, its length and
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -19,6 +19,7 @@
 	"github.com/lugspur/lugspur/internal/fingerprint"
 	"github.com/lugspur/lugspur/internal/forward"
 	"github.com/lugspur/lugspur/internal/guard"
+	"github.com/lugspur/lugspur/internal/memorybudget"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/pressure"
 	"github.com/lugspur/lugspur/internal/quarantine"
@@ -101,6 +102,7 @@
 	costs      *downstream.Table
 	quarantine *quarantine.Quarantine
 	limits     tenantLimits
+	memory     *memorybudget.Budget
 	forwarder  *forward.Forwarder
 	servers    []*server
 	stopping   atomic.Bool
@@ -117,6 +119,7 @@
 		started: clock.Now(), processID: max(rand.Uint32(), 1)}
 	n.log = eventlog.New(eventlog.Config{RootOf: platform.RootRequestID}, settings.Name, output, time.Now)
 	n.metrics = newMetrics(n.log)
+	n.limitMemory()
 	n.createStore()
 	n.feed = configfeed.New(platform.ConfigurationKey, platform.ParseConfiguration, n.routes, n.log, clock.Now)
 	n.directory = registry.NewDirectory(platform.HomesPrefix, settings.advertised(), n.log, clock.Now)
@@ -161,6 +164,7 @@
 	n.codec = peering.NewCodec(platform.Headers().Signature)
 	n.peers = peering.NewClient(peering.ClientConfig{
 		MaxMessageBytes: maxMessageBytes,
+		Memory:          n.memory,
 		DialTimeout:     peerDialTimeout,
 		UserTimeout:     peerUserTimeout,
 		KeepAlive:       peerKeepAlive,
@@ -247,6 +251,7 @@
 		Quarantine: n.quarantine,
 		Keys:       apikey.NewChecker(n.routes, configfeed.NewFreshness(n.feed, n.replicas.configuration), n.settings.Tenants.revocationTime()),
 		Limits:     n.limits.limiter,
+		Memory:     n.memory,
 		Peers:      n.peers,
 		Observer:   n.metrics,
 		Log:        n.log,
--- a/internal/sidecar/tenants.go
+++ b/internal/sidecar/tenants.go
@@ -116,5 +116,5 @@
 // peerServices returns the services that the node offers to its peers.
 func (n *Node) peerServices() peering.ServerConfig {
 	return peering.ServerConfig{Home: n.guard, AntiEntropy: n.replicas.antiEntropy, Quarantine: n.quarantine, Departures: n.registrar, Starts: n.registrar, Permits: n.limits.issuer,
-		Codec: n.codec, MaxMessageBytes: maxMessageBytes, Process: n.processID}
+		Codec: n.codec, MaxMessageBytes: maxMessageBytes, Process: n.processID, Memory: n.memory}
 }
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -294,7 +294,7 @@
 // framingHeaders are the headers that the transport sets itself.
 var framingHeaders = map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Connection": true}
 
-// encode encodes the call as an HTTP/1.1 request. The method, the URI and the header were
+// encode encodes the call as an HTTP/1.1 request, without a body that is too large to be copied. The method, the URI and the header were
 // parsed by net/http or created by this program, so none of them contains a line break;
 // WriteSubset replaces line breaks in header values anyway.
 func encode(host string, call *Call) *encodedCall {
@@ -309,16 +309,30 @@
 	message.WriteString(host)
 	message.WriteString("\r\n")
 	_ = call.Header.WriteSubset(message, framingHeaders)
-	if len(call.Body) > 0 || expectsBody(call.Method) {
+	if length := len(call.Body) + len(call.Rest); length > 0 || expectsBody(call.Method) {
 		message.WriteString("Content-Length: ")
-		message.WriteString(strconv.Itoa(len(call.Body)))
+		message.WriteString(strconv.Itoa(length))
 		message.WriteString("\r\n")
 	}
 	message.WriteString("\r\n")
-	message.Write(call.Body)
+	if len(call.Body) <= maxBufferedCopy {
+		message.Write(call.Body)
+	}
 	return message
 }
 
+// write writes a call of which the message holds all but a large body and the rest.
+func (c *connection) write(message []byte, call *Call) (written int, err error) {
+	written, err = c.socket.Write(message)
+	if err == nil && len(call.Body) > maxBufferedCopy {
+		_, err = c.socket.Write(call.Body)
+	}
+	if err == nil && len(call.Rest) > 0 {
+		_, err = c.socket.Write(call.Rest)
+	}
+	return written, err
+}
+
 // expectsBody reports whether the method usually has a body, in which case
 // Content-Length is sent even for an empty one.
 func expectsBody(method string) bool {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -23,6 +23,8 @@
 	"slices"
 	"syscall"
 	"time"
+
+	"github.com/lugspur/lugspur/internal/memorybudget"
 )
 
 // Config describes how to reach a target.
@@ -109,6 +111,8 @@
 	RequestURI string
 	Header     http.Header
 	Body       []byte
+	// Rest follows Body as a further part of the request's body.
+	Rest []byte
 	// OnHeader is called for the header of each final response on the connection, including
 	// those that are skipped; it may be nil.
 	OnHeader func(status int, header http.Header)
@@ -134,9 +138,12 @@
 	PlainResponseBytes int64
 	// SilenceTimeout overrides Config.SilenceTimeout for this call unless it is zero.
 	SilenceTimeout time.Duration
-	// BodyBuffer, unless it is nil, holds the bytes of Response.Body if the response has a
-	// Content-Length. They are valid until the buffer is used again.
+	// BodyBuffer, unless it is nil, holds the bytes of Response.Body if Response.InBuffer is set.
+	// They are valid until the buffer is used again.
 	BodyBuffer *bytes.Buffer
+	// Memory, unless it is nil, grows to the size of Response.Body. A response for which it cannot
+	// grow, or that is larger than Config.MaxBuffered, has no Body but a Remainder.
+	Memory *memorybudget.Reservation
 }
 
 // Attribution states to which call a response belongs.
@@ -157,6 +164,10 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// InBuffer reports whether Body is part of Call.BodyBuffer.
+	InBuffer bool
+	// OutOfMemory reports whether Call.Memory could not grow to the size of the body.
+	OutOfMemory bool
 	// NoBody reports whether the response has no body regardless of its Content-Length,
 	// such as a response to HEAD.
 	NoBody bool
@@ -222,7 +233,7 @@
 			return nil, p.failure("connect", false, false, err)
 		}
 		c.closeOnDone(ctx)
-		written, err := c.socket.Write(message)
+		written, err := c.write(message, call)
 		if err == nil {
 			return c, nil
 		}
@@ -264,8 +275,11 @@
 		}
 		httpResponse.Close = true
 	}
-	response.Body, err = readUpTo(httpResponse.Body, httpResponse.ContentLength, p.config.MaxBuffered, call.BodyBuffer)
+	err = p.readBody(response, httpResponse, call)
 	switch {
+	case errors.Is(err, memorybudget.ErrExceeded), errors.Is(err, memorybudget.ErrTooLarge):
+		response.OutOfMemory = errors.Is(err, memorybudget.ErrExceeded)
+		response.Remainder = &remainder{pool: p, connection: c, response: httpResponse}
 	case err != nil:
 		p.discard(c)
 		return nil, p.failure("read answer", true, true, contextError(ctx, err))
@@ -332,6 +346,31 @@
 	return err
 }
 
+// maxBufferedCopy is the size up to which a body is read into Call.BodyBuffer, or copied for
+// sending.
+const maxBufferedCopy = 16 << 10
+
+// readBody reads the body of a response.
+func (p *Pool) readBody(response *Response, httpResponse *http.Response, call *Call) (err error) {
+	length := httpResponse.ContentLength
+	buffer := call.BodyBuffer
+	if length < 0 || length > maxBufferedCopy {
+		buffer = nil
+	}
+	response.InBuffer = buffer != nil
+	switch {
+	case call.Memory == nil:
+		response.Body, err = readUpTo(httpResponse.Body, length, p.config.MaxBuffered, buffer)
+	case buffer != nil && !call.Memory.Grow(length):
+		err = memorybudget.ErrExceeded
+	case buffer != nil:
+		response.Body, err = readUpTo(httpResponse.Body, length, p.config.MaxBuffered, buffer)
+	default:
+		response.Body, err = memorybudget.Read(httpResponse.Body, length, p.config.MaxBuffered, call.Memory)
+	}
+	return err
+}
+
 // readUpTo reads the whole body, or limit+1 bytes of a longer one. A negative length
 // means that the length is unknown. A body of known length is read into the buffer unless that is
 // nil.
--- a/lab/platformstub/target.go
+++ b/lab/platformstub/target.go
@@ -79,6 +79,9 @@
 	// CrashPrefix is the path prefix of requests that crash the target at the end of their
 	// service time; empty means that no request does.
 	CrashPrefix string
+	// Respond writes the response to a request in place of the target if it returns true; it may
+	// be nil. The identifying header fields are set.
+	Respond func(w http.ResponseWriter, r *http.Request) bool
 }
 
 const targetSlots = 16
@@ -160,6 +163,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Lugspur-Response-Signature", "signed-by-"+t.ID)
+	if faults.Respond != nil && faults.Respond(w, r) {
+		return
+	}
 	response := fmt.Sprintf("%s %s %s %d %s", t.Service, r.Method, r.URL.Path, len(body), id)
 	if isNth(faults.TruncateEvery, count) {
 		w.Header().Set("Content-Length", strconv.Itoa(len(response)))
