Peering: a call that does not arrive in time releases its memory

What callers saw: nothing yet; a frozen or cut-off node that had sent part of a large call held up to eight times these bytes of the home's budget for messages, from which calls of other nodes were then refused.

Cause: the body of a call was read without a deadline.

Change: a call of more than 16 KiB must arrive within 10 s. Bodies of requests begin with 4 KiB of room in place of 64 KiB, and get the request's deadline above that size, so that many announced bodies that stall take little.

Evidence: TestCallThatDoesNotArriveReleasesItsMemory (waits for the answer in vain without the deadline).

--- a/internal/forward/memory.go
+++ b/internal/forward/memory.go
@@ -14,6 +14,10 @@
 // off.
 const stalledReaderTimeout = 5 * time.Second
 
+// promptBodyBytes is the size up to which a body that does not arrive takes too little memory to
+// matter.
+const promptBodyBytes = 4 << 10
+
 // abandonedGrace is the time after a caller's own timeout from which on it is known not to read a
 // large response any more.
 const abandonedGrace = time.Second
@@ -45,7 +49,7 @@
 	read := func() ([]byte, error) {
 		return memorybudget.Read(r.Body, r.ContentLength, limits.MaxMessage(), &q.memory.body)
 	}
-	if r.ContentLength >= 0 && r.ContentLength <= memorybudget.SmallBytes {
+	if r.ContentLength >= 0 && r.ContentLength <= promptBodyBytes {
 		return read()
 	}
 	controller := http.NewResponseController(w)
--- a/internal/memorybudget/budget_test.go
+++ b/internal/memorybudget/budget_test.go
@@ -162,7 +162,7 @@
 	}()
 	_, err := receiver.Write(make([]byte, 1000))
 	assert.NilError(t, err)
-	assert.Assert(t, b.Held(Request) <= SmallBytes, "%d bytes", b.Held(Request))
+	assert.Assert(t, b.Held(Request) <= maxFirstBytes, "%d bytes", b.Held(Request))
 	assert.NilError(t, receiver.Close())
 	assert.ErrorIs(t, <-done, io.ErrUnexpectedEOF)
 }
--- a/internal/memorybudget/read.go
+++ b/internal/memorybudget/read.go
@@ -12,6 +12,8 @@
 	// growthFactor is the factor by which the memory for a message of known length grows. It bounds
 	// the memory that a sender can take without sending, and the bytes that are copied.
 	growthFactor = 8
+	// maxFirstBytes bounds the memory that is first reserved for a message of known length.
+	maxFirstBytes = 4 << 10
 	// firstUnknownBytes and maxPartBytes are the sizes of the first and of the largest part of a
 	// message of unknown length. Each part has twice the size of the one before.
 	firstUnknownBytes = 1 << 10
@@ -50,7 +52,7 @@
 // firstBytes returns the memory that is first reserved for a message of the length, such that the
 // last growth ends at the length.
 func firstBytes(length int64) int64 {
-	for length > SmallBytes {
+	for length > maxFirstBytes {
 		length /= growthFactor
 	}
 	return length
--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -26,6 +27,9 @@
 	Run(ctx context.Context, call *Call) *Reply
 }
 
+// DefaultMessageTimeout is the default of ServerConfig.MessageTimeout.
+const DefaultMessageTimeout = 10 * time.Second
+
 // loadReporter is a Home that reports its load.
 type loadReporter interface {
 	// Load returns the load that replies to calls of the route report.
@@ -44,6 +48,9 @@
 	Codec      *Codec
 	// MaxMessageBytes bounds the size of a message.
 	MaxMessageBytes int64
+	// MessageTimeout bounds the time in which a large call must arrive; zero selects
+	// DefaultMessageTimeout.
+	MessageTimeout time.Duration
 	// Process identifies this process among those that used the address; it is not zero.
 	Process uint32
 	// Memory bounds the bytes that received messages take; nil means no bound.
@@ -89,7 +96,7 @@
 func (s *server) serveCall(w http.ResponseWriter, r *http.Request) {
 	memory := &callMemory{call: s.Memory.Reservation(memorybudget.PeerCall), response: s.Memory.Reservation(memorybudget.PeerReply)}
 	defer memory.release()
-	call, err := s.readCall(r, &memory.call)
+	call, err := s.readCall(w, r, &memory.call)
 	if errors.Is(err, memorybudget.ErrExceeded) {
 		s.refuseCall(w, r, &memory.call)
 		return
@@ -126,13 +133,9 @@
 }
 
 // readCall reads a call. Its content is copied from the message unless the message is large.
-func (s *server) readCall(r *http.Request, memory *memorybudget.Reservation) (*Call, error) {
+func (s *server) readCall(w http.ResponseWriter, r *http.Request, memory *memorybudget.Reservation) (*Call, error) {
 	if r.ContentLength < 0 || r.ContentLength > maxPooledBytes {
-		content, err := memorybudget.Read(r.Body, r.ContentLength, s.MaxMessageBytes, memory)
-		if err != nil {
-			return nil, err
-		}
-		return s.Codec.decodeCallInPlace(content)
+		return s.readLargeCall(w, r, memory)
 	}
 	if !memory.Grow(r.ContentLength) {
 		return nil, memorybudget.ErrExceeded
@@ -146,6 +149,19 @@
 	return s.Codec.decodeCall(content)
 }
 
+// readLargeCall reads a call, which must arrive in time, as it takes memory from others.
+func (s *server) readLargeCall(w http.ResponseWriter, r *http.Request, memory *memorybudget.Reservation) (*Call, error) {
+	controller := http.NewResponseController(w)
+	// A connection without deadlines is served all the same.
+	_ = controller.SetReadDeadline(time.Now().Add(cmp.Or(s.MessageTimeout, DefaultMessageTimeout)))
+	content, err := memorybudget.Read(r.Body, r.ContentLength, s.MaxMessageBytes, memory)
+	if err != nil {
+		return nil, err
+	}
+	_ = controller.SetReadDeadline(time.Time{})
+	return s.Codec.decodeCallInPlace(content)
+}
+
 // runOrResume runs the call, or waits for the run that it resumes, and returns the
 // encoded reply. It returns false if the caller disconnected first.
 func (s *server) runOrResume(ctx context.Context, call *Call) (reply *encodedMessage, completed bool) {
--- a/internal/peering/wire_body_test.go
+++ b/internal/peering/wire_body_test.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -127,3 +130,18 @@
 	var failure *Error
 	assert.Assert(t, errors.As(err, &failure) && failure.Sent)
 }
+
+func TestCallThatDoesNotArriveReleasesItsMemory(t *testing.T) {
+	memory := newMemory(8 << 20)
+	server := httptest.NewServer(Handler(ServerConfig{Home: &bodyHome{}, AntiEntropy: newFakeAntiEntropy(1), Codec: testCodec, MaxMessageBytes: 8 << 20, Process: testProcess, Memory: memory, MessageTimeout: 100 * time.Millisecond}))
+	t.Cleanup(server.Close)
+	connection, err := net.Dial("tcp", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = connection.Close() }()
+	_, err = fmt.Fprintf(connection, "POST %s HTTP/1.1\r\nHost: p\r\nContent-Length: %d\r\n\r\n%s", callPath, 4<<20, make([]byte, 1<<20))
+	assert.NilError(t, err)
+	assert.NilError(t, connection.SetReadDeadline(time.Now().Add(10*time.Second)))
+	answer, _ := io.ReadAll(connection)
+	assert.Assert(t, bytes.HasPrefix(answer, []byte("HTTP/1.1 400 ")), "answer %q", answer)
+	assert.Equal(t, memory.Held(memorybudget.PeerCall), int64(0))
+}
