--- a/internal/forward/receive.go
+++ b/internal/forward/receive.go
@@ -2,14 +2,15 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/lugspur/lugspur/internal/callheader"
 	"github.com/lugspur/lugspur/internal/guard"
+	"github.com/lugspur/lugspur/internal/memorybudget"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/pressure"
 	"github.com/lugspur/lugspur/internal/problem"
@@ -57,6 +58,7 @@
 		return q, f.problem(problem.BadRequest, problem.ExecutedNo, "receive", "no request id")
 	}
 	q.deadline = started.Add(f.timeoutOf(q.route, r.Header))
+	q.callerTimeout, _ = f.callerTimeout(r.Header)
 	parent, failure := f.parentOf(q)
 	if failure != nil {
 		return q, failure
@@ -200,7 +202,7 @@
 	return time.Duration(millis) * time.Millisecond, true
 }
 
-func (f *Forwarder) readBody(w http.ResponseWriter, r *http.Request, maxBytes int64) ([]byte, *problem.Problem) {
+func (f *Forwarder) readBody(w http.ResponseWriter, r *http.Request, q *request, maxBytes int64) ([]byte, *problem.Problem) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
@@ -213,18 +215,17 @@
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, maxBytes)
 	}
-	var body []byte
-	var err error
-	if r.ContentLength > 0 {
-		body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(r.Body, body)
-	} else {
-		body, err = io.ReadAll(r.Body)
-	}
+	body, err := f.readBodyInMemory(w, r, q)
 	var limitError *http.MaxBytesError
 	switch {
 	case errors.As(err, &limitError):
 		return nil, tooLarge()
+	case errors.Is(err, memorybudget.ErrTooLarge):
+		return nil, f.problem(problem.BodyTooLarge, problem.ExecutedNo, "receive", "the body is larger than the node's memory for bodies")
+	case errors.Is(err, memorybudget.ErrExceeded):
+		return nil, f.refuseForMemory(q, "no memory left for the body")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, f.problem(problem.DeadlineExceeded, problem.ExecutedNo, "receive", "the body did not arrive before the deadline")
 	case err != nil:
 		return nil, f.problem(problem.BadRequest, problem.ExecutedNo, "receive", "the body ended early")
 	}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -22,7 +22,7 @@
 	header.Set("Content-Length", strconv.Itoa(len(reply.Body)))
 	w.WriteHeader(reply.Status)
 	writing := f.now()
-	_, err := w.Write(reply.Body)
+	err := f.writeBody(w, q, reply.Body)
 	if err == nil {
 		f.readerPace.Record(len(reply.Body), f.now().Sub(writing), f.now())
 	}
--- a/internal/forward/shutdown.go
+++ b/internal/forward/shutdown.go
@@ -68,63 +68,75 @@
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	timeout := f.startBodyTimeout(w, q)
-	body, failure := f.readBody(w, r, maxBytes)
-	if timeout.release(f.now()) || (failure == nil && !f.endsBeforeShutdown(q)) {
+	timeout := f.startBodyTimeout(w, r, q)
+	body, failure := f.readBody(w, r, q, maxBytes)
+	if timeout.release(f.now(), failure == nil) || (failure == nil && !f.endsBeforeShutdown(q)) {
 		w.Header().Set("Connection", "close")
 		return nil, f.shutdownProblem(q, "receive")
 	}
 	return body, failure
 }
 
-// bodyTimeout ends the reading of a request's body when the request could no longer end before the
+// bodyTimeout ends the reading of a request's body at the request's deadline, so that a stalled large
+// body does not take memory for longer, or earlier if the request could no longer end before the
 // node's shutdown deadline.
 type bodyTimeout struct {
 	stop func() bool
 
 	mutex      sync.Mutex
 	connection *http.ResponseController
-	done       bool
-	at         time.Time
+	// limited is set if the connection has a read deadline, and done once the body has been read.
+	limited, done bool
+	// at is when the request could no longer end before the shutdown deadline, zero if there is none.
+	at time.Time
 }
 
 // startBodyTimeout starts the timeout of a request's body. Its release must be called once the body
 // has been read.
-func (f *Forwarder) startBodyTimeout(w http.ResponseWriter, q *request) *bodyTimeout {
+func (f *Forwarder) startBodyTimeout(w http.ResponseWriter, r *http.Request, q *request) *bodyTimeout {
 	timeout := &bodyTimeout{connection: http.NewResponseController(w)}
+	if r.ContentLength < 0 || r.ContentLength > promptBodyBytes {
+		timeout.limit(f.socketTime(q.deadline))
+	}
 	timeout.stop = f.shutdownDeadline.AfterSet(func() {
-		if latest, set := f.shutdownDeadline.LatestStart(f.safeDuration(q, f.now())); set {
-			timeout.set(latest)
+		latest, set := f.shutdownDeadline.LatestStart(f.safeDuration(q, f.now()))
+		if set && latest.Before(q.deadline) {
+			timeout.endEarly(latest, f.socketTime(latest))
 		}
 	})
 	return timeout
 }
 
-// set sets the time at which reading fails.
-func (t *bodyTimeout) set(at time.Time) {
+// limit sets the time at which reading from the connection fails.
+func (t *bodyTimeout) limit(at time.Time) {
+	t.limited = true
+	// Only writers of tests have no connection.
+	_ = t.connection.SetReadDeadline(at)
+}
+
+// endEarly ends the reading at a time before the request's deadline, which is given by both clocks.
+func (t *bodyTimeout) endEarly(at, socketTime time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.done {
 		return
 	}
 	t.at = at
-	// Only writers of tests have no connection.
-	_ = t.connection.SetReadDeadline(at)
+	t.limit(socketTime)
 }
 
-// release ends the timeout and reports whether it has passed. If not, the connection can be used
-// further.
-func (t *bodyTimeout) release(now time.Time) (passed bool) {
+// release ends the timeout and reports whether the request can no longer end before the shutdown
+// deadline. If not, and the body is complete, the connection can be used further.
+func (t *bodyTimeout) release(now time.Time, complete bool) (passed bool) {
 	t.stop()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.done = true
-	if t.at.IsZero() {
-		return false
-	}
-	if !now.Before(t.at) {
+	if !t.at.IsZero() && !now.Before(t.at) {
 		return true
 	}
-	_ = t.connection.SetReadDeadline(time.Time{})
+	if t.limited && complete {
+		_ = t.connection.SetReadDeadline(time.Time{})
+	}
 	return false
 }
--- a/internal/peering/panic_test.go
+++ b/internal/peering/panic_test.go
@@ -65,7 +65,7 @@
 	defer cancel()
 	encoded, completed := s.runOrResume(ctx, &Call{RequestID: "a", From: callerAddress, Resumed: true, Process: testProcess})
 	assert.Assert(t, completed, "the resumption waited for its deadline")
-	reply, err := testCodec.decodeReply(encoded)
+	reply, err := testCodec.decodeReply(encoded.bytes())
 	assert.NilError(t, err)
 	assert.Equal(t, reply.Reason, ExchangeBroken)
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -18,6 +18,7 @@
 	"github.com/lugspur/lugspur/internal/fingerprint"
 	"github.com/lugspur/lugspur/internal/forward"
 	"github.com/lugspur/lugspur/internal/guard"
+	"github.com/lugspur/lugspur/internal/memorybudget"
 	"github.com/lugspur/lugspur/internal/peering"
 	"github.com/lugspur/lugspur/internal/pressure"
 	"github.com/lugspur/lugspur/internal/quarantine"
@@ -99,6 +100,7 @@
 	costs      *downstream.Table
 	quarantine *quarantine.Quarantine
 	limits     tenantLimits
+	memory     *memorybudget.Budget
 	forwarder  *forward.Forwarder
 	stopping   atomic.Bool
 	running    sync.WaitGroup
@@ -120,6 +122,7 @@
 		started: clock.Now(), processID: max(rand.Uint32(), 1)}
 	n.log = eventlog.New(eventlog.Config{RootOf: platform.RootRequestID}, settings.Name, output, time.Now)
 	n.metrics = newMetrics(n.log)
+	n.limitMemory()
 	n.createStore()
 	n.feed = configfeed.New(platform.ConfigurationKey, platform.ParseConfiguration, n.routes, n.log, clock.Now)
 	n.directory = registry.NewDirectory(platform.HomesPrefix, settings.advertised(), n.log, clock.Now)
@@ -164,6 +167,7 @@
 	n.codec = peering.NewCodec(platform.Headers().Signature)
 	n.peers = peering.NewClient(peering.ClientConfig{
 		MaxMessageBytes: maxMessageBytes,
+		Memory:          n.memory,
 		DialTimeout:     peerDialTimeout,
 		UserTimeout:     peerUserTimeout,
 		KeepAlive:       peerKeepAlive,
@@ -250,6 +254,7 @@
 		Quarantine: n.quarantine,
 		Keys:       apikey.NewChecker(n.routes, configfeed.NewFreshness(n.feed, n.replicas.configuration), n.settings.Tenants.revocationTime()),
 		Limits:     n.limits.limiter,
+		Memory:     n.memory,
 		Peers:      n.peers,
 		Observer:   n.metrics,
 		Log:        n.log,
