--- a/internal/forward/shutdown.go
+++ b/internal/forward/shutdown.go
@@ -56,10 +56,12 @@
 // shutdownProblem returns the problem for a request that is not run, or not once more, because it
 // might not end before the node's shutdown deadline.
 func (f *Forwarder) shutdownProblem(q *request, step string) *problem.Problem {
+	now := f.now()
+	detail := "the node is about to end: the request may take " + f.safeDuration(q, now).Round(time.Millisecond).String()
 	if q.attempts > 0 {
-		return f.problem(problem.TargetFailed, problem.ExecutedUnknown, step, "the node is about to end")
+		return f.problem(problem.TargetFailed, problem.ExecutedUnknown, step, detail)
 	}
-	return f.problem(problem.NotReady, problem.ExecutedNo, step, "the node is about to end").WithRetryDelay(f.shutdownDeadline.ReturnDelay(f.now()))
+	return f.problem(problem.NotReady, problem.ExecutedNo, step, detail).WithRetryDelay(f.shutdownDeadline.ReturnDelay(now))
 }
 
 // readBodyInTime reads the request's body. It refuses the request if the body is not complete while
