Sidecar: close idle connections when there are too many

Cause: accepted connections had no bound, and a server without a descriptor waits for connections to time out.

Evidence: TestIdleConnectionsDelayNewRequests (128 descriptors, 400 idle connections) on the code before: "answered after 30.864244782s". With the plain listener, TestAcceptErrorEndsServer fails for ENOBUFS, ENOMEM, EPROTO and ENETDOWN: the server accepts nothing any more.

Change: internal/connlimit selects the connections that have been idle longest, beyond half of the descriptors or an eighth of the memory, and a twentieth at a time when descriptors are out. They end as at their idle timeout, so that a request that has arrived is served. Every error of accept is temporary. Gauges for open connections and the bound.

--- a/internal/sidecar/gauges.go
+++ b/internal/sidecar/gauges.go
@@ -36,6 +36,8 @@
 		{"target_limit", "Calls that the target may work on at once.", func() float64 { return float64(n.guard.Load("").Limit) }},
 		{"target_rate_limit", "Calls per second that the target announces to accept; negative if it announces no limit.", n.targetRateLimit},
 		{"target_pace_percent", "Current duration of work at the target beside the node, in percent of its usual duration; 0 if it reports none.", func() float64 { return float64(n.guard.Pace().Percent) }},
+		{"connections_open", "Connections that the process has accepted and not closed.", func() float64 { return float64(n.connections.table.Open()) }},
+		{"connections_max", "Accepted connections beyond which idle ones are closed.", func() float64 { return float64(n.connections.table.Max()) }},
 		{"memory_bytes", "Memory that the process has taken and not returned.", memoryInUse},
 		{"memory_limit_bytes", "Memory of the process by its settings; a process that uses more is killed.", func() float64 { return float64(n.settings.Resources.memoryBytes()) }},
 		{"shed_threshold_ratio", "Part of all ranks that the home admits; 1 sheds nothing.", func() float64 { return float64(n.guard.Load("").Threshold) / float64(shed.None) }},
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -106,6 +106,7 @@
 	opening      sync.WaitGroup
 	serversMutex sync.Mutex
 	servers      []*server
+	connections  connectionLimit
 	// callsOpen reports whether the address for requests is open.
 	callsOpen atomic.Bool
 }
@@ -120,6 +121,7 @@
 		started: clock.Now(), processID: max(rand.Uint32(), 1)}
 	n.log = eventlog.New(eventlog.Config{RootOf: platform.RootRequestID}, settings.Name, output, time.Now)
 	n.metrics = newMetrics(n.log)
+	n.connections = newConnectionLimit(settings.Resources)
 	n.createStore()
 	n.feed = configfeed.New(platform.ConfigurationKey, platform.ParseConfiguration, n.routes, n.log, clock.Now)
 	n.directory = registry.NewDirectory(platform.HomesPrefix, settings.advertised(), n.log, clock.Now)
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -30,6 +30,8 @@
 type server struct {
 	http     *http.Server
 	listener *drainlistener.Listener
+	// accepting accepts the connections of the listener.
+	accepting net.Listener
 	// acceptDone is closed once the listener is closed and its accept queue is empty.
 	acceptDone chan struct{}
 	tracker    connectionTracker
@@ -41,7 +43,7 @@
 	if err != nil {
 		return nil, oops.In("sidecar").With("step", "listen").With("peer", address).Wrapf(err, "listen at %s", address)
 	}
-	s := &server{listener: listener, acceptDone: make(chan struct{})}
+	s := &server{listener: listener, accepting: listener, acceptDone: make(chan struct{})}
 	s.http = &http.Server{
 		Handler:           s.tracker.handler(handler),
 		ReadHeaderTimeout: headerTimeout,
@@ -57,7 +59,7 @@
 func (s *server) start() {
 	go func() {
 		defer close(s.acceptDone)
-		_ = s.http.Serve(s.listener)
+		_ = s.http.Serve(s.accepting)
 	}()
 }
 
--- a/internal/sidecar/start.go
+++ b/internal/sidecar/start.go
@@ -174,6 +174,7 @@
 		return err
 	}
 	server.http.ErrorLog = n.serverLog(address)
+	n.connections.apply(server, address == n.settings.Listen.Calls || address == n.settings.Listen.Metrics)
 	n.serversMutex.Lock()
 	defer n.serversMutex.Unlock()
 	n.servers = append(n.servers, server)
