--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -103,7 +103,7 @@
 	StartDelayed:            {"start-delayed", stateChange, "the step of the start that outcome names cannot be completed yet and is tried again; peer is its address or file, reason the error"},
 	StartResumed:            {"start-resumed", stateChange, "a step of the start that was delayed is completed; duration is the time since its first failure"},
 	StartFailed:             {"start-failed", stateChange, "a step of the start failed for good and the process exits; reason is the error, duration the time since its first failure"},
-	ProcessStopping:         {"process-stopping", stateChange, "a planned stop began"},
+	ProcessStopping:         {"process-stopping", stateChange, "a planned stop began; `request-refused` with \"the node is about to end\" then tells how long the request may take"},
 	ProcessStopped:          {"process-stopped", stateChange, "the process exits; count is the number of requests and calls still in flight"},
 	HandlerPanicked:         {"handler-panicked", failure, "the handler of a request at the address peer panicked, a fault of the program; reason is the panic and where it happened; the answer says that the request may have run, or is cut off"},
 	ServerError:             {"server-error", stateChange, "the HTTP server at the address peer reports the error in reason, such as a connection that could not be accepted"},
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -108,6 +108,7 @@
 	opening      sync.WaitGroup
 	serversMutex sync.Mutex
 	servers      []*server
+	connections  connectionLimit
 	// callsOpen reports whether the address for requests is open.
 	callsOpen atomic.Bool
 }
@@ -123,6 +124,7 @@
 	n.log = eventlog.New(eventlog.Config{RootOf: platform.RootRequestID}, settings.Name, output, time.Now)
 	n.metrics = newMetrics(n.log)
 	n.limitMemory()
+	n.connections = newConnectionLimit(settings.Resources)
 	n.createStore()
 	n.feed = configfeed.New(platform.ConfigurationKey, platform.ParseConfiguration, n.routes, n.log, clock.Now)
 	n.directory = registry.NewDirectory(platform.HomesPrefix, settings.advertised(), n.log, clock.Now)
