Peering: a panic in a peer's call doesn't end the process

What callers saw: not known. If the run of a peer's call panics, net/http recovers the handler, and 300 ms later the process ends with a nil pointer dereference in net/http.writeStatusLine, called by interimWriter.send: a process that ends by itself.

Cause: the timer of the interim responses was stopped only after a run that returned. It wrote to a response that had ended, in a goroutine whose panics nothing recovers.

Change: the timer is stopped when the handler ends in whatever way.

Before: TestPanicInRunDoesNotEndProcess ends the process of the test with that panic. After: passes 5 of 5 times, and internal/peering, with -race.

--- a/internal/peering/response_test.go
+++ b/internal/peering/response_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"bufio"
+	"bytes"
+	"context"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -43,6 +47,23 @@
 	}
 }
 
+// panickingHome panics in each run.
+type panickingHome struct{}
+
+func (panickingHome) Run(context.Context, *Call) *Reply { panic("run") }
+
+// TestPanicInRunDoesNotEndProcess guards against interim responses to a call whose handler has
+// panicked, which end the process of the test.
+func TestPanicInRunDoesNotEndProcess(t *testing.T) {
+	server := httptest.NewUnstartedServer(Handler(ServerConfig{Home: panickingHome{}, AntiEntropy: newFakeAntiEntropy(1), Codec: testCodec, MaxMessageBytes: testMaxBytes, Process: testProcess}))
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.Start()
+	t.Cleanup(server.Close)
+	_, err := http.Post(server.URL+callPath, "", bytes.NewReader(encodedCall(&Call{Service: "s", RequestID: "a", Remaining: time.Second})))
+	assert.Assert(t, err != nil)
+	time.Sleep(2 * interimInterval)
+}
+
 // TestInterimWritersAreReusable guards against an interim writer in the pool whose timer may still
 // run: after a reuse it would send at the wrong time or to the wrong response.
 func TestInterimWritersAreReusable(t *testing.T) {
--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -74,14 +74,21 @@
 		return
 	}
 	s.AntiEntropy.HandleCallDigests(call.From, call.Digests)
-	interim := startInterimWriter(w)
-	reply, completed := s.runOrResume(r.Context(), call)
-	interim.stop()
+	reply, completed := s.runWithInterim(w, r, call)
 	if completed {
 		writeResponse(w, reply)
 	}
 }
 
+// runWithInterim runs or resumes the call and sends interim responses meanwhile.
+func (s *server) runWithInterim(w http.ResponseWriter, r *http.Request, call *Call) (reply []byte, completed bool) {
+	interim := startInterimWriter(w)
+	// If the run panics, net/http recovers only this goroutine: a later interim response would
+	// write to a response that has ended, and its panic would end the process.
+	defer interim.stop()
+	return s.runOrResume(r.Context(), call)
+}
+
 // readCall reads a call. Its content is copied from the message.
 func (s *server) readCall(r *http.Request) (*Call, error) {
 	buffer := newBuffer()
