Peering: a panic ends the exchange of a call

What callers saw: none was seen. After the run of a peer's call had panicked, a resumption of the call waited until its deadline, and the exchange stayed in the table for good.

Cause: the exchange was marked as ended only after a run that returned.

Change: it also ends, without a reply, if the run panics; a resumption then fails as broken, executed unknown.

--- a/internal/peering/response_test.go
+++ b/internal/peering/response_test.go
@@ -59,9 +59,16 @@
 	server.Config.ErrorLog = log.New(io.Discard, "", 0)
 	server.Start()
 	t.Cleanup(server.Close)
-	_, err := http.Post(server.URL+callPath, "", bytes.NewReader(encodedCall(&Call{Service: "s", RequestID: "a", Remaining: time.Second})))
+	call := &Call{Service: "s", RequestID: "a", Remaining: time.Second, Process: testProcess}
+	_, err := http.Post(server.URL+callPath, "", bytes.NewReader(encodedCall(call)))
 	assert.Assert(t, err != nil)
 	time.Sleep(2 * interimInterval)
+	call.Resumed = true
+	ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
+	defer cancel()
+	reply, err := NewClient(ClientConfig{MaxMessageBytes: testMaxBytes, DialTimeout: time.Second, MaxIdle: 1, Codec: testCodec}).Call(ctx, server.Listener.Addr().String(), call)
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Outcome, Failed)
 }
 
 // TestInterimWritersAreReusable guards against an interim writer in the pool whose timer may still
--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -112,9 +112,9 @@
 	exchange, mustRun := s.exchanges.open(call, cancel)
 	if mustRun {
 		defer cancel()
-		reply = s.encode(s.Home.Run(runCtx, call))
-		s.exchanges.finish(exchange, reply)
-		return reply, true
+		// If the run panics, the exchange ends without a reply.
+		defer func() { s.exchanges.finish(exchange, reply) }()
+		return s.encode(s.Home.Run(runCtx, call)), true
 	}
 	cancel()
 	cancel = func() { s.exchanges.cancel(exchange) }
