--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -119,6 +119,8 @@
 // runWithInterims sends interim responses while runOrResume runs, which may panic.
 func (s *server) runWithInterims(ctx context.Context, w http.ResponseWriter, call *Call) (reply *encodedMessage, completed bool) {
 	interim := startInterimWriter(w)
+	// If the run panics, net/http recovers only this goroutine: a later interim response would write
+	// to a response that has ended, and its panic would end the process.
 	defer interim.stop()
 	return s.runOrResume(ctx, call)
 }
