--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -148,7 +148,7 @@
 	RequestRefused:          {"request-refused", refusal, "the request was refused without having run; wait is the retry delay, and reason names the service without room, if that is why, and its return place if such places are given"},
 	RequestFailed:           {"request-failed", failure, "the request failed and may have run"},
 	RequestRetried:          {"request-retried", refusal, "the request is sent to another home; reason says why the previous home did not serve it"},
-	RequestAbandoned:        {"request-abandoned", refusal, "the caller disconnected before the response, or closed its side of the connection; in the second case it receives 502 `executed: unknown`, or the refusal of a request that has not run"},
+	RequestAbandoned:        {"request-abandoned", refusal, "the caller disconnected before the response, or closed its side of the connection; in the second case it receives 502 with an unknown outcome, or the refusal of a request that has not run"},
 	CallRefused:             {"call-refused", refusal, "the local home refused a call; count is the queue length"},
 	CallFailed:              {"call-failed", failure, "the call to the target yielded no usable response; reason says why and quotes the beginning of bytes that are no valid status line; fingerprint is set if the call was interrupted"},
 	CallResumed:             {"call-resumed", failure, "the connection to the home at peer became silent; the call was resumed over a new connection"},
