Test: the restarted node of the clock step tests is a node of its own

TestStartAfterClockStepIsTarget wrote over the node that background goroutines still read: a data race of the test (go test -race). The checks are the same. go test -race ./internal/registry passes twice.

--- a/internal/registry/clock_step_test.go
+++ b/internal/registry/clock_step_test.go
@@ -61,9 +61,10 @@
 						assert.Assert(t, n.Target().State > Ready)
 					}
 					n.stop()
-					*n = *f.start(1)
+					restarted := f.start(1)
+					defer f.stopAll(restarted)
 					time.Sleep(time.Second)
-					assert.Assert(t, n.Target().State != Ready)
+					assert.Assert(t, restarted.Target().State != Ready)
 				})
 			})
 		}
@@ -80,12 +81,13 @@
 		assert.NilError(t, n.Heartbeat(t.Context(), startedHeartbeat("i-1", 10_000, 2)))
 		assert.Equal(t, n.Target().Incarnation(), secondStart)
 		n.stop()
-		*n = *f.start(1)
+		restarted := f.start(1)
+		defer f.stopAll(restarted)
 		time.Sleep(time.Second)
-		assert.Equal(t, n.Target().Incarnation(), secondStart)
+		assert.Equal(t, restarted.Target().Incarnation(), secondStart)
 		// The third start is the latest by its start time, too.
-		assert.NilError(t, n.Heartbeat(t.Context(), startedHeartbeat("i-1", 9_500, 1)))
-		assert.Equal(t, n.Target().StartMillis, int64(9_500))
+		assert.NilError(t, restarted.Heartbeat(t.Context(), startedHeartbeat("i-1", 9_500, 1)))
+		assert.Equal(t, restarted.Target().StartMillis, int64(9_500))
 	})
 }
 
