Memory budget: a message whose sender broke off is not a whole one

Cause: the reader of messages of unknown length took io.ErrUnexpectedEOF, which readers of chunks return for a sender that broke off, for the end of the message that io.ReadFull reports in the same way.

Before: five of six rows of TestTruncatedMessageIsNotComplete return no error. After: all fail with an unexpected EOF; the loop tells the end by io.EOF alone.

--- a/internal/memorybudget/budget_test.go
+++ b/internal/memorybudget/budget_test.go
@@ -1,9 +1,11 @@
 package memorybudget
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -186,3 +188,25 @@
 	}
 	assert.Equal(t, collections, 4, "small messages need no collection")
 }
+
+// TestTruncatedMessageIsNotComplete guards against a message of unknown length whose sender broke
+// off, which net/http reports as io.ErrUnexpectedEOF, and which passed for a whole one.
+func TestTruncatedMessageIsNotComplete(t *testing.T) {
+	for name, chunks := range map[string]string{
+		"within a chunk":          "8\r\nhalf",
+		"after a chunk":           "4\r\nhalf\r\n",
+		"within the end":          "4\r\nhalf\r\n0\r\n",
+		"before a chunk":          "",
+		"within a chunk's length": "4\r\nhalf\r\n1",
+		"after several parts":     "2000\r\n" + strings.Repeat("x", 0x2000) + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			raw := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks
+			response, err := http.ReadResponse(bufio.NewReader(strings.NewReader(raw)), nil)
+			assert.NilError(t, err)
+			defer func() { _ = response.Body.Close() }()
+			_, err = Read(response.Body, response.ContentLength, 1<<20, nil)
+			assert.ErrorContains(t, err, "unexpected EOF")
+		})
+	}
+}
--- a/internal/memorybudget/read.go
+++ b/internal/memorybudget/read.go
@@ -75,13 +75,13 @@
 			return nil, ErrExceeded
 		}
 		part := make([]byte, partBytes)
-		n, err := io.ReadFull(reader, part)
+		n, err := fill(reader, part)
 		parts = append(parts, part[:n])
 		total += int64(n)
 		switch {
 		case total > maxBytes:
 			return nil, ErrTooLarge
-		case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		case errors.Is(err, io.EOF):
 			content := join(parts, total)
 			r.shrink(max(total, int64(cap(content))))
 			return content, nil
@@ -91,6 +91,18 @@
 	}
 }
 
+// fill reads until the buffer is full or the reader returns an error, which is io.EOF at the end of
+// the message. io.ReadFull would return io.ErrUnexpectedEOF there, as readers of chunks do if their
+// sender broke off.
+func fill(reader io.Reader, buffer []byte) (n int, err error) {
+	for n < len(buffer) && err == nil {
+		var received int
+		received, err = reader.Read(buffer[n:])
+		n += received
+	}
+	return n, err
+}
+
 // join returns the parts as one slice, which is the first part if there is no other.
 func join(parts [][]byte, total int64) []byte {
 	if len(parts) == 1 {
