Peering: a resumption that is refused for memory is no refusal of the call

Cause: a home without memory for a message refuses it without decoding it, and does not see that it is a resumption of a call that it runs.

Change: the client takes such a refusal of a resumption for a failure after which the call may have run.

Before: TestResumptionRefusedForMemoryIsNoRefusal, "refused, out-of-memory" with one run. After: passes, with internal/peering.

--- a/internal/peering/client.go
+++ b/internal/peering/client.go
@@ -109,9 +109,16 @@
 	if c.antiEntropy != nil {
 		c.antiEntropy.HandleReplyDigests(address, reply.Digests, sentAt)
 	}
+	if call.Resumed && reply.Outcome == Refused && reply.Reason == OutOfMemory {
+		return nil, &Error{Sent: true, cause: fmt.Errorf("resume call with %s: %w", address, errResumptionRefused)}
+	}
 	return reply, nil
 }
 
+// errResumptionRefused means that the home had no memory for a resumption. It does not read the message
+// then, and may be running the call that it resumes.
+var errResumptionRefused = errors.New("the home has no memory for the resumption")
+
 // callWithResumption sends the call, which started at the given time, and resumes it over a new
 // connection each time the connection goes silent. The silence timeout doubles with each
 // resumption, because a stalled home is silent as well. If the home's process is unknown, there is
