Memory budget: messages between nodes' copies of the store do not wait for bodies

Cause: control messages counted as work that has not started.

Before: TestConfigurationOfPeerDoesNotWaitForBodies, "no memory left for the message". After: passes.

--- a/internal/memorybudget/budget.go
+++ b/internal/memorybudget/budget.go
@@ -39,7 +39,7 @@
 
 // work returns the state of the work in which a message of the purpose grows.
 func (p Purpose) work() Work {
-	if p == Response || p == PeerReply {
+	if p == Response || p == PeerReply || p == Control {
 		return Completing
 	}
 	return Starting
