Registry: a late notice of another target keeps the running one out for a second only

Cause: the longer time for a start that may serve on in silence under the same ID applied to targets with other IDs as well.

Before: TestLateDrainingOfPredecessorIsShort, 10 s. After: within 1.5 s.

--- a/internal/registry/start_order.go
+++ b/internal/registry/start_order.go
@@ -61,7 +61,8 @@
 	r.ignored[incarnation] = true
 	required := reinstateAfter
 	latest := Incarnation{ID: incarnation.ID, StartMillis: r.latestStart[incarnation.ID]}
-	if r.departed[r.target.Incarnation()] || r.departed[latest] {
+	current := r.target.Incarnation()
+	if (r.departed[current] && current.ID == incarnation.ID) || r.departed[latest] {
 		required = reinstateAfterDeparture
 	}
 	return now.Sub(r.returning.since) >= required
