--- a/internal/startup/retry.go
+++ b/internal/startup/retry.go
@@ -14,9 +14,9 @@
 )
 
 // transientErrors are the errors of the operating system that may pass without a change of the
-// settings. That an address does not belong to the machine (EADDRNOTAVAIL) is none of them.
+// settings. An address may not be assigned to the machine yet (EADDRNOTAVAIL).
 var transientErrors = []error{
-	syscall.EADDRINUSE,
+	syscall.EADDRINUSE, syscall.EADDRNOTAVAIL,
 	syscall.EMFILE, syscall.ENFILE,
 	syscall.ENOMEM, syscall.ENOBUFS,
 	syscall.EAGAIN, syscall.EINTR,
