Sidecar: the connection limit closes neither new connections nor those with a request

Cause: a connection counted as idle until its first request was read whole, and the deadline that closes one could be set after that.

Change: beyond the bound only connections that have carried a request are closed; unused ones only if descriptors are out. The arrival of a request and the closing exclude each other, and a request lifts the deadline.

The rows of the table test tell unused connections and idle ones apart now; those that stated that unused ones are closed beyond the bound state it of idle ones.

--- a/internal/connlimit/table_test.go
+++ b/internal/connlimit/table_test.go
@@ -8,8 +8,8 @@
 )
 
 // TestIdleConnectionsTakeAllDescriptors plays connections on a table with a bound of 3. Steps are
-// "+a" (opened), "#a" (opened, not closable), "!a" (busy), "-a" (idle), "xa" (closed), "?" (a
-// connection beyond the bound is selected) and "*" (any is).
+// "~a" (opened), "+a" (opened, idle after a request), "#a" (opened, not closable), "!a" (busy), "-a"
+// (idle), "xa" (closed), "?" (a connection beyond the bound is selected) and "*" (any is).
 func TestIdleConnectionsTakeAllDescriptors(t *testing.T) {
 	plays := []struct{ name, steps, selected string }{
 		{"within the bound", "+a +b +c ?", "none"},
@@ -26,6 +26,10 @@
 		{"a selected one is closed", "+a +b +c +d ? xa +e ?", "a b"},
 		{"a selected one is idle again", "+a +b +c +d ? !a -a ?", "a b"},
 		{"descriptors are out below the bound", "+a +b * * *", "a b none"},
+		{"a first request may be arriving", "~a ~b ~c ~d ?", "none"},
+		{"first requests may be arriving while all others are busy", "+a +b +c !a !b !c ~d ~e ? ?", "none none"},
+		{"descriptors are out, used ones first", "~a +b ~c * * * *", "b a c none"},
+		{"a first request keeps its connection", "~a +b * * !a", "b a"},
 		{"unknown connections", "!a -a xa +b ?", "none"},
 	}
 	for _, play := range plays {
@@ -40,8 +44,11 @@
 			}
 			for step := range strings.FieldsSeq(play.steps) {
 				switch key := step[1:]; step[0] {
+				case '~':
+					table.Opened(key, true)
 				case '+':
 					table.Opened(key, true)
+					table.Idle(key)
 				case '#':
 					table.Opened(key, false)
 				case '!':
--- a/internal/sidecar/connections.go
+++ b/internal/sidecar/connections.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 
@@ -34,10 +35,14 @@
 }
 
 // connectionLimit closes idle connections beyond the bound.
-type connectionLimit struct{ table *connlimit.Table[net.Conn] }
+type connectionLimit struct {
+	table *connlimit.Table[net.Conn]
+	// closing orders the closing of a connection and the arrival of a request on it.
+	closing *sync.Mutex
+}
 
 func newConnectionLimit(settings ResourceSettings) connectionLimit {
-	return connectionLimit{connlimit.New[net.Conn](settings.maxConnections())}
+	return connectionLimit{table: connlimit.New[net.Conn](settings.maxConnections()), closing: new(sync.Mutex)}
 }
 
 // apply applies the limit to a server that has not been started. Connections of a server that is not
@@ -60,7 +65,7 @@
 		l.table.Opened(connection, closable)
 		l.closeExcess()
 	case http.StateActive:
-		l.table.Busy(connection)
+		l.requestArrived(connection)
 	case http.StateIdle:
 		l.table.Idle(connection)
 		l.closeExcess()
@@ -69,6 +74,16 @@
 	}
 }
 
+// requestArrived keeps a connection open that was to be closed. The server has read a request from it
+// and looks at the connection only after this returns, so that the deadline ends nothing.
+func (l connectionLimit) requestArrived(connection net.Conn) {
+	l.closing.Lock()
+	defer l.closing.Unlock()
+	if l.table.Busy(connection) {
+		_ = connection.SetReadDeadline(time.Time{})
+	}
+}
+
 func (l connectionLimit) closeExcess() {
 	if connection, found := l.table.SelectExcess(); found {
 		l.closeSelected(connection)
@@ -95,6 +110,8 @@
 // closeSelected closes a selected connection, unless a request arrives on it. The server closes it,
 // as at its idle timeout.
 func (l connectionLimit) closeSelected(connection net.Conn) {
+	l.closing.Lock()
+	defer l.closing.Unlock()
 	if !l.table.Selected(connection) {
 		return
 	}
