Forward: stalled bodies end in time, a body that is too large is answered at once

A chunked body above the operator's limit got no answer within 2 s if its sender waited for one.

Cause: only bodies of more than 4 KiB had a read deadline; answers given without reading the body wait for the rest of it in net/http; and the writer that records panics hides the method by which MaxBytesReader closes the connection.

Change: each body has the request's deadline, a body that is not needed a second, and the answer to one that is too large closes the connection.

Before: TestStalledSmallBodyEndsAtDeadline times out, TestTooLargeBodyIsAnsweredAtOnce has no answer within 0.5 s. After: both pass, with internal/forward. The memory of requests' headers is in no budget yet.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -369,6 +369,9 @@
 	defer q.memory.release()
 	if failure != nil {
 		f.returnPermit(q, failure)
+		if !q.memory.bodyRefused {
+			limitUnreadBody(w, r)
+		}
 		f.writeProblem(w, q, failure)
 		q.discardBody(w, r)
 		return
--- a/internal/forward/memory.go
+++ b/internal/forward/memory.go
@@ -14,10 +14,6 @@
 // off.
 const stalledReaderTimeout = 5 * time.Second
 
-// promptBodyBytes is the size up to which a body that does not arrive takes too little memory to
-// matter.
-const promptBodyBytes = 4 << 10
-
 // abandonedGrace is the time after a caller's own timeout from which on it is known not to read a
 // large response any more.
 const abandonedGrace = time.Second
@@ -47,12 +43,25 @@
 	body, err := memorybudget.Read(r.Body, r.ContentLength, f.memory.Limits().MaxMessage(), &q.memory.body)
 	if errors.Is(err, memorybudget.ErrExceeded) || errors.Is(err, memorybudget.ErrTooLarge) {
 		q.memory.bodyRefused = true
-		// The response is written while the caller still sends the body.
-		_ = http.NewResponseController(w).EnableFullDuplex()
+		answerBeforeBody(w)
 	}
 	return body, err
 }
 
+// answerBeforeBody lets the response be written while the caller still sends the body.
+func answerBeforeBody(w http.ResponseWriter) { _ = http.NewResponseController(w).EnableFullDuplex() }
+
+// unreadBodyTimeout is how long the body of a request may take that is answered without reading it.
+const unreadBodyTimeout = time.Second
+
+// limitUnreadBody bounds the time for which a connection is kept for the rest of a body that is not
+// needed: net/http reads it before it writes the response.
+func limitUnreadBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	}
+}
+
 // socketTime returns a time of the forwarder's clock in the time of sockets.
 func (f *Forwarder) socketTime(at time.Time) time.Time { return time.Now().Add(at.Sub(f.now())) }
 
--- a/internal/forward/receive.go
+++ b/internal/forward/receive.go
@@ -219,6 +219,8 @@
 	var limitError *http.MaxBytesError
 	switch {
 	case errors.As(err, &limitError):
+		w.Header().Set("Connection", "close")
+		answerBeforeBody(w)
 		return nil, tooLarge()
 	case errors.Is(err, memorybudget.ErrTooLarge):
 		return nil, f.problem(problem.BodyTooLarge, problem.ExecutedNo, "receive", "the body is larger than the node's memory for bodies")
--- a/internal/forward/shutdown.go
+++ b/internal/forward/shutdown.go
@@ -70,7 +70,7 @@
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	timeout := f.startBodyTimeout(w, r, q)
+	timeout := f.startBodyTimeout(w, q)
 	body, failure := f.readBody(w, r, q, maxBytes)
 	if timeout.release(f.now(), failure == nil) || (failure == nil && !f.endsBeforeShutdown(q)) {
 		w.Header().Set("Connection", "close")
@@ -79,27 +79,25 @@
 	return body, failure
 }
 
-// bodyTimeout ends the reading of a request's body at the request's deadline, so that a stalled large
-// body does not take memory for longer, or earlier if the request could no longer end before the
-// node's shutdown deadline.
+// bodyTimeout ends the reading of a request's body at the request's deadline, so that a stalled body
+// does not take memory and its connection for longer, or earlier if the request could no longer end
+// before the node's shutdown deadline.
 type bodyTimeout struct {
 	stop func() bool
 
 	mutex      sync.Mutex
 	connection *http.ResponseController
-	// limited is set if the connection has a read deadline, and done once the body has been read.
-	limited, done bool
+	// done is set once the body has been read.
+	done bool
 	// at is when the request could no longer end before the shutdown deadline, zero if there is none.
 	at time.Time
 }
 
 // startBodyTimeout starts the timeout of a request's body. Its release must be called once the body
 // has been read.
-func (f *Forwarder) startBodyTimeout(w http.ResponseWriter, r *http.Request, q *request) *bodyTimeout {
+func (f *Forwarder) startBodyTimeout(w http.ResponseWriter, q *request) *bodyTimeout {
 	timeout := &bodyTimeout{connection: http.NewResponseController(w)}
-	if r.ContentLength < 0 || r.ContentLength > promptBodyBytes {
-		timeout.limit(f.socketTime(q.deadline))
-	}
+	timeout.limit(f.socketTime(q.deadline))
 	timeout.stop = f.shutdownDeadline.AfterSet(func() {
 		latest, set := f.shutdownDeadline.LatestStart(f.safeDuration(q, f.now()))
 		if set && latest.Before(q.deadline) {
@@ -111,7 +109,6 @@
 
 // limit sets the time at which reading from the connection fails.
 func (t *bodyTimeout) limit(at time.Time) {
-	t.limited = true
 	// Only writers of tests have no connection.
 	_ = t.connection.SetReadDeadline(at)
 }
@@ -137,7 +134,7 @@
 	if !t.at.IsZero() && !now.Before(t.at) {
 		return true
 	}
-	if t.limited && complete {
+	if complete {
 		_ = t.connection.SetReadDeadline(time.Time{})
 	}
 	return false
