Sidecar: a node registers only once peers can reach it

Cause: the registrar and the manager of limits' shards started beside the addresses; only heartbeats waited.

Before: TestNodeDoesNotRegisterBeforePeersReachIt, the record is written again while the address is held. After: passes, with the tests of the start.

--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -111,6 +111,8 @@
 	connections  connectionLimit
 	// callsOpen reports whether the address for requests is open.
 	callsOpen atomic.Bool
+	// peersOpen is closed once the address for peers is open.
+	peersOpen chan struct{}
 }
 
 // New creates a node. It sends nothing and does not listen before Run.
@@ -120,7 +122,7 @@
 		return nil, oops.In("sidecar").With("step", "compile policies").Wrapf(err, "compile policies")
 	}
 	n := &Node{policies: routepolicy.NewHolder(policies), policySources: settings.Policies, settings: settings, routes: &routetable.Holder{},
-		started: clock.Now(), processID: max(rand.Uint32(), 1)}
+		started: clock.Now(), processID: max(rand.Uint32(), 1), peersOpen: make(chan struct{})}
 	n.log = eventlog.New(eventlog.Config{RootOf: platform.RootRequestID}, settings.Name, output, time.Now)
 	n.metrics = newMetrics(n.log)
 	n.limitMemory()
@@ -325,7 +327,8 @@
 func (n *Node) backgroundTasks() []func(context.Context) {
 	tasks := []func(context.Context){
 		n.replicas.configurationSyncer.Run, n.replicas.recordsSyncer.Run, n.replicas.antiEntropy.Run, n.replicas.verifier.Run,
-		n.releaseConfiguration, n.directory.Run, n.registrar.Run, n.guard.RunShedding, n.forwarder.Run, n.storeCalls.run, n.quarantine.Run, n.limits.shardManager.Run,
+		n.releaseConfiguration, n.directory.Run, n.oncePeersOpen(n.registrar.Run), n.guard.RunShedding, n.forwarder.Run, n.storeCalls.run, n.quarantine.Run,
+		n.oncePeersOpen(n.limits.shardManager.Run),
 	}
 	if n.shortages != nil {
 		tasks = append(tasks, n.watchShortages)
@@ -333,6 +336,18 @@
 	return tasks
 }
 
+// oncePeersOpen returns a function that runs the task once peers can reach the node. Before, its record
+// and its shards would name a node that does not answer.
+func (n *Node) oncePeersOpen(task func(context.Context)) func(context.Context) {
+	return func(ctx context.Context) {
+		select {
+		case <-n.peersOpen:
+			task(ctx)
+		case <-ctx.Done():
+		}
+	}
+}
+
 // acceptsService reports whether targets may register for a service: the active
 // configuration must contain it. Without a configuration, any service is accepted.
 func (n *Node) acceptsService(name string) bool {
--- a/internal/sidecar/start.go
+++ b/internal/sidecar/start.go
@@ -179,8 +179,11 @@
 	defer n.serversMutex.Unlock()
 	n.servers = append(n.servers, server)
 	server.start()
-	if address == n.settings.Listen.Calls {
+	switch address {
+	case n.settings.Listen.Calls:
 		n.callsOpen.Store(true)
+	case n.settings.Listen.Peers:
+		close(n.peersOpen)
 	}
 	return nil
 }
--- a/test/start_test.go
+++ b/test/start_test.go
@@ -15,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lugspur/lugspur/internal/store"
 	"github.com/lugspur/lugspur/lab/cluster"
 )
 
@@ -207,3 +208,26 @@
 		assert.NilError(t, <-n.exited, "start %d of %d", i+1, starts)
 	}
 }
+
+// TestNodeDoesNotRegisterBeforePeersReachIt guards against a record that sends peers to a node whose
+// address is not open yet.
+func TestNodeDoesNotRegisterBeforePeersReachIt(t *testing.T) {
+	p := startPlatform(t, "west")
+	n := p.nodes[0]
+	peers := n.setting(t, "peers")
+	revision := func() store.Revision {
+		entry, err := p.store.Get(t.Context(), "lugspur/homes/"+peers)
+		assert.NilError(t, err)
+		return entry.Revision
+	}
+	assert.NilError(t, n.process.Process.Kill())
+	<-n.exited
+	held := occupy(t, "tcp", peers)
+	before := revision()
+	p.start(n)
+	time.Sleep(2 * startHeld)
+	assert.Equal(t, revision(), before)
+	assert.NilError(t, held.Close())
+	eventually(t, 10*time.Second, "the record names the process", func() bool { return revision() != before })
+	p.awaitServed(n, "/read/x")
+}
