Forward: the memory of a request itself counts against the budget

Cause: the budget counted bodies and responses only.

Change: a request reserves 32 KiB as it arrives and is refused with 503, not run, and a time to return if there is no room. Nested calls are never refused for it.

--- a/internal/forward/memory.go
+++ b/internal/forward/memory.go
@@ -18,14 +18,19 @@
 // large response any more.
 const abandonedGrace = time.Second
 
+// requestBytes is the memory that a request takes besides its messages: its header, and the stacks and
+// buffers of its connection.
+const requestBytes = 32 << 10
+
 // requestMemory holds the reservations of a request.
 type requestMemory struct {
-	body, response, errorResponse memorybudget.Reservation
+	request, body, response, errorResponse memorybudget.Reservation
 	// bodyRefused is set if the body was not read completely because there was no memory for it.
 	bodyRefused bool
 }
 
 func (m *requestMemory) release() {
+	m.request.Release()
 	m.body.Release()
 	m.response.Release()
 	m.errorResponse.Release()
@@ -37,6 +42,16 @@
 	m.errorResponse, m.response = m.response, memorybudget.Reservation{}
 }
 
+// reserveRequest reserves the memory that a request takes besides its messages. It refuses the request
+// if there is none, unless it is a nested call, which takes part in a request that has run already.
+func (f *Forwarder) reserveRequest(q *request) *problem.Problem {
+	q.memory.request = f.memory.Reservation(memorybudget.Request)
+	if q.memory.request.Grow(requestBytes) || q.nested {
+		return nil
+	}
+	return f.problem(problem.Overloaded, problem.ExecutedNo, "memory", "no memory left for the request").WithRetryDelay(f.memory.RetryDelay())
+}
+
 // readBodyInMemory reads the request's body.
 func (f *Forwarder) readBodyInMemory(w http.ResponseWriter, r *http.Request, q *request) ([]byte, error) {
 	q.memory.body = f.memory.Reservation(memorybudget.Request)
--- a/internal/forward/receive.go
+++ b/internal/forward/receive.go
@@ -63,6 +63,9 @@
 	if failure != nil {
 		return q, failure
 	}
+	if failure := f.reserveRequest(q); failure != nil {
+		return q, failure
+	}
 	if !f.endsBeforeShutdown(q) {
 		return q, f.shutdownProblem(q, "receive")
 	}
