Peering: one handler for the messages that are not calls

Five handlers repeated how a message is read within its memory and how an invalid one is answered. No behavior changes.

--- a/internal/peering/server.go
+++ b/internal/peering/server.go
@@ -10,14 +10,8 @@
 	"strconv"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/lugspur/lugspur/internal/clock"
 	"github.com/lugspur/lugspur/internal/memorybudget"
-	"github.com/lugspur/lugspur/internal/quarantine"
-	"github.com/lugspur/lugspur/internal/ratelimit"
-	"github.com/lugspur/lugspur/internal/registry"
-	"github.com/lugspur/lugspur/internal/replica"
 )
 
 // Home runs calls at this node's local target.
@@ -69,18 +63,18 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pingPath, func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("POST "+callPath, s.serveCall)
-	mux.HandleFunc("POST "+queryPath, s.serveQuery)
+	mux.HandleFunc("POST "+queryPath, s.control(s.MaxMessageBytes, s.answerQuery))
 	if s.Quarantine != nil {
-		mux.HandleFunc("POST "+noticePath, s.serveNotice)
+		mux.HandleFunc("POST "+noticePath, s.control(s.MaxMessageBytes, s.handleNotice))
 	}
 	if s.Departures != nil {
-		mux.HandleFunc("POST "+departurePath, s.serveDeparture)
+		mux.HandleFunc("POST "+departurePath, s.control(s.MaxMessageBytes, s.handleDeparture))
 	}
 	if s.Starts != nil {
-		mux.HandleFunc("POST "+startPath, s.serveStart)
+		mux.HandleFunc("POST "+startPath, s.control(min(maxStartNoticeBytes, s.MaxMessageBytes), s.handleStart))
 	}
 	if s.Permits != nil {
-		mux.HandleFunc("POST "+permitPath, s.servePermits)
+		mux.HandleFunc("POST "+permitPath, s.control(s.MaxMessageBytes, s.issuePermits))
 	}
 	return mux
 }
@@ -210,93 +204,6 @@
 	return s.Codec.encodeReplyMessage(reply)
 }
 
-func (s *server) serveQuery(w http.ResponseWriter, r *http.Request) {
-	memory := s.Memory.Reservation(memorybudget.Control)
-	defer memory.Release()
-	content, err := memorybudget.Read(r.Body, r.ContentLength, s.MaxMessageBytes, &memory)
-	if err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	var query replica.Query
-	if err := cbor.Unmarshal(content, &query); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	writeResponse(w, encode(s.AntiEntropy.AnswerQuery(&query)))
-}
-
-func (s *server) serveNotice(w http.ResponseWriter, r *http.Request) {
-	memory := s.Memory.Reservation(memorybudget.Control)
-	defer memory.Release()
-	content, err := memorybudget.Read(r.Body, r.ContentLength, s.MaxMessageBytes, &memory)
-	if err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	var notice quarantine.Notice
-	if err := cbor.Unmarshal(content, &notice); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	s.Quarantine.HandleNotice(&notice)
-	writeResponse(w, nil)
-}
-
-func (s *server) serveDeparture(w http.ResponseWriter, r *http.Request) {
-	memory := s.Memory.Reservation(memorybudget.Control)
-	defer memory.Release()
-	content, err := memorybudget.Read(r.Body, r.ContentLength, s.MaxMessageBytes, &memory)
-	if err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	var departure registry.Departure
-	if err := cbor.Unmarshal(content, &departure); err != nil || departure.Validate() != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	s.Departures.HandleDeparture(departure)
-	writeResponse(w, nil)
-}
-
-// maxStartNoticeBytes is the maximum size of a notice of a started target. Records have a few
-// hundred bytes.
-const maxStartNoticeBytes = 4 << 10
-
-func (s *server) serveStart(w http.ResponseWriter, r *http.Request) {
-	memory := s.Memory.Reservation(memorybudget.Control)
-	defer memory.Release()
-	content, err := memorybudget.Read(r.Body, r.ContentLength, min(maxStartNoticeBytes, s.MaxMessageBytes), &memory)
-	if err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	var notice registry.StartNotice
-	if err := cbor.Unmarshal(content, &notice); err != nil || notice.Validate() != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	s.Starts.HandleStart(notice)
-	writeResponse(w, nil)
-}
-
-func (s *server) servePermits(w http.ResponseWriter, r *http.Request) {
-	memory := s.Memory.Reservation(memorybudget.Control)
-	defer memory.Release()
-	content, err := memorybudget.Read(r.Body, r.ContentLength, s.MaxMessageBytes, &memory)
-	if err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	var request ratelimit.PermitRequest
-	if err := request.Decode(content); err != nil || !request.Valid() {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	writeResponse(w, encode(s.Permits.Issue(&request).Wire()))
-}
-
 // readInto returns the body of a request with a Content-Length, which is valid until the buffer is
 // used again.
 func readInto(buffer *bytes.Buffer, r *http.Request) ([]byte, error) {
