--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -79,6 +79,12 @@
 	return len(h.calls)
 }
 
+func (h *fakeHome) firstCall() *peering.Call {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.calls[0]
+}
+
 func replyOK(context.Context, *peering.Call) *peering.Reply {
 	return &peering.Reply{Outcome: peering.Answered, Status: 200, Header: http.Header{"X-Signature": {"s"}}, Body: []byte("ok"),
 		Load: peering.Load{Limit: 10, Threshold: shed.None}}
--- a/internal/forward/shutdown_test.go
+++ b/internal/forward/shutdown_test.go
@@ -167,7 +167,8 @@
 			response := f.do("POST", path, "a", "")
 			assert.Equal(t, response.Code, http.StatusGatewayTimeout)
 			assert.Assert(t, time.Since(end) < 200*time.Millisecond, "%s after the shutdown", time.Since(end))
-			assert.Assert(t, f.homes[0].calls[0].RunLimit > left/2 && f.homes[0].calls[0].RunLimit < left, "%s", f.homes[0].calls[0].RunLimit)
+			limit := f.homes[0].firstCall().RunLimit
+			assert.Assert(t, limit > left/2 && limit < left, "%s", limit)
 		})
 	}
 }
